--- /dev/null
+++ b/Config/Authenticator.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <Config/Configuration.h>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Hibiscus {
+
+/// Who has presented a key.
+struct Principal
+{
+    Role role = Role::Caller;
+    std::string customer; ///< Empty for operators that belong to no customer.
+    std::string keyName;
+
+    bool operator==(const Principal &) const = default;
+};
+
+/// Checks "name.secret" keys against a configuration's hashes. Derived hashes are cached in a
+/// bounded table, so that only a key's first use costs the derivation. Safe for many threads.
+class Authenticator
+{
+public:
+    Authenticator();
+    ~Authenticator();
+
+    /// Replaces the keys; `operators` come from the instance's settings and are always valid.
+    void setKeys(const Configuration &configuration, const std::vector<ApiKey> &operators);
+    std::optional<Principal> authenticate(std::string_view presented) const;
+
+    /// A key's stored form under a fresh salt.
+    static ApiKey derive(std::string_view name, Role role, std::string_view secret,
+                         std::string_view saltHex);
+    /// A fresh random secret, 32 hexadecimal digits.
+    static std::string newSecret();
+
+private:
+    struct Data;
+    std::unique_ptr<Data> data;
+};
+
+} // namespace Hibiscus
