--- /dev/null
+++ b/Platform/StoreClient.cpp
@@ -0,0 +1,150 @@
+#include <Platform/StoreClient.h>
+#include <Platform/StoreGateway.h>
+
+#include <httplib.h>
+#include <netinet/tcp.h>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr const char *jsonType = "application/json";
+constexpr int httpOk = 200;
+
+/// Connecting may take this share of a call's timeout, waiting for the answer the rest.
+constexpr int connectShare = 4;
+
+/// A watch has nothing to say for long; a peer that is gone is found by TCP's own probes.
+constexpr std::chrono::hours watchReadTimeout{24};
+constexpr int probeAfterSeconds = 5;
+constexpr int probeEverySeconds = 2;
+constexpr int probeCount = 3;
+
+void setProbes(socket_t socket)
+{
+    const auto set = [&](int level, int option, int value) {
+        setsockopt(socket, level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probeEverySeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+}
+
+/// Cuts a watch's stream into lines and delivers what they say.
+class WatchReader
+{
+public:
+    explicit WatchReader(const std::function<void(const StoreWatchBatch &)> &deliver)
+        : deliver(deliver)
+    {}
+
+    /// False once the watch has ended.
+    bool read(std::string_view bytes)
+    {
+        this->pending += bytes;
+        std::size_t begin = 0;
+        for (;;) {
+            const std::size_t end = this->pending.find('\n', begin);
+            if (end == std::string::npos)
+                break;
+            if (!this->readLine(std::string_view(this->pending).substr(begin, end - begin)))
+                return false;
+            begin = end + 1;
+        }
+        this->pending.erase(0, begin);
+        return true;
+    }
+
+private:
+    bool readLine(std::string_view line)
+    {
+        if (line.empty())
+            return true;
+        const std::optional<GatewayWatchMessage> message = decodeWatchMessage(line);
+        if (!message || message->canceled)
+            return false;
+        const StoreWatchBatch &batch = message->batch;
+        if (!batch.written.empty() || !batch.removed.empty())
+            this->deliver(batch);
+        return true;
+    }
+
+    const std::function<void(const StoreWatchBatch &)> &deliver;
+    std::string pending;
+};
+
+} // namespace
+
+struct StoreClient::Data
+{
+    explicit Data(const Settings &settings)
+        : settings(settings)
+        , http(settings.host, settings.port)
+    {
+        const Duration connecting = settings.timeout / connectShare;
+        this->http.set_keep_alive(true);
+        this->http.set_tcp_nodelay(true);
+        this->http.set_connection_timeout(connecting);
+        this->http.set_write_timeout(connecting);
+        this->http.set_read_timeout(settings.timeout - connecting);
+    }
+
+    Settings settings;
+    httplib::Client http;
+};
+
+StoreClient::StoreClient(const Settings &settings)
+    : data(std::make_unique<Data>(settings))
+{}
+
+StoreClient::~StoreClient() = default;
+StoreClient::StoreClient(StoreClient &&) noexcept = default;
+StoreClient &StoreClient::operator=(StoreClient &&) noexcept = default;
+
+StoreReply StoreClient::execute(const StoreRequest &request)
+{
+    try {
+        const GatewayRequest call = encodeStoreRequest(request);
+        const httplib::Result result = this->data->http.Post(call.path, call.body, jsonType);
+        if (!result)
+            return {};
+        return decodeStoreReply(request, result->status, result->body);
+    } catch (const std::exception &) {
+        return {};
+    }
+}
+
+bool StoreClient::watch(const std::string &prefix, std::int64_t fromRevision,
+                        const std::function<void(const StoreWatchBatch &)> &deliver,
+                        const std::stop_token &stop)
+{
+    try {
+        httplib::Client http(this->data->settings.host, this->data->settings.port);
+        http.set_socket_options(setProbes);
+        http.set_connection_timeout(this->data->settings.timeout);
+        http.set_read_timeout(watchReadTimeout);
+        WatchReader reader(deliver);
+        const GatewayRequest call = encodeWatchRequest(prefix, fromRevision);
+        httplib::Request request;
+        request.method = "POST";
+        request.path = call.path;
+        request.body = call.body;
+        request.set_header("Content-Type", jsonType);
+        request.response_handler
+            = [&](const httplib::Response &response) { return response.status == httpOk; };
+        // The store answers at once that the watch stands, so that a stop that came while
+        // connecting is seen here.
+        request.content_receiver = [&](const char *bytes, std::size_t size, auto, auto) {
+            return !stop.stop_requested() && reader.read({bytes, size});
+        };
+        const std::stop_callback interrupt(stop, [&] { http.stop(); });
+        if (!stop.stop_requested())
+            http.send(request);
+    } catch (const std::exception &) {
+        return stop.stop_requested();
+    }
+    return stop.stop_requested();
+}
+
+} // namespace Hibiscus
--- a/Platform/StoreClient.h
+++ b/Platform/StoreClient.h
@@ -3,13 +3,15 @@
 #include <Platform/Store.h>
 
 #include <functional>
+#include <memory>
 #include <stop_token>
 #include <string>
 
 namespace Hibiscus {
 
 /// The platform's store over its HTTP/JSON gateway (etcd v3: range, txn, lease, watch).
-/// Calls block; use one object from one thread at a time. Never throws.
+/// Calls block; use one object from one thread at a time. Never throws. Keeps its connection open
+/// between calls; each watch has a connection of its own.
 class StoreClient
 {
 public:
@@ -21,6 +23,9 @@
     };
 
     explicit StoreClient(const Settings &settings);
+    ~StoreClient();
+    StoreClient(StoreClient &&) noexcept;
+    StoreClient &operator=(StoreClient &&) noexcept;
 
     StoreReply execute(const StoreRequest &request);
 
@@ -31,7 +36,8 @@
                const std::stop_token &stop);
 
 private:
-    Settings settings;
+    struct Data;
+    std::unique_ptr<Data> data;
 };
 
 } // namespace Hibiscus
