Stand in for the platform and a worker

Cause: the entry instance's first run from end to end needs a store, a live list and workers. Change: each stand-in is a state machine with passed-in time, which tests can drive in one thread, with an HTTP adapter and a program around it.

--- /dev/null
+++ b/StandIns/GatewayServerCodec.cpp
@@ -0,0 +1,331 @@
+#include <Platform/Base64.h>
+#include <Platform/JsonFields.h>
+#include <StandIns/GatewayServerCodec.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Hibiscus {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Of HTTP.
+constexpr int ok = 200;
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+// Of gRPC, as the gateway gives them beside the HTTP status.
+constexpr int invalidArgumentCode = 3;
+constexpr int notFoundCode = 5;
+
+/// Reads members of one JSON object and collects what is wrong with them.
+class Reader
+{
+public:
+    Reader(const Json &object, std::string place, Findings &findings)
+        : object(object)
+        , place(std::move(place))
+        , findings(findings)
+    {
+        if (!object.is_object())
+            findings.add(this->place, "must be an object");
+    }
+
+    bool has(const char *key) const { return this->object.contains(key); }
+
+    std::string bytes(const char *key) const
+    {
+        if (!this->has(key))
+            return {};
+        const Json &value = this->object[key];
+        if (value.is_string()) {
+            if (std::optional<std::string> bytes = fromBase64(value.get<std::string>()))
+                return *std::move(bytes);
+        }
+        this->fail(key, "must be base64");
+        return {};
+    }
+
+    std::int64_t number(const char *key) const
+    {
+        if (!this->has(key))
+            return 0;
+        const Json &value = this->object[key];
+        if (value.is_number_integer())
+            return value.get<std::int64_t>();
+        std::int64_t parsed = 0;
+        const std::string text = value.is_string() ? value.get<std::string>() : "";
+        const char *const end = text.data() + text.size();
+        const auto result = std::from_chars(text.data(), end, parsed);
+        if (text.empty() || result.ec != std::errc() || result.ptr != end)
+            this->fail(key, "must be a whole number");
+        return parsed;
+    }
+
+    std::string text(const char *key) const
+    {
+        const bool there = this->has(key) && this->object[key].is_string();
+        return there ? this->object[key].get<std::string>() : "";
+    }
+
+    Reader member(const char *key) const
+    {
+        return {this->has(key) ? this->object[key] : missing(), this->place + "/" + key,
+                this->findings};
+    }
+
+    /// The only entry of the array at `key`.
+    Reader only(const char *key) const
+    {
+        const Json &array = this->has(key) ? this->object[key] : missing();
+        const bool one = array.is_array() && array.size() == 1;
+        if (!one)
+            this->fail(key, "must be an array of one entry");
+        return {one ? array[0] : missing(), this->place + "/" + key + "/0", this->findings};
+    }
+
+    void fail(const char *key, std::string_view message) const
+    {
+        this->findings.add(this->place + "/" + key, message);
+    }
+
+private:
+    static const Json &missing()
+    {
+        static const Json none;
+        return none;
+    }
+
+    const Json &object;
+    std::string place;
+    Findings &findings;
+};
+
+void readRange(const Reader &reader, StoreRequest &request)
+{
+    request.verb = reader.has("range_end") ? StoreVerb::List : StoreVerb::Get;
+    request.key = reader.bytes("key");
+    request.end = reader.bytes("range_end");
+    request.limit = reader.number("limit");
+}
+
+void readCompare(const Reader &compare, StoreRequest &request)
+{
+    request.key = compare.bytes("key");
+    const std::string target = compare.text("target");
+    if (compare.has("result") && compare.text("result") != "EQUAL")
+        compare.fail("result", "must be EQUAL");
+    if (target == "MOD") {
+        request.revision = compare.number("mod_revision");
+        return;
+    }
+    if (target != "CREATE" && target != "VERSION") {
+        compare.fail("target", "must be MOD, CREATE or VERSION");
+        return;
+    }
+    const char *const member = target == "CREATE" ? "create_revision" : "version";
+    if (compare.number(member) != 0)
+        compare.fail(member, "must be 0");
+}
+
+void requireKey(const Reader &operation, const StoreRequest &request)
+{
+    if (operation.bytes("key") != request.key || operation.has("range_end"))
+        operation.fail("key", "must be the compared key alone");
+}
+
+void readTxn(const Reader &reader, StoreRequest &request)
+{
+    readCompare(reader.only("compare"), request);
+    const Reader success = reader.only("success");
+    const bool isPut = success.has("request_put");
+    const Reader effect = success.member(isPut ? "request_put" : "request_delete_range");
+    request.verb = isPut ? StoreVerb::Swap : StoreVerb::Remove;
+    request.value = effect.bytes("value");
+    request.lease = effect.number("lease");
+    requireKey(effect, request);
+    requireKey(reader.only("failure").member("request_range"), request);
+}
+
+void readGrant(const Reader &reader, StoreRequest &request)
+{
+    constexpr std::int64_t mostSeconds = 9'000'000'000; // As in etcd.
+    request.verb = StoreVerb::GrantLease;
+    const std::int64_t term = reader.number("TTL");
+    if (term < 1 || term > mostSeconds)
+        reader.fail("TTL", "must be from 1 to 9000000000");
+    else
+        request.term = seconds(term);
+}
+
+void readKeep(const Reader &reader, StoreRequest &request)
+{
+    request.verb = StoreVerb::KeepLease;
+    request.lease = reader.number("ID");
+}
+
+void readRevoke(const Reader &reader, StoreRequest &request)
+{
+    request.verb = StoreVerb::RevokeLease;
+    request.lease = reader.number("ID");
+}
+
+struct Route
+{
+    std::string_view path;
+    void (*read)(const Reader &, StoreRequest &);
+};
+
+constexpr std::array<Route, 6> routes{{
+    {"/v3/kv/range", readRange},
+    {"/v3/kv/txn", readTxn},
+    {"/v3/lease/grant", readGrant},
+    {"/v3/lease/keepalive", readKeep},
+    {"/v3/lease/revoke", readRevoke},
+    {"/v3/kv/lease/revoke", readRevoke},
+}};
+
+Json header(std::int64_t revision)
+{
+    return {{"revision", std::to_string(revision)}};
+}
+
+Json encodeEntry(const StoreEntry &entry)
+{
+    return {{"key", toBase64(entry.key)},
+            {"value", toBase64(entry.value)},
+            {"mod_revision", std::to_string(entry.revision)}};
+}
+
+Json encodeRange(const StoreRequest &, const StoreReply &reply)
+{
+    Json range{{"header", header(reply.storeRevision)}};
+    // proto3 leaves out what is empty or zero.
+    if (reply.entries.empty())
+        return range;
+    range["count"] = std::to_string(reply.entries.size());
+    for (const StoreEntry &entry : reply.entries)
+        range["kvs"].push_back(encodeEntry(entry));
+    return range;
+}
+
+Json encodeTxn(const StoreRequest &request, const StoreReply &reply)
+{
+    Json body{{"header", header(reply.storeRevision)}};
+    Json response;
+    if (reply.status == StoreStatus::Conflict) {
+        response["response_range"] = encodeRange(request, reply);
+    } else {
+        const char *const kind
+            = request.verb == StoreVerb::Swap ? "response_put" : "response_delete_range";
+        response[kind] = {{"header", header(reply.storeRevision)}};
+        body["succeeded"] = true;
+    }
+    body["responses"] = Json::array({response});
+    return body;
+}
+
+Json encodeGrant(const StoreRequest &request, const StoreReply &reply)
+{
+    const auto term = std::chrono::ceil<seconds>(request.term).count();
+    return {{"header", header(reply.storeRevision)},
+            {"ID", std::to_string(reply.lease)},
+            {"TTL", std::to_string(term)}};
+}
+
+Json encodeKeep(const StoreRequest &, const StoreReply &reply)
+{
+    Json result{{"header", header(reply.storeRevision)}, {"ID", std::to_string(reply.lease)}};
+    if (reply.status == StoreStatus::Ok)
+        result["TTL"] = "1"; // The subset tells only that time is left.
+    return {{"result", result}};
+}
+
+Json encodeRevoke(const StoreRequest &, const StoreReply &reply)
+{
+    return {{"header", header(reply.storeRevision)}};
+}
+
+using Encoder = Json (*)(const StoreRequest &, const StoreReply &);
+
+// In the order of StoreVerb.
+constexpr std::array<Encoder, StoreCounters::verbCount> encoders{
+    encodeRange, encodeRange, encodeTxn, encodeTxn, encodeGrant, encodeKeep, encodeRevoke};
+
+GatewayAnswer encodeError(int httpStatus, int code, const std::string &message)
+{
+    return {httpStatus, jsonText({{"error", message}, {"code", code}, {"message", message}})};
+}
+
+} // namespace
+
+tl::expected<StoreRequest, Findings> decodeStoreRequest(std::string_view path,
+                                                        std::string_view body)
+{
+    Findings findings;
+    StoreRequest request;
+    const Json document = parseJson(body, findings);
+    const auto *const route = std::find_if(routes.begin(), routes.end(),
+                                           [&](const Route &known) { return known.path == path; });
+    if (route == routes.end())
+        findings.add(path, "is not served");
+    if (findings.isEmpty())
+        route->read(Reader(document, "", findings), request);
+    if (!findings.isEmpty())
+        return tl::unexpected(findings);
+    return request;
+}
+
+tl::expected<WatchRequest, Findings> decodeWatchRequest(std::string_view body)
+{
+    Findings findings;
+    WatchRequest request;
+    const Json document = parseJson(body, findings);
+    if (findings.isEmpty()) {
+        const Reader create = Reader(document, "", findings).member("create_request");
+        request.key = create.bytes("key");
+        request.end = create.bytes("range_end");
+        request.fromRevision = create.number("start_revision");
+    }
+    if (!findings.isEmpty())
+        return tl::unexpected(findings);
+    return request;
+}
+
+GatewayAnswer encodeStoreOutcome(const StoreRequest &request, const StoreOutcome &outcome)
+{
+    if (outcome.refusal == StoreRefusal::ValueTooLarge)
+        return encodeError(badRequest, invalidArgumentCode, "etcdserver: request is too large");
+    if (outcome.refusal == StoreRefusal::LeaseEnded)
+        return encodeError(notFound, notFoundCode, "etcdserver: requested lease not found");
+    const Encoder encode = encoders.at(static_cast<std::size_t>(request.verb));
+    return {ok, jsonText(encode(request, outcome.reply))};
+}
+
+GatewayAnswer encodeBadRequest(const Findings &findings)
+{
+    return encodeError(badRequest, invalidArgumentCode, findings.toString());
+}
+
+std::string encodeWatchCreated(std::int64_t storeRevision)
+{
+    const Json result{{"header", header(storeRevision)}, {"watch_id", "0"}, {"created", true}};
+    return jsonText({{"result", result}}) + "\n";
+}
+
+std::string encodeWatchChanges(const StoreWatchStep &step)
+{
+    Json events = Json::array();
+    for (const StoreChange &change : step.changes) {
+        Json event{{"kv", encodeEntry(change.entry)}};
+        if (change.removed)
+            event["type"] = "DELETE";
+        events.push_back(std::move(event));
+    }
+    const Json result{{"header", header(step.nextRevision - 1)}, {"events", std::move(events)}};
+    return jsonText({{"result", result}}) + "\n";
+}
+
+} // namespace Hibiscus
