Test store and worker clients against the stand-ins

Cause: the adapters and stand-ins had only been tried by hand. Change: tests of the codecs, of the stand-ins' rules and of each fault switch with passed-in time, and round trips on loopback ports; terms that decide nothing are so long that they never end. Ruled out: a short idle timeout in all tests, since a connection closed while it is used is rightly NoAnswer.

--- a/StandIns/HttpServer.cpp
+++ b/StandIns/HttpServer.cpp
@@ -24,10 +24,11 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
-HttpServer::HttpServer(std::size_t connections)
+HttpServer::HttpServer(std::size_t connections, seconds idleTimeout)
 {
     this->server.new_task_queue = [connections] { return new httplib::ThreadPool(connections); };
     this->server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+    this->server.set_keep_alive_timeout(idleTimeout.count());
     this->server.set_tcp_nodelay(true);
     this->server.set_socket_options(setReuseAddress);
 }
--- a/StandIns/HttpServer.h
+++ b/StandIns/HttpServer.h
@@ -18,7 +18,8 @@
 class HttpServer
 {
 public:
-    explicit HttpServer(std::size_t connections);
+    /// An idle connection is closed after `idleTimeout`.
+    explicit HttpServer(std::size_t connections, seconds idleTimeout);
     ~HttpServer();
 
     /// To add routes, before listen().
@@ -28,7 +29,7 @@
     std::optional<std::uint16_t> listen(const std::string &host, std::uint16_t port);
 
     /// Finishes the requests that run and takes no new ones. Streams have to end by themselves.
-    /// An idle connection that its client keeps open delays the end by the keep-alive timeout.
+    /// An idle connection that its client keeps open delays the end by up to the idle timeout.
     void stop();
 
 private:
--- a/StandIns/StandInPlatformServer.cpp
+++ b/StandIns/StandInPlatformServer.cpp
@@ -35,7 +35,7 @@
 StandInPlatformServer::StandInPlatformServer(const Settings &settings)
     : settings(settings)
     , liveList(settings.liveListLag)
-    , http(settings.connections)
+    , http(settings.connections, settings.idleTimeout)
 {
     this->addStoreRoutes();
     this->addListRoutes();
--- a/StandIns/StandInPlatformServer.h
+++ b/StandIns/StandInPlatformServer.h
@@ -21,6 +21,7 @@
         std::uint16_t port = 0; ///< 0 takes a free one.
         Duration liveListLag{};
         std::size_t connections = 128;
+        seconds idleTimeout{5}; ///< Of a connection without a request.
     };
 
     explicit StandInPlatformServer(const Settings &settings);
--- a/StandIns/StandInWorker.cpp
+++ b/StandIns/StandInWorker.cpp
@@ -12,6 +12,9 @@
 /// A throttled task takes so many times as long.
 constexpr int throttledSlowness = 4;
 
+/// The longest run time that a payload can ask for, one day.
+constexpr std::uint64_t longestRunMs = 86'400'000;
+
 /// What a payload may ask of a task.
 struct PayloadOrders
 {
@@ -27,7 +30,7 @@
         return orders;
     const auto runMs = document.find("runMs");
     if (runMs != document.end() && runMs->is_number_unsigned())
-        orders.runTime = milliseconds(runMs->get<std::uint32_t>());
+        orders.runTime = milliseconds(std::min(runMs->get<std::uint64_t>(), longestRunMs));
     const auto fail = document.find("fail");
     orders.fail = fail != document.end() && fail->is_boolean() && fail->get<bool>();
     return orders;
--- a/StandIns/StandInWorkerServer.cpp
+++ b/StandIns/StandInWorkerServer.cpp
@@ -29,7 +29,7 @@
 StandInWorkerServer::StandInWorkerServer(const Settings &settings)
     : settings(settings)
     , worker(settings.worker)
-    , http(settings.connections)
+    , http(settings.connections, settings.idleTimeout)
 {
     if (!settings.runLogFile.empty())
         this->runLogFile.open(settings.runLogFile, std::ios::app);
--- a/StandIns/StandInWorkerServer.h
+++ b/StandIns/StandInWorkerServer.h
@@ -19,6 +19,7 @@
         std::string host = "127.0.0.1";
         std::uint16_t port = 0; ///< 0 takes a free one.
         std::size_t connections = 128;
+        seconds idleTimeout{5}; ///< Of a connection without a request.
         std::string runLogFile; ///< Starts and ends are appended as lines; empty for none.
     };
 
--- /dev/null
+++ b/UnitTests/StandIns/StandInPlatformServerTest.cpp
@@ -0,0 +1,243 @@
+#include <Platform/LiveList.h>
+#include <Platform/StoreClient.h>
+#include <StandIns/StandInPlatformServer.h>
+
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace Hibiscus {
+namespace {
+
+constexpr const char *host = "127.0.0.1";
+/// So long that it never decides a verdict.
+constexpr Duration ample = seconds(60);
+
+/// Gathers what a watch delivers; a test waits for the text it expects.
+class WatchLog
+{
+public:
+    void add(const StoreWatchBatch &batch)
+    {
+        const std::scoped_lock lock(this->mutex);
+        for (const StoreEntry &entry : batch.written)
+            this->text += "+" + entry.key + "=" + entry.value;
+        for (const std::string &key : batch.removed)
+            this->text += "-" + key;
+        this->changed.notify_all();
+    }
+
+    void waitFor(const std::string &expected)
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, [&] { return this->text == expected; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string text;
+};
+
+class StandInPlatformServerTest : public testing::Test
+{
+protected:
+    StandInPlatformServerTest()
+        : server({.connections = 8})
+        , port(this->server.start().value())
+    {}
+
+    StoreClient client(Duration timeout = ample) const
+    {
+        return StoreClient({.host = host, .port = this->port, .timeout = timeout});
+    }
+
+    std::string http(const std::string &path) const
+    {
+        return httplib::Client(host, this->port).Get(path)->body;
+    }
+
+    int post(const std::string &path, const std::string &body) const
+    {
+        return httplib::Client(host, this->port).Post(path, body, "application/json")->status;
+    }
+
+    StandInPlatformServer server;
+    std::uint16_t port;
+};
+
+StoreRequest swap(const std::string &key, const std::string &value, std::int64_t revision)
+{
+    return {.verb = StoreVerb::Swap, .key = key, .value = value, .revision = revision};
+}
+
+TEST_F(StandInPlatformServerTest, ClientDoesEveryVerbOverHttp)
+{
+    StoreClient store = this->client();
+    const std::string key("a\0\xFF", 3);
+    const StoreReply lease = store.execute({.verb = StoreVerb::GrantLease, .term = seconds(600)});
+    ASSERT_EQ(lease.status, StoreStatus::Ok);
+    StoreRequest bound = swap(key, "\xFFvalue", 0);
+    bound.lease = lease.lease;
+    const StoreReply written = store.execute(bound);
+    ASSERT_EQ(written.status, StoreStatus::Ok);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = key}).entries, written.entries);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::List, .key = "a", .end = "b"}).entries,
+              written.entries);
+    const StoreReply conflict = store.execute(swap(key, "other", 0));
+    EXPECT_EQ(conflict.status, StoreStatus::Conflict);
+    EXPECT_EQ(conflict.entries, written.entries);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::KeepLease, .lease = lease.lease}).status,
+              StoreStatus::Ok);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::RevokeLease, .lease = lease.lease}).status,
+              StoreStatus::Ok);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::KeepLease, .lease = lease.lease}).status,
+              StoreStatus::Conflict);
+    EXPECT_TRUE(store.execute({.verb = StoreVerb::Get, .key = key}).entries.empty());
+    const StoreReply again = store.execute(swap(key, "again", 0));
+    EXPECT_EQ(
+        store
+            .execute(
+                {.verb = StoreVerb::Remove, .key = key, .revision = again.entries.at(0).revision})
+            .status,
+        StoreStatus::Ok);
+}
+
+TEST_F(StandInPlatformServerTest, WatchDeliversChangesUntilItIsStopped)
+{
+    StoreClient store = this->client();
+    const std::int64_t from = store.execute(swap("jobs/1", "a", 0)).storeRevision;
+    WatchLog log;
+    bool stopped = false;
+    std::jthread watcher([&](const std::stop_token &stop) {
+        stopped = this->client().watch(
+            "jobs/", from, [&](const StoreWatchBatch &batch) { log.add(batch); }, stop);
+    });
+    log.waitFor("+jobs/1=a");
+    store.execute(swap("other", "x", 0));
+    store.execute({.verb = StoreVerb::Remove, .key = "jobs/1", .revision = from});
+    log.waitFor("+jobs/1=a-jobs/1");
+    watcher.request_stop();
+    watcher.join();
+    EXPECT_TRUE(stopped);
+}
+
+TEST_F(StandInPlatformServerTest, BrokenWatchReturnsWithoutAStop)
+{
+    WatchLog log;
+    const auto deliver = [&](const StoreWatchBatch &batch) { log.add(batch); };
+    this->client().execute(swap("a", "1", 0));
+    bool stopped = true;
+    std::jthread watcher([&](const std::stop_token &stop) {
+        stopped = this->client().watch("a", 1, deliver, stop);
+    });
+    log.waitFor("+a=1");
+    this->server.setFaults({.breakWatches = true});
+    watcher.join();
+    EXPECT_FALSE(stopped);
+    EXPECT_FALSE(this->client().watch("a", 1, deliver, {}));
+}
+
+TEST_F(StandInPlatformServerTest, FaultsSetOverHttpReachTheClient)
+{
+    StoreClient store = this->client();
+    ASSERT_EQ(this->post("/v1/faults", R"({"loseAnswers":1})"), 204);
+    EXPECT_EQ(store.execute(swap("a", "1", 0)), StoreReply{});
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}).entries.at(0).value, "1");
+    ASSERT_EQ(this->post("/v1/faults", R"({"down":true})"), 204);
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}), StoreReply{});
+    ASSERT_EQ(this->post("/v1/faults", R"({"down":false,"slowMs":600000})"), 204);
+    EXPECT_EQ(this->client(milliseconds(50)).execute({.verb = StoreVerb::Get, .key = "a"}),
+              StoreReply{});
+    EXPECT_EQ(this->post("/v1/faults", R"({"down":"yes"})"), 400);
+}
+
+TEST_F(StandInPlatformServerTest, NobodyListeningIsNoAnswer)
+{
+    StandInPlatformServer other({.connections = 2, .idleTimeout = seconds(1)});
+    StoreClient store({.host = host, .port = other.start().value(), .timeout = ample});
+    ASSERT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}).status, StoreStatus::Ok);
+    other.stop();
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}), StoreReply{});
+    EXPECT_FALSE(store.watch("a", 1, [](const StoreWatchBatch &) {}, {}));
+}
+
+TEST_F(StandInPlatformServerTest, TooLargeAValueIsRefusedAndLeavesNothing)
+{
+    StoreClient store = this->client();
+    const std::string tooLarge(StandInStore::maxValueBytes + 1, 'x');
+    EXPECT_EQ(store.execute(swap("a", tooLarge, 0)).status, StoreStatus::NoAnswer);
+    EXPECT_TRUE(store.execute({.verb = StoreVerb::Get, .key = "a"}).entries.empty());
+    EXPECT_EQ(store.execute(swap("a", tooLarge.substr(1), 0)).status, StoreStatus::Ok);
+}
+
+TEST_F(StandInPlatformServerTest, LiveListIsServedAndNamesLeave)
+{
+    LiveListClient client({.host = host, .port = this->port, .timeout = ample});
+    LiveList list;
+    list.workers.push_back({.name = "w", .dataCenter = "athens", .host = host, .port = 1});
+    ASSERT_EQ(this->post("/v1/live", toJson(list)), 204);
+    EXPECT_EQ(client.fetch(), list);
+    EXPECT_EQ(this->post("/v1/leaving/none", ""), 404);
+    EXPECT_EQ(this->post("/v1/leaving/w", ""), 204);
+    list.workers[0].leaving = true;
+    EXPECT_EQ(client.fetch(), list);
+    EXPECT_EQ(this->post("/v1/live", "[]"), 400);
+    this->server.stop();
+    EXPECT_FALSE(client.fetch());
+}
+
+TEST_F(StandInPlatformServerTest, CallsAndBytesAreCountedByKind)
+{
+    this->client().execute(swap("a", "1", 0));
+    this->client().execute({.verb = StoreVerb::Get, .key = "a"});
+    const std::string counters = this->http("/v1/counters");
+    EXPECT_NE(counters.find(R"("calls":{"get":1,"grantLease":0,"keepLease":0,"list":0,"remove":0,)"
+                            R"("revokeLease":0,"swap":1,"watch":0})"),
+              std::string::npos)
+        << counters;
+    EXPECT_EQ(counters.find(R"("bytesReceived":0,)"), std::string::npos);
+}
+
+TEST(StandInLiveList, ChangesShowAfterTheLag)
+{
+    StandInLiveList live(seconds(3));
+    LiveList list;
+    list.workers.push_back({.name = "w"});
+    const TimePoint start{seconds(1000)};
+    EXPECT_EQ(live.visible(start), LiveList{});
+    live.set(list, start);
+    EXPECT_EQ(live.visible(start), list);
+    ASSERT_TRUE(live.markLeaving("w", start + seconds(1)));
+    live.set({}, start + seconds(2));
+    EXPECT_EQ(live.visible(start + milliseconds(3999)), list);
+    EXPECT_TRUE(live.visible(start + seconds(4)).workers.at(0).leaving);
+    EXPECT_EQ(live.visible(start + seconds(5)), LiveList{});
+}
+
+TEST(GatewayServerCodec, WhatIsBeyondOneKeyIsRefusedWithItsPlace)
+{
+    const std::string compare = R"("compare":[{"key":"YQ==","target":"MOD","mod_revision":"1"}])";
+    const std::string failure = R"("failure":[{"request_range":{"key":"YQ=="}}])";
+    const auto placeOf = [](const std::string &path, const std::string &body) {
+        const auto request = decodeStoreRequest(path, body);
+        return request ? "none" : request.error().all().at(0).place;
+    };
+    const std::string txn = "/v3/kv/txn";
+    const std::string put = R"("success":[{"request_put":{"key":"YQ=="}}])";
+    EXPECT_EQ(placeOf(txn, "{" + compare + "," + put + "," + failure + "}"), "none");
+    EXPECT_EQ(placeOf(txn, "{" + put + "," + failure + "}"), "/compare");
+    EXPECT_EQ(placeOf(txn, "{" + compare + "," + failure + "}"), "/success");
+    EXPECT_EQ(placeOf(txn, "{" + compare + "," + put + "}"), "/failure");
+    EXPECT_EQ(
+        placeOf(txn,
+                "{" + compare + R"(,"success":[{"request_put":{"key":"Yg=="}}],)" + failure + "}"),
+        "/success/0/request_put/key");
+    EXPECT_EQ(placeOf("/v3/kv/range", R"({"key":"Y"})"), "/key");
+    EXPECT_EQ(placeOf("/v3/lease/grant", R"({"TTL":"0"})"), "/TTL");
+    EXPECT_EQ(placeOf("/v3/kv/put", "{}"), "/v3/kv/put");
+}
+
+} // namespace
+} // namespace Hibiscus
--- /dev/null
+++ b/UnitTests/StandIns/StandInWorkerServerTest.cpp
@@ -0,0 +1,173 @@
+#include <Endpoint/WorkerClient.h>
+#include <StandIns/StandInWorkerServer.h>
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <thread>
+#include <unistd.h>
+
+namespace Hibiscus {
+namespace {
+
+constexpr const char *host = "127.0.0.1";
+/// So long that it never decides a verdict.
+constexpr Duration ample = seconds(60);
+
+/// A port that is taken but that nobody listens on.
+class DeafPort
+{
+public:
+    DeafPort()
+        : descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *const generic = reinterpret_cast<sockaddr *>(&address);
+        EXPECT_EQ(bind(this->descriptor, generic, length), 0);
+        EXPECT_EQ(getsockname(this->descriptor, generic, &length), 0);
+        this->port = ntohs(address.sin_port);
+    }
+    ~DeafPort() { close(this->descriptor); }
+    DeafPort(const DeafPort &) = delete;
+    DeafPort &operator=(const DeafPort &) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    int descriptor;
+};
+
+class StandInWorkerServerTest : public testing::Test
+{
+protected:
+    StandInWorkerServerTest()
+        : runLogFile(testing::TempDir() + "runs-" + std::to_string(getpid()))
+        , server({.worker = {.name = "w", .incarnation = "i"},
+                  .connections = 8,
+                  .runLogFile = this->runLogFile})
+        , port(this->server.start().value())
+    {}
+    ~StandInWorkerServerTest() override { std::remove(this->runLogFile.c_str()); }
+
+    WorkerClient client(Duration timeout = ample) const
+    {
+        return WorkerClient({.host = host, .port = this->port, .timeout = timeout});
+    }
+
+    static WorkerRequest order(WorkerVerb verb)
+    {
+        return {.verb = verb,
+                .owner = "owner",
+                .epoch = 1,
+                .task = "t",
+                .slots = 1,
+                .payload = R"({"runMs":1})",
+                .job = "job",
+                .ownerTerm = ample,
+                .taskTerm = ample,
+                .wait = ample};
+    }
+
+    std::string runLogFile;
+    StandInWorkerServer server;
+    std::uint16_t port;
+};
+
+TEST_F(StandInWorkerServerTest, ClientRunsATaskAndWaitsForItsResult)
+{
+    WorkerClient client = this->client();
+    ASSERT_EQ(client.execute(order(WorkerVerb::Acquire)).status, WorkerStatus::Ok);
+    const WorkerReply started = client.execute(order(WorkerVerb::Start));
+    ASSERT_EQ(started.status, WorkerStatus::Ok);
+    WorkerRequest collect = order(WorkerVerb::Collect);
+    collect.sequence = started.reports.at(0).sequence;
+    const WorkerReply collected = client.execute(collect);
+    ASSERT_EQ(collected.reports.size(), 1U);
+    EXPECT_EQ(collected.reports[0].state, TaskState::Done);
+    EXPECT_EQ(collected.reports[0].result, R"({"echo":"{\"runMs\":1}","task":"t","worker":"w"})");
+    EXPECT_EQ(collected.incarnation, "i");
+}
+
+TEST_F(StandInWorkerServerTest, WaitingCollectIsWokenByAnotherConnection)
+{
+    WorkerClient client = this->client();
+    client.execute(order(WorkerVerb::Acquire));
+    WorkerReply collected;
+    std::jthread waiter([&] { collected = this->client().execute(order(WorkerVerb::Collect)); });
+    client.execute(order(WorkerVerb::Start));
+    waiter.join();
+    EXPECT_EQ(collected.reports.at(0).task, "t");
+}
+
+TEST_F(StandInWorkerServerTest, OnlyAConnectionThatWasNeverMadeIsNotDelivered)
+{
+    const DeafPort deaf;
+    WorkerClient refused({.host = host, .port = deaf.port, .timeout = ample});
+    EXPECT_EQ(refused.execute(order(WorkerVerb::Acquire)).status, WorkerStatus::NotDelivered);
+
+    WorkerClient client = this->client();
+    client.execute(order(WorkerVerb::Acquire));
+    this->server.setFaults({.loseAnswers = 1});
+    EXPECT_EQ(client.execute(order(WorkerVerb::Start)).status, WorkerStatus::NoAnswer);
+    EXPECT_EQ(client.execute(order(WorkerVerb::Start)).status, WorkerStatus::Seen);
+}
+
+TEST_F(StandInWorkerServerTest, KeptConnectionOfAWorkerThatIsGoneIsNotDelivered)
+{
+    StandInWorkerServer other({.connections = 2, .idleTimeout = seconds(1)});
+    WorkerClient client({.host = host, .port = other.start().value(), .timeout = ample});
+    ASSERT_EQ(client.execute(order(WorkerVerb::Acquire)).status, WorkerStatus::Ok);
+    other.stop();
+    EXPECT_EQ(client.execute(order(WorkerVerb::Start)).status, WorkerStatus::NotDelivered);
+}
+
+TEST_F(StandInWorkerServerTest, AnswerThatIsNoReplyIsNoAnswer)
+{
+    HttpServer other(2, seconds(1));
+    other.routes().Post("/v1/worker", [](const httplib::Request &, httplib::Response &response) {
+        answerJson(response, R"({"status":"fine"})");
+    });
+    WorkerClient client({.host = host, .port = other.listen(host, 0).value(), .timeout = ample});
+    EXPECT_EQ(client.execute(order(WorkerVerb::Acquire)).status, WorkerStatus::NoAnswer);
+}
+
+TEST_F(StandInWorkerServerTest, StartsAreInTheFileBeforeTheyAreAnswered)
+{
+    WorkerClient client = this->client();
+    client.execute(order(WorkerVerb::Acquire));
+    client.execute(order(WorkerVerb::Start));
+    std::ifstream file(this->runLogFile);
+    std::string line;
+    ASSERT_TRUE(std::getline(file, line));
+    EXPECT_NE(line.find(R"("event":"started")"), std::string::npos) << line;
+    EXPECT_NE(line.find(R"("job":"job")"), std::string::npos) << line;
+    httplib::Client http(host, this->port);
+    const std::string runs = http.Get("/v1/runs")->body;
+    EXPECT_NE(runs.find(R"("tasks":{"t":1})"), std::string::npos) << runs;
+}
+
+TEST_F(StandInWorkerServerTest, FaultsAreSetAndReadOverHttp)
+{
+    httplib::Client http(host, this->port);
+    ASSERT_EQ(http.Post("/v1/faults", R"({"hang":true,"lateMs":5})", "application/json")->status,
+              204);
+    EXPECT_EQ(http.Get("/v1/faults")->body,
+              R"({"crossed":false,"die":false,"failEverything":false,"hang":true,"lateMs":5,)"
+              R"("leaving":false,"loseAnswers":0})");
+    const auto refused = http.Post("/v1/faults", R"({"lateMs":-1})", "application/json");
+    EXPECT_EQ(refused->status, 400);
+    EXPECT_NE(refused->body.find("/lateMs"), std::string::npos);
+}
+
+TEST_F(StandInWorkerServerTest, DyingWorkerAnswersNothing)
+{
+    GTEST_FLAG_SET(death_test_style, "threadsafe");
+    EXPECT_EXIT(this->server.setFaults({.die = true}), testing::ExitedWithCode(EXIT_FAILURE), "");
+}
+
+} // namespace
+} // namespace Hibiscus
