Ask for admission before a job is recorded

Cause: a refused flood of durable jobs would have cost one ledger record each, and a claimed job could be refused after it was answered accepted. Ruled out: refusing after the claim, which breaks 'accepted finishes once'. Change: AdmitJob between entry instance and dispatcher, and QueuedJob::admitted for jobs that were promised before. Headers only.

--- a/Policy/Scheduler.h
+++ b/Policy/Scheduler.h
@@ -35,7 +35,11 @@
     std::uint32_t memoryMiB = 0; ///< On each worker that takes part.
     Duration declaredRunTime{};
     std::optional<TimePoint> deadline; ///< When the answer has to be there.
-    bool checkpoints = true; ///< May be stopped after a checkpoint and started again.
+    /// May be stopped after a checkpoint and started again. A job that may not is never chosen to
+    /// make room, so it runs only where that breaks nobody's guarantee.
+    bool checkpoints = true;
+    /// Was promised to its caller before: refused only if it never fits.
+    bool admitted = false;
 };
 
 enum class RefusalReason : std::uint8_t {
--- a/Wire/PeerMessage.h
+++ b/Wire/PeerMessage.h
@@ -73,6 +73,16 @@
     bool operator==(const SubmitJob &) const = default;
 };
 
+/// Asks a dispatcher whether it would take a job, before the job is recorded anywhere, so that a
+/// flood of refused work costs the store nothing. Answered by a JobUpdate: Accepted or NotRun.
+struct AdmitJob
+{
+    CallId call;
+    JobSpec spec;
+
+    bool operator==(const AdmitJob &) const = default;
+};
+
 struct CancelJob
 {
     CallId call;
@@ -127,8 +137,8 @@
 };
 
 /// Everything that one entry instance says to another.
-using PeerMessage = std::variant<Heartbeat, ConfigPull, ConfigPush, SubmitJob, CancelJob, QueryJob,
-                                 JobUpdate, AssignJob, AssignReply>;
+using PeerMessage = std::variant<Heartbeat, ConfigPull, ConfigPush, SubmitJob, AdmitJob, CancelJob,
+                                 QueryJob, JobUpdate, AssignJob, AssignReply>;
 
 /// A message with its destination; an instance's own name is delivered to itself.
 struct PeerSend
