Keep durable jobs in sharded logs

Cause: accepted jobs and their ends have to outlive every instance. Change: LedgerRecord, LedgerBatch, LedgerLoader, LedgerShard, JobTable, KeptJob, ShardKeeper and JobKeeper, with a fake store and one walk through. Ruled out: a new key a batch, created only if absent and later removed. A former owner that was paused long enough finds its next key absent again once a successor has removed it, and its create succeeds. The log is a ring of slots instead: a slot is overwritten by a swap from the revision of the batch one round before, so no key is ever absent twice and nothing has to be removed (half the writes).

--- a/Ledger/JobKeeper.h
+++ b/Ledger/JobKeeper.h
@@ -23,11 +23,14 @@
     std::string instance; ///< Own name.
     std::uint64_t incarnation = 0; ///< Own, unique to this run of the process.
     std::string prefix = "ledger/"; ///< Of the keys in the store.
-    std::uint32_t shards = 4;
+    std::uint32_t shards = 4; ///< The same in every instance.
     Duration commitSpacing = milliseconds(45); ///< Between two writes of one shard.
     Duration storeTimeout = seconds(2); ///< A call without a reply counts as NoAnswer after it.
     std::size_t largestBatch = std::size_t(256) * 1024; ///< Bytes of one value.
     std::uint32_t batchesPerSnapshot = 64;
+    /// Of each shard's log; a slot is written again once a snapshot covers it. At least twice
+    /// batchesPerSnapshot, and never changed while the ledger holds anything.
+    std::uint32_t logSlots = 512;
     std::size_t queuedAppends = 4096; ///< Beyond it, submissions are refused "not run".
     Duration finishedKept = std::chrono::hours(24); ///< Answers stay known for so long.
 };
--- /dev/null
+++ b/Ledger/KeeperReply.cpp
@@ -0,0 +1,47 @@
+#include <Ledger/KeeperReply.h>
+
+namespace Hibiscus {
+
+void KeeperReply::news(const std::string &to, CallId call, const std::string &key,
+                       const JobAnswer &answer, KeeperActions &out)
+{
+    out.sends.push_back({.instance = to,
+                         .message = JobUpdate{
+                             .call = call, .from = JobRole::Keeper, .key = key, .answer = answer}});
+}
+
+void KeeperReply::notOwner(const std::string &to, CallId call, const std::string &key,
+                           KeeperActions &out)
+{
+    JobUpdate update{.call = call, .from = JobRole::Keeper, .key = key, .notOwner = true};
+    update.answer.reason = "this instance does not keep the request";
+    out.sends.push_back({.instance = to, .message = update});
+}
+
+void KeeperReply::assignment(const std::string &to, const AssignJob &message, bool accepted,
+                             KeeperActions &out)
+{
+    out.sends.push_back({.instance = to,
+                         .message = AssignReply{.call = message.call,
+                                                .key = message.key,
+                                                .attempt = message.attempt,
+                                                .accepted = accepted}});
+}
+
+void KeeperReply::refused(const std::string &to, CallId call, const std::string &key,
+                          const std::string &reason, std::optional<Duration> retryAfter,
+                          KeeperActions &out)
+{
+    const JobAnswer answer{.status = JobStatus::NotRun, .reason = reason, .retryAfter = retryAfter};
+    KeeperReply::news(to, call, key, answer, out);
+}
+
+void KeeperReply::cancel(const std::string &to, CallId call, const std::string &key,
+                         KeeperActions &out)
+{
+    out.sends.push_back(
+        {.instance = to,
+         .message = CancelJob{.call = call, .role = JobRole::Dispatcher, .key = key}});
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Ledger/KeeperReply.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <Ledger/JobKeeper.h>
+
+#include <string>
+
+namespace Hibiscus {
+
+/// The messages that a keeper sends, in one place so that they are always filled in alike.
+class KeeperReply
+{
+public:
+    static void news(const std::string &to, CallId call, const std::string &key,
+                     const JobAnswer &answer, KeeperActions &out);
+    /// This instance does not own the key's shard.
+    static void notOwner(const std::string &to, CallId call, const std::string &key,
+                         KeeperActions &out);
+    static void assignment(const std::string &to, const AssignJob &message, bool accepted,
+                           KeeperActions &out);
+    static void refused(const std::string &to, CallId call, const std::string &key,
+                        const std::string &reason, std::optional<Duration> retryAfter,
+                        KeeperActions &out);
+    static void cancel(const std::string &to, CallId call, const std::string &key,
+                       KeeperActions &out);
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Ledger/ShardKeeperDispatch.cpp
@@ -0,0 +1,154 @@
+// The part of ShardKeeper that acts once a record is durable, and submits jobs to dispatchers.
+
+#include <Ledger/KeeperReply.h>
+#include <Ledger/ShardKeeper.h>
+
+#include <algorithm>
+#include <type_traits>
+
+namespace Hibiscus {
+
+namespace {
+
+/// Jobs submitted again in one step, and the time between two steps: what a recovery or a data
+/// centre's return sends is 1,000 jobs a second from each shard.
+constexpr std::size_t handoversPerStep = 20;
+constexpr Duration handoverSpacing = milliseconds(20);
+constexpr Duration shortestRetry = seconds(2);
+constexpr std::uint32_t mostRetryDoublings = 5;
+
+} // namespace
+
+CallId ShardKeeper::nextCall()
+{
+    this->callCounter += this->settings.shards;
+    return CallId{this->callCounter};
+}
+
+const DispatcherId *ShardKeeper::dispatcherOf(const KeptJob &job) const
+{
+    const auto found = this->dispatchers.find(job.dataCenter);
+    return found == this->dispatchers.end() ? nullptr : &found->second;
+}
+
+void ShardKeeper::schedule(KeptJob &job, const std::string &key, TimePoint at)
+{
+    this->unschedule(job, key);
+    job.dueAt = at;
+    this->due.emplace(at, key);
+}
+
+void ShardKeeper::unschedule(KeptJob &job, const std::string &key)
+{
+    if (!job.dueAt)
+        return;
+    this->due.erase({*job.dueAt, key});
+    job.dueAt.reset();
+}
+
+void ShardKeeper::dispatcherChanged(const std::string &dataCenter, TimePoint now,
+                                    KeeperActions &out)
+{
+    for (auto &[key, job] : this->table.all()) {
+        if (job.durable && !job.isFinished() && job.dataCenter == dataCenter) {
+            job.tries = 0;
+            this->schedule(job, key, now);
+        }
+    }
+    this->tick(now, out);
+}
+
+void ShardKeeper::dispatchDue(TimePoint now, KeeperActions &out)
+{
+    if (now < this->nextHandover)
+        return;
+    std::size_t left = handoversPerStep;
+    while (left > 0 && !this->due.empty() && this->due.begin()->first <= now) {
+        const std::string key = this->due.begin()->second;
+        KeptJob &job = *this->table.find(key);
+        this->unschedule(job, key);
+        this->dispatch(job, key, now, out);
+        --left;
+    }
+    if (left < handoversPerStep)
+        this->nextHandover = now + handoverSpacing;
+}
+
+void ShardKeeper::dispatch(KeptJob &job, const std::string &key, TimePoint now, KeeperActions &out)
+{
+    const DispatcherId *dispatcher = this->dispatcherOf(job);
+    // While an assignment is being recorded nobody else may be told that there is none.
+    if (!dispatcher || job.pendingAssign || job.ending || job.isFinished())
+        return;
+    job.dispatcher = *dispatcher;
+    out.sends.push_back({.instance = dispatcher->instance,
+                         .message = SubmitJob{.call = this->nextCall(),
+                                              .role = JobRole::Dispatcher,
+                                              .spec = job.spec,
+                                              .attempt = job.attempt,
+                                              .places = job.places}});
+    if (job.cancelled)
+        KeeperReply::cancel(dispatcher->instance, this->nextCall(), key, out);
+    const std::uint32_t doublings = std::min(job.tries, mostRetryDoublings);
+    ++job.tries;
+    this->schedule(job, key, now + shortestRetry * (1U << doublings));
+}
+
+void ShardKeeper::recorded(const LedgerRecord &record, TimePoint now, KeeperActions &out)
+{
+    KeptJob *job = this->table.apply(record, now);
+    if (!job)
+        return;
+    const auto act = [&](const auto &typed) {
+        using Record = std::decay_t<decltype(typed)>;
+        if constexpr (std::is_same_v<Record, ClaimRecord>)
+            this->claimRecorded(*job, typed.key, now, out);
+        else if constexpr (std::is_same_v<Record, FinishRecord>)
+            this->finishRecorded(*job, typed.key, out);
+        else if constexpr (!std::is_same_v<Record, EpochRecord>)
+            this->assignRecorded(*job, typed.key, now, out);
+    };
+    std::visit(act, record);
+}
+
+void ShardKeeper::claimRecorded(KeptJob &job, const std::string &key, TimePoint now,
+                                KeeperActions &out)
+{
+    for (const JobRequester &requester : job.requesters)
+        KeeperReply::news(requester.instance, requester.call, key, job.answer(), out);
+    if (job.cancelled)
+        this->finish(job, key, {.status = JobStatus::NotRun, .reason = "cancelled by its caller"});
+    else
+        this->dispatch(job, key, now, out);
+}
+
+void ShardKeeper::assignRecorded(KeptJob &job, const std::string &key, TimePoint now,
+                                 KeeperActions &out)
+{
+    if (!job.pendingAssign)
+        return;
+    const PendingAssign pending = std::move(*job.pendingAssign);
+    job.pendingAssign.reset();
+    const DispatcherId *present = this->dispatcherOf(job);
+    const bool changed = !present || *present != pending.from;
+    KeeperReply::assignment(pending.from.instance, pending.message, !changed && !job.ending, out);
+    if (job.ending)
+        return;
+    if (job.cancelled && job.isProvenUnstarted())
+        this->finish(job, key, {.status = JobStatus::NotRun, .reason = "cancelled by its caller"});
+    else if (changed || job.cancelled)
+        this->schedule(job, key, now);
+}
+
+void ShardKeeper::finishRecorded(KeptJob &job, const std::string &key, KeeperActions &out)
+{
+    this->unschedule(job, key);
+    for (const JobRequester &requester : job.requesters)
+        KeeperReply::news(requester.instance, requester.call, key, *job.end, out);
+    for (const JobRequester &reporter : job.reporters)
+        KeeperReply::news(reporter.instance, reporter.call, key, *job.end, out);
+    job.requesters.clear();
+    job.reporters.clear();
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Ledger/StoreWrite.cpp
@@ -0,0 +1,60 @@
+#include <Ledger/StoreWrite.h>
+
+#include <utility>
+
+namespace Hibiscus {
+
+StoreWrite::StoreWrite(std::string key, std::string value, std::int64_t expectedRevision)
+    : key(std::move(key))
+    , value(std::move(value))
+    , expectedRevision(expectedRevision)
+{}
+
+StoreRequest StoreWrite::request() const
+{
+    if (this->readsBack)
+        return {.verb = StoreVerb::Get, .key = this->key};
+    return {.verb = StoreVerb::Swap,
+            .key = this->key,
+            .value = this->value,
+            .revision = this->expectedRevision};
+}
+
+StoreWrite::Step StoreWrite::reply(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::NoAnswer) {
+        // Reading is cheaper for a store in trouble than writing the value again.
+        this->readsBack = true;
+        return Step::Retry;
+    }
+    if (this->readsBack)
+        return this->settle(reply);
+    if (reply.entries.empty()) {
+        this->readsBack = true;
+        return Step::Again;
+    }
+    if (reply.status == StoreStatus::Ok) {
+        this->writtenRevision = reply.entries.front().revision;
+        return Step::Written;
+    }
+    return this->settle(reply);
+}
+
+StoreWrite::Step StoreWrite::settle(const StoreReply &reply)
+{
+    if (!reply.entries.empty())
+        this->found = reply.entries.front();
+    if (this->found && this->found->value == this->value) {
+        this->writtenRevision = this->found->revision;
+        return Step::Written;
+    }
+    const std::int64_t presentRevision = this->found ? this->found->revision : 0;
+    if (presentRevision != this->expectedRevision)
+        return Step::Conflict;
+    // Not there yet. The earlier copy may still arrive, but only one of the two can find the
+    // expected revision.
+    this->readsBack = false;
+    return Step::Again;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -0,0 +1,382 @@
+#pragma once
+
+#include <Ledger/FakeStore.h>
+#include <Ledger/JobKeeper.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hibiscus {
+
+/// What the caller's side and the dispatcher's side of some keepers see, with a fake store below
+/// and a passed-in clock. Every store call and every message is one step, in a fixed order.
+class LedgerWorld
+{
+public:
+    static constexpr const char *dataCenter = "north";
+
+    struct Node
+    {
+        std::string name;
+        std::unique_ptr<JobKeeper> keeper;
+        bool paused = false;
+        std::deque<StoreCall> calls; ///< Not made yet.
+        std::deque<std::pair<CallId, StoreReply>> replies; ///< Not delivered yet.
+    };
+
+    /// A dispatcher and its workers: asks to assign, starts once that is accepted, reports the end
+    /// until it is acknowledged, and gives up what it knows it has not started.
+    struct Dispatcher
+    {
+        std::uint64_t incarnation = 1;
+        bool holdsWork = false; ///< Takes jobs but assigns none.
+        std::uint64_t lastCall = 0;
+        std::map<std::string, CallId> asked; ///< Calls that may still be answered "accepted".
+        std::set<CallId> givenUp; ///< Calls that give an attempt up.
+        std::map<std::string, int> runs; ///< How often each job was started.
+        std::set<std::string> unacknowledged;
+        std::set<std::string> cancelled;
+    };
+
+    JobKeeperSettings settings;
+    FakeStore store;
+    TimePoint now{};
+    std::map<std::string, Node> nodes;
+    std::string owner; ///< Whom callers and dispatcher believe to be the keeper.
+    Dispatcher dispatcher;
+    std::map<std::string, JobSpec> open; ///< Submitted, without a final answer yet.
+    std::map<std::string, std::vector<JobAnswer>> answers; ///< By key, all that came.
+    std::uint64_t steps = 0;
+    std::uint64_t incarnations = 0;
+
+    LedgerWorld()
+    {
+        this->settings.shards = 1;
+        this->settings.batchesPerSnapshot = 4;
+        this->settings.logSlots = 16;
+        this->settings.largestBatch = 4096;
+    }
+
+    static JobSpec spec(const std::string &id)
+    {
+        JobSpec spec{.requestId = id, .customer = "turf", .caller = "desk", .kind = "dose"};
+        spec.idempotent = false;
+        spec.durable = true;
+        spec.payload = "{\"lawn\":\"" + id + "\"}";
+        return spec;
+    }
+
+    static std::string key(const std::string &id) { return jobKey("turf", id); }
+
+    /// Starts a process; one of the same name is killed.
+    Node &start(const std::string &name)
+    {
+        JobKeeperSettings own = this->settings;
+        own.instance = name;
+        own.incarnation = ++this->incarnations;
+        Node &node = this->nodes[name];
+        node = Node{.name = name, .keeper = std::make_unique<JobKeeper>(own)};
+        this->act(node, [this](JobKeeper &keeper, KeeperActions &out) {
+            keeper.setDispatcher(dataCenter, "dispatcher", this->dispatcher.incarnation, this->now,
+                                 out);
+        });
+        return node;
+    }
+
+    void own(const std::string &name, bool owns)
+    {
+        const std::vector<std::uint32_t> shards(owns ? 1 : 0, 0);
+        this->act(this->nodes.at(name), [&](JobKeeper &keeper, KeeperActions &out) {
+            keeper.setOwnedShards(shards, this->now, out);
+        });
+        if (owns)
+            this->owner = name;
+    }
+
+    void act(Node &node, const std::function<void(JobKeeper &, KeeperActions &)> &action)
+    {
+        KeeperActions out;
+        action(*node.keeper, out);
+        node.calls.insert(node.calls.end(), out.storeCalls.begin(), out.storeCalls.end());
+        for (PeerSend &send : out.sends)
+            this->fromKeepers.emplace_back(node.name, std::move(send));
+    }
+
+    void submit(const std::string &id)
+    {
+        this->open[key(id)] = spec(id);
+        this->sendSubmit(this->owner, spec(id));
+    }
+
+    void sendSubmit(const std::string &node, const JobSpec &spec)
+    {
+        SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec};
+        this->toKeepers.emplace_back(node, "entry", message);
+    }
+
+    void sendCancel(const std::string &node, const std::string &id)
+    {
+        this->toKeepers.emplace_back(node, "entry",
+                                     CancelJob{.call = CallId{++this->lastCall}, .key = key(id)});
+    }
+
+    void sendToKeeper(const std::string &node, const std::string &from, PeerMessage message)
+    {
+        this->toKeepers.emplace_back(node, from, std::move(message));
+    }
+
+    /// One store call or message; false if only time can go on.
+    bool step()
+    {
+        ++this->steps;
+        return this->stepMessage() || this->stepStore();
+    }
+
+    /// Lets everything happen until `span` has passed. `each` is called before every step.
+    void run(Duration span, const std::function<void()> &each = {})
+    {
+        const TimePoint end = this->now + span;
+        while (true) {
+            if (each)
+                each();
+            if (this->step())
+                continue;
+            if (this->now >= end)
+                return;
+            this->now = std::min(end, this->nextEvent());
+            this->tick();
+        }
+    }
+
+    JobStatus lastStatus(const std::string &id) const
+    {
+        const auto found = this->answers.find(key(id));
+        return found == this->answers.end() ? JobStatus::Unknown : found->second.back().status;
+    }
+
+    /// True if an answer of that status has come.
+    bool wasTold(const std::string &id, JobStatus status) const
+    {
+        const auto found = this->answers.find(key(id));
+        return found != this->answers.end()
+            && std::any_of(found->second.begin(), found->second.end(),
+                           [status](const JobAnswer &answer) { return answer.status == status; });
+    }
+
+    std::vector<std::pair<std::string, PeerMessage>> toDispatcher; ///< All, with the sender.
+    std::vector<AssignReply> assignReplies; ///< All that the dispatcher got.
+
+private:
+    struct Inbound
+    {
+        std::string node;
+        std::string from;
+        PeerMessage message;
+    };
+
+    TimePoint nextEvent() const
+    {
+        TimePoint next = this->now + milliseconds(100);
+        for (const auto &[name, node] : this->nodes) {
+            if (!node.paused)
+                next = std::min(next, node.keeper->nextWakeup());
+        }
+        return std::max(next, this->now + Duration(1));
+    }
+
+    void tick()
+    {
+        for (auto &[name, node] : this->nodes) {
+            if (!node.paused)
+                this->act(node, [this](JobKeeper &keeper, KeeperActions &out) {
+                    keeper.tick(this->now, out);
+                });
+        }
+        if (this->now < this->nextRepeat)
+            return;
+        this->nextRepeat = this->now + seconds(1);
+        for (const auto &[key, spec] : this->open)
+            this->sendSubmit(this->owner, spec);
+        for (const std::string &key : this->dispatcher.unacknowledged)
+            this->report(key);
+    }
+
+    bool stepMessage()
+    {
+        if (!this->fromKeepers.empty()) {
+            const auto [from, send] = std::move(this->fromKeepers.front());
+            this->fromKeepers.pop_front();
+            if (send.instance == "dispatcher")
+                this->atDispatcher(from, send.message);
+            else if (const auto *update = std::get_if<JobUpdate>(&send.message))
+                this->atEntry(*update);
+            return true;
+        }
+        for (auto inbound = this->toKeepers.begin(); inbound != this->toKeepers.end(); ++inbound) {
+            const auto node = this->nodes.find(inbound->node);
+            if (node != this->nodes.end() && node->second.paused)
+                continue;
+            const Inbound message = std::move(*inbound);
+            this->toKeepers.erase(inbound);
+            if (node != this->nodes.end())
+                this->atKeeper(node->second, message);
+            return true;
+        }
+        return false;
+    }
+
+    bool stepStore()
+    {
+        for (auto &[name, node] : this->nodes) {
+            if (node.paused)
+                continue;
+            if (!node.replies.empty()) {
+                const auto [call, reply] = std::move(node.replies.front());
+                node.replies.pop_front();
+                this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+                    keeper.storeReply(call, reply, this->now, out);
+                });
+                return true;
+            }
+            if (this->makeCall(node))
+                return true;
+        }
+        return false;
+    }
+
+public:
+    /// Lets a node's next store call take effect without handing the reply over yet.
+    bool makeCall(Node &node)
+    {
+        if (node.calls.empty())
+            return false;
+        const StoreCall call = std::move(node.calls.front());
+        node.calls.pop_front();
+        std::optional<StoreReply> reply = this->store.call(call.request);
+        if (reply)
+            node.replies.emplace_back(call.call, std::move(*reply));
+        return true;
+    }
+
+private:
+    void atKeeper(Node &node, const Inbound &inbound)
+    {
+        this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+            const TimePoint at = this->now;
+            if (const auto *submit = std::get_if<SubmitJob>(&inbound.message))
+                keeper.submit(inbound.from, *submit, dataCenter, at, out);
+            else if (const auto *cancel = std::get_if<CancelJob>(&inbound.message))
+                keeper.cancel(inbound.from, *cancel, at, out);
+            else if (const auto *query = std::get_if<QueryJob>(&inbound.message))
+                keeper.query(inbound.from, *query, at, out);
+            else if (const auto *assign = std::get_if<AssignJob>(&inbound.message))
+                keeper.assign(inbound.from, *assign, at, out);
+            else if (const auto *update = std::get_if<JobUpdate>(&inbound.message))
+                keeper.update(inbound.from, *update, at, out);
+        });
+    }
+
+    void atEntry(const JobUpdate &update)
+    {
+        if (update.notOwner)
+            return;
+        this->answers[update.key].push_back(update.answer);
+        if (isFinal(update.answer.status))
+            this->open.erase(update.key);
+    }
+
+    void atDispatcher(const std::string &from, const PeerMessage &message)
+    {
+        this->toDispatcher.emplace_back(from, message);
+        if (const auto *submit = std::get_if<SubmitJob>(&message))
+            this->dispatch(from, *submit);
+        else if (const auto *reply = std::get_if<AssignReply>(&message))
+            this->assigned(from, *reply);
+        else if (const auto *update = std::get_if<JobUpdate>(&message)) {
+            if (isFinal(update->answer.status) && !update->notOwner)
+                this->dispatcher.unacknowledged.erase(update->key);
+        } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
+            this->dispatcher.cancelled.insert(cancel->key);
+            if (this->dispatcher.runs[cancel->key] == 0)
+                this->dispatcher.asked.erase(cancel->key);
+        }
+    }
+
+    void dispatch(const std::string &from, const SubmitJob &submit)
+    {
+        const std::string key = jobKey(submit.spec.customer, submit.spec.requestId);
+        if (this->dispatcher.runs[key] > 0) {
+            this->dispatcher.unacknowledged.insert(key);
+            this->report(key);
+            return;
+        }
+        if (this->dispatcher.holdsWork)
+            return;
+        AssignJob assign{.call = CallId{++this->dispatcher.lastCall},
+                         .key = key,
+                         .attempt = submit.attempt,
+                         .dispatcherIncarnation = this->dispatcher.incarnation};
+        // An older call that is answered later must not start anything any more.
+        this->dispatcher.asked.erase(key);
+        if (submit.places.empty())
+            this->askFor(assign);
+        else
+            this->dispatcher.givenUp.insert(assign.call);
+        this->sendToKeeper(from, "dispatcher", assign);
+    }
+
+    void askFor(AssignJob &assign)
+    {
+        assign.places = {
+            {.worker = "w" + std::to_string(++this->placeCount), .incarnation = "i1", .slots = 1}};
+        this->dispatcher.asked[assign.key] = assign.call;
+    }
+
+    void assigned(const std::string &from, const AssignReply &reply)
+    {
+        this->assignReplies.push_back(reply);
+        if (reply.accepted && this->dispatcher.givenUp.erase(reply.call) > 0) {
+            AssignJob again{.call = CallId{++this->dispatcher.lastCall},
+                            .key = reply.key,
+                            .attempt = reply.attempt + 1,
+                            .dispatcherIncarnation = this->dispatcher.incarnation};
+            this->askFor(again);
+            this->sendToKeeper(from, "dispatcher", again);
+            return;
+        }
+        const auto asked = this->dispatcher.asked.find(reply.key);
+        const bool awaited = asked != this->dispatcher.asked.end() && asked->second == reply.call;
+        if (!reply.accepted || !awaited)
+            return;
+        this->dispatcher.asked.erase(asked);
+        ++this->dispatcher.runs[reply.key];
+        this->dispatcher.unacknowledged.insert(reply.key);
+        this->sendToKeeper(from, "dispatcher", this->doneUpdate(reply.key));
+    }
+
+    JobUpdate doneUpdate(const std::string &key)
+    {
+        return {.call = CallId{++this->dispatcher.lastCall},
+                .from = JobRole::Dispatcher,
+                .key = key,
+                .answer = {.status = JobStatus::Done, .result = "fed " + key}};
+    }
+
+    void report(const std::string &key)
+    {
+        this->sendToKeeper(this->owner, "dispatcher", this->doneUpdate(key));
+    }
+
+    std::deque<std::pair<std::string, PeerSend>> fromKeepers;
+    std::deque<Inbound> toKeepers;
+    std::uint64_t lastCall = 0;
+    std::uint64_t placeCount = 0;
+    TimePoint nextRepeat{};
+};
+
+} // namespace Hibiscus
