Name the data centre in job hand-overs

Cause: one instance may dispatch for two data centres when one of them has no live instance; a hand-over could not say which was meant. Ruled out: guessing from the sender's data centre, which loses a spill-over. Change: SubmitJob and AdmitJob carry the data centre. Headers only.

--- a/Wire/PeerMessage.h
+++ b/Wire/PeerMessage.h
@@ -66,6 +66,7 @@
 {
     CallId call;
     JobRole role = JobRole::Keeper;
+    std::string dataCenter; ///< Where it is to run.
     JobSpec spec;
     std::uint32_t attempt = 0; ///< Dispatcher: rises with every assignment that was given up.
     std::vector<TaskPlace> places; ///< Dispatcher: where the present attempt may have started.
@@ -78,6 +79,7 @@
 struct AdmitJob
 {
     CallId call;
+    std::string dataCenter; ///< Whose dispatcher is asked.
     JobSpec spec;
 
     bool operator==(const AdmitJob &) const = default;
