--- /dev/null
+++ b/Entry/Dispatcher.cpp
@@ -0,0 +1,459 @@
+#include <Entry/Dispatcher.h>
+
+#include <cassert>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr const char *part = "dispatch";
+
+JobAnswer statusAnswer(JobStatus status, std::string reason = {})
+{
+    JobAnswer answer;
+    answer.status = status;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+JobAnswer refusalAnswer(const Admission &admission)
+{
+    JobAnswer answer = statusAnswer(JobStatus::NotRun, toString(admission.refusal));
+    answer.retryAfter = admission.retryAfter;
+    return answer;
+}
+
+template <class TypedId, class Key>
+TypedId intern(std::map<Key, TypedId> &ids, const Key &key)
+{
+    const TypedId fresh{static_cast<std::uint32_t>(ids.size())};
+    return ids.try_emplace(key, fresh).first->second;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const Settings &settings, std::unique_ptr<Scheduler> scheduler,
+                       std::function<std::string(std::string_view key)> keeperOf, CallId firstCall,
+                       TimePoint now)
+    : settings(settings)
+    , scheduler(std::move(scheduler))
+    , keeperOf(std::move(keeperOf))
+    , startedAt(now)
+    , nextCall(firstCall.value)
+{}
+
+Dispatcher::~Dispatcher() = default;
+
+DispatchJob *Dispatcher::find(const std::string &key)
+{
+    const auto it = this->jobs.find(key);
+    return it == this->jobs.end() ? nullptr : &it->second;
+}
+
+bool Dispatcher::recovering(TimePoint now) const
+{
+    const bool all = this->ownedWorkers() == this->sessions.size() && !this->sessions.empty();
+    return !all && now - this->startedAt < this->settings.recovery;
+}
+
+CustomerId Dispatcher::customerId(const std::string &name)
+{
+    const auto it = this->customerIds.find(name);
+    if (it != this->customerIds.end())
+        return it->second;
+    const CustomerId id{static_cast<std::uint16_t>(this->customerNames.size())};
+    this->customerNames.push_back(name);
+    this->customerIds.emplace(name, id);
+    return id;
+}
+
+void Dispatcher::setConfiguration(const Configuration &configuration, TimePoint now)
+{
+    const Preset *preset = configuration.activePreset();
+    if (!preset)
+        return;
+    for (const auto &[name, customer] : configuration.customers)
+        this->customerId(name);
+    // Ids stay with their names; a customer that was removed keeps its id and has no guarantee.
+    std::vector<Scheduler::CustomerShape> shapes(this->customerNames.size());
+    for (std::size_t i = 0; i < shapes.size(); ++i) {
+        const auto it = configuration.customers.find(this->customerNames[i]);
+        if (it == configuration.customers.end())
+            continue;
+        shapes[i].share = it->second.share;
+        const auto guarantee = it->second.guarantees.find(this->settings.dataCenter);
+        if (guarantee != it->second.guarantees.end())
+            shapes[i].guarantee = guarantee->second;
+    }
+    this->scheduler->setCustomers(shapes, now);
+    const auto &closed = preset->closedDataCenters;
+    const bool isClosed
+        = std::find(closed.begin(), closed.end(), this->settings.dataCenter) != closed.end();
+    this->scheduler->setPreset(*preset, isClosed, now);
+}
+
+QueuedJob Dispatcher::queuedJob(const DispatchJob &job, TimePoint now)
+{
+    const JobSpec &spec = job.spec;
+    QueuedJob queued;
+    queued.job = job.id;
+    queued.customer = this->customerId(spec.customer);
+    queued.caller = intern(this->callerIds, spec.customer + '/' + spec.caller);
+    queued.kind = intern(this->kindIds, spec.customer + '/' + spec.kind);
+    queued.urgency = spec.urgency;
+    queued.adjacency = spec.adjacency;
+    queued.accelerators = spec.accelerators;
+    queued.memoryMiB = spec.memoryMiB;
+    queued.declaredRunTime = spec.declaredRunTime;
+    if (spec.deadline)
+        queued.deadline = job.acceptedAt + *spec.deadline;
+    queued.checkpoints = spec.idempotent;
+    queued.admitted = spec.durable;
+    assert(queued.deadline.value_or(now) >= job.acceptedAt);
+    return queued;
+}
+
+void Dispatcher::reply(const std::string &to, CallId call, const std::string &key, JobAnswer answer,
+                       EntryActions &out)
+{
+    JobUpdate update;
+    update.call = call;
+    update.from = JobRole::Dispatcher;
+    update.key = key;
+    update.answer = std::move(answer);
+    out.sends.push_back({to, std::move(update)});
+}
+
+void Dispatcher::sendUpdate(const DispatchJob &job, EntryActions &out)
+{
+    const std::string to = job.spec.durable ? this->keeperOf(job.key) : job.requester;
+    JobAnswer answer = job.answer;
+    if (job.phase != JobPhase::Finished) {
+        const bool runs = job.phase == JobPhase::Running;
+        answer = statusAnswer(runs ? JobStatus::Running : JobStatus::Accepted);
+        if (job.phase == JobPhase::InDoubt)
+            answer = statusAnswer(JobStatus::Running, "its worker does not answer");
+    }
+    if (!to.empty())
+        this->reply(to, job.call, job.key, std::move(answer), out);
+}
+
+void Dispatcher::admit(const std::string &from, const AdmitJob &message, TimePoint now,
+                       EntryActions &out)
+{
+    DispatchJob probe;
+    probe.key = jobKey(message.spec.customer, message.spec.requestId);
+    probe.spec = message.spec;
+    probe.acceptedAt = now;
+    probe.id = JobId{this->nextJob++};
+    QueuedJob queued = this->queuedJob(probe, now);
+    queued.admitted = false;
+    const Admission admission = this->scheduler->submit(queued, now);
+    if (admission.accepted())
+        this->scheduler->cancel(probe.id, now);
+    const JobAnswer answer
+        = admission.accepted() ? statusAnswer(JobStatus::Accepted) : refusalAnswer(admission);
+    this->reply(from, message.call, probe.key, answer, out);
+}
+
+void Dispatcher::submit(const std::string &from, const SubmitJob &message, TimePoint now,
+                        EntryActions &out)
+{
+    const std::string key = jobKey(message.spec.customer, message.spec.requestId);
+    DispatchJob *known = this->find(key);
+    const bool refusedBefore = known && !known->spec.durable && known->phase == JobPhase::Finished
+        && known->answer.status == JobStatus::NotRun;
+    if (refusedBefore) {
+        // Nothing ran, so asking again is a new try.
+        this->drop(key);
+        known = nullptr;
+    }
+    if (known) {
+        known->requester = from;
+        known->call = message.call;
+        if (!known->hasPayload) {
+            known->spec = message.spec;
+            known->hasPayload = true;
+        }
+        this->sendUpdate(*known, out);
+        return;
+    }
+    DispatchJob &job = this->jobs[key];
+    job.key = key;
+    job.spec = message.spec;
+    job.requester = from;
+    job.call = message.call;
+    job.attempt = message.attempt;
+    job.acceptedAt = now;
+    this->touch(job);
+    if (!message.places.empty()) {
+        this->takePlaces(job, message.places, now);
+        return;
+    }
+    // What a former dispatcher started may still run on a worker that is not acquired yet.
+    if (job.spec.durable && this->recovering(now))
+        return;
+    const Admission admission = this->enqueue(job, now);
+    if (admission.accepted()) {
+        this->sendUpdate(job, out);
+        return;
+    }
+    this->finish(job, EndKind::Cancelled, refusalAnswer(admission), now, out);
+    // A flood of refusals leaves nothing behind.
+    if (!job.spec.durable)
+        this->drop(key);
+}
+
+Admission Dispatcher::enqueue(DispatchJob &job, TimePoint now)
+{
+    job.id = JobId{this->nextJob++};
+    job.phase = JobPhase::Queued;
+    const Admission admission = this->scheduler->submit(this->queuedJob(job, now), now);
+    if (admission.accepted()) {
+        job.scheduled = true;
+        this->keysOfJobs.emplace(job.id, job.key);
+    }
+    return admission;
+}
+
+void Dispatcher::cancel(const std::string &from, const CancelJob &message, TimePoint now,
+                        EntryActions &out)
+{
+    DispatchJob *job = this->find(message.key);
+    if (!job) {
+        this->reply(from, message.call, message.key, statusAnswer(JobStatus::Unknown), out);
+        return;
+    }
+    if (job->phase == JobPhase::Finished) {
+        this->sendUpdate(*job, out);
+        return;
+    }
+    job->cancelRequested = true;
+    this->touch(*job);
+    if (job->phase == JobPhase::Queued) {
+        const JobAnswer answer = statusAnswer(JobStatus::NotRun, "cancelled before it started");
+        if (job->scheduled)
+            this->scheduler->cancel(job->id, now);
+        job->scheduled = false;
+        this->finish(*job, EndKind::Cancelled, answer, now, out);
+        return;
+    }
+    const bool started = job->phase == JobPhase::Reserving || job->phase == JobPhase::Starting
+        || job->phase == JobPhase::Running;
+    if (started)
+        this->end(*job, EndReason::Cancel, std::nullopt, now, out);
+}
+
+void Dispatcher::query(const std::string &from, const QueryJob &message, TimePoint,
+                       EntryActions &out)
+{
+    DispatchJob *job = this->find(message.key);
+    if (!job) {
+        this->reply(from, message.call, message.key, statusAnswer(JobStatus::Unknown), out);
+        return;
+    }
+    if (!job->spec.durable)
+        job->requester = from;
+    this->sendUpdate(*job, out);
+}
+
+void Dispatcher::decide(TimePoint now, EntryActions &out)
+{
+    this->decisions.clear();
+    this->scheduler->decide(now, this->decisions);
+    // Applying one decision may call the scheduler, which ends the validity of its spans.
+    std::vector<std::vector<Placement>> placements;
+    placements.reserve(this->decisions.size());
+    for (const Decision &decision : this->decisions)
+        placements.emplace_back(decision.placements.begin(), decision.placements.end());
+    for (std::size_t i = 0; i < this->decisions.size(); ++i) {
+        Decision decision = this->decisions[i];
+        decision.placements = placements[i];
+        this->apply(decision, now, out);
+    }
+}
+
+void Dispatcher::apply(const Decision &decision, TimePoint now, EntryActions &out)
+{
+    const auto it = this->keysOfJobs.find(decision.job);
+    DispatchJob *job = it == this->keysOfJobs.end() ? nullptr : this->find(it->second);
+    if (!job)
+        return;
+    switch (decision.kind) {
+    case DecisionKind::Start:
+        if (job->phase == JobPhase::Queued)
+            this->place(*job, decision.placements, now, out);
+        return;
+    case DecisionKind::Throttle:
+        this->sendToAll(*job, WorkerVerb::Throttle, now, out);
+        return;
+    case DecisionKind::Checkpoint:
+        // The stop that ends a borrower comes as a decision of its own if this is not answered.
+        job->checkpointing = true;
+        this->end(*job, EndReason::Preempt, std::nullopt, now, out);
+        return;
+    case DecisionKind::Stop:
+        job->checkpointing = false;
+        this->end(*job, EndReason::Preempt, std::nullopt, now, out);
+        return;
+    case DecisionKind::Expire: {
+        job->scheduled = false;
+        this->keysOfJobs.erase(it);
+        const JobAnswer answer = statusAnswer(JobStatus::NotRun, toString(decision.reason));
+        this->finish(*job, EndKind::Cancelled, answer, now, out);
+        return;
+    }
+    }
+}
+
+void Dispatcher::place(DispatchJob &job, std::span<const Placement> placements, TimePoint now,
+                       EntryActions &out)
+{
+    std::vector<Member> members;
+    const std::string stem = job.runsOnce()
+        ? job.key + "#a" + std::to_string(job.attempt)
+        : job.key + '#' + this->settings.session.owner + '.' + std::to_string(this->nextTask++);
+    for (const Placement &placement : placements) {
+        const std::string &name = this->workerNames[placement.worker.value];
+        const WorkerSession *session = this->session(name);
+        assert(session);
+        Member member;
+        member.worker = placement.worker;
+        member.place = {name, session->workerIncarnation(), placement.slots};
+        member.task = stem + '.' + std::to_string(members.size());
+        members.push_back(std::move(member));
+    }
+    this->setMembers(job, std::move(members));
+    this->touch(job);
+    if (job.runsOnce()) {
+        job.phase = JobPhase::Assigning;
+        this->sendAssign(job, now, out);
+        return;
+    }
+    this->begin(job, now, out);
+}
+
+void Dispatcher::sendAssign(DispatchJob &job, TimePoint now, EntryActions &out)
+{
+    AssignJob assign;
+    assign.call = job.call;
+    assign.key = job.key;
+    assign.attempt = job.attempt;
+    assign.dispatcherIncarnation = this->settings.incarnation;
+    if (job.phase == JobPhase::Assigning) {
+        for (const Member &member : job.members)
+            assign.places.push_back(member.place);
+    }
+    job.resendAt = now + this->settings.resendAfter;
+    const std::string keeper = this->keeperOf(job.key);
+    if (!keeper.empty())
+        out.sends.push_back({keeper, std::move(assign)});
+}
+
+void Dispatcher::assignReply(const AssignReply &message, TimePoint now, EntryActions &out)
+{
+    DispatchJob *job = this->find(message.key);
+    if (!job || job->attempt != message.attempt)
+        return;
+    const bool waits = job->phase == JobPhase::Assigning || job->phase == JobPhase::GivingUp;
+    if (!waits)
+        return;
+    if (!message.accepted) {
+        // Another dispatcher has the job now, or it has ended; nothing of it was started here.
+        out.log(LogLevel::Warning, part, "The keeper refused an assignment.", job->key);
+        this->leaveScheduler(*job, EndKind::Cancelled, false, now);
+        this->drop(message.key);
+        return;
+    }
+    if (job->phase == JobPhase::GivingUp) {
+        ++job->attempt;
+        this->forgetTasks(*job);
+        if (job->cancelRequested) {
+            const JobAnswer answer = statusAnswer(JobStatus::NotRun, "cancelled before it started");
+            this->finish(*job, EndKind::Cancelled, answer, now, out);
+            return;
+        }
+        this->enqueue(*job, now);
+        return;
+    }
+    if (job->cancelRequested) {
+        for (Member &member : job->members)
+            this->setState(member, MemberState::Unstarted);
+        this->giveUpAttempt(*job, now, out);
+        return;
+    }
+    this->begin(*job, now, out);
+}
+
+void Dispatcher::begin(DispatchJob &job, TimePoint now, EntryActions &out)
+{
+    const bool gang = job.members.size() > 1;
+    job.phase = gang ? JobPhase::Reserving : JobPhase::Starting;
+    this->sendToAll(job, gang ? WorkerVerb::Reserve : WorkerVerb::Start, now, out);
+    // A worker may have been lost since it was chosen.
+    this->advance(job, now, out);
+}
+
+void Dispatcher::recorded(const std::string &key, TimePoint, EntryActions &)
+{
+    DispatchJob *job = this->find(key);
+    if (!job || job->phase != JobPhase::Finished)
+        return;
+    this->drop(key);
+}
+
+void Dispatcher::drop(const std::string &key)
+{
+    const auto it = this->jobs.find(key);
+    assert(it != this->jobs.end());
+    this->forgetTasks(it->second);
+    this->attention.erase(key);
+    this->jobs.erase(it);
+}
+
+void Dispatcher::tick(TimePoint now, EntryActions &out)
+{
+    this->expireCalls(now, out);
+    for (auto &[name, session] : this->sessions)
+        this->pollSession(name, session, now, out);
+    const std::vector<std::string> keys(this->attention.begin(), this->attention.end());
+    for (const std::string &key : keys) {
+        DispatchJob *job = this->find(key);
+        if (!job || !this->tickJob(*job, now, out))
+            this->attention.erase(key);
+    }
+    this->decide(now, out);
+}
+
+void Dispatcher::release(TimePoint now, EntryActions &out)
+{
+    for (auto &[name, session] : this->sessions) {
+        if (session.state() == WorkerSession::State::Owned)
+            this->call(name, session.request(WorkerVerb::Release, {}), {}, 0, now, out);
+    }
+    for (const auto &[key, job] : this->jobs) {
+        if (job.phase == JobPhase::Finished) {
+            this->sendUpdate(job, out);
+            continue;
+        }
+        JobUpdate update;
+        update.call = job.call;
+        update.from = JobRole::Dispatcher;
+        update.key = key;
+        update.notOwner = true;
+        const std::string to = job.spec.durable ? this->keeperOf(key) : job.requester;
+        if (!to.empty())
+            out.sends.push_back({to, std::move(update)});
+    }
+    out.log(LogLevel::Info, part, "Gave up dispatching for " + this->settings.dataCenter + ".");
+}
+
+std::vector<std::pair<std::string, CellCounts>> Dispatcher::shortfalls() const
+{
+    std::vector<std::pair<std::string, CellCounts>> named;
+    for (const Shortfall &shortfall : this->scheduler->shortfalls())
+        named.emplace_back(this->customerNames[shortfall.customer.value], shortfall.missing);
+    return named;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Entry/EntryActions.cpp
@@ -0,0 +1,10 @@
+#include <Entry/EntryActions.h>
+
+namespace Hibiscus {
+
+void EntryActions::log(LogLevel level, const char *part, std::string text, std::string key)
+{
+    this->logs.push_back({level, part, std::move(text), std::move(key)});
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Entry/EntryMachine.cpp
@@ -0,0 +1,538 @@
+#include <Entry/EntryMachine.h>
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr const char *part = "entry";
+
+/// Low bits of a store call's id tell whose it is.
+constexpr std::uint64_t storeUsers = 2;
+constexpr std::uint64_t configUser = 0;
+constexpr std::uint64_t keeperUser = 1;
+
+/// Worker calls of one dispatcher share the bits above these.
+constexpr unsigned slotShift = 40;
+
+template <class... Visitors>
+struct Overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+template <class... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+} // namespace
+
+EntryMachine::EntryMachine(const Settings &settings, SchedulerFactory makeScheduler, TimePoint now)
+    : settings(settings)
+    , makeScheduler(std::move(makeScheduler))
+    , membership(settings.membership, now)
+    , front(settings.front)
+    , config(settings.config)
+    , keeper(settings.keeper)
+    , keeperNames(settings.keeper.shards)
+    , heartbeatAt(now)
+    , pullAt(now)
+{}
+
+bool EntryMachine::isReady() const
+{
+    return this->config.current().revision > 0 && this->listKnown && !this->draining;
+}
+
+bool EntryMachine::isDrained(TimePoint now) const
+{
+    return this->draining && now - this->drainingSince >= this->settings.drainNotice
+        && this->front.openRequests() == 0 && this->dispatchers.empty() && this->shards.empty();
+}
+
+void EntryMachine::submit(CallId call, JobSpec spec, bool wait, TimePoint now, EntryActions &out)
+{
+    if (!this->isReady()) {
+        JobAnswer refusal;
+        refusal.status = JobStatus::NotRun;
+        refusal.reason = this->draining ? "this instance is leaving" : "no configuration is known";
+        refusal.retryAfter = this->settings.front.refusalRetry;
+        out.callerAnswers.push_back({call, spec.requestId, std::move(refusal)});
+        return;
+    }
+    this->front.submit(call, std::move(spec), wait, this->membership, now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::poll(CallId call, const std::string &customer, const std::string &requestId,
+                        Duration wait, TimePoint now, EntryActions &out)
+{
+    this->front.poll(call, customer, requestId, wait, this->membership, now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::cancel(CallId call, const std::string &customer, const std::string &requestId,
+                          TimePoint now, EntryActions &out)
+{
+    this->front.cancel(call, customer, requestId, this->membership, now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::change(CallId call, const ConfigChange &change, TimePoint now, EntryActions &out)
+{
+    ConfigActions actions;
+    this->config.change(call, change, now, actions);
+    this->take(std::move(actions), now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::drain(TimePoint now, EntryActions &out)
+{
+    if (this->draining)
+        return;
+    this->draining = true;
+    this->drainingSince = now;
+    out.log(LogLevel::Info, part, "Drains.");
+    this->membership.setSelf(false, true);
+    this->sendHeartbeats(now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::storeReply(CallId call, const StoreReply &reply, TimePoint now,
+                              EntryActions &out)
+{
+    const CallId own{call.value / storeUsers};
+    if (call.value % storeUsers == configUser) {
+        ConfigActions actions;
+        this->config.storeReply(own, reply, now, actions);
+        this->take(std::move(actions), now, out);
+    } else {
+        KeeperActions actions;
+        this->keeper.storeReply(own, reply, now, actions);
+        this->take(std::move(actions), out);
+    }
+    this->settle(now, out);
+}
+
+void EntryMachine::watchBatch(const StoreWatchBatch &batch, TimePoint now, EntryActions &out)
+{
+    ConfigActions actions;
+    this->config.watchBatch(batch, now, actions);
+    this->take(std::move(actions), now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::watchBroken(TimePoint now, EntryActions &out)
+{
+    ConfigActions actions;
+    this->config.watchBroken(now, actions);
+    this->take(std::move(actions), now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::workerReply(CallId call, const WorkerReply &reply, TimePoint now,
+                               EntryActions &out)
+{
+    for (auto &[dataCenter, slot] : this->dispatchers) {
+        if (slot.number != call.value >> slotShift)
+            continue;
+        slot.dispatcher->workerReply(call, reply, now, out);
+        slot.dispatcher->decide(now, out);
+        break;
+    }
+    this->settle(now, out);
+}
+
+void EntryMachine::peerMessage(const std::string &from, const PeerMessage &message, TimePoint now,
+                               EntryActions &out)
+{
+    this->deliver(from, message, now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::liveList(LiveList list, TimePoint now, EntryActions &out)
+{
+    const bool changed = !this->listKnown || !(list == this->membership.list());
+    this->membership.setList(std::move(list), now);
+    this->listKnown = true;
+    if (changed)
+        this->fleetChanged(now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::fleetChanged(TimePoint now, EntryActions &out)
+{
+    this->config.setFleet(this->wholeCells());
+    for (auto &[dataCenter, slot] : this->dispatchers)
+        slot.dispatcher->setWorkers(this->membership.list().workers, now, out);
+}
+
+std::vector<DataCenterCells> EntryMachine::wholeCells() const
+{
+    std::map<std::string, CellCounts> cells;
+    std::map<std::string, std::set<std::uint32_t>> racks;
+    for (const WorkerDescription &worker : this->membership.list().workers) {
+        CellCounts &counts = cells[worker.dataCenter];
+        counts[static_cast<std::size_t>(CellLevel::Slot)] += worker.slots;
+        counts[static_cast<std::size_t>(CellLevel::Pair)] += worker.slots / 2;
+        counts[static_cast<std::size_t>(CellLevel::Quad)] += worker.slots / 4;
+        counts[static_cast<std::size_t>(CellLevel::Worker)] += 1;
+        if (racks[worker.dataCenter].insert(worker.rack).second)
+            counts[static_cast<std::size_t>(CellLevel::Rack)] += 1;
+    }
+    std::vector<DataCenterCells> whole;
+    for (const auto &[dataCenter, counts] : cells)
+        whole.push_back({dataCenter, counts});
+    return whole;
+}
+
+void EntryMachine::take(ConfigActions &&actions, TimePoint now, EntryActions &out)
+{
+    for (StoreCall &call : actions.storeCalls) {
+        call.call.value = call.call.value * storeUsers + configUser;
+        out.storeCalls.push_back(std::move(call));
+    }
+    for (ConfigActions::Answer &answer : actions.answers)
+        out.changeAnswers.push_back(std::move(answer));
+    if (actions.watchFrom)
+        out.watchFrom = actions.watchFrom;
+    if (actions.changed)
+        this->configurationChanged(now, out);
+}
+
+void EntryMachine::take(KeeperActions &&actions, EntryActions &out)
+{
+    for (StoreCall &call : actions.storeCalls) {
+        call.call.value = call.call.value * storeUsers + keeperUser;
+        out.storeCalls.push_back(std::move(call));
+    }
+    for (PeerSend &send : actions.sends)
+        out.sends.push_back(std::move(send));
+}
+
+void EntryMachine::configurationChanged(TimePoint now, EntryActions &out)
+{
+    const Configuration &configuration = this->config.current();
+    out.configurationChanged = true;
+    out.log(LogLevel::Info, part,
+            "Configuration " + std::to_string(configuration.revision) + " is in force, preset "
+                + configuration.presetInForce + ".");
+    this->front.setConfiguration(configuration);
+    for (auto &[dataCenter, slot] : this->dispatchers)
+        slot.dispatcher->setConfiguration(configuration, now);
+    // Neighbours get it at once; other data centres ask when a heartbeat tells them.
+    for (const auto &[name, heartbeat] : this->membership.heartbeats()) {
+        const bool neighbour = heartbeat.dataCenter == this->settings.dataCenter;
+        if (!neighbour || heartbeat.configRevision >= configuration.revision)
+            continue;
+        this->deliver(name, ConfigPull{heartbeat.configRevision}, now, out);
+    }
+}
+
+void EntryMachine::heardHeartbeat(const Heartbeat &heartbeat, TimePoint now, EntryActions &out)
+{
+    this->membership.heard(heartbeat, now);
+    const std::uint64_t own = this->config.current().revision;
+    if (heartbeat.configRevision <= own || now < this->pullAt)
+        return;
+    this->pullAt = now + this->settings.pullEvery;
+    out.sends.push_back({heartbeat.instance, ConfigPull{own}});
+}
+
+void EntryMachine::notOwner(const std::string &to, JobRole role, const std::string &key,
+                            EntryActions &out)
+{
+    JobUpdate update;
+    update.from = role;
+    update.key = key;
+    update.notOwner = true;
+    out.sends.push_back({to, std::move(update)});
+}
+
+Dispatcher *EntryMachine::dispatcherFor(const std::string &from, const std::string &key)
+{
+    for (auto &[dataCenter, slot] : this->dispatchers) {
+        if (slot.dispatcher->knows(key))
+            return slot.dispatcher.get();
+    }
+    const std::optional<Membership::Member> sender = this->membership.find(from);
+    const auto it = this->dispatchers.find(sender ? sender->dataCenter : std::string());
+    if (it != this->dispatchers.end())
+        return it->second.dispatcher.get();
+    return this->dispatchers.empty() ? nullptr : this->dispatchers.begin()->second.dispatcher.get();
+}
+
+void EntryMachine::deliverSubmit(const std::string &from, const SubmitJob &message, TimePoint now,
+                                 EntryActions &out)
+{
+    if (message.role == JobRole::Keeper) {
+        KeeperActions actions;
+        this->keeper.submit(from, message, message.dataCenter, now, actions);
+        this->take(std::move(actions), out);
+        return;
+    }
+    const auto it = this->dispatchers.find(message.dataCenter);
+    if (it == this->dispatchers.end()) {
+        this->notOwner(from, message.role, jobKey(message.spec.customer, message.spec.requestId),
+                       out);
+        return;
+    }
+    it->second.dispatcher->submit(from, message, now, out);
+    it->second.dispatcher->decide(now, out);
+}
+
+void EntryMachine::deliverAdmit(const std::string &from, const AdmitJob &message, TimePoint now,
+                                EntryActions &out)
+{
+    const auto it = this->dispatchers.find(message.dataCenter);
+    if (it != this->dispatchers.end())
+        it->second.dispatcher->admit(from, message, now, out);
+    else
+        this->notOwner(from, JobRole::Dispatcher,
+                       jobKey(message.spec.customer, message.spec.requestId), out);
+}
+
+void EntryMachine::deliverCancel(const std::string &from, const CancelJob &message, TimePoint now,
+                                 EntryActions &out)
+{
+    if (message.role == JobRole::Keeper) {
+        KeeperActions actions;
+        this->keeper.cancel(from, message, now, actions);
+        this->take(std::move(actions), out);
+        return;
+    }
+    if (Dispatcher *dispatcher = this->dispatcherFor(from, message.key))
+        dispatcher->cancel(from, message, now, out);
+    else
+        this->notOwner(from, message.role, message.key, out);
+}
+
+void EntryMachine::deliverQuery(const std::string &from, const QueryJob &message, TimePoint now,
+                                EntryActions &out)
+{
+    if (message.role == JobRole::Keeper) {
+        KeeperActions actions;
+        this->keeper.query(from, message, now, actions);
+        this->take(std::move(actions), out);
+        return;
+    }
+    if (Dispatcher *dispatcher = this->dispatcherFor(from, message.key))
+        dispatcher->query(from, message, now, out);
+    else
+        this->notOwner(from, message.role, message.key, out);
+}
+
+void EntryMachine::deliverUpdate(const std::string &from, const JobUpdate &message, TimePoint now,
+                                 EntryActions &out)
+{
+    if (message.from == JobRole::Dispatcher) {
+        // Durable jobs are the keeper's, the others the front's; each ignores what is not its own.
+        KeeperActions actions;
+        this->keeper.update(from, message, now, actions);
+        this->take(std::move(actions), out);
+        this->front.update(from, message, this->membership, now, out);
+        return;
+    }
+    if (isFinal(message.answer.status)) {
+        for (auto &[dataCenter, slot] : this->dispatchers)
+            slot.dispatcher->recorded(message.key, now, out);
+    }
+    this->front.update(from, message, this->membership, now, out);
+}
+
+void EntryMachine::deliver(const std::string &from, const PeerMessage &message, TimePoint now,
+                           EntryActions &out)
+{
+    const Overloaded visitor{
+        [&](const Heartbeat &heartbeat) { this->heardHeartbeat(heartbeat, now, out); },
+        [&](const ConfigPull &pull) {
+            ConfigKeeper::Relay relay = this->config.relayAfter(pull.afterRevision);
+            out.sends.push_back({from,
+                                 ConfigPush{relay.snapshotRevision, std::move(relay.snapshot),
+                                            relay.firstRevision, std::move(relay.changes)}});
+        },
+        [&](const ConfigPush &push) {
+            ConfigActions actions;
+            this->config.relayed(
+                {push.snapshotRevision, push.snapshot, push.firstRevision, push.changes}, now,
+                actions);
+            this->take(std::move(actions), now, out);
+        },
+        [&](const SubmitJob &submit) { this->deliverSubmit(from, submit, now, out); },
+        [&](const AdmitJob &admit) { this->deliverAdmit(from, admit, now, out); },
+        [&](const CancelJob &cancel) { this->deliverCancel(from, cancel, now, out); },
+        [&](const QueryJob &query) { this->deliverQuery(from, query, now, out); },
+        [&](const JobUpdate &update) { this->deliverUpdate(from, update, now, out); },
+        [&](const AssignJob &assign) {
+            KeeperActions actions;
+            this->keeper.assign(from, assign, now, actions);
+            this->take(std::move(actions), out);
+        },
+        [&](const AssignReply &reply) {
+            for (auto &[dataCenter, slot] : this->dispatchers)
+                slot.dispatcher->assignReply(reply, now, out);
+        },
+    };
+    std::visit(visitor, message);
+}
+
+void EntryMachine::settle(TimePoint now, EntryActions &out)
+{
+    std::vector<PeerSend> outward;
+    while (!out.sends.empty()) {
+        std::vector<PeerSend> sends = std::move(out.sends);
+        out.sends.clear();
+        for (PeerSend &send : sends) {
+            if (send.instance == this->settings.instance)
+                this->deliver(this->settings.instance, send.message, now, out);
+            else
+                outward.push_back(std::move(send));
+        }
+    }
+    out.sends = std::move(outward);
+}
+
+void EntryMachine::sendHeartbeats(TimePoint now, EntryActions &out)
+{
+    Heartbeat heartbeat;
+    heartbeat.instance = this->settings.instance;
+    heartbeat.dataCenter = this->settings.dataCenter;
+    heartbeat.incarnation = this->settings.incarnation;
+    heartbeat.ready = this->isReady();
+    heartbeat.draining = this->draining;
+    heartbeat.configRevision = this->config.current().revision;
+    for (const auto &[dataCenter, slot] : this->dispatchers) {
+        const SchedulerGauges gauges = slot.dispatcher->gauges();
+        heartbeat.freeSlots += gauges.freeSlots;
+        for (const std::uint32_t queued : gauges.queued)
+            heartbeat.queuedJobs += queued;
+    }
+    std::set<std::string> peers;
+    for (const InstanceDescription &instance : this->membership.list().instances)
+        peers.insert(instance.name);
+    for (const auto &[name, last] : this->membership.heartbeats())
+        peers.insert(name);
+    peers.erase(this->settings.instance);
+    for (const std::string &peer : peers)
+        out.sends.push_back({peer, heartbeat});
+    this->heartbeatAt = now + this->settings.heartbeatEvery;
+}
+
+void EntryMachine::tick(TimePoint now, EntryActions &out)
+{
+    this->membership.setSelf(this->isReady(), this->draining);
+    if (now >= this->heartbeatAt)
+        this->sendHeartbeats(now, out);
+    ConfigActions configActions;
+    this->config.setWatching(this->membership.watchesStore(now), now, configActions);
+    this->config.tick(now, configActions);
+    this->take(std::move(configActions), now, out);
+    this->updateRoles(now, out);
+    KeeperActions keeperActions;
+    this->keeper.tick(now, keeperActions);
+    this->take(std::move(keeperActions), out);
+    for (auto &[dataCenter, slot] : this->dispatchers)
+        slot.dispatcher->tick(now, out);
+    this->front.tick(this->membership, now, out);
+    this->settle(now, out);
+}
+
+void EntryMachine::updateRoles(TimePoint now, EntryActions &out)
+{
+    // While peers learn that this instance drains, it goes on in its roles.
+    const bool noticed = this->draining && now - this->drainingSince < this->settings.drainNotice;
+    // The last instance of all has nobody to hand its held calls to, so it sees them through.
+    const bool alone = this->draining && this->membership.liveMembers(now).empty();
+    if (noticed || (alone && this->front.openRequests() > 0))
+        return;
+    this->updateShards(now, out);
+    this->updateDispatchers(now, out);
+}
+
+void EntryMachine::updateShards(TimePoint now, EntryActions &out)
+{
+    std::vector<std::uint32_t> own;
+    for (std::uint32_t shard = 0; shard < this->settings.keeper.shards; ++shard) {
+        const auto holder = this->membership.keeperOf(shard, now);
+        this->keeperNames[shard] = holder ? holder->name : std::string();
+        if (holder && holder->name == this->settings.instance)
+            own.push_back(shard);
+    }
+    if (own == this->shards)
+        return;
+    this->shards = own;
+    KeeperActions actions;
+    this->keeper.setOwnedShards(this->shards, now, actions);
+    this->take(std::move(actions), out);
+}
+
+void EntryMachine::updateDispatchers(TimePoint now, EntryActions &out)
+{
+    for (const std::string &dataCenter : this->membership.dataCenters()) {
+        const auto holder = this->membership.dispatcherOf(dataCenter, now);
+        const bool here = holder && holder->name == this->settings.instance;
+        const auto it = this->dispatchers.find(dataCenter);
+        if (here && it == this->dispatchers.end())
+            this->takeDispatching(dataCenter, now, out);
+        if (!here && it != this->dispatchers.end()) {
+            it->second.dispatcher->release(now, out);
+            this->dispatchers.erase(it);
+        }
+        if (!holder)
+            continue;
+        KeeperActions actions;
+        this->keeper.setDispatcher(dataCenter, holder->name, holder->incarnation, now, actions);
+        this->take(std::move(actions), out);
+    }
+}
+
+void EntryMachine::takeDispatching(const std::string &dataCenter, TimePoint now, EntryActions &out)
+{
+    out.log(LogLevel::Info, part, "Dispatches for " + dataCenter + ".");
+    Dispatcher::Settings dispatcherSettings = this->settings.dispatcher;
+    dispatcherSettings.instance = this->settings.instance;
+    dispatcherSettings.incarnation = this->settings.incarnation;
+    dispatcherSettings.dataCenter = dataCenter;
+    // Two terms of office of one process are two owners: each fences the other's late calls.
+    const std::uint64_t number = this->nextSlot++;
+    dispatcherSettings.session.owner = this->settings.instance + '-'
+        + std::to_string(this->settings.incarnation) + '-' + std::to_string(number);
+    const auto keeperOf = [this](std::string_view key) {
+        return this->keeperNames[JobKeeper::shardOf(key, this->settings.keeper.shards)];
+    };
+    Slot slot;
+    slot.number = number;
+    slot.dispatcher = std::make_unique<Dispatcher>(dispatcherSettings, this->makeScheduler(),
+                                                   keeperOf, CallId{number << slotShift}, now);
+    slot.dispatcher->setConfiguration(this->config.current(), now);
+    slot.dispatcher->setWorkers(this->membership.list().workers, now, out);
+    this->dispatchers.emplace(dataCenter, std::move(slot));
+}
+
+EntryMachine::Status EntryMachine::status(TimePoint now) const
+{
+    Status status;
+    status.instance = this->settings.instance;
+    status.dataCenter = this->settings.dataCenter;
+    status.ready = this->isReady();
+    status.draining = this->draining;
+    status.configRevision = this->config.current().revision;
+    status.preset = this->config.current().presetInForce;
+    for (const auto &[dataCenter, slot] : this->dispatchers) {
+        const Dispatcher &dispatcher = *slot.dispatcher;
+        status.dispatchers.push_back({dataCenter, dispatcher.gauges(), dispatcher.ownedWorkers(),
+                                      dispatcher.knownWorkers(), dispatcher.jobCount(),
+                                      dispatcher.shortfalls()});
+    }
+    status.shards = this->shards;
+    status.keeper = this->keeper.gauges();
+    status.heldCalls = this->front.waitingCalls();
+    for (const Membership::Member &member : this->membership.liveMembers(now)) {
+        if (member.name != this->settings.instance)
+            status.livePeers.push_back(member.name);
+    }
+    return status;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Entry/EntryMachine.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <Config/ConfigKeeper.h>
+#include <Entry/Dispatcher.h>
+#include <Entry/EntryActions.h>
+#include <Entry/Front.h>
+#include <Entry/Membership.h>
+#include <Ledger/JobKeeper.h>
+#include <Platform/LiveList.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Hibiscus {
+
+/// One whole entry instance as a deterministic state machine: events and the present time in,
+/// actions out. Adapters carry its actions to sockets; tests drive it directly.
+class EntryMachine
+{
+public:
+    struct Settings
+    {
+        std::string instance;
+        std::string dataCenter;
+        std::uint64_t incarnation = 0; ///< Unique to this run of the process.
+        Duration heartbeatEvery = milliseconds(500);
+        Duration pullEvery = milliseconds(250); ///< Between two requests for configuration.
+        Duration drainNotice = seconds(1); ///< Peers are told for so long before roles move.
+        Membership::Settings membership;
+        Front::Settings front;
+        ConfigKeeperSettings config;
+        JobKeeperSettings keeper;
+        Dispatcher::Settings dispatcher;
+    };
+
+    using SchedulerFactory = std::function<std::unique_ptr<Scheduler>()>;
+
+    EntryMachine(const Settings &settings, SchedulerFactory makeScheduler, TimePoint now);
+
+    // Callers and operators. Each call is answered exactly once under its id.
+    void submit(CallId call, JobSpec spec, bool wait, TimePoint now, EntryActions &out);
+    void poll(CallId call, const std::string &customer, const std::string &requestId, Duration wait,
+              TimePoint now, EntryActions &out);
+    void cancel(CallId call, const std::string &customer, const std::string &requestId,
+                TimePoint now, EntryActions &out);
+    void change(CallId call, const ConfigChange &change, TimePoint now, EntryActions &out);
+    /// Starts a graceful stop: no new calls, roles handed over, held callers answered.
+    void drain(TimePoint now, EntryActions &out);
+
+    // The platform, workers and peers.
+    void storeReply(CallId call, const StoreReply &reply, TimePoint now, EntryActions &out);
+    void watchBatch(const StoreWatchBatch &batch, TimePoint now, EntryActions &out);
+    void watchBroken(TimePoint now, EntryActions &out);
+    void workerReply(CallId call, const WorkerReply &reply, TimePoint now, EntryActions &out);
+    void peerMessage(const std::string &from, const PeerMessage &message, TimePoint now,
+                     EntryActions &out);
+    void liveList(LiveList list, TimePoint now, EntryActions &out);
+    /// Call every few tens of milliseconds.
+    void tick(TimePoint now, EntryActions &out);
+
+    /// Takes new calls: knows a configuration and the fleet, and is not draining.
+    bool isReady() const;
+    bool isDraining() const { return this->draining; }
+    /// Nothing is held here any more; the process may end.
+    bool isDrained(TimePoint now) const;
+
+    const Configuration &configuration() const { return this->config.current(); }
+    const LiveList &knownList() const { return this->membership.list(); }
+
+    struct DispatcherStatus
+    {
+        std::string dataCenter;
+        SchedulerGauges gauges;
+        std::size_t ownedWorkers = 0;
+        std::size_t knownWorkers = 0;
+        std::size_t jobs = 0;
+        std::vector<std::pair<std::string, CellCounts>> shortfalls;
+    };
+    struct Status
+    {
+        std::string instance;
+        std::string dataCenter;
+        bool ready = false;
+        bool draining = false;
+        std::uint64_t configRevision = 0;
+        std::string preset;
+        std::vector<DispatcherStatus> dispatchers;
+        std::vector<std::uint32_t> shards;
+        JobKeeper::Gauges keeper;
+        std::size_t heldCalls = 0;
+        std::vector<std::string> livePeers;
+    };
+    Status status(TimePoint now) const;
+
+private:
+    struct Slot
+    {
+        std::uint64_t number = 0; ///< The high part of its worker calls' ids.
+        std::unique_ptr<Dispatcher> dispatcher;
+    };
+
+    void deliver(const std::string &from, const PeerMessage &message, TimePoint now,
+                 EntryActions &out);
+    void deliverSubmit(const std::string &from, const SubmitJob &message, TimePoint now,
+                       EntryActions &out);
+    void deliverAdmit(const std::string &from, const AdmitJob &message, TimePoint now,
+                      EntryActions &out);
+    void deliverCancel(const std::string &from, const CancelJob &message, TimePoint now,
+                       EntryActions &out);
+    void deliverQuery(const std::string &from, const QueryJob &message, TimePoint now,
+                      EntryActions &out);
+    void deliverUpdate(const std::string &from, const JobUpdate &message, TimePoint now,
+                       EntryActions &out);
+    void heardHeartbeat(const Heartbeat &heartbeat, TimePoint now, EntryActions &out);
+    /// Hands messages to this instance itself over until none is left.
+    void settle(TimePoint now, EntryActions &out);
+    void notOwner(const std::string &to, JobRole role, const std::string &key, EntryActions &out);
+    /// The dispatcher here that has the job, or else the one for the data centre of `from`.
+    Dispatcher *dispatcherFor(const std::string &from, const std::string &key);
+
+    void updateRoles(TimePoint now, EntryActions &out);
+    void updateDispatchers(TimePoint now, EntryActions &out);
+    void updateShards(TimePoint now, EntryActions &out);
+    void takeDispatching(const std::string &dataCenter, TimePoint now, EntryActions &out);
+    void sendHeartbeats(TimePoint now, EntryActions &out);
+    void take(ConfigActions &&actions, TimePoint now, EntryActions &out);
+    void take(KeeperActions &&actions, EntryActions &out);
+    void configurationChanged(TimePoint now, EntryActions &out);
+    void fleetChanged(TimePoint now, EntryActions &out);
+    std::vector<DataCenterCells> wholeCells() const;
+
+    Settings settings;
+    SchedulerFactory makeScheduler;
+    Membership membership;
+    Front front;
+    ConfigKeeper config;
+    JobKeeper keeper;
+    std::map<std::string, Slot> dispatchers; ///< By data centre.
+    std::uint64_t nextSlot = 1;
+    std::vector<std::uint32_t> shards; ///< That this instance should own.
+    std::vector<std::string> keeperNames; ///< By shard; empty where no instance is live.
+    bool listKnown = false;
+    bool draining = false;
+    TimePoint drainingSince{};
+    TimePoint heartbeatAt{};
+    TimePoint pullAt{};
+};
+
+} // namespace Hibiscus
