End a watch of the platform stand-in when its client has gone

Cause: after three curl calls that left a watch, a server with three connections answered nothing more: the library notices a closed client only by writing. Ruled out: DataSink::is_writable, which stayed true. Change: a waiting watch writes a blank line four times a second, which readers of the stream skip.

--- a/StandIns/StandInPlatformServer.cpp
+++ b/StandIns/StandInPlatformServer.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// How soon a waiting watch sees a lapsed lease, or that its client has gone.
-constexpr milliseconds watchPoll{100};
+constexpr milliseconds watchPoll{250};
 
 constexpr int httpNoContent = 204;
 constexpr int httpNotFound = 404;
@@ -206,8 +206,9 @@
             return false;
     }
     watch.fromRevision = step.nextRevision;
+    // The library sees that a client has gone only by writing to it; blank lines say nothing.
     if (step.changes.empty())
-        return true;
+        return sink.write("\n", 1);
     const std::string line = encodeWatchChanges(step);
     this->countBytes(0, line.size());
     return sink.write(line.data(), line.size());
--- a/UnitTests/StandIns/StandInPlatformServerTest.cpp
+++ b/UnitTests/StandIns/StandInPlatformServerTest.cpp
@@ -139,6 +139,21 @@
     EXPECT_FALSE(this->client().watch("a", 1, deliver, {}));
 }
 
+TEST_F(StandInPlatformServerTest, WatchWhoseClientHasGoneFreesItsConnection)
+{
+    StandInPlatformServer other({.connections = 2});
+    const StoreClient::Settings settings{
+        .host = host, .port = other.start().value(), .timeout = ample};
+    const std::int64_t revision = StoreClient(settings).execute(swap("a", "1", 0)).storeRevision;
+    for (int i = 0; i < 2; ++i) {
+        std::stop_source stop;
+        const auto leave = [&](const StoreWatchBatch &) { stop.request_stop(); };
+        EXPECT_TRUE(StoreClient(settings).watch("a", revision, leave, stop.get_token()));
+    }
+    EXPECT_EQ(StoreClient(settings).execute({.verb = StoreVerb::Get, .key = "a"}).status,
+              StoreStatus::Ok);
+}
+
 TEST_F(StandInPlatformServerTest, FaultsSetOverHttpReachTheClient)
 {
     StoreClient store = this->client();
