--- a/StandIns/StandInPlatformServer.cpp
+++ b/StandIns/StandInPlatformServer.cpp
@@ -206,9 +206,9 @@
             return false;
     }
     watch.fromRevision = step.nextRevision;
-    // The library sees that a client has gone only by writing to it; blank lines say nothing.
+    // The library itself looks for a client that has gone only when it writes.
     if (step.changes.empty())
-        return sink.write("\n", 1);
+        return sink.is_writable();
     const std::string line = encodeWatchChanges(step);
     this->countBytes(0, line.size());
     return sink.write(line.data(), line.size());
