Test that clients keep their connections

Cause: one connection for each call would cost a worker's few connections; nothing defended it. Change: a test counts the callers' ports over three calls of each client.

--- a/UnitTests/StandIns/StandInWorkerServerTest.cpp
+++ b/UnitTests/StandIns/StandInWorkerServerTest.cpp
@@ -1,10 +1,12 @@
 #include <Endpoint/WorkerClient.h>
+#include <Platform/StoreClient.h>
 #include <StandIns/StandInWorkerServer.h>
 
 #include <cstdio>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <set>
 #include <thread>
 #include <unistd.h>
 
@@ -135,6 +137,26 @@
     EXPECT_EQ(client.execute(order(WorkerVerb::Acquire)).status, WorkerStatus::NoAnswer);
 }
 
+TEST_F(StandInWorkerServerTest, ClientsKeepTheirConnectionBetweenCalls)
+{
+    HttpServer other(2, seconds(60));
+    std::mutex mutex;
+    std::set<int> callers;
+    other.routes().Post(".*", [&](const httplib::Request &http, httplib::Response &response) {
+        const std::scoped_lock lock(mutex);
+        callers.insert(http.remote_port);
+        answerJson(response, "{}");
+    });
+    const std::uint16_t otherPort = other.listen(host, 0).value();
+    WorkerClient worker({.host = host, .port = otherPort, .timeout = ample});
+    StoreClient store({.host = host, .port = otherPort, .timeout = ample});
+    for (int i = 0; i < 3; ++i) {
+        worker.execute(order(WorkerVerb::Renew));
+        store.execute({.verb = StoreVerb::Get, .key = "a"});
+    }
+    EXPECT_EQ(callers.size(), 2U);
+}
+
 TEST_F(StandInWorkerServerTest, StartsAreInTheFileBeforeTheyAreAnswered)
 {
     WorkerClient client = this->client();
