--- a/Platform/LiveList.cpp
+++ b/Platform/LiveList.cpp
@@ -1,13 +1,16 @@
+#include <Platform/HttpConnection.h>
 #include <Platform/JsonFields.h>
 #include <Platform/LiveList.h>
 
 #include <array>
-#include <httplib.h>
 
 namespace Hibiscus {
 
 namespace {
 
+constexpr const char *livePath = "/v1/live";
+constexpr int httpOk = 200;
+
 using Worker = WorkerDescription;
 using Instance = InstanceDescription;
 
@@ -91,23 +94,14 @@
 
 tl::expected<LiveList, Findings> LiveListClient::fetch()
 {
+    HttpConnection http({this->settings.host, this->settings.port, this->settings.timeout});
+    const HttpAnswer answer = http.get(livePath);
+    if (answer.outcome == HttpOutcome::Answered && answer.status == httpOk)
+        return parseLiveList(answer.body);
     Findings findings;
-    const std::string place
-        = this->settings.host + ":" + std::to_string(this->settings.port) + "/v1/live";
-    try {
-        httplib::Client client(this->settings.host, this->settings.port);
-        client.set_connection_timeout(this->settings.timeout);
-        client.set_read_timeout(this->settings.timeout);
-        client.set_write_timeout(this->settings.timeout);
-        const httplib::Result result = client.Get("/v1/live");
-        if (result && result->status == 200)
-            return parseLiveList(result->body);
-        findings.add(place,
-                     result ? "answered " + std::to_string(result->status)
-                            : httplib::to_string(result.error()));
-    } catch (const std::exception &error) {
-        findings.add(place, error.what());
-    }
+    const bool answered = answer.outcome == HttpOutcome::Answered;
+    findings.add(this->settings.host + ":" + std::to_string(this->settings.port) + livePath,
+                 answered ? "answered " + std::to_string(answer.status) : answer.error);
     return tl::unexpected(findings);
 }
 
--- a/Platform/StoreClient.cpp
+++ b/Platform/StoreClient.cpp
@@ -1,3 +1,4 @@
+#include <Platform/HttpConnection.h>
 #include <Platform/StoreClient.h>
 #include <Platform/StoreGateway.h>
 
@@ -11,9 +12,6 @@
 constexpr const char *jsonType = "application/json";
 constexpr int httpOk = 200;
 
-/// Connecting may take this share of a call's timeout, waiting for the answer the rest.
-constexpr int connectShare = 4;
-
 /// A watch has nothing to say for long; a peer that is gone is found by TCP's own probes.
 constexpr std::chrono::hours watchReadTimeout{24};
 constexpr int probeAfterSeconds = 5;
@@ -78,24 +76,13 @@
 
 struct StoreClient::Data
 {
-    explicit Data(const Settings &settings)
-        : settings(settings)
-        , http(settings.host, settings.port)
-    {
-        const Duration connecting = settings.timeout / connectShare;
-        this->http.set_keep_alive(true);
-        this->http.set_tcp_nodelay(true);
-        this->http.set_connection_timeout(connecting);
-        this->http.set_write_timeout(connecting);
-        this->http.set_read_timeout(settings.timeout - connecting);
-    }
-
     Settings settings;
-    httplib::Client http;
+    HttpConnection http;
 };
 
 StoreClient::StoreClient(const Settings &settings)
-    : data(std::make_unique<Data>(settings))
+    : data(std::make_unique<Data>(
+        Data{settings, HttpConnection({settings.host, settings.port, settings.timeout})}))
 {}
 
 StoreClient::~StoreClient() = default;
@@ -104,15 +91,11 @@
 
 StoreReply StoreClient::execute(const StoreRequest &request)
 {
-    try {
-        const GatewayRequest call = encodeStoreRequest(request);
-        const httplib::Result result = this->data->http.Post(call.path, call.body, jsonType);
-        if (!result)
-            return {};
-        return decodeStoreReply(request, result->status, result->body);
-    } catch (const std::exception &) {
+    const GatewayRequest call = encodeStoreRequest(request);
+    const HttpAnswer answer = this->data->http.postJson(call.path, call.body);
+    if (answer.outcome != HttpOutcome::Answered)
         return {};
-    }
+    return decodeStoreReply(request, answer.status, answer.body);
 }
 
 bool StoreClient::watch(const std::string &prefix, std::int64_t fromRevision,
--- a/UnitTests/StandIns/StandInPlatformServerTest.cpp
+++ b/UnitTests/StandIns/StandInPlatformServerTest.cpp
@@ -178,6 +178,28 @@
     EXPECT_FALSE(store.watch("a", 1, [](const StoreWatchBatch &) {}, {}));
 }
 
+TEST_F(StandInPlatformServerTest, AnswerThatTricklesInIsCutOffAtTheTimeout)
+{
+    // Whole only after five seconds, with never a long silence before.
+    constexpr std::size_t blanks = 5000;
+    HttpServer trickling(2, seconds(1));
+    const auto trickle = [](std::size_t offset, httplib::DataSink &sink) {
+        const std::string answer = R"({"header":{"revision":"7"}})";
+        std::this_thread::sleep_for(milliseconds(1));
+        if (offset < blanks)
+            return sink.write(" ", 1);
+        sink.write(answer.data(), answer.size());
+        sink.done();
+        return true;
+    };
+    trickling.routes().Post(".*", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_chunked_content_provider("application/json", trickle);
+    });
+    const std::uint16_t slowPort = trickling.listen(host, 0).value();
+    StoreClient store({.host = host, .port = slowPort, .timeout = milliseconds(200)});
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}), StoreReply{});
+}
+
 TEST_F(StandInPlatformServerTest, TooLargeAValueIsRefusedAndLeavesNothing)
 {
     StoreClient store = this->client();
