Order late reports of the worker stand-in in one place

Change: the second copy goes. Conclusion: with Collect's rule broken as a trial, the test of late reports fails; with it, all tests of the stand-ins pass.

--- a/StandIns/StandInWorker.cpp
+++ b/StandIns/StandInWorker.cpp
@@ -220,6 +220,7 @@
     auto entry = this->reported.upper_bound(request.sequence);
     for (; entry != this->reported.end(); ++entry) {
         const Task &task = this->tasks.at(entry->second);
+        // Later reports wait too, or the reader's sequence would pass this one by.
         if (task.reportVisibleFrom > now)
             break;
         reply.reports.push_back(task.report);
@@ -346,10 +347,7 @@
     this->reported.erase(task.report.sequence);
     task.report.state = state;
     task.report.sequence = ++this->lastSequence;
-    // Never before an earlier report, or a reader would pass that one by.
-    const TimePoint visibleFrom = now + milliseconds(this->activeFaults.lateMs);
-    this->lastVisibleFrom = std::max(this->lastVisibleFrom, visibleFrom);
-    task.reportVisibleFrom = this->lastVisibleFrom;
+    task.reportVisibleFrom = now + milliseconds(this->activeFaults.lateMs);
     this->reported[task.report.sequence] = task.report.task;
 }
 
--- a/StandIns/StandInWorker.h
+++ b/StandIns/StandInWorker.h
@@ -108,7 +108,6 @@
     std::set<std::string, std::less<>> live; ///< Reserved or running.
     std::map<std::uint64_t, std::string> reported; ///< Latest report of each task still kept.
     std::uint64_t lastSequence = 0;
-    TimePoint lastVisibleFrom;
     double reportedLoad = 0.0;
     double sampledLoad = 0.0;
     TimePoint sampledAt;
