--- a/Core/Job.h
+++ b/Core/Job.h
@@ -56,6 +56,8 @@
     OutcomeUnknown, ///< It may have run; nobody can tell any more.
 };
 
+inline constexpr std::size_t jobStatusCount = 8;
+
 /// True if the status never changes again.
 bool isFinal(JobStatus status);
 
--- /dev/null
+++ b/Entry/CallMetrics.cpp
@@ -0,0 +1,58 @@
+#include <Entry/CallMetrics.h>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr const char *completionName = "hibiscus_completion_seconds";
+constexpr const char *endsName = "hibiscus_requests_total";
+
+std::string seconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration<double>(duration).count());
+}
+
+void addBuckets(std::string &text, const std::string &labels, const Histogram &histogram)
+{
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < Histogram::bucketCount; ++i) {
+        below += histogram.bucket(i);
+        const bool last = i + 1 == Histogram::bucketCount;
+        const std::string bound = last ? "+Inf" : seconds(Histogram::upperBound(i));
+        text += std::string(completionName) + "_bucket{" + labels + ",le=\"" + bound + "\"} "
+            + std::to_string(below) + '\n';
+    }
+    text += std::string(completionName) + "_sum{" + labels + "} " + seconds(histogram.sum()) + '\n';
+    text += std::string(completionName) + "_count{" + labels + "} "
+        + std::to_string(histogram.count()) + '\n';
+}
+
+} // namespace
+
+void CallMetrics::ended(const std::string &customer, UrgencyClass urgency, JobStatus status,
+                        Duration elapsed)
+{
+    Series &entry = this->series[{customer, urgency}];
+    ++entry.ends[static_cast<std::size_t>(status)];
+    if (status == JobStatus::Done)
+        entry.completion.add(elapsed);
+}
+
+std::string CallMetrics::toText() const
+{
+    std::string text = std::string("# TYPE ") + completionName + " histogram\n";
+    std::string ends = std::string("# TYPE ") + endsName + " counter\n";
+    for (const auto &[name, entry] : this->series) {
+        const std::string labels
+            = "customer=\"" + name.first + "\",class=\"" + toString(name.second) + '"';
+        addBuckets(text, labels, entry.completion);
+        for (std::size_t i = 0; i < jobStatusCount; ++i) {
+            const char *status = toString(static_cast<JobStatus>(i));
+            ends += std::string(endsName) + '{' + labels + ",end=\"" + status + "\"} "
+                + std::to_string(entry.ends[i]) + '\n';
+        }
+    }
+    return text + ends;
+}
+
+} // namespace Hibiscus
--- a/Entry/Dispatcher.cpp
+++ b/Entry/Dispatcher.cpp
@@ -360,7 +360,7 @@
         return;
     if (!message.accepted) {
         // Another dispatcher has the job now, or it has ended; nothing of it was started here.
-        out.log(LogLevel::Warning, part, "The keeper refused an assignment.", job->key);
+        out.log(LogLevel::Warn, part, "The keeper refused an assignment.", job->key);
         this->leaveScheduler(*job, EndKind::Cancelled, false, now);
         this->drop(message.key);
         return;
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -147,7 +147,7 @@
 void Dispatcher::workerLost(WorkerSession &session, TimePoint now, EntryActions &out)
 {
     const WorkerId id = session.id();
-    out.log(LogLevel::Warning, part, "Lost " + session.description.name + ".");
+    out.log(LogLevel::Warn, part, "Lost " + session.description.name + ".");
     this->scheduler->workerDown(id, now);
     std::vector<std::string> hit;
     for (auto &[key, job] : this->jobs) {
--- a/Entry/EntryActions.h
+++ b/Entry/EntryActions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Config/ConfigKeeper.h>
+#include <Config/InstanceSettings.h>
 #include <Core/Ids.h>
 #include <Core/Job.h>
 #include <Endpoint/WorkerMessage.h>
@@ -13,8 +14,6 @@
 
 namespace Hibiscus {
 
-enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
-
 /// One log line. `part` is the fixed prefix of the part that speaks.
 struct LogLine
 {
--- a/Entry/EntryMachine.h
+++ b/Entry/EntryMachine.h
@@ -94,6 +94,7 @@
         std::vector<std::string> livePeers;
     };
     Status status(TimePoint now) const;
+    const CallMetrics &callMetrics() const { return this->front.metrics(); }
 
 private:
     struct Slot
--- a/Entry/Front.cpp
+++ b/Entry/Front.cpp
@@ -91,6 +91,7 @@
     }
     request.spec = std::move(spec);
     request.submitting = true;
+    request.arrivedAt = now;
     this->enter(request, request.spec.durable ? Stage::AskKeeper : Stage::Dispatch, members, now,
                 out);
 }
@@ -116,7 +117,8 @@
     this->addWaiter(request, call, now + this->settings.waitLimit, true);
     request.cancelling = true;
     if (this->surelyNotRun(request)) {
-        this->finish(request, makeAnswer(JobStatus::NotRun, "cancelled before it started"), out);
+        this->finish(request, makeAnswer(JobStatus::NotRun, "cancelled before it started"), now,
+                     out);
         return;
     }
     const bool dispatched = request.submitting && request.stage == Stage::Dispatch;
@@ -235,7 +237,7 @@
 {
     const JobAnswer &answer = message.answer;
     if (isFinal(answer.status)) {
-        this->finish(request, answer, out);
+        this->finish(request, answer, now, out);
         return;
     }
     if (answer.status == JobStatus::Unknown && request.stage == Stage::AskKeeper) {
@@ -272,7 +274,7 @@
         }
     }
     if (isFinal(answer.status)) {
-        this->finish(request, answer, out);
+        this->finish(request, answer, now, out);
         return;
     }
     if (request.stage == Stage::Admit) {
@@ -281,7 +283,8 @@
     }
     if (answer.status == JobStatus::Unknown) {
         if (request.stage == Stage::AskDispatcher || request.cancelling)
-            this->finish(request, makeAnswer(JobStatus::Unknown, "no such request is known"), out);
+            this->finish(request, makeAnswer(JobStatus::Unknown, "no such request is known"), now,
+                         out);
         return;
     }
     request.latest = answer;
@@ -301,8 +304,12 @@
     std::erase_if(request.waiters, ready);
 }
 
-void Front::finish(Request &request, const JobAnswer &answer, EntryActions &out)
+void Front::finish(Request &request, const JobAnswer &answer, TimePoint now, EntryActions &out)
 {
+    if (request.submitting) {
+        this->callMetrics.ended(request.spec.customer, request.spec.urgency, answer.status,
+                                now - request.arrivedAt);
+    }
     out.log(LogLevel::Info, part, std::string("Answers ") + toString(answer.status) + ".",
             request.key);
     this->answer(request, answer, true, out);
@@ -340,7 +347,7 @@
     const bool stuck = !request.handedOver && !request.acknowledged
         && now - request.stageSince >= this->settings.roleWait;
     if (stuck)
-        this->finish(request, this->presentAnswer(request), out);
+        this->finish(request, this->presentAnswer(request), now, out);
     const JobAnswer present = this->presentAnswer(request);
     std::erase_if(request.waiters, [&](const Waiter &waiter) {
         if (now < waiter.until)
--- a/Entry/Front.h
+++ b/Entry/Front.h
@@ -2,6 +2,7 @@
 
 #include <Config/Authenticator.h>
 #include <Config/Configuration.h>
+#include <Entry/CallMetrics.h>
 #include <Entry/EntryActions.h>
 #include <Entry/Membership.h>
 
@@ -48,6 +49,7 @@
     void tick(const Membership &members, TimePoint now, EntryActions &out);
 
     std::size_t waitingCalls() const;
+    const CallMetrics &metrics() const { return this->callMetrics; }
     std::size_t openRequests() const { return this->requests.size(); }
 
 private:
@@ -80,6 +82,7 @@
         std::uint64_t sentToIncarnation = 0;
         TimePoint sentAt{};
         TimePoint stageSince{};
+        TimePoint arrivedAt{}; ///< Of the submission.
         std::string dataCenter; ///< Whose dispatcher is asked.
         std::vector<std::string> refusedBy; ///< Data centres that would not take it.
         JobAnswer latest;
@@ -106,7 +109,7 @@
                             TimePoint now, EntryActions &out);
     /// Answers those who wait: all of them if `final`, else those who only wanted acceptance.
     void answer(Request &request, const JobAnswer &answer, bool final, EntryActions &out);
-    void finish(Request &request, const JobAnswer &answer, EntryActions &out);
+    void finish(Request &request, const JobAnswer &answer, TimePoint now, EntryActions &out);
     bool surelyNotRun(const Request &request) const;
     JobAnswer presentAnswer(const Request &request) const;
     bool tickRequest(Request &request, const Membership &members, TimePoint now, EntryActions &out);
@@ -116,6 +119,7 @@
     std::map<std::string, std::size_t> waiting; ///< Held calls by customer.
     std::size_t waitingInAll = 0;
     std::map<std::string, Request> requests; ///< By job key.
+    CallMetrics callMetrics;
 };
 
 } // namespace Hibiscus
--- /dev/null
+++ b/Entry/StatusPage.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <Entry/EntryMachine.h>
+
+#include <string>
+
+namespace Hibiscus {
+
+/// The operators' status page, one JSON object.
+std::string statusToJson(const EntryMachine::Status &status);
+
+/// The same figures and the callers' histograms in the Prometheus text format.
+std::string metricsPage(const EntryMachine::Status &status, const CallMetrics &calls);
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Hibiscusd/EntryProcess.cpp
@@ -0,0 +1,311 @@
+#include <Hibiscusd/EntryProcess.h>
+
+#include <Config/ConfigurationJson.h>
+#include <Hibiscusd/Log.h>
+#include <Policy/CellScheduler.h>
+#include <Wire/PeerLink.h>
+
+#include <caf/all.hpp>
+#include <map>
+#include <random>
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::MachineEvent)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::StoreCall)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::WorkerCall)
+
+namespace Hibiscus {
+
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("tick")>;
+using StopAtom = caf::atom_constant<caf::atom("stop")>;
+
+constexpr Duration tickEvery = milliseconds(25);
+constexpr std::size_t storeLaneCount = 4;
+/// A worker call has to fail before its owner lease is in danger.
+constexpr Duration workerTimeout = milliseconds(1500);
+
+EntryMachine::Settings machineSettings(const InstanceSettings &settings)
+{
+    std::random_device entropy;
+    EntryMachine::Settings machine;
+    machine.instance = settings.instance;
+    machine.dataCenter = settings.dataCenter;
+    machine.incarnation = (std::uint64_t(entropy()) << 32) | entropy();
+    machine.membership.instance = settings.instance;
+    machine.membership.dataCenter = settings.dataCenter;
+    machine.membership.incarnation = machine.incarnation;
+    machine.front.instance = settings.instance;
+    machine.front.dataCenter = settings.dataCenter;
+    machine.front.shards = settings.ledger.shards;
+    machine.front.waitingCallers = settings.limits.waitingCallers;
+    machine.config.storeTimeout = settings.store.timeout;
+    machine.keeper.instance = settings.instance;
+    machine.keeper.incarnation = machine.incarnation;
+    machine.keeper.shards = settings.ledger.shards;
+    machine.keeper.commitSpacing = settings.ledger.commitSpacing;
+    machine.keeper.storeTimeout = settings.store.timeout;
+    machine.dispatcher.session.ownerTerm = settings.leases.owner;
+    machine.dispatcher.session.taskTerm = settings.leases.task;
+    machine.dispatcher.session.renewEvery = settings.leases.renew;
+    return machine;
+}
+
+/// The actor's state: the machine and everything its actions go to.
+class EntryState
+{
+public:
+    EntryState(caf::event_based_actor *self, const InstanceSettings &settings,
+               const std::string &clusterKey, EntryShared &shared);
+
+    void apply(const MachineEvent &event);
+    void tick();
+    void stop();
+
+private:
+    void carryOut(EntryActions &&actions);
+    void callWorker(WorkerCall &&call);
+    caf::actor workerLane(std::map<std::string, caf::actor> &lanes, const std::string &worker);
+    void followList();
+    void post(std::function<void(EntryMachine &, TimePoint, EntryActions &)> apply);
+
+    caf::event_based_actor *self;
+    InstanceSettings settings;
+    EntryShared &shared;
+    EntryMachine machine;
+    std::vector<caf::actor> storeLanes;
+    std::size_t nextStoreLane = 0;
+    caf::actor liveListLane;
+    std::unique_ptr<StoreWatch> watch;
+    caf::actor link;
+    std::map<std::string, WorkerDescription> workers;
+    std::map<std::string, caf::actor> commandLanes; ///< By worker.
+    std::map<std::string, caf::actor> collectLanes; ///< Long polls, apart from commands.
+    std::vector<PeerAddress> peers;
+};
+
+EntryState::EntryState(caf::event_based_actor *self, const InstanceSettings &settings,
+                       const std::string &clusterKey, EntryShared &shared)
+    : self(self)
+    , settings(settings)
+    , shared(shared)
+    , machine(
+          machineSettings(settings),
+          [] { return std::make_unique<CellScheduler>(CellScheduler::Settings{}); },
+          EntryProcess::presentTime())
+{
+    const caf::actor own = caf::actor_cast<caf::actor>(self);
+    caf::actor_system &system = self->system();
+    const auto event = [own](auto apply) { caf::anon_send(own, MachineEvent{std::move(apply)}); };
+    const StoreClient::Settings store{settings.store.address.host, settings.store.address.port,
+                                      settings.store.timeout};
+    const auto stored = [event](CallId call, const StoreReply &reply) {
+        event([=](EntryMachine &machine, TimePoint now, EntryActions &out) {
+            machine.storeReply(call, reply, now, out);
+        });
+    };
+    for (std::size_t i = 0; i < storeLaneCount; ++i)
+        this->storeLanes.push_back(startStoreLane(system, store, stored));
+    StoreWatch::Handlers watching;
+    watching.changed = [event](const StoreWatchBatch &batch) {
+        event([=](EntryMachine &machine, TimePoint now, EntryActions &out) {
+            machine.watchBatch(batch, now, out);
+        });
+    };
+    watching.broken = [event] {
+        event([](EntryMachine &machine, TimePoint now, EntryActions &out) {
+            machine.watchBroken(now, out);
+        });
+    };
+    this->watch = std::make_unique<StoreWatch>(store, ConfigKeeperSettings{}.prefix, watching);
+    const auto listed = [event](const tl::expected<LiveList, Findings> &list) {
+        if (!list)
+            return writeLog(LogLevel::Warn, "platform", "The live list could not be read.");
+        event([=](EntryMachine &machine, TimePoint now, EntryActions &out) {
+            machine.liveList(*list, now, out);
+        });
+    };
+    this->liveListLane = startLiveListLane(
+        system, {settings.liveList.address.host, settings.liveList.address.port},
+        settings.liveList.interval, listed);
+    PeerLinkSettings peers;
+    peers.instance = settings.instance;
+    peers.host = settings.peers.address.host;
+    peers.port = settings.peers.address.port;
+    peers.clusterKey = clusterKey;
+    PeerLinkHandlers handlers;
+    handlers.listening = [](std::uint16_t) {};
+    handlers.received = [event](const std::string &from, const PeerMessage &message) {
+        event([=](EntryMachine &machine, TimePoint now, EntryActions &out) {
+            machine.peerMessage(from, message, now, out);
+        });
+    };
+    handlers.log = [](const std::string &text) { writeLog(LogLevel::Info, "peers", text); };
+    this->link = startPeerLink(system, peers, std::move(handlers));
+    shared.authenticator.setKeys({}, settings.operatorKeys);
+}
+
+void EntryState::apply(const MachineEvent &event)
+{
+    EntryActions actions;
+    event.apply(this->machine, EntryProcess::presentTime(), actions);
+    this->carryOut(std::move(actions));
+}
+
+void EntryState::tick()
+{
+    EntryActions actions;
+    const TimePoint now = EntryProcess::presentTime();
+    this->machine.tick(now, actions);
+    this->carryOut(std::move(actions));
+    this->shared.ready = this->machine.isReady();
+    this->shared.drained = this->machine.isDrained(now);
+}
+
+void EntryState::carryOut(EntryActions &&actions)
+{
+    this->followList();
+    for (const LogLine &line : actions.logs)
+        writeLog(line.level, line.part, line.text, line.key);
+    for (StoreCall &call : actions.storeCalls) {
+        const caf::actor &lane = this->storeLanes[this->nextStoreLane++ % storeLaneCount];
+        this->self->send(lane, std::move(call));
+    }
+    for (WorkerCall &call : actions.workerCalls)
+        this->callWorker(std::move(call));
+    for (PeerSend &send : actions.sends)
+        sendToPeer(this->self->system(), this->link, std::move(send));
+    for (CallerAnswer &answer : actions.callerAnswers) {
+        const CallId call = answer.call;
+        this->shared.callers.answer(call, std::move(answer));
+    }
+    for (ConfigActions::Answer &answer : actions.changeAnswers)
+        this->shared.changes.answer(answer.call, std::move(answer.reply));
+    if (actions.watchFrom)
+        this->watch->open(*actions.watchFrom);
+    if (actions.configurationChanged)
+        this->shared.authenticator.setKeys(this->machine.configuration(),
+                                           this->settings.operatorKeys);
+}
+
+void EntryState::callWorker(WorkerCall &&call)
+{
+    const bool collects = call.request.verb == WorkerVerb::Collect;
+    auto &lanes = collects ? this->collectLanes : this->commandLanes;
+    if (const caf::actor lane = this->workerLane(lanes, call.worker))
+        this->self->send(lane, std::move(call));
+}
+
+caf::actor EntryState::workerLane(std::map<std::string, caf::actor> &lanes,
+                                  const std::string &worker)
+{
+    const auto known = lanes.find(worker);
+    if (known != lanes.end())
+        return known->second;
+    const auto description = this->workers.find(worker);
+    if (description == this->workers.end())
+        return {};
+    const caf::actor own = caf::actor_cast<caf::actor>(this->self);
+    const auto replied = [own](CallId call, const WorkerReply &reply) {
+        caf::anon_send(own,
+                       MachineEvent{[=](EntryMachine &machine, TimePoint now, EntryActions &out) {
+                           machine.workerReply(call, reply, now, out);
+                       }});
+    };
+    const WorkerClient::Settings client{description->second.host, description->second.port,
+                                        workerTimeout};
+    const caf::actor lane = startWorkerLane(this->self->system(), client, replied);
+    lanes.emplace(worker, lane);
+    return lane;
+}
+
+void EntryState::followList()
+{
+    const LiveList &list = this->machine.knownList();
+    std::map<std::string, WorkerDescription> listed;
+    for (const WorkerDescription &worker : list.workers)
+        listed.emplace(worker.name, worker);
+    const auto moved = [&](const std::string &name) {
+        const auto before = this->workers.find(name);
+        const auto after = listed.find(name);
+        return before == this->workers.end() || after == listed.end()
+            || before->second.host != after->second.host
+            || before->second.port != after->second.port;
+    };
+    for (auto *lanes : {&this->commandLanes, &this->collectLanes}) {
+        std::erase_if(*lanes, [&](auto &entry) {
+            if (!moved(entry.first))
+                return false;
+            this->self->send_exit(entry.second, caf::exit_reason::user_shutdown);
+            return true;
+        });
+    }
+    this->workers = std::move(listed);
+    std::vector<PeerAddress> addresses;
+    for (const InstanceDescription &instance : list.instances) {
+        if (instance.name != this->settings.instance)
+            addresses.push_back({instance.name, instance.host, instance.port});
+    }
+    if (addresses == this->peers)
+        return;
+    this->peers = addresses;
+    setPeers(this->self->system(), this->link, std::move(addresses));
+}
+
+void EntryState::stop()
+{
+    this->watch.reset();
+    stopPeerLink(this->self->system(), this->link);
+    std::vector<caf::actor> lanes = this->storeLanes;
+    lanes.push_back(this->liveListLane);
+    for (const auto *named : {&this->commandLanes, &this->collectLanes}) {
+        for (const auto &[worker, lane] : *named)
+            lanes.push_back(lane);
+    }
+    for (const caf::actor &lane : lanes)
+        this->self->send_exit(lane, caf::exit_reason::user_shutdown);
+    this->self->quit();
+}
+
+caf::behavior entryActor(caf::event_based_actor *self, const InstanceSettings &settings,
+                         const std::string &clusterKey, EntryShared *shared)
+{
+    const auto state = std::make_shared<EntryState>(self, settings, clusterKey, *shared);
+    self->delayed_send(self, tickEvery, TickAtom::value);
+    return {
+        [state](const MachineEvent &event) { state->apply(event); },
+        [state, self](TickAtom) {
+            state->tick();
+            self->delayed_send(self, tickEvery, TickAtom::value);
+        },
+        [state](StopAtom) { state->stop(); },
+    };
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(caf::actor_system &system, const InstanceSettings &settings,
+                           std::string clusterKey, EntryShared &shared)
+    : system(system)
+    , actor(system.spawn<caf::detached>(entryActor, settings, std::move(clusterKey), &shared))
+{}
+
+void EntryProcess::post(MachineEvent event)
+{
+    caf::anon_send(this->actor, std::move(event));
+}
+
+void EntryProcess::stop()
+{
+    caf::anon_send(this->actor, StopAtom::value);
+    caf::scoped_actor self(this->system);
+    self->wait_for(this->actor);
+}
+
+TimePoint EntryProcess::presentTime()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+} // namespace Hibiscus
