--- a/Config/ConfigKeeper.h
+++ b/Config/ConfigKeeper.h
@@ -68,6 +68,9 @@
 {
     std::string dataCenter;
     CellCounts whole{}; ///< How many cells of each level there are in all.
+    /// How many cells of the next smaller level the largest cell of each level splits into; 0 where
+    /// it has to be taken from the ratio of `whole`.
+    CellCounts smaller{};
 };
 
 struct ConfigActions
@@ -91,6 +94,11 @@
     Duration storeTimeout = seconds(2); ///< A call without a reply counts as NoAnswer after it.
     Duration changeTimeout = seconds(5); ///< An operator's change is answered within it.
     std::uint32_t changesPerSnapshot = 64;
+    Duration pollInterval = seconds(5); ///< Between two looks at the store without a watch.
+    Duration watchedPollInterval = seconds(30); ///< The same beside a watch.
+    Duration backoffFirst = milliseconds(100); ///< Wait after a first NoAnswer; doubles.
+    Duration backoffLargest = seconds(5);
+    std::uint64_t seed = 1; ///< Of the jitter; should differ between instances.
 };
 
 /// Follows the operators' configuration and makes their changes. The store holds a snapshot and
