--- /dev/null
+++ b/UnitTests/Config/ConfigKeeperTest.cpp
@@ -0,0 +1,247 @@
+#include "ConfigCluster.h"
+
+namespace Hibiscus {
+namespace {
+
+/// Presets p1, p2, ... put by changes c1, c2, ...
+void makeChanges(ConfigCluster &cluster, std::size_t node, int first, int last)
+{
+    for (int i = first; i <= last; ++i) {
+        const std::string number = std::to_string(i);
+        const ChangeReply reply = cluster.make(node, putPreset("c" + number, "p" + number));
+        ASSERT_EQ(reply.status, ChangeStatus::Accepted) << reply.findings.toString();
+        ASSERT_EQ(reply.revision, static_cast<std::uint64_t>(i));
+    }
+}
+
+TEST(ConfigKeeper, AnEmptyStoreIsBootstrappedByOneOperator)
+{
+    ConfigCluster cluster(2);
+    cluster.run(seconds(1));
+    EXPECT_EQ(cluster.keeper(0).current().activePreset(), nullptr);
+    EXPECT_EQ(cluster.make(0, putPreset("c1", "ordinary")).status, ChangeStatus::Accepted);
+    EXPECT_EQ(cluster.make(0, switchPreset("c2", "ordinary")).revision, 2U);
+    EXPECT_EQ(cluster.keeper(0).current().activePreset()->name, "ordinary");
+    cluster.run(seconds(6));
+    EXPECT_EQ(cluster.keeper(1).current(), cluster.keeper(0).current());
+}
+
+TEST(ConfigKeeper, AChangeIsRecordedOnceHoweverAnyOneWriteGoesUnanswered)
+{
+    for (const CallFate fate :
+         {CallFate::LostAnswer, CallFate::LostRequest, CallFate::LateEffect}) {
+        int writes = 1;
+        for (int lost = 0; lost < writes; ++lost) {
+            ConfigCluster cluster(2);
+            int seen = 0;
+            cluster.fate = [&](std::size_t, const StoreRequest &request) {
+                const bool isWrite
+                    = request.verb == StoreVerb::Swap || request.verb == StoreVerb::Remove;
+                return isWrite && seen++ == lost ? fate : CallFate::Normal;
+            };
+            makeChanges(cluster, 0, 1, 8);
+            cluster.landLateEffects();
+            cluster.run(seconds(10));
+            writes = seen;
+            EXPECT_EQ(cluster.keeper(1).current(), cluster.keeper(0).current());
+            cluster.replace(1);
+            cluster.run(seconds(1));
+            EXPECT_EQ(cluster.keeper(1).current().revision, 8U) << "lost write " << lost;
+            EXPECT_EQ(cluster.keeper(1).current().presets.size(), 8U);
+        }
+        EXPECT_GT(writes, 8 + 3) << "no snapshot was met";
+    }
+}
+
+TEST(ConfigKeeper, OfTwoOperatorsOnTheSameRevisionOneWinsAndTheOtherLearnsWhichRevisionDid)
+{
+    ConfigCluster cluster(2);
+    makeChanges(cluster, 0, 1, 1);
+    cluster.run(seconds(6));
+    const std::uint64_t first = cluster.change(0, putPreset("a", "pa", 1));
+    const std::uint64_t second = cluster.change(1, putPreset("b", "pb", 1));
+    cluster.run(seconds(2));
+    const ChangeReply winner = cluster.answers.at(first);
+    const ChangeReply loser = cluster.answers.at(second);
+    EXPECT_EQ(winner.status, ChangeStatus::Accepted);
+    EXPECT_EQ(loser.status, ChangeStatus::Conflict);
+    EXPECT_EQ(loser.revision, winner.revision);
+    EXPECT_FALSE(cluster.keeper(1).current().presets.contains("pb"));
+}
+
+TEST(ConfigKeeper, OperatorsWhoRaceOnWhateverIsInForceBothGetTheirChange)
+{
+    ConfigCluster cluster(2);
+    const std::uint64_t first = cluster.change(0, putPreset("a", "pa"));
+    const std::uint64_t second = cluster.change(1, putPreset("b", "pb"));
+    cluster.run(seconds(8));
+    EXPECT_EQ(cluster.answers.at(first).revision, 1U);
+    EXPECT_EQ(cluster.answers.at(second).revision, 2U);
+    EXPECT_EQ(cluster.keeper(0).current().presets.size(), 2U);
+}
+
+TEST(ConfigKeeper, ARefusalIsNeverJudgedOnAnOldRevision)
+{
+    ConfigCluster cluster(2);
+    cluster.run(seconds(1));
+    makeChanges(cluster, 0, 1, 1);
+    // The second keeper has not heard of p1 yet.
+    EXPECT_EQ(cluster.make(1, switchPreset("s", "p1")).status, ChangeStatus::Accepted);
+    const ChangeReply reply = cluster.make(1, switchPreset("t", "p2", 9));
+    EXPECT_EQ(reply.status, ChangeStatus::Invalid);
+    EXPECT_EQ(reply.findings.toString(),
+              "/basedOn: there is no such revision\n/switchPreset: there is no preset p2\n");
+}
+
+TEST(ConfigKeeper, AChangeIdIsRecognisedAcrossSnapshotsAndReplacedInstances)
+{
+    ConfigCluster cluster(2);
+    makeChanges(cluster, 0, 1, 9);
+    cluster.run(seconds(10));
+    EXPECT_FALSE(cluster.store.all().contains("config/change/000000000003"));
+    cluster.replace(1);
+    const ChangeReply retried = cluster.make(1, putPreset("c3", "p3", 2));
+    EXPECT_EQ(retried.status, ChangeStatus::Accepted);
+    EXPECT_EQ(retried.revision, 3U);
+    EXPECT_EQ(cluster.keeper(1).current().revision, 9U);
+}
+
+TEST(ConfigKeeper, WhileTheStoreIsDownAChangeEndsUnavailableAndALaterRetrySucceeds)
+{
+    ConfigCluster cluster(1);
+    makeChanges(cluster, 0, 1, 1);
+    cluster.fate = [](std::size_t, const StoreRequest &) { return CallFate::LostRequest; };
+    const TimePoint asked = cluster.now();
+    const std::uint64_t call = cluster.change(0, putPreset("x", "px"));
+    cluster.run(seconds(4));
+    EXPECT_FALSE(cluster.answers.contains(call));
+    cluster.run(seconds(1));
+    EXPECT_EQ(cluster.answers.at(call).status, ChangeStatus::Unavailable);
+    EXPECT_LE(cluster.now() - asked, seconds(5));
+    EXPECT_EQ(cluster.keeper(0).current().revision, 1U);
+    cluster.fate = nullptr;
+    EXPECT_EQ(cluster.make(0, putPreset("x", "px")).status, ChangeStatus::Accepted);
+}
+
+TEST(ConfigKeeper, ACallWithoutAReplyIsGivenUpAndItsLateReplyIgnored)
+{
+    ConfigCluster cluster(1);
+    cluster.tick(0);
+    const StoreCall stuck = cluster.node(0).calls.front();
+    cluster.node(0).calls.clear();
+    cluster.passTime(seconds(2));
+    cluster.tick(0);
+    cluster.run(seconds(1));
+    makeChanges(cluster, 0, 1, 1);
+    const std::size_t calls = cluster.node(0).calls.size();
+    const StoreReply stale{StoreStatus::Ok, {{"config/floor", "7", 1}}, 1, 0};
+    cluster.act(0, [&](ConfigKeeper &keeper, ConfigActions &out) {
+        keeper.storeReply(stuck.call, stale, cluster.now(), out);
+    });
+    EXPECT_EQ(cluster.node(0).calls.size(), calls);
+    makeChanges(cluster, 0, 2, 2);
+}
+
+TEST(ConfigKeeper, AWatcherHearsAtOnceAndMissesNothingAcrossABrokenWatch)
+{
+    ConfigCluster cluster(2);
+    cluster.setWatching(1, true);
+    cluster.settle();
+    makeChanges(cluster, 0, 1, 1);
+    EXPECT_EQ(cluster.keeper(1).current().revision, 1U);
+    cluster.breakWatch(1);
+    cluster.held[1] = true;
+    makeChanges(cluster, 0, 2, 9);
+    cluster.held.clear();
+    cluster.run(seconds(1));
+    EXPECT_EQ(cluster.keeper(1).current().revision, 9U);
+    makeChanges(cluster, 0, 10, 10);
+    EXPECT_EQ(cluster.keeper(1).current().revision, 10U) << "the watch was not opened again";
+}
+
+TEST(ConfigKeeper, RelaysThatComeOutOfOrderOrTwiceAddUpToTheLatestRevision)
+{
+    ConfigCluster cluster(2);
+    cluster.held[1] = true;
+    makeChanges(cluster, 0, 1, 3);
+    cluster.relay(0, 1, 2);
+    EXPECT_EQ(cluster.keeper(1).current().revision, 0U);
+    const ConfigKeeper::Relay all = cluster.keeper(0).relayAfter(0);
+    ASSERT_EQ(all.changes.size(), 3U);
+    for (const std::size_t part : {1U, 1U, 0U}) {
+        const ConfigKeeper::Relay relay{0, "", part + 1, {all.changes[part]}};
+        cluster.act(1, [&](ConfigKeeper &keeper, ConfigActions &out) {
+            keeper.relayed(relay, cluster.now(), out);
+        });
+    }
+    EXPECT_EQ(cluster.keeper(1).current(), cluster.keeper(0).current());
+    cluster.relay(0, 1, 0);
+    EXPECT_EQ(cluster.keeper(1).current().revision, 3U);
+}
+
+TEST(ConfigKeeper, APeerFarBehindIsRelayedASnapshotThatKnowsChangeIds)
+{
+    ConfigCluster cluster(2);
+    cluster.held[1] = true;
+    makeChanges(cluster, 0, 1, 300);
+    const ConfigKeeper::Relay relay = cluster.keeper(0).relayAfter(1);
+    EXPECT_EQ(relay.snapshotRevision, 300U);
+    EXPECT_TRUE(relay.changes.empty());
+    cluster.relay(0, 1, 1);
+    EXPECT_EQ(cluster.keeper(1).current(), cluster.keeper(0).current());
+    const std::uint64_t call = cluster.change(1, putPreset("c250", "p250"));
+    EXPECT_EQ(cluster.answers.at(call).revision, 250U);
+    EXPECT_TRUE(cluster.keeper(0).relayAfter(300).changes.empty());
+}
+
+/// An instance is paused, wakes when the key of its next revision has long been removed, and
+/// creates that key anew.
+TEST(ConfigKeeper, AChangeWrittenByAPausedInstanceOnRemovedKeysIsNotTakenForAnOldRevision)
+{
+    ConfigCluster cluster(3);
+    makeChanges(cluster, 0, 1, 2);
+    cluster.run(seconds(6));
+    ASSERT_EQ(cluster.keeper(1).current().revision, 2U);
+    cluster.held[1] = true;
+    cluster.held[2] = true;
+    makeChanges(cluster, 0, 3, 9);
+    ASSERT_FALSE(cluster.store.all().contains("config/change/000000000003"));
+
+    const std::uint64_t call = cluster.change(1, putPreset("late", "plate"));
+    ASSERT_EQ(cluster.node(1).calls.front().request.key, "config/change/000000000003");
+    cluster.carryOut(1, CallFate::Normal);
+    // Meanwhile another instance that was paused as well reads the store.
+    cluster.held.erase(2);
+    cluster.held[0] = true;
+    cluster.setWatching(2, true);
+    cluster.settle();
+    EXPECT_EQ(cluster.keeper(2).current(), cluster.keeper(0).current());
+    cluster.held.clear();
+    cluster.settle();
+    cluster.run(seconds(1));
+    EXPECT_EQ(cluster.answers.at(call).status, ChangeStatus::Accepted);
+    EXPECT_EQ(cluster.answers.at(call).revision, 10U);
+    cluster.run(seconds(6));
+    EXPECT_EQ(cluster.keeper(0).current(), cluster.keeper(1).current());
+}
+
+TEST(ConfigKeeper, OldChangesLeaveTheStoreAndAnIdleKeeperAsksItSeldom)
+{
+    ConfigCluster cluster(2);
+    cluster.setWatching(1, true);
+    makeChanges(cluster, 0, 1, 100);
+    cluster.run(seconds(60));
+    EXPECT_LE(cluster.store.all().size(), 8U);
+    std::size_t calls = 0;
+    cluster.fate = [&](std::size_t, const StoreRequest &) {
+        ++calls;
+        return CallFate::Normal;
+    };
+    cluster.run(seconds(3600));
+    // At most one call in half of each poll interval: 5 s without a watch, 30 s with one.
+    EXPECT_LE(calls, 2U * (3600 / 5 + 3600 / 30));
+    EXPECT_GE(calls, std::size_t(3600 / 5 + 3600 / 30));
+}
+
+} // namespace
+} // namespace Hibiscus
