Answer a repeated assignment once, and leave foreign reports alone

Cause: the dispatcher repeats its question every half second and forgets a job whose assignment is refused; it sends the updates of all jobs. Change: a question that is being recorded gets no second answer, a refused present dispatcher gets the job again, unknown reports are ignored (they are repeated until acknowledged), hand-overs name the data centre. Ruled out: answering unknown reports 'not owner', which reached the callers' side of the same instance.

--- a/Ledger/KeptJob.cpp
+++ b/Ledger/KeptJob.cpp
@@ -13,8 +13,13 @@
 KeptJob::AssignVerdict KeptJob::judge(const DispatcherId &from, const AssignJob &message) const
 {
     const bool open = this->durable && !this->isFinished() && !this->ending;
-    if (!open || this->dispatcher != from || this->pendingAssign)
+    if (!open || this->dispatcher != from)
         return AssignVerdict::Refuse;
+    if (this->pendingAssign) {
+        const AssignJob &pending = this->pendingAssign->message;
+        const bool same = pending.attempt == message.attempt && pending.places == message.places;
+        return same ? AssignVerdict::Wait : AssignVerdict::Refuse;
+    }
     if (message.places.empty()) {
         if (message.attempt + 1 == this->attempt && !this->isAssigned())
             return AssignVerdict::Repeat;
@@ -55,9 +60,12 @@
 
 void KeptJob::addRequester(const JobRequester &requester)
 {
-    if (std::find(this->requesters.begin(), this->requesters.end(), requester)
-        != this->requesters.end())
-        return;
+    for (JobRequester &known : this->requesters) {
+        if (known.instance == requester.instance) {
+            known.call = requester.call;
+            return;
+        }
+    }
     if (this->requesters.size() >= mostRequesters)
         this->requesters.erase(this->requesters.begin());
     this->requesters.push_back(requester);
--- a/Ledger/KeptJob.h
+++ b/Ledger/KeptJob.h
@@ -42,6 +42,7 @@
 public:
     enum class AssignVerdict : std::uint8_t {
         Refuse,
+        Wait, ///< It is being recorded: the answer will follow.
         Repeat, ///< Recorded before: accept again.
         Record, ///< Record it, then accept.
     };
@@ -59,7 +60,7 @@
     /// What may be told about the job now.
     JobAnswer answer() const;
 
-    /// Adds one who waits, once.
+    /// Adds one who waits. An instance waits once, under its last call.
     void addRequester(const JobRequester &requester);
 
     // Made of records.
--- a/Ledger/LedgerLoader.h
+++ b/Ledger/LedgerLoader.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
--- a/Ledger/LedgerShard.cpp
+++ b/Ledger/LedgerShard.cpp
@@ -63,7 +63,7 @@
 {
     const auto found = std::lower_bound(
         this->queue.begin(), this->queue.end(), id,
-        [](const QueuedRecord &record, AppendId wanted) { return record.id < wanted; });
+        [](const QueuedRecord &record, AppendId wanted) { return record.id.value < wanted.value; });
     if (found == this->queue.end() || found->id != id)
         return false;
     this->queue.erase(found);
@@ -264,7 +264,7 @@
 {
     // A slot may be written again once a snapshot covers more than what it holds. The last quarter
     // is kept for the epoch records of new owners, who have to write before they can snapshot.
-    const std::uint64_t usable = this->settings.slots / 4 * 3;
+    const std::uint32_t usable = this->settings.slots - this->settings.slots / 4;
     return this->nextSequence < this->headSequence + usable;
 }
 
--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -75,6 +75,9 @@
 void ShardKeeper::handle(const KeeperRequest &request, TimePoint now, KeeperActions &out)
 {
     if (!this->isOwned()) {
+        // Dispatchers repeat their reports until these are acknowledged.
+        if (std::holds_alternative<JobUpdate>(request.message))
+            return;
         // After a loss another owner is likely; those who ask are better off asking there.
         if (this->wanted && this->losses == 0 && this->deferred.size() < mostDeferred)
             this->deferred.push_back(request);
@@ -89,7 +92,7 @@
     else if (const auto *message = std::get_if<QueryJob>(&request.message))
         this->query(request, *message, out);
     else if (const auto *message = std::get_if<AssignJob>(&request.message))
-        this->assign(request, *message, out);
+        this->assign(request, *message, now, out);
     else if (const auto *message = std::get_if<JobUpdate>(&request.message))
         this->update(request, *message, now, out);
     this->settle(now, out);
@@ -200,8 +203,6 @@
     for (const auto &[key, job] : this->table.all()) {
         for (const JobRequester &requester : job.requesters)
             KeeperReply::notOwner(requester.instance, requester.call, key, out);
-        for (const JobRequester &reporter : job.reporters)
-            KeeperReply::notOwner(reporter.instance, reporter.call, key, out);
         if (job.pendingAssign)
             KeeperReply::assignment(job.pendingAssign->from.instance, job.pendingAssign->message,
                                     false, out);
@@ -335,20 +336,28 @@
     KeeperReply::news(request.from, message.call, message.key, job ? job->answer() : unknown, out);
 }
 
-void ShardKeeper::assign(const KeeperRequest &request, const AssignJob &message, KeeperActions &out)
+void ShardKeeper::assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
+                         KeeperActions &out)
 {
     const DispatcherId from{.instance = request.from, .incarnation = message.dispatcherIncarnation};
     KeptJob *job = this->table.find(message.key);
     const KeptJob::AssignVerdict verdict
         = job ? job->judge(from, message) : KeptJob::AssignVerdict::Refuse;
+    if (verdict == KeptJob::AssignVerdict::Refuse) {
+        KeeperReply::assignment(request.from, message, false, out);
+        // A refused dispatcher forgets the job.
+        if (job && job->dispatcher == from)
+            this->schedule(*job, message.key, now + this->settings.commitSpacing);
+        return;
+    }
     // It has the job, so there is no need to submit it again, but a cancellation may be lost.
-    if (verdict != KeptJob::AssignVerdict::Refuse && !job->cancelled)
+    if (!job->cancelled)
         this->unschedule(*job, message.key);
-    if (verdict != KeptJob::AssignVerdict::Record || !this->hasRoom()) {
-        KeeperReply::assignment(request.from, message, verdict == KeptJob::AssignVerdict::Repeat,
-                                out);
+    if (verdict == KeptJob::AssignVerdict::Repeat)
+        KeeperReply::assignment(request.from, message, true, out);
+    // Without room, as with one that is being recorded, the dispatcher asks again.
+    if (verdict != KeptJob::AssignVerdict::Record || !this->hasRoom())
         return;
-    }
     job->pendingAssign = PendingAssign{.from = from, .message = message};
     LedgerRecord record = UnassignRecord{.key = message.key, .attempt = message.attempt};
     if (!message.places.empty())
@@ -362,12 +371,10 @@
                          KeeperActions &out)
 {
     KeptJob *job = this->table.find(message.key);
-    if (!job || !job->durable) {
-        // Another instance may have taken the shard over and recorded the job without this one
-        // knowing yet, so the dispatcher must not be led to forget what it reports.
-        KeeperReply::notOwner(request.from, message.call, message.key, out);
+    // Either no durable job, or recorded by another owner whom this one does not know of yet. A
+    // dispatcher repeats its report until it is acknowledged.
+    if (!job || !job->durable)
         return;
-    }
     const bool final = isFinal(message.answer.status) && !message.notOwner;
     if (job->isFinished()) {
         KeeperReply::news(request.from, message.call, message.key, job->answer(), out);
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -53,7 +53,8 @@
     void cancel(const KeeperRequest &request, const CancelJob &message, TimePoint now,
                 KeeperActions &out);
     void query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out);
-    void assign(const KeeperRequest &request, const AssignJob &message, KeeperActions &out);
+    void assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
+                KeeperActions &out);
     void update(const KeeperRequest &request, const JobUpdate &message, TimePoint now,
                 KeeperActions &out);
     void progress(KeptJob &job, const std::string &key, const JobUpdate &message, TimePoint now,
--- a/Ledger/ShardKeeperDispatch.cpp
+++ b/Ledger/ShardKeeperDispatch.cpp
@@ -84,6 +84,7 @@
     out.sends.push_back({.instance = dispatcher->instance,
                          .message = SubmitJob{.call = this->nextCall(),
                                               .role = JobRole::Dispatcher,
+                                              .dataCenter = job.dataCenter,
                                               .spec = job.spec,
                                               .attempt = job.attempt,
                                               .places = job.places}});
--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -37,7 +37,7 @@
         bool holdsWork = false; ///< Takes jobs but assigns none.
         std::uint64_t lastCall = 0;
         std::map<std::string, CallId> asked; ///< Calls that may still be answered "accepted".
-        std::set<CallId> givenUp; ///< Calls that give an attempt up.
+        std::set<std::uint64_t> givenUp; ///< Calls that give an attempt up.
         std::map<std::string, int> runs; ///< How often each job was started.
         std::set<std::string> unacknowledged;
         std::set<std::string> cancelled;
@@ -116,18 +116,18 @@
     void sendSubmit(const std::string &node, const JobSpec &spec)
     {
         SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec};
-        this->toKeepers.emplace_back(node, "entry", message);
+        this->toKeepers.push_back({node, "entry", message});
     }
 
     void sendCancel(const std::string &node, const std::string &id)
     {
-        this->toKeepers.emplace_back(node, "entry",
-                                     CancelJob{.call = CallId{++this->lastCall}, .key = key(id)});
+        const CancelJob message{.call = CallId{++this->lastCall}, .key = key(id)};
+        this->toKeepers.push_back({node, "entry", message});
     }
 
-    void sendToKeeper(const std::string &node, const std::string &from, PeerMessage message)
+    void sendToKeeper(const std::string &node, const std::string &from, const PeerMessage &message)
     {
-        this->toKeepers.emplace_back(node, from, std::move(message));
+        this->toKeepers.push_back({node, from, message});
     }
 
     /// One store call or message; false if only time can go on.
@@ -236,10 +236,10 @@
             if (node.paused)
                 continue;
             if (!node.replies.empty()) {
-                const auto [call, reply] = std::move(node.replies.front());
+                const std::pair<CallId, StoreReply> reply = std::move(node.replies.front());
                 node.replies.pop_front();
                 this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
-                    keeper.storeReply(call, reply, this->now, out);
+                    keeper.storeReply(reply.first, reply.second, this->now, out);
                 });
                 return true;
             }
@@ -326,7 +326,7 @@
         if (submit.places.empty())
             this->askFor(assign);
         else
-            this->dispatcher.givenUp.insert(assign.call);
+            this->dispatcher.givenUp.insert(assign.call.value);
         this->sendToKeeper(from, "dispatcher", assign);
     }
 
@@ -340,7 +340,7 @@
     void assigned(const std::string &from, const AssignReply &reply)
     {
         this->assignReplies.push_back(reply);
-        if (reply.accepted && this->dispatcher.givenUp.erase(reply.call) > 0) {
+        if (reply.accepted && this->dispatcher.givenUp.erase(reply.call.value) > 0) {
             AssignJob again{.call = CallId{++this->dispatcher.lastCall},
                             .key = reply.key,
                             .attempt = reply.attempt + 1,
