--- /dev/null
+++ b/Policy/FifoScheduler.cpp
@@ -0,0 +1,185 @@
+#include <Policy/FifoScheduler.h>
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+
+namespace Hibiscus {
+
+namespace {
+
+SlotMask allSlots(std::uint16_t slots)
+{
+    return slots >= maxSlots ? ~SlotMask(0) : (SlotMask(1) << slots) - 1;
+}
+
+/// The lowest `count` adjacent slots of `free`, or 0.
+SlotMask lowestRun(SlotMask free, std::uint16_t slots, std::uint16_t count)
+{
+    const SlotMask run = allSlots(count);
+    for (std::uint16_t first = 0; first + count <= slots; ++first) {
+        const SlotMask candidate = run << first;
+        if ((free & candidate) == candidate)
+            return candidate;
+    }
+    return 0;
+}
+
+} // namespace
+
+void FifoScheduler::setCustomers(std::span<const CustomerShape> customers, TimePoint)
+{
+    this->customers = customers.size();
+}
+
+void FifoScheduler::setPreset(const Preset &, bool dataCenterClosed, TimePoint)
+{
+    this->serving = !dataCenterClosed;
+}
+
+void FifoScheduler::workerUp(WorkerId worker, const WorkerDescription &description, TimePoint)
+{
+    Worker &entry = this->workers[worker];
+    const SlotMask taken = allSlots(entry.slots) & ~entry.free;
+    entry.slots = description.slots;
+    entry.accelerated = description.accelerators > 0;
+    entry.usable = !description.leaving;
+    entry.free = allSlots(entry.slots) & ~taken;
+}
+
+void FifoScheduler::workerLeaving(WorkerId worker, TimePoint)
+{
+    this->workers[worker].usable = false;
+}
+
+void FifoScheduler::workerDown(WorkerId worker, TimePoint)
+{
+    this->workers[worker].usable = false;
+}
+
+Admission FifoScheduler::submit(const QueuedJob &job, TimePoint)
+{
+    if (job.customer.value >= this->customers)
+        return {RefusalReason::UnknownCustomer, std::nullopt};
+    if (!this->serving && !job.admitted)
+        return {RefusalReason::NotServing, seconds(1)};
+    // A fleet that is not known yet says nothing about what could ever fit.
+    if (!this->workers.empty() && this->find(job, true).empty())
+        return {RefusalReason::NeverFits, std::nullopt};
+    this->jobs[job.job].spec = job;
+    this->waiting.push_back(job.job);
+    return {};
+}
+
+bool FifoScheduler::adopt(const QueuedJob &job, std::span<const Placement> placements, TimePoint)
+{
+    for (const Placement &placement : placements) {
+        if ((this->workers[placement.worker].free & placement.slots) != placement.slots)
+            return false;
+    }
+    Job &entry = this->jobs[job.job];
+    entry.spec = job;
+    entry.placements.assign(placements.begin(), placements.end());
+    this->take(entry.placements);
+    return true;
+}
+
+bool FifoScheduler::cancel(JobId job, TimePoint)
+{
+    const auto it = this->jobs.find(job);
+    if (it == this->jobs.end() || !it->second.placements.empty())
+        return false;
+    this->jobs.erase(it);
+    return true;
+}
+
+void FifoScheduler::started(JobId, TimePoint) {}
+
+void FifoScheduler::ended(JobId job, EndKind, std::optional<WorkerId>, bool requeue, TimePoint)
+{
+    const auto it = this->jobs.find(job);
+    assert(it != this->jobs.end());
+    this->give(it->second.placements);
+    it->second.placements.clear();
+    if (requeue)
+        this->waiting.push_front(job);
+    else
+        this->jobs.erase(it);
+}
+
+std::vector<Placement> FifoScheduler::find(const QueuedJob &job, bool whenAllFree) const
+{
+    const std::uint16_t wanted = std::max<std::uint16_t>(job.accelerators, 1);
+    std::vector<Placement> found;
+    std::uint32_t missing = wanted;
+    for (const auto &[id, worker] : this->workers) {
+        const bool suits = worker.accelerated || job.accelerators == 0;
+        if (!suits || (!whenAllFree && !worker.usable))
+            continue;
+        const SlotMask free = whenAllFree ? allSlots(worker.slots) : worker.free;
+        const auto share
+            = static_cast<std::uint16_t>(std::min<std::uint32_t>(missing, worker.slots));
+        // Only what does not fit one worker is spread, and then over whole workers.
+        const bool spread = wanted > worker.slots;
+        if (spread && free != allSlots(worker.slots))
+            continue;
+        const SlotMask slots = lowestRun(free, worker.slots, spread ? share : wanted);
+        if (slots == 0)
+            continue;
+        found.push_back({id, slots});
+        missing -= static_cast<std::uint32_t>(std::popcount(slots));
+        if (missing == 0)
+            return found;
+    }
+    return {};
+}
+
+void FifoScheduler::take(std::span<const Placement> placements)
+{
+    for (const Placement &placement : placements)
+        this->workers[placement.worker].free &= ~placement.slots;
+}
+
+void FifoScheduler::give(std::span<const Placement> placements)
+{
+    for (const Placement &placement : placements)
+        this->workers[placement.worker].free |= placement.slots;
+}
+
+void FifoScheduler::decide(TimePoint, std::vector<Decision> &decisions)
+{
+    while (this->serving && !this->waiting.empty()) {
+        const auto it = this->jobs.find(this->waiting.front());
+        if (it == this->jobs.end()) {
+            this->waiting.pop_front();
+            continue;
+        }
+        Job &job = it->second;
+        job.placements = this->find(job.spec, false);
+        if (job.placements.empty())
+            return;
+        this->take(job.placements);
+        this->waiting.pop_front();
+        decisions.push_back({DecisionKind::Start, it->first, job.placements, RefusalReason::None});
+    }
+}
+
+SchedulerGauges FifoScheduler::gauges() const
+{
+    SchedulerGauges gauges;
+    for (const auto &[id, worker] : this->workers) {
+        gauges.slots += worker.slots;
+        gauges.freeSlots += static_cast<std::uint32_t>(std::popcount(worker.free));
+        for (std::uint16_t size = worker.slots; size > gauges.largestFreeCell; --size) {
+            if (lowestRun(worker.free, worker.slots, size) != 0)
+                gauges.largestFreeCell = size;
+        }
+    }
+    for (const auto &[id, job] : this->jobs) {
+        auto &counts = job.placements.empty() ? gauges.queued : gauges.running;
+        ++counts[static_cast<std::size_t>(job.spec.urgency)];
+    }
+    return gauges;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,377 @@
+#!/usr/bin/env python3
+"""Runs one scenario against real processes on loopback and counts how every request ended.
+
+Starts the platform's stand-in, four workers and three entry instances in two data centres, sets
+customers and presets, sends a mixed load with a flood, and meanwhile switches the preset with the
+store down, drains one entry instance and kills another. Ends with a table per customer and class.
+Exit status 0 only if nothing was lost and nothing that runs at most once ran twice.
+"""
+
+import argparse
+import collections
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import random
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+HOST = "127.0.0.1"
+FINAL = {"done", "failed", "not-run", "cancelled", "outcome-unknown"}
+KDF_ROUNDS = 10_000
+REQUEST_LIMIT_S = 60.0  # A request without a final answer after it counts as lost.
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def call(port, method, path, body=None, key=None, timeout=65.0):
+    """One HTTP call; returns (status, parsed body) or (None, None) when there is no answer."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    headers = {"Content-Type": "application/json"}
+    if key:
+        headers["Authorization"] = "Bearer " + key
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None, headers)
+        answer = connection.getresponse()
+        text = answer.read()
+        return answer.status, json.loads(text) if text.strip().startswith(b"{") else text
+    except (OSError, http.client.HTTPException, ValueError):
+        return None, None
+    finally:
+        connection.close()
+
+
+def stored_key(name, role, secret):
+    salt = hashlib.sha256(name.encode()).hexdigest()[:32]
+    derived = hashlib.pbkdf2_hmac("sha256", secret.encode(), bytes.fromhex(salt), KDF_ROUNDS)
+    return {"name": name, "role": role, "salt": salt, "hash": derived.hex()}
+
+
+class Site:
+    """All processes of one scenario."""
+
+    def __init__(self, scenario, build, folder):
+        self.scenario = scenario
+        self.build = build
+        self.folder = folder
+        self.processes = {}
+        self.instances = {}
+        self.workers = {}
+        self.operator_key = "operator." + secrets.token_hex(16)
+        self.keys = {}
+        self.platform_port = None
+
+    def spawn(self, name, arguments, prints_port=False):
+        log = open(self.folder / (name + ".log"), "ab")
+        output = subprocess.PIPE if prints_port else log
+        process = subprocess.Popen(arguments, stdout=output, stderr=log)
+        self.processes[name] = process
+        return int(process.stdout.readline()) if prints_port else None
+
+    def start(self):
+        self.platform_port = self.spawn(
+            "platform", [self.build / "StandIns/hibiscus-platform-standin"], True)
+        (self.folder / "cluster.key").write_text(secrets.token_hex(32))
+        centres = self.scenario["dataCenters"]
+        for index in range(4):
+            self.start_worker("worker-%d" % index, centres[index // 2], index // 2)
+        for index in range(3):
+            self.start_instance("entry-%d" % index, centres[index // 2])
+        self.publish_list()
+
+    def start_worker(self, name, centre, rack):
+        port = self.spawn(name, [
+            self.build / "StandIns/hibiscus-worker-standin", "--name", name, "--slots", "8",
+            "--run-log", self.folder / "runs.jsonl"], True)
+        self.workers[name] = {
+            "name": name, "dataCenter": centre, "rack": rack, "slots": 8, "accelerators": 8,
+            "memoryMiB": 60000, "connections": 60, "host": HOST, "port": port, "leaving": False}
+
+    def start_instance(self, name, centre):
+        known = self.instances.get(name)
+        ports = known or {part: free_port() for part in
+                          ("callers", "urgent", "operators", "health", "peers")}
+        ports["dataCenter"] = centre
+        self.instances[name] = ports
+        settings = {
+            "instance": name, "dataCenter": centre,
+            "callers": {"host": HOST, "port": ports["callers"], "threads": 64},
+            "urgentCallers": {"host": HOST, "port": ports["urgent"], "threads": 32},
+            "operators": {"host": HOST, "port": ports["operators"]},
+            "health": {"host": HOST, "port": ports["health"]},
+            "peers": {"host": HOST, "port": ports["peers"],
+                      "clusterKeyFile": str(self.folder / "cluster.key")},
+            "store": {"host": HOST, "port": self.platform_port},
+            "liveList": {"host": HOST, "port": self.platform_port, "intervalMs": 500},
+            "operatorKeys": [stored_key("operator", "operator", self.operator_key.split(".")[1])],
+            "ledger": {"shards": 4, "commitSpacingMs": 45},
+            "leases": {"ownerMs": 3000, "taskMs": 30000, "renewMs": 1000},
+        }
+        path = self.folder / (name + ".json")
+        path.write_text(json.dumps(settings, indent=4))
+        self.spawn(name, [self.build / "Hibiscusd/hibiscusd", "--settings", path])
+
+    def publish_list(self):
+        instances = [{"name": name, "dataCenter": ports["dataCenter"], "host": HOST,
+                      "port": ports["peers"], "leaving": False}
+                     for name, ports in self.instances.items()]
+        body = {"instances": instances, "workers": list(self.workers.values())}
+        status, _ = call(self.platform_port, "POST", "/v1/live", body)
+        assert status in (200, 204), status
+
+    def alive(self):
+        return [name for name in self.instances
+                if self.processes[name].poll() is None]
+
+    def operate(self, change, via=None, limit_s=40.0):
+        """Makes one operator change, retried under the same change id until it is settled."""
+        body = dict(change, changeId=secrets.token_hex(8))
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            name = via or random.choice(self.alive())
+            status, answer = call(self.instances[name]["operators"], "POST", "/v1/changes", body,
+                                  self.operator_key)
+            if status == 200:
+                return answer["revision"]
+            if status == 400:
+                raise SystemExit("refused change: %s" % answer)
+            time.sleep(0.3)
+        raise SystemExit("no answer to a change: %s" % list(change))
+
+    def configure(self):
+        for customer in self.scenario["customers"]:
+            name = customer["name"]
+            secret = secrets.token_hex(16)
+            self.keys[name] = name + "-key." + secret
+            keys = [stored_key(name + "-key", "caller", secret)]
+            self.operate({"putCustomer": dict(customer, keys=keys)})
+        for preset in self.scenario["presets"]:
+            self.operate({"putPreset": preset})
+        return self.operate({"switchPreset": self.scenario["firstPreset"]})
+
+    def wait_ready(self, limit_s=20.0):
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            ready = [call(ports["health"], "GET", "/ready", timeout=2)[0] == 200
+                     for ports in self.instances.values()]
+            if all(ready):
+                return
+            time.sleep(0.1)
+        raise SystemExit("the entry instances did not become ready")
+
+    def faults(self, **switches):
+        return call(self.platform_port, "POST", "/v1/faults", switches)
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+class Load:
+    """Callers of all streams; each sees one request through to its final answer."""
+
+    def __init__(self, site):
+        self.site = site
+        self.stopping = threading.Event()
+        self.flooding = threading.Event()
+        self.lock = threading.Lock()
+        self.threads = []
+        self.rows = collections.defaultdict(lambda: collections.Counter())
+        self.times = collections.defaultdict(list)
+        self.once = set()
+        self.lost = []
+        self.counter = 0
+
+    def start(self):
+        streams = [(stream, None) for stream in self.site.scenario["streams"]]
+        streams.append((self.site.scenario["flood"], self.flooding))
+        for stream, gate in streams:
+            for _ in range(stream["callers"]):
+                thread = threading.Thread(target=self.caller, args=(stream, gate), daemon=True)
+                thread.start()
+                self.threads.append(thread)
+
+    def finish(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(REQUEST_LIMIT_S + 10)
+
+    def caller(self, stream, gate):
+        while not self.stopping.is_set():
+            if gate and not gate.is_set():
+                time.sleep(0.05)
+                continue
+            self.one(stream)
+            time.sleep(stream["pauseMs"] / 1000 * random.uniform(0.5, 1.5))
+
+    def one(self, stream):
+        with self.lock:
+            self.counter += 1
+            request_id = "r%d" % self.counter
+        body = {"requestId": request_id, "kind": stream["kind"], "urgency": stream["urgency"],
+                "idempotent": stream["idempotent"], "wait": stream["wait"],
+                "accelerators": stream.get("accelerators", 0),
+                "adjacency": stream.get("adjacency", "any"),
+                "declaredRunTimeMs": stream["runMs"],
+                "payload": json.dumps({"runMs": stream["runMs"], "ticket": request_id})}
+        started = time.monotonic()
+        answer = self.see_through(stream, body, started)
+        elapsed = time.monotonic() - started
+        group = (stream["customer"], stream["urgency"])
+        with self.lock:
+            if not stream["idempotent"]:
+                self.once.add(stream["customer"] + "/" + request_id)
+            self.rows[group]["sent"] += 1
+            if answer is None:
+                self.rows[group]["lost"] += 1
+                self.lost.append(stream["customer"] + "/" + request_id)
+                return
+            self.rows[group][answer["status"]] += 1
+            if answer["status"] == "done":
+                self.times[group].append(elapsed)
+                if request_id not in answer["result"]:
+                    self.rows[group]["wrong"] += 1
+
+    def see_through(self, stream, body, started):
+        """The final answer, or None if there was none in time."""
+        key = self.site.keys[stream["customer"]]
+        lane = "urgent" if stream["urgency"] == "urgent" else "callers"
+        submitted = False
+        while time.monotonic() - started < REQUEST_LIMIT_S:
+            # The platform's balancer sends each call to some live instance.
+            port = self.site.instances[random.choice(self.site.alive())][lane]
+            if not submitted or stream["wait"]:
+                status, answer = call(port, "POST", "/v1/jobs", body, key)
+            else:
+                path = "/v1/jobs/%s?waitMs=5000" % body["requestId"]
+                status, answer = call(port, "GET", path, None, key)
+            if status is None or not isinstance(answer, dict) or "status" not in answer:
+                time.sleep(0.1)
+                continue
+            if answer["status"] == "not-run" and submitted and "taken in" in answer["reason"]:
+                time.sleep(0.2)
+                continue
+            if answer["status"] in FINAL:
+                return answer
+            if answer["status"] in ("accepted", "running"):
+                submitted = True
+            else:
+                time.sleep(0.1)
+        return None
+
+    def table(self):
+        columns = ["sent", "done", "not-run", "cancelled", "failed", "outcome-unknown", "lost",
+                   "wrong"]
+        lines = ["%-12s %-11s" % ("customer", "class") + "".join("%9s" % c[:8] for c in columns)
+                 + "%9s%9s" % ("p50 ms", "p99 ms")]
+        for group in sorted(self.rows):
+            times = sorted(self.times[group])
+            quantile = lambda share: times[min(int(len(times) * share), len(times) - 1)] * 1000
+            figures = "".join("%9d" % self.rows[group][column] for column in columns)
+            shown = "%9.0f%9.0f" % (quantile(0.5), quantile(0.99)) if times else "%9s%9s" % ("-", "-")
+            lines.append("%-12s %-11s" % group + figures + shown)
+        return "\n".join(lines)
+
+
+def doubled_runs(site, once):
+    """Non-idempotent jobs that were started more than once, from the workers' run logs."""
+    starts = collections.Counter()
+    for line in (site.folder / "runs.jsonl").read_text().splitlines():
+        run = json.loads(line)
+        if run["event"] == "started":
+            starts[run["job"]] += 1
+    return sorted(job for job in once if starts[job] > 1)
+
+
+def disturb(site, load, quick):
+    """The faults of the demo, one after the other, under load."""
+    scenario = site.scenario
+    time.sleep(3)
+    print("  flood starts", flush=True)
+    load.flooding.set()
+    time.sleep(4)
+    if quick:
+        site.operate({"switchPreset": scenario["secondPreset"]})
+        time.sleep(3)
+        load.flooding.clear()
+        return
+    print("  store goes down for 20 s; an operator switches the preset meanwhile", flush=True)
+    site.faults(down=True)
+    switched = []
+    switch = threading.Thread(target=lambda: switched.append(
+        site.operate({"switchPreset": scenario["secondPreset"]}, via="entry-1")))
+    switch.start()
+    time.sleep(20)
+    site.faults(down=False)
+    switch.join()
+    print("  preset %s is recorded as revision %d" % (scenario["secondPreset"], switched[0]),
+          flush=True)
+    load.flooding.clear()
+    time.sleep(2)
+    print("  entry-0 drains", flush=True)
+    site.processes["entry-0"].send_signal(signal.SIGTERM)
+    code = site.processes["entry-0"].wait(60)
+    print("  entry-0 ended with status %d" % code, flush=True)
+    site.start_instance("entry-0", scenario["dataCenters"][0])
+    time.sleep(5)
+    print("  entry-2 is killed", flush=True)
+    site.processes["entry-2"].kill()
+    time.sleep(8)
+    site.start_instance("entry-2", scenario["dataCenters"][1])
+    time.sleep(4)
+
+
+def run(arguments):
+    scenario = json.loads((pathlib.Path(arguments.scenario) / "scenario.json").read_text())
+    folder = pathlib.Path(arguments.keep or tempfile.mkdtemp(prefix="hibiscus-demo-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    site = Site(scenario, pathlib.Path(arguments.build).resolve(), folder)
+    print("scenario %s, logs in %s" % (scenario["name"], folder), flush=True)
+    try:
+        site.start()
+        time.sleep(2.5)
+        revision = site.configure()
+        print("  configured, revision %d" % revision, flush=True)
+        site.wait_ready()
+        time.sleep(1)
+        load = Load(site)
+        load.start()
+        disturb(site, load, arguments.quick)
+        load.finish()
+        doubled = doubled_runs(site, load.once)
+        print(load.table())
+        print("doubled runs %d, lost %d" % (len(doubled), len(load.lost)), doubled[:5],
+              load.lost[:5], flush=True)
+        wrong = sum(row["wrong"] for row in load.rows.values())
+        return 0 if not doubled and not load.lost and not wrong else 1
+    finally:
+        site.stop()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--scenario", required=True, help="folder with a scenario.json")
+    parser.add_argument("--build", default="build", help="build folder")
+    parser.add_argument("--keep", help="folder for logs and settings")
+    parser.add_argument("--quick", action="store_true", help="no faults, a few seconds only")
+    random.seed(1)
+    sys.exit(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
