--- /dev/null
+++ b/Sessions/World.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <Entry/EntryMachine.h>
+#include <StandIns/StandInStore.h>
+#include <StandIns/StandInWorker.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Hibiscus {
+
+/// Several entry machines with the stand-in store and workers around them, in one thread and on
+/// one time line that only tests move. The code under test is the code that ships; the world only
+/// carries its actions and can cut, kill, pause and lose.
+class World
+{
+public:
+    struct Settings
+    {
+        std::vector<std::pair<std::string, std::string>> instances; ///< Name and data centre.
+        std::vector<WorkerDescription> workers;
+        bool cellScheduler = true; ///< False: first come, first served.
+        Duration listLag = seconds(1);
+        std::uint32_t shards = 2;
+    };
+
+    /// A test's customers and one preset, made by the first instance.
+    struct Answered
+    {
+        TimePoint at{};
+        JobAnswer answer;
+    };
+
+    explicit World(const Settings &settings);
+    ~World();
+
+    /// Two data centres "a" and "b", one instance more than `instances` is never added.
+    static Settings small(unsigned instancesEach, unsigned workersEach);
+
+    TimePoint now() const { return this->time; }
+    void run(Duration duration);
+    /// Runs until the condition holds; false if it does not within the limit.
+    bool runUntil(const std::function<bool()> &condition, Duration limit);
+
+    /// Makes an operator's change; the answer comes later.
+    CallId change(const std::string &instance, ConfigChange change);
+    std::optional<ChangeReply> changeReply(CallId call) const;
+    /// Customers without guarantees but those given, a preset "ordinary" in force, all ready.
+    void configure(std::vector<Customer> customers);
+
+    /// A caller's calls. An answer that is lost with its instance never comes.
+    CallId submit(const std::string &instance, const JobSpec &spec, bool wait);
+    CallId poll(const std::string &instance, const std::string &customer,
+                const std::string &requestId);
+    CallId cancel(const std::string &instance, const std::string &customer,
+                  const std::string &requestId);
+    std::optional<Answered> answer(CallId call) const;
+
+    // Failures.
+    void kill(const std::string &instance);
+    void restart(const std::string &instance);
+    void pause(const std::string &instance);
+    void resume(const std::string &instance);
+    /// Cuts what flows between two of: an instance, "store", a worker. Both ways.
+    void cut(const std::string &one, const std::string &other);
+    void heal(const std::string &one, const std::string &other);
+    void healAll();
+    void killWorker(const std::string &worker);
+    void restartWorker(const std::string &worker);
+    void setListed(const std::string &instance, bool listed);
+    void setWorkerLeaving(const std::string &worker, bool leaving);
+    /// Loses the answers of the next so many writes after they took effect.
+    void loseStoreAnswers(std::uint32_t count);
+    void setStoreDown(bool down);
+
+    EntryMachine *machine(const std::string &instance);
+    StandInWorker &worker(const std::string &name);
+    StandInStore &store() { return this->platformStore; }
+    bool isAlive(const std::string &instance);
+
+    /// Starts of a job over all workers and all their incarnations.
+    std::uint32_t starts(const std::string &key) const;
+    std::map<std::string, std::uint32_t> allStarts() const { return this->startsOfJobs; }
+
+    /// Called with each message that is delivered, for golden sessions.
+    std::function<void(const std::string &from, const std::string &to, const std::string &text)>
+        observe;
+
+private:
+    struct Instance;
+    struct WorkerState;
+    struct Event
+    {
+        TimePoint at{};
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator>(const Event &other) const
+        {
+            return std::tie(this->at, this->order) > std::tie(other.at, other.order);
+        }
+    };
+    using MachineAction = std::function<void(EntryMachine &, EntryActions &)>;
+
+    void at(TimePoint time, std::function<void()> action);
+    void start(Instance &instance);
+    void scheduleTick(const std::string &name, std::uint64_t run);
+    /// Applies an event to an instance's present run; later if it is paused, never if it died.
+    void apply(const std::string &name, std::uint64_t run, const MachineAction &action);
+    void carryOut(Instance &instance, EntryActions &&actions);
+    void callStore(const std::string &name, std::uint64_t run, const StoreCall &call);
+    void callWorker(const std::string &name, std::uint64_t run, const WorkerCall &call);
+    void collect(const std::string &name, std::uint64_t run, const WorkerCall &call,
+                 TimePoint until);
+    void replyToWorkerCall(const std::string &name, std::uint64_t run, const WorkerCall &call,
+                           const WorkerReply &reply);
+    void pollWatch(const std::string &name, std::uint64_t run, std::int64_t from,
+                   std::uint64_t watch);
+    void scheduleList(const std::string &name, std::uint64_t run);
+    bool isCut(const std::string &one, const std::string &other) const;
+    void noteRuns(WorkerState &worker);
+    void note(const std::string &from, const std::string &to, const std::string &text);
+    EntryMachine::Settings machineSettings(const Instance &instance) const;
+
+    Settings settings;
+    TimePoint time{};
+    std::uint64_t nextOrder = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::map<std::string, Instance> instances;
+    std::map<std::string, WorkerState> workers;
+    StandInStore platformStore;
+    LiveList list;
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::uint64_t nextCall = 1;
+    std::map<CallId, Answered> answers;
+    std::map<CallId, ChangeReply> changeReplies;
+    std::map<std::string, std::uint32_t> startsOfJobs;
+};
+
+} // namespace Hibiscus
