Keep the fleet in tables with an index by idle cells

Cause: decisions need the smallest idle aligned cell and the count of cells that unused guarantees can be cut from, without a walk over the fleet. Ruled out: a tree of cell objects (pointers, one cache line a cell).

--- /dev/null
+++ b/Fleet/FleetTable.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <Fleet/CellCensus.h>
+#include <Fleet/SlotMasks.h>
+#include <Fleet/Worker.h>
+#include <Fleet/WorkerSet.h>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Hibiscus {
+
+/// Workers with accelerators and those without are never mixed in one decision.
+enum class Pool : std::uint8_t { Plain, Accelerated };
+inline constexpr std::size_t poolCount = 2;
+
+/// What new work a worker may get.
+enum class Service : std::uint8_t {
+    None, ///< Leaving, gone or ejected.
+    Probe, ///< One task, to see whether the worker is well again.
+    Full,
+};
+
+/// Whose idle slots are looked at.
+enum class Zone : std::uint8_t {
+    Unbound, ///< Idle slots outside every customer's guaranteed cells.
+    All, ///< Idle slots anywhere.
+};
+inline constexpr std::size_t zoneCount = 2;
+
+/// Marks a slot that no job holds.
+inline constexpr std::uint32_t noJob = ~std::uint32_t(0);
+
+/// One worker's row. Masks hold one bit a slot.
+struct WorkerRow
+{
+    SlotMask occupied = 0; ///< Held by jobs.
+    SlotMask held = 0; ///< Kept for a job that waits until others have left.
+    SlotMask bound = 0; ///< Inside a customer's bound guaranteed cell.
+    SlotMask fixed = 0; ///< Held by jobs beyond any guarantee that are never asked to leave.
+    std::uint32_t memoryMiB = 0;
+    std::uint32_t usedMemoryMiB = 0;
+    std::uint32_t rack = 0; ///< Index into the table's racks.
+    std::uint16_t slots = 0;
+    Pool pool = Pool::Plain;
+    Service service = Service::None;
+    bool isListed = false; ///< Counted in the table's indexes and totals.
+    bool isReserved = false; ///< Kept for a gang; only short jobs may still start here.
+
+    SlotMask full() const { return lowSlots(this->slots); }
+    SlotMask idle() const { return this->full() & ~this->occupied & ~this->held; }
+    std::uint32_t idleMemoryMiB() const { return this->memoryMiB - this->usedMemoryMiB; }
+};
+
+/// One rack of the table.
+struct RackRow
+{
+    std::uint32_t number = 0; ///< As the platform's list states it.
+    std::vector<WorkerId> workers;
+    std::uint32_t standardWorkers = 0; ///< Of the shape's size and in full service.
+    /// Workers of the shape's size that may get work and are wholly idle, for each zone.
+    std::array<std::uint32_t, zoneCount> idleWorkers{};
+};
+
+/// The workers of one data centre, their slots and what occupies them, with an index by the largest
+/// idle aligned cell. Every change keeps the index and both censuses up to date; no change
+/// allocates but `describe`.
+class FleetTable
+{
+public:
+    /// Adds a worker or changes its description; its service is None afterwards. Jobs that still
+    /// hold slots of a changed worker release them as before.
+    void describe(WorkerId worker, const WorkerDescription &description);
+    void setService(WorkerId worker, Service service);
+    void setReserved(WorkerId worker, bool isReserved);
+
+    void occupy(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB, std::uint32_t job);
+    void release(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB);
+    void hold(WorkerId worker, SlotMask slots);
+    void unhold(WorkerId worker, SlotMask slots);
+    void bind(WorkerId worker, SlotMask slots);
+    void unbind(WorkerId worker, SlotMask slots);
+    void fix(WorkerId worker, SlotMask slots);
+    void unfix(WorkerId worker, SlotMask slots);
+
+    bool isKnown(WorkerId worker) const { return worker.value < this->rows.size(); }
+    std::size_t workerCount() const { return this->rows.size(); }
+    const WorkerRow &row(WorkerId worker) const { return this->rows[worker.value]; }
+    std::span<const RackRow> racks() const { return this->rackRows; }
+    /// The index of the rack whose number is one higher, if there is one.
+    std::optional<std::uint32_t> nextRack(std::uint32_t rack) const;
+    /// Racks in the order of their numbers.
+    std::span<const std::uint32_t> racksByNumber() const { return this->rackOrder; }
+    /// The job in one slot, or noJob.
+    std::uint32_t jobAt(WorkerId worker, unsigned slot) const
+    {
+        return this->slotJobs[worker.value * maxSlots + slot];
+    }
+
+    /// Workers that may get work and whose largest idle cell has that order.
+    const WorkerSet &withIdleOrder(Pool pool, Zone zone, unsigned order) const
+    {
+        return this->index[static_cast<std::size_t>(pool)][static_cast<std::size_t>(zone)][order];
+    }
+    /// Workers that may get work and are wholly idle, if their size is no power of two.
+    const WorkerSet &oddIdle(Pool pool, Zone zone) const
+    {
+        return this->odd[static_cast<std::size_t>(pool)][static_cast<std::size_t>(zone)];
+    }
+    const WorkerSet &probes() const { return this->probeSet; }
+    const WorkerSet &reserved() const { return this->reservedSet; }
+    /// True if the worker is of the shape's size, in full service and idle in that zone.
+    bool isIdleWorker(WorkerId worker, Zone zone) const;
+
+    /// Guarantees are cut from accelerated workers, or from plain ones if there are no others.
+    Pool guaranteePool() const { return this->cellPool; }
+    const CellShape &shape() const { return this->cellShape; }
+    /// Slots outside bound cells, idle or not: what unused guarantees can be cut out of.
+    const CellCensus &reclaimable() const { return this->unboundCells; }
+    /// The same, only what is idle.
+    const CellCensus &idleCells() const { return this->unboundIdleCells; }
+
+    std::uint32_t slots(Pool pool) const
+    {
+        return this->slotTotals[static_cast<std::size_t>(pool)];
+    }
+    std::uint32_t idleSlots(Pool pool) const
+    {
+        return this->idleTotals[static_cast<std::size_t>(pool)];
+    }
+    std::uint32_t fullServiceWorkers() const { return this->fullService; }
+    /// Grows with every change after which a job may fit that did not fit before.
+    std::uint64_t roomEpoch() const { return this->epoch; }
+    /// Grows with every change to descriptions or service.
+    std::uint64_t serviceEpoch() const { return this->serviceChanges; }
+
+private:
+    void grow(std::size_t workers);
+    std::uint32_t rackIndex(std::uint32_t number);
+    void forget(WorkerId worker);
+    bool isStandard(const WorkerRow &row) const;
+    /// Workers of `worker`'s rack or the worker itself changed: takes a new shape if need be.
+    void reshape(std::uint32_t rack);
+    void rebuild(Pool pool, std::uint16_t workerSlots);
+    void growRackCell(std::uint32_t rackWorkers);
+    std::uint16_t largestSlots(Pool pool) const;
+    /// Takes the worker out of all indexes and totals; `enter` puts it back as it is then.
+    void withdraw(WorkerId worker);
+    void enter(WorkerId worker);
+    void enterZone(WorkerId worker, Zone zone);
+    void countZone(WorkerId worker, Zone zone, bool isMember);
+    void updateCensuses(WorkerId worker);
+    template <class Change>
+    void change(WorkerId worker, Change apply);
+
+    std::vector<WorkerRow> rows;
+    std::vector<std::uint32_t> slotJobs;
+    std::vector<std::array<std::int8_t, zoneCount>> indexedOrder;
+    std::vector<RackRow> rackRows;
+    std::map<std::uint32_t, std::uint32_t> rackByNumber;
+    std::vector<std::uint32_t> rackOrder;
+    std::array<std::array<std::array<WorkerSet, cellOrderCount>, zoneCount>, poolCount> index;
+    std::array<std::array<WorkerSet, zoneCount>, poolCount> odd;
+    std::array<WorkerSet, zoneCount> idleWhole;
+    WorkerSet probeSet;
+    WorkerSet reservedSet;
+    CellCensus unboundCells;
+    CellCensus unboundIdleCells;
+    CellShape cellShape;
+    Pool cellPool = Pool::Plain;
+    std::array<std::uint32_t, poolCount> slotTotals{};
+    std::array<std::uint32_t, poolCount> idleTotals{};
+    std::array<std::array<std::uint32_t, maxSlots + 1>, poolCount> workersOfSize{};
+    std::uint32_t fullService = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t serviceChanges = 0;
+};
+
+} // namespace Hibiscus
