Add the parts of the scheduler: order, guarantees, planners, reclaim

Ruled out: counting guarantees only. Cells that come free in another place than they were charged let a customer's pairs turn into far-apart slots; so cells are bound to slots while they are in use.

--- a/Fleet/CellCensus.cpp
+++ b/Fleet/CellCensus.cpp
@@ -22,6 +22,21 @@
 
 } // namespace
 
+bool lacksMore(const CellCounts &after, const CellCounts &before)
+{
+    for (std::size_t level = 0; level < cellLevelCount; ++level) {
+        if (after[level] > before[level])
+            return true;
+    }
+    return false;
+}
+
+bool isNothing(const CellCounts &counts)
+{
+    return std::all_of(counts.begin(), counts.end(),
+                       [](std::uint32_t count) { return count == 0; });
+}
+
 void CellCensus::reset(const CellShape &newShape, std::size_t workers, std::size_t racks)
 {
     this->shape = newShape;
--- a/Fleet/CellCensus.h
+++ b/Fleet/CellCensus.h
@@ -18,6 +18,11 @@
     bool operator==(const CellShape &) const = default;
 };
 
+/// True if `after` lacks more than `before` at any level.
+bool lacksMore(const CellCounts &after, const CellCounts &before);
+/// True if nothing is counted at any level.
+bool isNothing(const CellCounts &counts);
+
 /// Counts the largest whole cells of a changing set of slots, and says whether a multiset of cells
 /// can be cut out of them. Cells lie inside one another or apart, so cutting the largest first is
 /// exact: no other choice of cells succeeds where this one fails.
--- a/Fleet/FleetTable.cpp
+++ b/Fleet/FleetTable.cpp
@@ -218,15 +218,22 @@
     ++this->epoch;
 }
 
-void FleetTable::hold(WorkerId worker, SlotMask slots)
+void FleetTable::hold(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB)
 {
     assert((this->rows[worker.value].held & slots) == 0);
-    this->change(worker, [&](WorkerRow &row) { row.held |= slots; });
+    this->change(worker, [&](WorkerRow &row) {
+        row.held |= slots;
+        row.heldMemoryMiB += memoryMiB;
+    });
 }
 
-void FleetTable::unhold(WorkerId worker, SlotMask slots)
+void FleetTable::unhold(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB)
 {
-    this->change(worker, [&](WorkerRow &row) { row.held &= ~slots; });
+    assert((this->rows[worker.value].held & slots) == slots);
+    this->change(worker, [&](WorkerRow &row) {
+        row.held &= ~slots;
+        row.heldMemoryMiB -= memoryMiB;
+    });
     ++this->epoch;
 }
 
--- a/Fleet/FleetTable.h
+++ b/Fleet/FleetTable.h
@@ -43,6 +43,7 @@
     SlotMask fixed = 0; ///< Held by jobs beyond any guarantee that are never asked to leave.
     std::uint32_t memoryMiB = 0;
     std::uint32_t usedMemoryMiB = 0;
+    std::uint32_t heldMemoryMiB = 0; ///< For the jobs that slots are held for.
     std::uint32_t rack = 0; ///< Index into the table's racks.
     std::uint16_t slots = 0;
     Pool pool = Pool::Plain;
@@ -52,7 +53,11 @@
 
     SlotMask full() const { return lowSlots(this->slots); }
     SlotMask idle() const { return this->full() & ~this->occupied & ~this->held; }
-    std::uint32_t idleMemoryMiB() const { return this->memoryMiB - this->usedMemoryMiB; }
+    /// Below zero while memory is held that others still use.
+    std::int64_t idleMemoryMiB() const
+    {
+        return std::int64_t(this->memoryMiB) - this->usedMemoryMiB - this->heldMemoryMiB;
+    }
 };
 
 /// One rack of the table.
@@ -79,8 +84,8 @@
 
     void occupy(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB, std::uint32_t job);
     void release(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB);
-    void hold(WorkerId worker, SlotMask slots);
-    void unhold(WorkerId worker, SlotMask slots);
+    void hold(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB);
+    void unhold(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB);
     void bind(WorkerId worker, SlotMask slots);
     void unbind(WorkerId worker, SlotMask slots);
     void fix(WorkerId worker, SlotMask slots);
--- /dev/null
+++ b/Policy/GangPlanner.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <Policy/GuaranteeBook.h>
+#include <Policy/GuaranteePlan.h>
+#include <Policy/ReclaimCost.h>
+
+#include <span>
+#include <vector>
+
+namespace Hibiscus {
+
+/// Finds whole workers for a gang inside its customer's guarantee: workers of racks already bound,
+/// then racks and workers bound for it, with the cheapest borrowers on them. All or nothing.
+class GangPlanner
+{
+public:
+    GangPlanner(FleetTable &fleet, GuaranteeBook &book, const ReclaimCost &cost)
+        : fleet(fleet)
+        , book(book)
+        , cost(cost)
+    {}
+
+    /// True if the gang fitted: its cells are bound and in use, and `plan` is filled.
+    /// Otherwise nothing has changed.
+    bool plan(const QueuedJob &job, GuaranteePlan &plan);
+
+private:
+    /// One worker that the gang could take.
+    struct Candidate
+    {
+        WorkerId worker;
+        double cost = 0;
+        bool isOwn = false; ///< In a rack bound for the customer already.
+    };
+
+    /// Racks that the gang could lie in, in the order of their numbers.
+    struct Window
+    {
+        std::uint32_t first = 0; ///< Place in racksByNumber.
+        std::uint32_t count = 0;
+        double cost = 0;
+    };
+
+    void findWindows(const QueuedJob &job, std::uint32_t parts);
+    void addWindow(const QueuedJob &job, std::uint32_t first, std::uint32_t count,
+                   std::uint32_t parts);
+    std::uint32_t mostParts(std::uint32_t first, std::uint32_t count, CustomerId customer) const;
+    /// Fills `candidates` with the window's workers, the cheapest first.
+    void collectCandidates(const QueuedJob &job, const Window &window);
+    bool planWindow(const QueuedJob &job, const Window &window, std::uint32_t parts,
+                    GuaranteePlan &plan);
+    void bindRacks(const QueuedJob &job, const Window &window, std::uint32_t parts,
+                   std::uint32_t smallest);
+    bool bindWorkers(const QueuedJob &job, std::uint32_t parts);
+    std::uint32_t ownCandidates() const;
+    void rollBack();
+    void commit(const QueuedJob &job, std::uint32_t parts, GuaranteePlan &plan);
+    bool isOwnUnused(CustomerId customer, WorkerId worker) const;
+
+    FleetTable &fleet;
+    GuaranteeBook &book;
+    const ReclaimCost &cost;
+    std::vector<Window> windows;
+    std::vector<Candidate> candidates;
+    std::vector<std::uint32_t> newCells; ///< Bound for this gang.
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/GuaranteePlanner.cpp
@@ -0,0 +1,316 @@
+#include <Policy/GuaranteePlanner.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Hibiscus {
+
+namespace {
+
+/// Candidates looked at in one bucket or set before the best so far is taken.
+constexpr unsigned idleTries = 32;
+constexpr unsigned reclaimTries = 256;
+constexpr unsigned breakageCount = 3;
+
+std::uint32_t slotsOf(const QueuedJob &job)
+{
+    return std::max<std::uint32_t>(job.accelerators, 1);
+}
+
+} // namespace
+
+bool GuaranteePlanner::plan(const QueuedJob &job, GuaranteePlan &plan)
+{
+    plan.clear();
+    if (!this->book.hasGuarantee(job.customer))
+        return false;
+    if (job.accelerators != 0 && this->fleet.guaranteePool() != Pool::Accelerated)
+        return false;
+    if (job.accelerators > this->fleet.shape().workerSlots)
+        return this->gangs.plan(job, plan);
+    return this->planSingle(job, plan);
+}
+
+bool GuaranteePlanner::planSingle(const QueuedJob &job, GuaranteePlan &plan)
+{
+    if (const auto choice = this->idleInOwnCell(job))
+        return this->commit(job, *choice, plan);
+    constexpr std::array<CellLevel, cellLevelCount> levels{
+        CellLevel::Slot, CellLevel::Pair, CellLevel::Quad, CellLevel::Worker, CellLevel::Rack};
+    for (const CellLevel level : levels) {
+        if (this->levelHolds(job, level) && this->planIdleNewCell(job, level, plan))
+            return true;
+    }
+    const auto own = this->cheapestInOwnCell(job);
+    for (const CellLevel level : levels) {
+        if (this->levelHolds(job, level)
+            && this->planCheapestNewCell(job, level, own ? &*own : nullptr, plan))
+            return true;
+    }
+    return own && this->commit(job, *own, plan);
+}
+
+std::optional<GuaranteePlanner::Choice> GuaranteePlanner::idleInOwnCell(const QueuedJob &job) const
+{
+    const std::uint32_t count = slotsOf(job);
+    const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
+    const std::size_t first = std::min(orderFor(count), lastOrder);
+    for (std::size_t bucket = first; bucket <= GuaranteeBook::oddBucket; ++bucket) {
+        unsigned tries = 0;
+        for (std::uint32_t index = this->book.firstInBucket(job.customer, bucket);
+             index != GuaranteeBook::none && tries < idleTries;
+             index = this->book.nextInBucket(index), ++tries) {
+            const BoundCell &cell = this->book.cell(index);
+            const WorkerRow &row = this->fleet.row(cell.worker);
+            if (row.service != Service::Full || row.idleMemoryMiB() < job.memoryMiB
+                || cell.usedMemoryMiB + job.memoryMiB > this->book.memoryRight(cell))
+                continue;
+            const SlotMask slots = bestFit(cell.unused() & row.idle(), count, row.slots);
+            if (slots != 0)
+                return Choice{.worker = cell.worker, .slots = slots, .cell = index};
+        }
+    }
+    return std::nullopt;
+}
+
+bool GuaranteePlanner::levelHolds(const QueuedJob &job, CellLevel level) const
+{
+    if (this->book.unbound(job.customer, level) == 0)
+        return false;
+    if (level >= CellLevel::Worker)
+        return slotsOf(job) <= this->fleet.shape().workerSlots;
+    return slotsOf(job) <= (1U << static_cast<unsigned>(level));
+}
+
+unsigned GuaranteePlanner::breakageOf(WorkerId worker) const
+{
+    const CellCensus &census = this->fleet.reclaimable();
+    if (!census.wholeWorkers().contains(worker))
+        return 0;
+    return census.isRackWhole(this->fleet.row(worker).rack) ? 2 : 1;
+}
+
+bool GuaranteePlanner::planIdleNewCell(const QueuedJob &job, CellLevel level, GuaranteePlan &plan)
+{
+    const Pool pool = this->fleet.guaranteePool();
+    const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
+    const unsigned firstOrder = std::min(orderFor(slotsOf(job)), lastOrder);
+    // Cells are cut from what is broken already; only if that has none idle, from whole workers.
+    for (unsigned breakage = 0; breakage < breakageCount; ++breakage) {
+        for (unsigned order = firstOrder; order < cellOrderCount; ++order) {
+            const WorkerSet &set = this->fleet.withIdleOrder(pool, Zone::Unbound, order);
+            unsigned tries = 0;
+            for (auto worker = set.next(); worker && tries < idleTries;
+                 worker = set.next({worker->value + 1})) {
+                if (this->breakageOf(*worker) != breakage)
+                    continue;
+                ++tries;
+                const auto choice = this->newCellOn(job, level, *worker);
+                if (choice && choice->cost == 0 && this->commit(job, *choice, plan))
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool GuaranteePlanner::planCheapestNewCell(const QueuedJob &job, CellLevel level,
+                                           const Choice *bestOwn, GuaranteePlan &plan)
+{
+    std::array<std::optional<Choice>, breakageCount> best;
+    const auto consider = [&](WorkerId worker) {
+        const auto choice = this->newCellOn(job, level, worker);
+        if (!choice || (bestOwn != nullptr && choice->cost >= bestOwn->cost))
+            return;
+        std::optional<Choice> &place = best[this->breakageOf(worker)];
+        if (!place || choice->cost < place->cost)
+            place = choice;
+    };
+    const auto scan = [&](const WorkerSet &set) {
+        unsigned tries = 0;
+        for (auto worker = set.next(); worker && tries < reclaimTries;
+             worker = set.next({worker->value + 1}), ++tries)
+            consider(*worker);
+    };
+    const CellCensus &census = this->fleet.reclaimable();
+    for (std::size_t part = static_cast<std::size_t>(level);
+         part < static_cast<std::size_t>(CellLevel::Worker); ++part)
+        scan(census.withCell(static_cast<CellLevel>(part)));
+    scan(census.wholeWorkers());
+    std::sort(best.begin(), best.end(), [](const auto &left, const auto &right) {
+        return left && (!right || left->cost < right->cost);
+    });
+    return std::any_of(best.begin(), best.end(), [&](const std::optional<Choice> &choice) {
+        return choice && this->commit(job, *choice, plan);
+    });
+}
+
+std::optional<GuaranteePlanner::Choice>
+GuaranteePlanner::newCellOn(const QueuedJob &job, CellLevel level, WorkerId worker) const
+{
+    const WorkerRow &row = this->fleet.row(worker);
+    const CellCensus &census = this->fleet.reclaimable();
+    std::optional<Choice> best;
+    if (level >= CellLevel::Worker) {
+        if (!census.wholeWorkers().contains(worker)
+            || (level == CellLevel::Rack && !census.isRackWhole(row.rack)))
+            return std::nullopt;
+        if (job.memoryMiB <= row.memoryMiB)
+            best = this->cheapestSlots(job, worker, row.full());
+    } else {
+        const auto order = static_cast<unsigned>(level);
+        const SlotMask unbound = row.full() & ~row.bound & ~row.fixed;
+        for (SlotMask starts = alignedStarts(unbound, order); starts != 0; starts &= starts - 1) {
+            const SlotMask cellSlots = lowSlots(1U << order) << std::countr_zero(starts);
+            if (job.memoryMiB > this->book.memoryRight(worker, cellSlots))
+                continue;
+            const auto choice = this->cheapestSlots(job, worker, cellSlots);
+            if (choice && (!best || choice->cost < best->cost))
+                best = choice;
+        }
+    }
+    if (best)
+        best->level = level;
+    return best;
+}
+
+std::optional<GuaranteePlanner::Choice>
+GuaranteePlanner::cheapestSlots(const QueuedJob &job, WorkerId worker, SlotMask cellSlots) const
+{
+    const WorkerRow &row = this->fleet.row(worker);
+    const std::uint32_t count = slotsOf(job);
+    Choice choice{.worker = worker, .cellSlots = cellSlots};
+    choice.slots = bestFit(cellSlots & row.idle(), count, row.slots);
+    if (choice.slots != 0 && row.idleMemoryMiB() >= job.memoryMiB)
+        return choice;
+    choice.slots = 0;
+    const auto consider = [&](SlotMask slots) {
+        const auto cost = this->cost.of(worker, slots, job.memoryMiB);
+        if (!cost || (choice.slots != 0 && *cost >= choice.cost))
+            return;
+        choice.slots = slots;
+        choice.cost = *cost;
+    };
+    SlotMask starts = alignedStarts(cellSlots, orderFor(count));
+    for (; starts != 0; starts &= starts - 1)
+        consider(lowSlots(count) << std::countr_zero(starts));
+    if (choice.slots == 0 && cellSlots == row.full() && count <= row.slots)
+        consider(lowSlots(count));
+    if (choice.slots == 0)
+        return std::nullopt;
+    return choice;
+}
+
+std::optional<GuaranteePlanner::Choice>
+GuaranteePlanner::cheapestInOwnCell(const QueuedJob &job) const
+{
+    std::optional<Choice> best;
+    const std::uint32_t count = slotsOf(job);
+    const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
+    const std::size_t first = std::min(orderFor(count), lastOrder);
+    for (std::size_t bucket = first; bucket <= GuaranteeBook::oddBucket; ++bucket) {
+        unsigned tries = 0;
+        for (std::uint32_t index = this->book.firstInBucket(job.customer, bucket);
+             index != GuaranteeBook::none && tries < reclaimTries;
+             index = this->book.nextInBucket(index), ++tries) {
+            const auto choice = this->cheapestInCell(job, index);
+            if (choice && (!best || choice->cost < best->cost))
+                best = choice;
+        }
+    }
+    return best;
+}
+
+std::optional<GuaranteePlanner::Choice> GuaranteePlanner::cheapestInCell(const QueuedJob &job,
+                                                                         std::uint32_t index) const
+{
+    const BoundCell &cell = this->book.cell(index);
+    if (this->fleet.row(cell.worker).service != Service::Full
+        || cell.usedMemoryMiB + job.memoryMiB > this->book.memoryRight(cell))
+        return std::nullopt;
+    auto choice = this->cheapestSlots(job, cell.worker, cell.unused());
+    if (choice)
+        choice->cell = index;
+    return choice;
+}
+
+bool GuaranteePlanner::planInPlace(const QueuedJob &job, std::span<const Placement> placements)
+{
+    if (!this->book.hasGuarantee(job.customer))
+        return false;
+    std::size_t done = 0;
+    while (done < placements.size() && this->chargeInPlace(job, placements[done]))
+        ++done;
+    if (done == placements.size())
+        return true;
+    for (const Placement &part : placements.first(done))
+        this->book.release(part.worker, part.slots, job.memoryMiB);
+    return false;
+}
+
+bool GuaranteePlanner::chargeInPlace(const QueuedJob &job, const Placement &part)
+{
+    const WorkerRow &row = this->fleet.row(part.worker);
+    if (row.service != Service::Full || row.pool != this->fleet.guaranteePool())
+        return false;
+    auto cell = this->book.cellAt(part.worker, std::countr_zero(part.slots));
+    if (!cell)
+        cell = this->bindAround(job, part);
+    if (!cell)
+        return false;
+    const BoundCell &bound = this->book.cell(*cell);
+    if (bound.customer != job.customer || (bound.unused() & part.slots) != part.slots
+        || bound.usedMemoryMiB + job.memoryMiB > this->book.memoryRight(bound))
+        return false;
+    this->book.use(*cell, part.slots, job.memoryMiB);
+    return true;
+}
+
+std::optional<std::uint32_t> GuaranteePlanner::bindAround(const QueuedJob &job,
+                                                          const Placement &part)
+{
+    const WorkerRow &row = this->fleet.row(part.worker);
+    const SlotMask unbound = row.full() & ~row.bound & ~row.fixed;
+    for (unsigned order = 0; order <= static_cast<unsigned>(CellLevel::Quad); ++order) {
+        const unsigned first = std::countr_zero(part.slots) & ~((1U << order) - 1);
+        const SlotMask cellSlots = lowSlots(1U << order) << first;
+        const bool fits = (cellSlots & part.slots) == part.slots
+            && (unbound & cellSlots) == cellSlots
+            && job.memoryMiB <= this->book.memoryRight(part.worker, cellSlots);
+        if (!fits)
+            continue;
+        const auto level = static_cast<CellLevel>(order);
+        if (const auto cell = this->book.tryBind(job.customer, level, part.worker, cellSlots))
+            return cell;
+    }
+    if (!this->fleet.reclaimable().wholeWorkers().contains(part.worker))
+        return std::nullopt;
+    if (const auto cell
+        = this->book.tryBind(job.customer, CellLevel::Worker, part.worker, row.full()))
+        return cell;
+    if (this->book.tryBindRack(job.customer, row.rack))
+        return this->book.cellAt(part.worker, 0);
+    return std::nullopt;
+}
+
+bool GuaranteePlanner::commit(const QueuedJob &job, const Choice &choice, GuaranteePlan &plan)
+{
+    std::uint32_t cell = choice.cell;
+    if (cell == GuaranteeBook::none && choice.level == CellLevel::Rack) {
+        if (!this->book.tryBindRack(job.customer, this->fleet.row(choice.worker).rack))
+            return false;
+        cell = *this->book.cellAt(choice.worker, std::countr_zero(choice.slots));
+    } else if (cell == GuaranteeBook::none) {
+        const auto bound
+            = this->book.tryBind(job.customer, choice.level, choice.worker, choice.cellSlots);
+        if (!bound)
+            return false;
+        cell = *bound;
+    }
+    this->book.use(cell, choice.slots, job.memoryMiB);
+    plan.placements.push_back({choice.worker, choice.slots});
+    this->cost.collect(choice.worker, choice.slots, job.memoryMiB, plan.borrowers);
+    return true;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/GuaranteePlanner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <Policy/GangPlanner.h>
+#include <Policy/GuaranteeBook.h>
+#include <Policy/GuaranteePlan.h>
+#include <Policy/ReclaimCost.h>
+
+#include <optional>
+#include <vector>
+
+namespace Hibiscus {
+
+/// Finds room for a job inside its customer's guarantee: in cells already bound, else by binding
+/// one more; idle slots first, else those whose borrowers are the cheapest to ask to leave.
+class GuaranteePlanner
+{
+public:
+    GuaranteePlanner(FleetTable &fleet, GuaranteeBook &book, const ReclaimCost &cost)
+        : fleet(fleet)
+        , book(book)
+        , cost(cost)
+        , gangs(fleet, book, cost)
+    {}
+
+    /// True if the job fitted: its cells are bound and in use, and `plan` is filled.
+    /// Otherwise nothing has changed.
+    bool plan(const QueuedJob &job, GuaranteePlan &plan);
+
+    /// Charges a job that already runs to its customer's guarantee, where it is.
+    /// It must not be fixed there.
+    bool planInPlace(const QueuedJob &job, std::span<const Placement> placements);
+
+private:
+    /// A choice for a job on one worker.
+    struct Choice
+    {
+        WorkerId worker;
+        SlotMask slots = 0;
+        std::uint32_t cell = GuaranteeBook::none; ///< Bound already, else to be bound:
+        CellLevel level = CellLevel::Slot;
+        SlotMask cellSlots = 0;
+        double cost = 0;
+    };
+
+    bool planSingle(const QueuedJob &job, GuaranteePlan &plan);
+    std::optional<Choice> idleInOwnCell(const QueuedJob &job) const;
+    std::optional<Choice> cheapestInOwnCell(const QueuedJob &job) const;
+    std::optional<Choice> cheapestInCell(const QueuedJob &job, std::uint32_t cell) const;
+    bool levelHolds(const QueuedJob &job, CellLevel level) const;
+    bool planIdleNewCell(const QueuedJob &job, CellLevel level, GuaranteePlan &plan);
+    bool planCheapestNewCell(const QueuedJob &job, CellLevel level, const Choice *bestOwn,
+                             GuaranteePlan &plan);
+    /// The cheapest place in a new cell of that level on one worker, if it has one.
+    std::optional<Choice> newCellOn(const QueuedJob &job, CellLevel level, WorkerId worker) const;
+    std::optional<Choice> cheapestSlots(const QueuedJob &job, WorkerId worker,
+                                        SlotMask cellSlots) const;
+    /// 0 for workers whose cells are broken already, higher where more is broken up.
+    unsigned breakageOf(WorkerId worker) const;
+    bool commit(const QueuedJob &job, const Choice &choice, GuaranteePlan &plan);
+    bool chargeInPlace(const QueuedJob &job, const Placement &part);
+    std::optional<std::uint32_t> bindAround(const QueuedJob &job, const Placement &part);
+
+    FleetTable &fleet;
+    GuaranteeBook &book;
+    const ReclaimCost &cost;
+    GangPlanner gangs;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/JobQueue.cpp
@@ -0,0 +1,395 @@
+#include <Policy/JobQueue.h>
+
+#include <cassert>
+#include <limits>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr std::size_t smallHeap = 32;
+
+std::size_t at(UrgencyClass urgency)
+{
+    return static_cast<std::size_t>(urgency);
+}
+
+std::size_t at(SizeLane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
+
+} // namespace
+
+SizeLane laneOf(const QueuedJob &job, std::uint32_t memoryPerSlotMiB)
+{
+    std::uint32_t size = job.accelerators;
+    if (memoryPerSlotMiB != 0 && job.memoryMiB > memoryPerSlotMiB)
+        size = std::max(size, (job.memoryMiB - 1) / memoryPerSlotMiB + 1);
+    if (size == 0)
+        return SizeLane::PlainSlot;
+    if (size == 1)
+        return SizeLane::Slot;
+    if (size == 2)
+        return SizeLane::Pair;
+    if (size <= 4)
+        return SizeLane::Quad;
+    return job.accelerators <= 8 ? SizeLane::Worker : SizeLane::Gang;
+}
+
+void JobQueue::setShares(std::span<const double> newShares)
+{
+    // Customers that are gone keep their rows: jobs of theirs may still wait to be expired.
+    this->customers.resize(std::max(this->customers.size(), newShares.size()));
+    this->shareSum = 0;
+    for (std::size_t customer = 0; customer < newShares.size(); ++customer) {
+        this->customers[customer].share = std::max(newShares[customer], 1e-6);
+        this->shareSum += this->customers[customer].share;
+    }
+}
+
+bool JobQueue::afterWaiting(const Waiting &left, const Waiting &right)
+{
+    return left.deadline != right.deadline ? left.deadline > right.deadline
+                                           : left.ticket > right.ticket;
+}
+
+bool JobQueue::afterKey(const LineKey &left, const LineKey &right)
+{
+    return left.virtualTime != right.virtualTime ? left.virtualTime > right.virtualTime
+                                                 : left.line > right.line;
+}
+
+JobQueue::CustomerClass &JobQueue::classOf(CustomerId customer, UrgencyClass urgency)
+{
+    return this->customers[customer.value].classes[at(urgency)];
+}
+
+const JobQueue::CustomerClass &JobQueue::classOf(CustomerId customer, UrgencyClass urgency) const
+{
+    return this->customers[customer.value].classes[at(urgency)];
+}
+
+std::uint32_t JobQueue::accountOf(CustomerId customer, CallerId caller, UrgencyClass urgency)
+{
+    const std::uint64_t key
+        = (std::uint64_t(customer.value) << 40) | (std::uint64_t(at(urgency)) << 32) | caller.value;
+    if (const auto found = this->accountIndex.find(key))
+        return *found;
+    const auto account = static_cast<std::uint32_t>(this->accounts.size());
+    this->accounts.emplace_back();
+    this->accountIndex.insert(key, account);
+    return account;
+}
+
+std::uint32_t JobQueue::lineOf(const Entry &entry)
+{
+    const std::uint32_t account = this->accountOf(entry.customer, entry.caller, entry.urgency);
+    const std::uint64_t key = (std::uint64_t(account) << 8) | at(entry.lane);
+    if (const auto found = this->lineIndex.find(key))
+        return *found;
+    const auto line = static_cast<std::uint32_t>(this->lines.size());
+    this->lines.emplace_back();
+    this->lines.back().account = account;
+    this->lineIndex.insert(key, line);
+    return line;
+}
+
+void JobQueue::push(const Entry &entry)
+{
+    assert(!this->contains(entry.job));
+    if (entry.job >= this->places.size())
+        this->places.resize(entry.job + 1);
+    const std::uint32_t ticket = ++this->lastTicket;
+    const std::uint32_t lineIndexOfJob = this->lineOf(entry);
+    this->places[entry.job]
+        = {ticket, lineIndexOfJob, entry.customer, entry.urgency, entry.lane, entry.work};
+
+    Line &line = this->lines[lineIndexOfJob];
+    const TimePoint deadline = entry.deadline.value_or(TimePoint::max());
+    line.heap.push_back({deadline, ticket, entry.job});
+    std::push_heap(line.heap.begin(), line.heap.end(), afterWaiting);
+    ++line.alive;
+
+    CustomerClass &owner = this->classOf(entry.customer, entry.urgency);
+    Lane &lane = owner.lanes[at(entry.lane)];
+    ClassRow &row = this->classes[at(entry.urgency)];
+    // A customer that was idle starts at the clock: it saves up no claim to the past.
+    if (owner.alive == 0)
+        owner.virtualTime = std::max(owner.virtualTime, row.clock);
+    this->list(owner, lane, lineIndexOfJob);
+    ++lane.alive;
+    ++owner.alive;
+    ++row.alive;
+    owner.mask |= laneBit(entry.lane);
+    owner.work += entry.work;
+    row.work += entry.work;
+    this->pushTimers(entry, ticket);
+}
+
+void JobQueue::list(CustomerClass &owner, Lane &lane, std::uint32_t lineIndexOfJob)
+{
+    Line &line = this->lines[lineIndexOfJob];
+    if (line.isListed)
+        return;
+    line.isListed = true;
+    Account &account = this->accounts[line.account];
+    account.virtualTime = std::max(account.virtualTime, owner.callerClock);
+    lane.heap.push_back({account.virtualTime, lineIndexOfJob});
+    std::push_heap(lane.heap.begin(), lane.heap.end(), afterKey);
+}
+
+void JobQueue::pushTimers(const Entry &entry, std::uint32_t ticket)
+{
+    ClassRow &row = this->classes[at(entry.urgency)];
+    row.bySubmission[at(entry.lane)].add(entry.submitted, entry.job, ticket);
+    if (!entry.deadline)
+        return;
+    row.byLatestStart[at(entry.lane)].add(*entry.deadline - entry.expected, entry.job, ticket);
+    this->byHopelessness.add(*entry.deadline - entry.expected / 2, entry.job, ticket);
+}
+
+bool JobQueue::contains(std::uint32_t job) const
+{
+    return job < this->places.size() && this->places[job].ticket != 0;
+}
+
+void JobQueue::remove(std::uint32_t job)
+{
+    assert(this->contains(job));
+    const Place place = this->places[job];
+    this->places[job].ticket = 0;
+    CustomerClass &owner = this->classOf(place.customer, place.urgency);
+    ClassRow &row = this->classes[at(place.urgency)];
+    Lane &lane = owner.lanes[at(place.lane)];
+    --this->lines[place.line].alive;
+    --owner.alive;
+    --row.alive;
+    if (--lane.alive == 0)
+        owner.mask &= ~laneBit(place.lane);
+    // Sums of floating point numbers drift; an empty queue is exactly empty again.
+    owner.work = owner.alive == 0 ? 0 : std::max(0.0, owner.work - place.work);
+    row.work = row.alive == 0 ? 0 : std::max(0.0, row.work - place.work);
+    this->compact(place);
+}
+
+void JobQueue::compact(const Place &place)
+{
+    Line &line = this->lines[place.line];
+    if (line.heap.size() > 2 * std::size_t(line.alive) + smallHeap) {
+        std::erase_if(line.heap, [this](const Waiting &waiting) {
+            return this->places[waiting.job].ticket != waiting.ticket;
+        });
+        std::make_heap(line.heap.begin(), line.heap.end(), afterWaiting);
+    }
+    const auto alive = [this](const TimerHeap::Entry &entry) { return this->isAlive(entry); };
+    ClassRow &row = this->classes[at(place.urgency)];
+    row.bySubmission[at(place.lane)].compact(row.alive, alive);
+    row.byLatestStart[at(place.lane)].compact(row.alive, alive);
+    std::size_t waiting = 0;
+    for (const ClassRow &each : this->classes)
+        waiting += each.alive;
+    this->byHopelessness.compact(waiting, alive);
+}
+
+bool JobQueue::isAlive(const TimerHeap::Entry &entry) const
+{
+    return this->places[entry.job].ticket == entry.ticket;
+}
+
+std::optional<JobQueue::Head> JobQueue::headOf(const TimerHeap::Entry &entry) const
+{
+    const Place &place = this->places[entry.job];
+    return Head{entry.job, place.customer, place.lane};
+}
+
+void JobQueue::dropDead(Line &line)
+{
+    while (this->places[line.heap.front().job].ticket != line.heap.front().ticket) {
+        std::pop_heap(line.heap.begin(), line.heap.end(), afterWaiting);
+        line.heap.pop_back();
+    }
+}
+
+const JobQueue::LineKey *JobQueue::front(Lane &lane)
+{
+    while (!lane.heap.empty()) {
+        LineKey &key = lane.heap.front();
+        Line &line = this->lines[key.line];
+        const double virtualTime = this->accounts[line.account].virtualTime;
+        if (line.alive != 0 && virtualTime <= key.virtualTime)
+            return &key;
+        // Accounts only grow, so a key that is out of date can only have stood too far in front.
+        std::pop_heap(lane.heap.begin(), lane.heap.end(), afterKey);
+        if (line.alive == 0) {
+            line.isListed = false;
+            line.heap.clear();
+            lane.heap.pop_back();
+            continue;
+        }
+        lane.heap.back().virtualTime = virtualTime;
+        std::push_heap(lane.heap.begin(), lane.heap.end(), afterKey);
+    }
+    return nullptr;
+}
+
+std::optional<JobQueue::Head> JobQueue::nextOf(CustomerId customer, UrgencyClass urgency,
+                                               LaneMask lanes)
+{
+    CustomerClass &owner = this->classOf(customer, urgency);
+    const LineKey *best = nullptr;
+    const Waiting *bestHead = nullptr;
+    SizeLane bestLane = SizeLane::PlainSlot;
+    for (std::size_t index = 0; index < sizeLaneCount; ++index) {
+        const auto lane = static_cast<SizeLane>(index);
+        if ((owner.mask & lanes & laneBit(lane)) == 0)
+            continue;
+        const LineKey *key = this->front(owner.lanes[index]);
+        assert(key != nullptr);
+        Line &line = this->lines[key->line];
+        this->dropDead(line);
+        const Waiting *head = &line.heap.front();
+        // One caller's lanes share an account, so a tie is common and goes by deadline.
+        const bool goesFirst = best == nullptr || key->virtualTime < best->virtualTime
+            || (key->virtualTime == best->virtualTime && afterWaiting(*bestHead, *head));
+        if (!goesFirst)
+            continue;
+        best = key;
+        bestHead = head;
+        bestLane = lane;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return Head{bestHead->job, customer, bestLane};
+}
+
+std::optional<JobQueue::Head> JobQueue::next(UrgencyClass urgency, LaneMask blocked,
+                                             std::span<const LaneMask> failed)
+{
+    if (this->classes[at(urgency)].alive == 0)
+        return std::nullopt;
+    std::size_t best = this->customers.size();
+    double least = std::numeric_limits<double>::infinity();
+    for (std::size_t customer = 0; customer < this->customers.size(); ++customer) {
+        const CustomerClass &owner = this->customers[customer].classes[at(urgency)];
+        const LaneMask open = owner.mask & ~blocked & ~failed[customer];
+        if (open == 0 || owner.virtualTime >= least)
+            continue;
+        least = owner.virtualTime;
+        best = customer;
+    }
+    if (best == this->customers.size())
+        return std::nullopt;
+    const LaneMask lanes = allLanes & ~blocked & ~failed[best];
+    return this->nextOf({static_cast<std::uint16_t>(best)}, urgency, lanes);
+}
+
+std::optional<JobQueue::Head> JobQueue::oldest(UrgencyClass urgency, SizeLane lane,
+                                               TimePoint submittedUntil)
+{
+    const auto top = this->classes[at(urgency)].bySubmission[at(lane)].top(
+        [this](const TimerHeap::Entry &entry) { return this->isAlive(entry); });
+    if (!top || top->when > submittedUntil)
+        return std::nullopt;
+    return this->headOf(*top);
+}
+
+std::optional<JobQueue::Head> JobQueue::mostPressing(UrgencyClass urgency, SizeLane lane,
+                                                     TimePoint due)
+{
+    const auto top = this->classes[at(urgency)].byLatestStart[at(lane)].top(
+        [this](const TimerHeap::Entry &entry) { return this->isAlive(entry); });
+    if (!top || top->when > due)
+        return std::nullopt;
+    return this->headOf(*top);
+}
+
+std::optional<std::uint32_t> JobQueue::hopeless(TimePoint now)
+{
+    const auto top = this->byHopelessness.top(
+        [this](const TimerHeap::Entry &entry) { return this->isAlive(entry); });
+    if (!top || top->when >= now)
+        return std::nullopt;
+    return top->job;
+}
+
+std::optional<TimePoint> JobQueue::nextHopeless()
+{
+    const auto top = this->byHopelessness.top(
+        [this](const TimerHeap::Entry &entry) { return this->isAlive(entry); });
+    if (!top)
+        return std::nullopt;
+    return top->when + Duration(1);
+}
+
+void JobQueue::chargeCustomer(CustomerId customer, UrgencyClass urgency, double work)
+{
+    CustomerClass &owner = this->classOf(customer, urgency);
+    ClassRow &row = this->classes[at(urgency)];
+    row.clock = std::max(row.clock, owner.virtualTime);
+    const double corrected = std::max(0.0, work + owner.correction);
+    owner.correction += work - corrected;
+    owner.virtualTime += corrected / this->customers[customer.value].share;
+}
+
+void JobQueue::chargeCaller(CustomerId customer, CallerId caller, UrgencyClass urgency, double work)
+{
+    CustomerClass &owner = this->classOf(customer, urgency);
+    Account &account = this->accounts[this->accountOf(customer, caller, urgency)];
+    owner.callerClock = std::max(owner.callerClock, account.virtualTime);
+    const double corrected = std::max(0.0, work + account.correction);
+    account.correction += work - corrected;
+    account.virtualTime += corrected;
+}
+
+void JobQueue::correct(CustomerId customer, CallerId caller, UrgencyClass urgency, bool ofCustomer,
+                       double work)
+{
+    if (ofCustomer)
+        this->classOf(customer, urgency).correction += work;
+    this->accounts[this->accountOf(customer, caller, urgency)].correction += work;
+}
+
+double JobQueue::lead(CustomerId customer, UrgencyClass urgency) const
+{
+    return this->classOf(customer, urgency).virtualTime - this->classes[at(urgency)].clock;
+}
+
+std::uint32_t JobQueue::queued(UrgencyClass urgency) const
+{
+    return this->classes[at(urgency)].alive;
+}
+
+std::uint32_t JobQueue::queued(CustomerId customer, UrgencyClass urgency) const
+{
+    return this->classOf(customer, urgency).alive;
+}
+
+LaneMask JobQueue::lanes(CustomerId customer, UrgencyClass urgency) const
+{
+    return this->classOf(customer, urgency).mask;
+}
+
+double JobQueue::work(CustomerId customer, UrgencyClass urgency) const
+{
+    return this->classOf(customer, urgency).work;
+}
+
+double JobQueue::work(UrgencyClass urgency) const
+{
+    return this->classes[at(urgency)].work;
+}
+
+double JobQueue::activeShares(UrgencyClass urgency) const
+{
+    double sum = 0;
+    for (const CustomerRow &customer : this->customers) {
+        bool isActive = false;
+        for (std::size_t index = 0; index <= at(urgency); ++index)
+            isActive |= customer.classes[index].alive != 0;
+        sum += isActive ? customer.share : 0;
+    }
+    return sum;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/Reclaimer.cpp
@@ -0,0 +1,111 @@
+#include <Policy/Reclaimer.h>
+
+#include <cassert>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr std::array<DecisionKind, 3> stepKinds{DecisionKind::Throttle, DecisionKind::Checkpoint,
+                                                DecisionKind::Stop};
+constexpr std::uint8_t stopStep = 2;
+
+} // namespace
+
+Reclaimer::Reclaimer(const Settings &settings)
+    : settings(settings)
+{
+    assert(settings.throttleFor < settings.stopAfter && settings.stopAfter < settings.leaseTerm);
+}
+
+Duration Reclaimer::offset(std::uint8_t step) const
+{
+    const std::array<Duration, stepKinds.size()> offsets{
+        Duration::zero(), this->settings.throttleFor, this->settings.stopAfter};
+    return offsets[step];
+}
+
+Reclaimer::Request &Reclaimer::open(std::uint32_t job, JobId id, TimePoint now)
+{
+    if (job >= this->requests.size())
+        this->requests.resize(job + 1);
+    Request &request = this->requests[job];
+    if (request.ticket != 0)
+        return request;
+    request.id = id;
+    request.since = now;
+    request.ticket = ++this->lastTicket;
+    request.step = 0;
+    request.mayStop = false;
+    request.claimants.clear();
+    this->steps.add(now, job, request.ticket);
+    ++this->asked;
+    return request;
+}
+
+void Reclaimer::ask(std::uint32_t job, JobId id, bool hasStarted, JobId claimant, TimePoint now)
+{
+    const bool isNew = !this->isAsked(job);
+    Request &request = this->open(job, id, now);
+    request.claimants.push_back(claimant);
+    if (isNew && !hasStarted)
+        request.step = stopStep;
+    if (!isNew && !request.mayStop) {
+        // It was only asked to move; from now on the bound counts.
+        request.since = now;
+        request.ticket = ++this->lastTicket;
+        request.step = 0;
+        this->steps.add(now, job, request.ticket);
+    }
+    request.mayStop = true;
+}
+
+void Reclaimer::askToMove(std::uint32_t job, JobId id, TimePoint now)
+{
+    this->open(job, id, now);
+}
+
+bool Reclaimer::isAsked(std::uint32_t job) const
+{
+    return job < this->requests.size() && this->requests[job].ticket != 0;
+}
+
+void Reclaimer::advance(TimePoint now, std::vector<Decision> &decisions)
+{
+    const auto isAlive = [this](const TimerHeap::Entry &entry) {
+        return this->requests[entry.job].ticket == entry.ticket;
+    };
+    while (const auto due = this->steps.top(isAlive)) {
+        if (due->when > now)
+            return;
+        this->steps.pop();
+        Request &request = this->requests[due->job];
+        decisions.push_back({.kind = stepKinds[request.step], .job = request.id});
+        const std::uint8_t next = request.step + 1;
+        if (next >= stepKinds.size() || (next == stopStep && !request.mayStop))
+            continue;
+        request.step = next;
+        this->steps.add(request.since + this->offset(next), due->job, request.ticket);
+    }
+}
+
+std::optional<TimePoint> Reclaimer::nextStep() const
+{
+    const TimerHeap::Entry *first = this->steps.first();
+    if (first == nullptr)
+        return std::nullopt;
+    return first->when;
+}
+
+void Reclaimer::left(std::uint32_t job, std::vector<JobId> &claimants)
+{
+    if (!this->isAsked(job))
+        return;
+    Request &request = this->requests[job];
+    claimants.insert(claimants.end(), request.claimants.begin(), request.claimants.end());
+    request.claimants.clear();
+    request.ticket = 0;
+    --this->asked;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/Reclaimer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <Policy/Scheduler.h>
+#include <Policy/TimerHeap.h>
+
+#include <vector>
+
+namespace Hibiscus {
+
+/// Asks borrowers to make room, step by step: throttle, checkpoint, stop. The last step comes early
+/// enough for a worker's lease to end within the lease term, so room is there within the term
+/// whether or not the borrower answers.
+class Reclaimer
+{
+public:
+    struct Settings
+    {
+        Duration leaseTerm = seconds(10); ///< From the first step until the room is there.
+        Duration throttleFor = milliseconds(500); ///< Before the checkpoint is asked for.
+        Duration stopAfter = seconds(6); ///< From the first step; below the lease term.
+    };
+
+    explicit Reclaimer(const Settings &settings);
+
+    /// Asks a job to leave, for the good of `claimant`. Asking again only adds the claimant.
+    /// A job that has not started yet is stopped at once.
+    void ask(std::uint32_t job, JobId id, bool hasStarted, JobId claimant, TimePoint now);
+    /// Asks a job to checkpoint and move elsewhere; it is never stopped for that.
+    void askToMove(std::uint32_t job, JobId id, TimePoint now);
+
+    /// Appends the steps that are due.
+    void advance(TimePoint now, std::vector<Decision> &decisions);
+    std::optional<TimePoint> nextStep() const;
+
+    /// The job has left its cells. Appends the claimants that waited for it.
+    void left(std::uint32_t job, std::vector<JobId> &claimants);
+    bool isAsked(std::uint32_t job) const;
+    std::size_t askedCount() const { return this->asked; }
+
+private:
+    struct Request
+    {
+        JobId id;
+        TimePoint since;
+        std::uint32_t ticket = 0; ///< 0 if the row is free.
+        std::uint8_t step = 0;
+        bool mayStop = false;
+        std::vector<JobId> claimants;
+    };
+
+    Request &open(std::uint32_t job, JobId id, TimePoint now);
+    /// How long after the first step a step comes.
+    Duration offset(std::uint8_t step) const;
+
+    Settings settings;
+    std::vector<Request> requests; ///< By the job's index.
+    TimerHeap steps;
+    std::uint32_t lastTicket = 0;
+    std::size_t asked = 0;
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/WorkerHealth.cpp
@@ -0,0 +1,112 @@
+#include <Policy/WorkerHealth.h>
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+void WorkerHealth::add(WorkerId worker)
+{
+    if (worker.value >= this->records.size())
+        this->records.resize(worker.value + 1);
+    Record &record = this->records[worker.value];
+    if (record.isKnown)
+        return;
+    record = {};
+    record.isKnown = true;
+    ++this->known;
+}
+
+void WorkerHealth::remove(WorkerId worker)
+{
+    if (worker.value >= this->records.size() || !this->records[worker.value].isKnown)
+        return;
+    Record &record = this->records[worker.value];
+    this->ejected -= record.state != HealthState::Healthy;
+    std::erase(this->waiting, worker);
+    record = {};
+    --this->known;
+}
+
+void WorkerHealth::succeeded(WorkerId worker)
+{
+    Record &record = this->records[worker.value];
+    record.faults = 0;
+    record.errors = 0;
+    record.kinds = 0;
+    // A task that was started before the ejection proves the worker as well as a probe does.
+    if (record.state == HealthState::Healthy)
+        return;
+    --this->ejected;
+    std::erase(this->waiting, worker);
+    record.state = HealthState::Healthy;
+    record.backoff = {};
+}
+
+void WorkerHealth::faulted(WorkerId worker, TimePoint now)
+{
+    Record &record = this->records[worker.value];
+    if (!record.isKnown)
+        return;
+    ++record.faults;
+    if (record.state == HealthState::Probing || record.faults >= this->settings.faultsToEject)
+        this->eject(worker, now);
+}
+
+void WorkerHealth::erred(WorkerId worker, KindId kind, TimePoint now)
+{
+    Record &record = this->records[worker.value];
+    if (!record.isKnown)
+        return;
+    ++record.errors;
+    record.kinds += record.kinds == 0 || record.lastKind != kind;
+    record.lastKind = kind;
+    if (record.errors >= this->settings.errorsToEject
+        && record.kinds >= this->settings.kindsToEject)
+        this->eject(worker, now);
+}
+
+void WorkerHealth::eject(WorkerId worker, TimePoint now)
+{
+    Record &record = this->records[worker.value];
+    if (record.state == HealthState::Ejected)
+        return;
+    if (record.state == HealthState::Healthy) {
+        // When many fail at once the cause lies elsewhere, and taking them all out would stop all
+        // work.
+        const auto most
+            = static_cast<std::uint32_t>(this->settings.largestEjectedShare * this->known);
+        if (this->ejected >= most)
+            return;
+        ++this->ejected;
+    }
+    const Duration doubled = std::max(this->settings.firstBackoff, record.backoff * 2);
+    record.backoff = std::min(doubled, this->settings.longestBackoff);
+    record.until = now + record.backoff;
+    record.state = HealthState::Ejected;
+    this->waiting.push_back(worker);
+}
+
+bool WorkerHealth::advance(TimePoint now)
+{
+    const auto isOver = [this, now](WorkerId worker) {
+        Record &record = this->records[worker.value];
+        if (record.until > now)
+            return false;
+        record.state = HealthState::Probing;
+        return true;
+    };
+    return std::erase_if(this->waiting, isOver) != 0;
+}
+
+std::optional<TimePoint> WorkerHealth::nextChange() const
+{
+    std::optional<TimePoint> earliest;
+    for (const WorkerId worker : this->waiting) {
+        const TimePoint until = this->records[worker.value].until;
+        if (!earliest || until < *earliest)
+            earliest = until;
+    }
+    return earliest;
+}
+
+} // namespace Hibiscus
