--- a/Fleet/FleetTable.cpp
+++ b/Fleet/FleetTable.cpp
@@ -41,9 +41,20 @@
     ++this->workersOfSize[at(row.pool)][row.slots];
     ++this->serviceChanges;
     this->reshape(row.rack);
+    if (this->isStandard(row))
+        this->slotMemory = row.memoryMiB / row.slots;
     this->enter(worker);
 }
 
+bool FleetTable::isDescribedAs(WorkerId worker, const WorkerDescription &description) const
+{
+    const WorkerRow &row = this->rows[worker.value];
+    const Pool pool = description.accelerators != 0 ? Pool::Accelerated : Pool::Plain;
+    return row.slots == std::min(description.slots, maxSlots) && row.pool == pool
+        && row.memoryMiB == description.memoryMiB
+        && this->rackRows[row.rack].number == description.rack;
+}
+
 void FleetTable::grow(std::size_t workers)
 {
     if (workers <= this->rows.size())
--- a/Fleet/FleetTable.h
+++ b/Fleet/FleetTable.h
@@ -91,6 +91,8 @@
     void fix(WorkerId worker, SlotMask slots);
     void unfix(WorkerId worker, SlotMask slots);
 
+    /// True if describing the worker so would change nothing here.
+    bool isDescribedAs(WorkerId worker, const WorkerDescription &description) const;
     bool isKnown(WorkerId worker) const { return worker.value < this->rows.size(); }
     std::size_t workerCount() const { return this->rows.size(); }
     const WorkerRow &row(WorkerId worker) const { return this->rows[worker.value]; }
@@ -136,6 +138,8 @@
     {
         return this->idleTotals[static_cast<std::size_t>(pool)];
     }
+    /// A slot's part of the memory of a worker of the shape's size; 0 if there is none.
+    std::uint32_t memoryPerSlotMiB() const { return this->slotMemory; }
     std::uint32_t fullServiceWorkers() const { return this->fullService; }
     /// Grows with every change after which a job may fit that did not fit before.
     std::uint64_t roomEpoch() const { return this->epoch; }
@@ -179,6 +183,7 @@
     std::array<std::uint32_t, poolCount> slotTotals{};
     std::array<std::uint32_t, poolCount> idleTotals{};
     std::array<std::array<std::uint32_t, maxSlots + 1>, poolCount> workersOfSize{};
+    std::uint32_t slotMemory = 0;
     std::uint32_t fullService = 0;
     std::uint64_t epoch = 0;
     std::uint64_t serviceChanges = 0;
--- /dev/null
+++ b/Policy/AdmissionControl.cpp
@@ -0,0 +1,241 @@
+#include <Policy/AdmissionControl.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hibiscus {
+
+namespace {
+
+double toSeconds(Duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+std::uint32_t slotsOf(const QueuedJob &job)
+{
+    return std::max<std::uint32_t>(job.accelerators, 1);
+}
+
+Admission refuse(RefusalReason reason, std::optional<Duration> retryAfter = std::nullopt)
+{
+    return {.refusal = reason, .retryAfter = retryAfter};
+}
+
+std::uint64_t slotsIn(const CellCounts &cells, const CellShape &shape)
+{
+    const std::uint64_t worker = shape.workerSlots;
+    const std::array<std::uint64_t, cellLevelCount> sizes{1, 2, 4, worker,
+                                                          worker * shape.rackWorkers};
+    std::uint64_t sum = 0;
+    for (std::size_t level = 0; level < cellLevelCount; ++level)
+        sum += cells[level] * sizes[level];
+    return sum;
+}
+
+} // namespace
+
+Admission AdmissionControl::admit(const QueuedJob &job, TimePoint now)
+{
+    if (job.customer.value >= this->state.customerCount)
+        return refuse(RefusalReason::UnknownCustomer);
+    if (!job.admitted) {
+        const Admission answer = this->checkPreset(job);
+        if (!answer.accepted())
+            return answer;
+    }
+    // Before any worker is known, as after a restart, nothing can be said about what fits.
+    if (this->state.fleet.workerCount() != 0 && !this->canEverFit(job))
+        return refuse(RefusalReason::NeverFits);
+    if (job.admitted)
+        return {};
+    return this->checkQueue(job, now);
+}
+
+Admission AdmissionControl::checkPreset(const QueuedJob &job) const
+{
+    if (!this->state.isServing() || this->state.fleet.workerCount() == 0)
+        return refuse(RefusalReason::NotServing, this->state.settings.retryWhenClosed);
+    if (job.declaredRunTime > this->state.limits(job.urgency).longestRun)
+        return refuse(RefusalReason::RunTooLong);
+    return {};
+}
+
+Duration AdmissionControl::boundedRetry(double seconds) const
+{
+    const double bounded = std::clamp(seconds, toSeconds(this->state.settings.shortestRetry),
+                                      toSeconds(this->state.settings.longestRetry));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+}
+
+Admission AdmissionControl::checkQueue(const QueuedJob &job, TimePoint now) const
+{
+    const std::uint32_t queued = this->state.queue.queued(job.customer, job.urgency);
+    const Duration wait = this->expectedWait(job);
+    if (queued >= this->state.limits(job.urgency).queuedPerCustomer) {
+        // One place is free again after a job's part of the wait; with many callers turned away a
+        // tenth of the queue is what makes coming back worth it.
+        const double tenth = std::max(1.0, queued / 10.0);
+        const double perJob = toSeconds(wait) / std::max<std::uint32_t>(queued, 1);
+        return refuse(RefusalReason::QueueFull, this->boundedRetry(perJob * tenth));
+    }
+    if (!job.deadline)
+        return {};
+    const Duration expected = this->state.runTimes.expected(job);
+    const Duration slack = *job.deadline - now - expected;
+    if (slack < Duration::zero())
+        return refuse(RefusalReason::DeadlineUnreachable);
+    if (wait > slack)
+        return refuse(RefusalReason::DeadlineUnreachable,
+                      this->boundedRetry(toSeconds(wait - slack)));
+    return {};
+}
+
+double AdmissionControl::slotsFor(const QueuedJob &job) const
+{
+    const FleetTable &fleet = this->state.fleet;
+    double slots = this->state.budget.largest(fleet, Pool::Accelerated, job.urgency);
+    if (job.accelerators == 0)
+        slots += this->state.budget.largest(fleet, Pool::Plain, job.urgency);
+    return std::max(slots, 1.0);
+}
+
+Duration AdmissionControl::expectedWait(const QueuedJob &job) const
+{
+    // A job waits for what its class and more urgent ones have waiting, but for no more than its
+    // customer's own part, since the customer gets its share whatever the others ask for.
+    const JobQueue &queue = this->state.queue;
+    double all = 0;
+    double own = 0;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(job.urgency); ++index) {
+        const auto urgency = static_cast<UrgencyClass>(index);
+        all += queue.work(urgency);
+        own += queue.work(job.customer, urgency);
+    }
+    if (all <= 0)
+        return Duration::zero();
+    const double slots = this->slotsFor(job);
+    const bool isQueued = own > 0;
+    const double share = queue.share(job.customer);
+    const double active = queue.activeShares(job.urgency) + (isQueued ? 0 : share);
+    const double guaranteed = static_cast<double>(
+        slotsIn(this->state.book.guarantee(job.customer), this->state.fleet.shape()));
+    const double ownSlots = std::max({slots * share / active, guaranteed, 1.0});
+    const double wait = std::min(all / slots, own / ownSlots);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+}
+
+void AdmissionControl::refreshCapacity()
+{
+    const FleetTable &fleet = this->state.fleet;
+    const bool isFresh = this->seenServiceEpoch == fleet.serviceEpoch()
+        && this->seenGuarantees == this->state.book.revision();
+    if (isFresh)
+        return;
+    this->seenServiceEpoch = fleet.serviceEpoch();
+    this->seenGuarantees = this->state.book.revision();
+    this->capacity = {};
+    for (std::uint32_t index = 0; index < fleet.workerCount(); ++index) {
+        if (this->state.presence[index] != Presence::Present)
+            continue;
+        const WorkerRow &row = fleet.row({index});
+        const auto pool = static_cast<std::size_t>(row.pool);
+        std::uint32_t &memory = this->capacity.largestMemory[pool][row.slots];
+        memory = std::max(memory, std::max<std::uint32_t>(row.memoryMiB, 1));
+        this->capacity.slots[pool] += row.slots;
+    }
+    // Whatever fits a worker fits a larger one.
+    for (auto &memories : this->capacity.largestMemory) {
+        for (std::size_t slots = maxSlots; slots-- > 0;)
+            memories[slots] = std::max(memories[slots], memories[slots + 1]);
+    }
+    for (std::size_t customer = 0; customer < this->state.book.customerCount(); ++customer) {
+        const CustomerId id{static_cast<std::uint16_t>(customer)};
+        this->capacity.guaranteedSlots += slotsIn(this->state.book.guarantee(id), fleet.shape());
+    }
+}
+
+bool AdmissionControl::canEverFit(const QueuedJob &job)
+{
+    this->refreshCapacity();
+    if (!this->fitsWorkers(job))
+        return false;
+    return this->guaranteeCanHold(job) || this->beyondGuarantees(job);
+}
+
+bool AdmissionControl::fitsWorkers(const QueuedJob &job) const
+{
+    const auto fits = [&](Pool pool) {
+        const auto &memories = this->capacity.largestMemory[static_cast<std::size_t>(pool)];
+        const std::uint32_t memory = memories[slotsOf(job)];
+        return memory != 0 && memory >= job.memoryMiB;
+    };
+    if (job.accelerators == 0)
+        return fits(Pool::Plain) || fits(Pool::Accelerated);
+    if (job.accelerators > this->state.fleet.shape().workerSlots)
+        return this->gangFitsWorkers(job);
+    return fits(Pool::Accelerated);
+}
+
+bool AdmissionControl::gangFitsWorkers(const QueuedJob &job) const
+{
+    const FleetTable &fleet = this->state.fleet;
+    if (job.adjacency == Adjacency::Worker || fleet.guaranteePool() != Pool::Accelerated)
+        return false;
+    const std::uint32_t perWorker = fleet.shape().workerSlots;
+    const std::uint32_t parts = (job.accelerators + perWorker - 1) / perWorker;
+    std::uint32_t run = 0;
+    std::optional<std::uint32_t> previous;
+    for (const std::uint32_t rack : fleet.racksByNumber()) {
+        std::uint32_t count = 0;
+        for (const WorkerId worker : fleet.racks()[rack].workers) {
+            const WorkerRow &row = fleet.row(worker);
+            count += this->state.presence[worker.value] == Presence::Present
+                && row.pool == Pool::Accelerated && row.slots == perWorker
+                && row.memoryMiB >= job.memoryMiB;
+        }
+        const bool joins = job.adjacency == Adjacency::Any
+            || (job.adjacency == Adjacency::NeighboringRacks && previous && count != 0
+                && fleet.nextRack(*previous) == rack);
+        run = joins ? run + count : count;
+        if (run >= parts)
+            return true;
+        previous = count != 0 ? std::optional(rack) : std::nullopt;
+    }
+    return false;
+}
+
+bool AdmissionControl::guaranteeCanHold(const QueuedJob &job) const
+{
+    const FleetTable &fleet = this->state.fleet;
+    const CellCounts &cells = this->state.book.guarantee(job.customer);
+    const std::uint32_t perWorker = std::max<std::uint32_t>(fleet.shape().workerSlots, 1);
+    const std::uint32_t workers = cells[static_cast<std::size_t>(CellLevel::Worker)]
+        + cells[static_cast<std::size_t>(CellLevel::Rack)] * fleet.shape().rackWorkers;
+    if (slotsOf(job) > perWorker)
+        return workers >= (slotsOf(job) + perWorker - 1) / perWorker;
+    if (workers != 0)
+        return true;
+    for (unsigned level = 0; level < static_cast<unsigned>(CellLevel::Worker); ++level) {
+        if (cells[level] != 0 && slotsOf(job) <= (1U << level))
+            return true;
+    }
+    return false;
+}
+
+bool AdmissionControl::beyondGuarantees(const QueuedJob &job) const
+{
+    const auto slotsIn
+        = [&](Pool pool) { return double(this->capacity.slots[static_cast<std::size_t>(pool)]); };
+    const bool hasPlain = job.accelerators == 0 && slotsIn(Pool::Plain) > 0;
+    const Pool pool = hasPlain ? Pool::Plain : Pool::Accelerated;
+    double room = slotsIn(pool);
+    if (this->state.preset)
+        room *= std::min(1.0, this->state.limits(job.urgency).largestShare);
+    const bool isKeptOut = !job.checkpoints || !this->state.isLending();
+    if (isKeptOut && pool == this->state.fleet.guaranteePool())
+        room = std::min(room, slotsIn(pool) - double(this->capacity.guaranteedSlots));
+    return slotsOf(job) <= room;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/CellScheduler.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <Policy/AdmissionControl.h>
+#include <Policy/Reservations.h>
+#include <Policy/StartPass.h>
+
+namespace Hibiscus {
+
+/// The scheduler that ships: guarantees as multisets of cells, which are lent while idle and
+/// reclaimed in bounded time; fair order inside urgency classes; gangs all or none.
+/// The same calls give the same decisions.
+class CellScheduler : public Scheduler
+{
+public:
+    using Settings = SchedulerSettings;
+
+    explicit CellScheduler(const Settings &settings);
+
+    void setCustomers(std::span<const CustomerShape> customers, TimePoint now) override;
+    void setPreset(const Preset &preset, bool dataCenterClosed, TimePoint now) override;
+    void workerUp(WorkerId worker, const WorkerDescription &description, TimePoint now) override;
+    void workerLeaving(WorkerId worker, TimePoint now) override;
+    void workerDown(WorkerId worker, TimePoint now) override;
+    Admission submit(const QueuedJob &job, TimePoint now) override;
+    bool adopt(const QueuedJob &job, std::span<const Placement> placements, TimePoint now) override;
+    bool cancel(JobId job, TimePoint now) override;
+    void started(JobId job, TimePoint now) override;
+    void ended(JobId job, EndKind end, std::optional<WorkerId> faultyWorker, bool requeue,
+               TimePoint now) override;
+    void decide(TimePoint now, std::vector<Decision> &decisions) override;
+    std::optional<TimePoint> nextWakeup() const override { return this->wakeup; }
+    SchedulerGauges gauges() const override;
+    std::vector<Shortfall> shortfalls() const override;
+
+    /// What the decisions rest on, for checks and measurements.
+    const SchedulerState &inspect() const { return this->state; }
+    const Reservations &inspectReservations() const { return this->reservations; }
+
+private:
+    void setPresence(WorkerId worker, Presence presence);
+    /// Gives the worker the service that its presence and health allow.
+    void syncService(WorkerId worker);
+    void learnHealth(std::uint32_t job, EndKind end, std::optional<WorkerId> faultyWorker,
+                     TimePoint now);
+    void learnRunTime(const JobRow &row, EndKind end, TimePoint now);
+    void dropExcessCells();
+    void recheckWaiting(std::vector<Decision> &decisions);
+    void expire(std::uint32_t job, RefusalReason reason, std::vector<Decision> &decisions);
+    /// Without lending: asks borrowers to leave until unused guarantees fit into idle slots.
+    void endLending(TimePoint now);
+    void queueAgain(std::uint32_t job);
+    void updateWakeup(TimePoint now);
+
+    SchedulerState state;
+    JobLifecycle lifecycle;
+    Reservations reservations;
+    StartPass startPass;
+    AdmissionControl admission;
+    std::optional<TimePoint> recheckAt;
+    bool mustEndLending = false;
+    std::optional<TimePoint> wakeup;
+};
+
+} // namespace Hibiscus
--- a/Policy/GuaranteeBook.cpp
+++ b/Policy/GuaranteeBook.cpp
@@ -16,6 +16,7 @@
 
 void GuaranteeBook::setGuarantees(std::span<const CellCounts> newGuarantees)
 {
+    ++this->changes;
     const std::size_t known = this->customers.size();
     this->customers.resize(std::max(known, newGuarantees.size()));
     for (std::size_t customer = known; customer < this->customers.size(); ++customer)
--- a/Policy/GuaranteeBook.h
+++ b/Policy/GuaranteeBook.h
@@ -69,6 +69,12 @@
     {
         return this->customers[customer.value].bound[static_cast<std::size_t>(level)];
     }
+    const CellCounts &guarantee(CustomerId customer) const
+    {
+        return this->customers[customer.value].guarantee;
+    }
+    /// Grows with every change to the guarantees.
+    std::uint64_t revision() const { return this->changes; }
     bool hasGuarantee(CustomerId customer) const;
     const CellCounts &totalUnbound() const { return this->unboundTotal; }
     /// What cannot be cut out of slots outside bound cells.
@@ -131,6 +137,7 @@
     FleetTable &fleet;
     std::vector<CustomerRow> customers;
     CellCounts unboundTotal{};
+    std::uint64_t changes = 0;
     std::vector<CellRow> cells;
     std::vector<std::uint32_t> freeCells;
     std::vector<std::uint32_t> slotCells; ///< By worker and slot; `none` if unbound.
--- /dev/null
+++ b/Policy/JobLifecycle.cpp
@@ -0,0 +1,336 @@
+#include <Policy/JobLifecycle.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Hibiscus {
+
+JobLifecycle::JobLifecycle(SchedulerState &state)
+    : state(state)
+    , guaranteePlanner(state.fleet, state.book, state.cost)
+    , borrowPlanner(state.fleet, state.book)
+{}
+
+double JobLifecycle::workOf(std::uint32_t job) const
+{
+    const JobRow &row = this->state.jobs.row(job);
+    return row.slots() * std::chrono::duration<double>(row.expected).count();
+}
+
+BorrowTerms JobLifecycle::termsOf(const QueuedJob &spec) const
+{
+    const bool isLending = this->state.isLending();
+    return {.mayUseBound = isLending && spec.checkpoints,
+            .keepsIdleCells = !isLending,
+            .keepsCells = !spec.checkpoints};
+}
+
+void JobLifecycle::enqueue(std::uint32_t job)
+{
+    JobRow &row = this->state.jobs.row(job);
+    row.phase = JobPhase::Queued;
+    row.isLeaving = false;
+    row.expected = this->state.runTimes.expected(row.spec);
+    this->state.queue.push({.job = job,
+                            .customer = row.spec.customer,
+                            .caller = row.spec.caller,
+                            .urgency = row.spec.urgency,
+                            .lane = laneOf(row.spec, this->state.fleet.memoryPerSlotMiB()),
+                            .submitted = row.submitted,
+                            .deadline = row.spec.deadline,
+                            .expected = row.expected,
+                            .work = this->workOf(job)});
+}
+
+void JobLifecycle::leaveQueue(std::uint32_t job)
+{
+    JobRow &row = this->state.jobs.row(job);
+    this->state.queue.remove(job);
+    // What was seen since the job was queued counts.
+    row.expected = this->state.runTimes.expected(row.spec);
+}
+
+void JobLifecycle::count(std::uint32_t job)
+{
+    JobRow &row = this->state.jobs.row(job);
+    row.pool = this->state.fleet.row(this->state.jobs.placements(job).front().worker).pool;
+    this->state.budget.add(row.pool, row.spec.urgency, row.slots());
+}
+
+void JobLifecycle::uncount(std::uint32_t job)
+{
+    const JobRow &row = this->state.jobs.row(job);
+    this->state.budget.remove(row.pool, row.spec.urgency, row.slots());
+}
+
+void JobLifecycle::emitStart(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions)
+{
+    JobRow &row = this->state.jobs.row(job);
+    row.phase = JobPhase::Starting;
+    row.startedAt = now;
+    row.isAdopted = false;
+    decisions.push_back({.kind = DecisionKind::Start,
+                         .job = row.spec.job,
+                         .placements = this->state.jobs.placements(job)});
+}
+
+bool JobLifecycle::startGuaranteed(std::uint32_t job, TimePoint now,
+                                   std::vector<Decision> &decisions)
+{
+    JobRow &row = this->state.jobs.row(job);
+    if (!this->guaranteePlanner.plan(row.spec, this->plan))
+        return false;
+    this->leaveQueue(job);
+    row.isGuaranteed = true;
+    row.isFixed = false;
+    row.isCharged = false;
+    this->state.jobs.setPlacements(job, this->plan.placements);
+    this->state.queue.chargeCaller(row.spec.customer, row.spec.caller, row.spec.urgency,
+                                   this->workOf(job));
+    this->count(job);
+    if (!this->plan.borrowers.empty()) {
+        this->claim(job, now);
+        return true;
+    }
+    for (const Placement &part : this->plan.placements)
+        this->state.fleet.occupy(part.worker, part.slots, row.spec.memoryMiB, job);
+    this->emitStart(job, now, decisions);
+    return true;
+}
+
+void JobLifecycle::claim(std::uint32_t job, TimePoint now)
+{
+    JobRow &row = this->state.jobs.row(job);
+    row.phase = JobPhase::Claiming;
+    row.claim = ++this->lastClaim;
+    row.awaited = static_cast<std::uint32_t>(this->plan.borrowers.size());
+    for (const Placement &part : this->plan.placements)
+        this->state.fleet.hold(part.worker, part.slots, row.spec.memoryMiB);
+    for (const std::uint32_t borrower : this->plan.borrowers) {
+        JobRow &leaving = this->state.jobs.row(borrower);
+        assert(this->state.cost.mayLeave(borrower));
+        leaving.isLeaving = true;
+        this->state.reclaimer.ask(borrower, leaving.spec.job, leaving.phase == JobPhase::Running,
+                                  {row.spec.job, row.claim}, now);
+    }
+    this->claims.push_back(job);
+}
+
+void JobLifecycle::askToLeave(std::uint32_t job, TimePoint now)
+{
+    JobRow &row = this->state.jobs.row(job);
+    row.isLeaving = true;
+    this->state.reclaimer.ask(job, row.spec.job, row.phase == JobPhase::Running,
+                              {.job = row.spec.job, .claim = 0}, now);
+}
+
+void JobLifecycle::startReadyClaims(TimePoint now, std::vector<Decision> &decisions)
+{
+    for (const JobId id : this->readyClaims) {
+        const auto job = this->state.jobs.find(id);
+        if (!job)
+            continue;
+        JobRow &row = this->state.jobs.row(*job);
+        if (row.phase != JobPhase::Claiming || row.awaited != 0)
+            continue;
+        for (const Placement &part : this->state.jobs.placements(*job)) {
+            this->state.fleet.unhold(part.worker, part.slots, row.spec.memoryMiB);
+            this->state.fleet.occupy(part.worker, part.slots, row.spec.memoryMiB, *job);
+        }
+        std::erase(this->claims, *job);
+        this->emitStart(*job, now, decisions);
+    }
+    this->readyClaims.clear();
+}
+
+bool JobLifecycle::startBorrowed(std::uint32_t job, Pool pool, TimePoint now,
+                                 std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    const auto placed = this->borrowPlanner.place(spec, job, pool, this->termsOf(spec));
+    return this->finishBorrowed(job, placed, now, decisions);
+}
+
+bool JobLifecycle::startBorrowedOn(std::uint32_t job, WorkerId worker, TimePoint now,
+                                   std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    const auto placed = this->borrowPlanner.placeOn(spec, job, worker, this->termsOf(spec));
+    return this->finishBorrowed(job, placed, now, decisions);
+}
+
+bool JobLifecycle::startGangOn(std::uint32_t job, std::span<const WorkerId> workers, TimePoint now,
+                               std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    const auto placed = this->borrowPlanner.placeGangOn(spec, job, workers, this->termsOf(spec));
+    return this->finishBorrowed(job, placed, now, decisions);
+}
+
+bool JobLifecycle::finishBorrowed(std::uint32_t job, std::span<const Placement> placements,
+                                  TimePoint now, std::vector<Decision> &decisions)
+{
+    if (placements.empty())
+        return false;
+    JobRow &row = this->state.jobs.row(job);
+    this->leaveQueue(job);
+    row.isGuaranteed = false;
+    row.isFixed = !row.spec.checkpoints;
+    row.isCharged = true;
+    this->state.jobs.setPlacements(job, placements);
+    const double work = this->workOf(job);
+    this->state.queue.chargeCustomer(row.spec.customer, row.spec.urgency, work);
+    this->state.queue.chargeCaller(row.spec.customer, row.spec.caller, row.spec.urgency, work);
+    this->count(job);
+    this->emitStart(job, now, decisions);
+    return true;
+}
+
+bool JobLifecycle::areFree(std::span<const Placement> placements) const
+{
+    return std::all_of(placements.begin(), placements.end(), [this](const Placement &part) {
+        if (!this->state.fleet.isKnown(part.worker) || part.slots == 0)
+            return false;
+        const WorkerRow &row = this->state.fleet.row(part.worker);
+        return (part.slots & ~row.full()) == 0 && (part.slots & row.occupied) == 0;
+    });
+}
+
+bool JobLifecycle::adopt(std::uint32_t job, std::span<const Placement> placements, TimePoint now)
+{
+    if (placements.empty() || !this->areFree(placements))
+        return false;
+    JobRow &row = this->state.jobs.row(job);
+    for (const Placement &part : placements)
+        this->giveUpClaimsOn(part.worker, part.slots);
+    this->state.jobs.setPlacements(job, placements);
+    for (const Placement &part : placements)
+        this->state.fleet.occupy(part.worker, part.slots, row.spec.memoryMiB, job);
+    row.expected = this->state.runTimes.expected(row.spec);
+    row.phase = JobPhase::Running;
+    row.startedAt = now;
+    row.isAdopted = true;
+    row.isCharged = false;
+    row.isGuaranteed = this->guaranteePlanner.planInPlace(row.spec, placements);
+    row.isFixed = !row.isGuaranteed && !row.spec.checkpoints;
+    if (row.isFixed) {
+        for (const Placement &part : placements)
+            this->state.fleet.fix(part.worker, part.slots);
+    }
+    this->count(job);
+    return true;
+}
+
+void JobLifecycle::leaveCells(std::uint32_t job, TimePoint now)
+{
+    JobRow &row = this->state.jobs.row(job);
+    assert(row.holdsCells());
+    const double used = std::chrono::duration<double>(now - row.startedAt).count() * row.slots();
+    if (!row.isAdopted)
+        this->state.queue.correct(row.spec.customer, row.spec.caller, row.spec.urgency,
+                                  row.isCharged, used - this->workOf(job));
+    for (const Placement &part : this->state.jobs.placements(job)) {
+        this->state.fleet.release(part.worker, part.slots, row.spec.memoryMiB);
+        if (row.isFixed)
+            this->state.fleet.unfix(part.worker, part.slots);
+        if (row.isGuaranteed)
+            this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
+    }
+    this->uncount(job);
+    row.isGuaranteed = false;
+    row.isFixed = false;
+    row.isLeaving = false;
+    this->state.jobs.clearPlacements(job);
+    this->claimants.clear();
+    this->state.reclaimer.left(job, this->claimants);
+    for (const Claimant &claimant : this->claimants)
+        this->countDeparture(claimant);
+}
+
+void JobLifecycle::countDeparture(const Claimant &claimant)
+{
+    const auto job = this->state.jobs.find(claimant.job);
+    if (!job)
+        return;
+    JobRow &row = this->state.jobs.row(*job);
+    if (row.phase != JobPhase::Claiming || row.claim != claimant.claim)
+        return;
+    assert(row.awaited != 0);
+    if (--row.awaited == 0)
+        this->readyClaims.push_back(claimant.job);
+}
+
+void JobLifecycle::giveUpClaim(std::uint32_t job)
+{
+    JobRow &row = this->state.jobs.row(job);
+    assert(row.phase == JobPhase::Claiming);
+    for (const Placement &part : this->state.jobs.placements(job)) {
+        this->state.fleet.unhold(part.worker, part.slots, row.spec.memoryMiB);
+        this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
+    }
+    this->uncount(job);
+    row.isGuaranteed = false;
+    row.awaited = 0;
+    this->state.jobs.clearPlacements(job);
+    std::erase(this->claims, job);
+}
+
+void JobLifecycle::giveUpClaimsOn(WorkerId worker, SlotMask slots)
+{
+    if ((this->state.fleet.row(worker).held & slots) == 0)
+        return;
+    for (std::size_t index = this->claims.size(); index-- > 0;) {
+        const std::uint32_t job = this->claims[index];
+        const auto parts = this->state.jobs.placements(job);
+        const bool isThere = std::any_of(parts.begin(), parts.end(), [&](const Placement &part) {
+            return part.worker == worker && (part.slots & slots) != 0;
+        });
+        if (!isThere)
+            continue;
+        this->giveUpClaim(job);
+        this->enqueue(job);
+    }
+}
+
+void JobLifecycle::demote(std::uint32_t job)
+{
+    JobRow &row = this->state.jobs.row(job);
+    assert(row.isGuaranteed && row.holdsCells());
+    for (const Placement &part : this->state.jobs.placements(job))
+        this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
+    row.isGuaranteed = false;
+    row.isFixed = !row.spec.checkpoints;
+    if (!row.isFixed)
+        return;
+    for (const Placement &part : this->state.jobs.placements(job))
+        this->state.fleet.fix(part.worker, part.slots);
+}
+
+void JobLifecycle::vacateSlots(WorkerId worker, SlotMask slots)
+{
+    this->giveUpClaimsOn(worker, slots);
+    for (SlotMask rest = slots; rest != 0; rest &= rest - 1) {
+        const std::uint32_t job = this->state.fleet.jobAt(worker, std::countr_zero(rest));
+        if (job != noJob && this->state.jobs.row(job).isGuaranteed)
+            this->demote(job);
+    }
+}
+
+void JobLifecycle::vacateWorker(WorkerId worker)
+{
+    this->vacateSlots(worker, this->state.fleet.row(worker).bound);
+}
+
+void JobLifecycle::vacateCell(std::uint32_t index)
+{
+    const BoundCell cell = this->state.book.cell(index);
+    if (cell.level != CellLevel::Rack) {
+        this->vacateSlots(cell.worker, cell.slots);
+        return;
+    }
+    const RackRow &rack = this->state.fleet.racks()[this->state.fleet.row(cell.worker).rack];
+    for (const WorkerId worker : rack.workers)
+        this->vacateWorker(worker);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/JobLifecycle.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <Policy/BorrowPlanner.h>
+#include <Policy/GuaranteePlanner.h>
+#include <Policy/SchedulerState.h>
+
+#include <vector>
+
+namespace Hibiscus {
+
+/// The steps of a job between queue and cells, each of which keeps tables, queue, budget and
+/// guarantee book in agreement.
+class JobLifecycle
+{
+public:
+    explicit JobLifecycle(SchedulerState &state);
+
+    /// Puts a job that holds nothing into the queue, at the place its submission gives it.
+    void enqueue(std::uint32_t job);
+
+    /// Starts a waiting job inside its customer's guarantee, or claims cells there and asks their
+    /// borrowers to leave. False, with nothing changed, if it does not fit.
+    bool startGuaranteed(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    /// Starts a waiting job on idle slots beyond the guarantee.
+    bool startBorrowed(std::uint32_t job, Pool pool, TimePoint now,
+                       std::vector<Decision> &decisions);
+    bool startBorrowedOn(std::uint32_t job, WorkerId worker, TimePoint now,
+                         std::vector<Decision> &decisions);
+    bool startGangOn(std::uint32_t job, std::span<const WorkerId> workers, TimePoint now,
+                     std::vector<Decision> &decisions);
+    /// Starts the claiming jobs whose borrowers have all left.
+    void startReadyClaims(TimePoint now, std::vector<Decision> &decisions);
+
+    /// Takes in a job that runs already; its row must be new. False if the cells are taken.
+    bool adopt(std::uint32_t job, std::span<const Placement> placements, TimePoint now);
+
+    /// The job leaves its cells; its row stays, with no phase of its own.
+    void leaveCells(std::uint32_t job, TimePoint now);
+    /// A claiming job gives its claim up; its row stays.
+    void giveUpClaim(std::uint32_t job);
+    /// The job runs on, but no longer charged to its customer's guarantee.
+    void demote(std::uint32_t job);
+    /// Gives up claims and demotes jobs that have part of the worker's bound cells.
+    void vacateWorker(WorkerId worker);
+    /// Demotes what uses the cell, so that it is unbound; all of a bound rack.
+    void vacateCell(std::uint32_t cell);
+    /// Asks a borrower to leave for nobody in particular.
+    void askToLeave(std::uint32_t job, TimePoint now);
+
+    std::size_t claimCount() const { return this->claims.size(); }
+    BorrowTerms termsOf(const QueuedJob &spec) const;
+    double workOf(std::uint32_t job) const;
+
+private:
+    bool finishBorrowed(std::uint32_t job, std::span<const Placement> placements, TimePoint now,
+                        std::vector<Decision> &decisions);
+    void leaveQueue(std::uint32_t job);
+    void emitStart(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    void claim(std::uint32_t job, TimePoint now);
+    void countDeparture(const Claimant &claimant);
+    void vacateSlots(WorkerId worker, SlotMask slots);
+    void giveUpClaimsOn(WorkerId worker, SlotMask slots);
+    void count(std::uint32_t job);
+    void uncount(std::uint32_t job);
+    bool areFree(std::span<const Placement> placements) const;
+
+    SchedulerState &state;
+    GuaranteePlanner guaranteePlanner;
+    BorrowPlanner borrowPlanner;
+    GuaranteePlan plan;
+    std::vector<std::uint32_t> claims; ///< Jobs in phase Claiming.
+    std::vector<JobId> readyClaims;
+    std::vector<Claimant> claimants;
+    std::uint32_t lastClaim = 0;
+};
+
+} // namespace Hibiscus
--- a/Policy/JobTable.h
+++ b/Policy/JobTable.h
@@ -34,6 +34,7 @@
     bool isCharged = false; ///< Its work was charged to its customer's share.
     bool isAdopted = false; ///< When it started isn't known.
     Pool pool = Pool::Plain; ///< Where it runs.
+    std::uint32_t claim = 0; ///< Number of its latest claim.
     std::uint32_t awaited = 0; ///< Borrowers that have to leave before it starts.
 
     /// Slots it takes up.
--- a/Policy/Reclaimer.cpp
+++ b/Policy/Reclaimer.cpp
@@ -43,7 +43,8 @@
     return request;
 }
 
-void Reclaimer::ask(std::uint32_t job, JobId id, bool hasStarted, JobId claimant, TimePoint now)
+void Reclaimer::ask(std::uint32_t job, JobId id, bool hasStarted, const Claimant &claimant,
+                    TimePoint now)
 {
     const bool isNew = !this->isAsked(job);
     Request &request = this->open(job, id, now);
@@ -97,7 +98,7 @@
     return first->when;
 }
 
-void Reclaimer::left(std::uint32_t job, std::vector<JobId> &claimants)
+void Reclaimer::left(std::uint32_t job, std::vector<Claimant> &claimants)
 {
     if (!this->isAsked(job))
         return;
--- a/Policy/Reclaimer.h
+++ b/Policy/Reclaimer.h
@@ -7,6 +7,13 @@
 
 namespace Hibiscus {
 
+/// Who waits for a borrower to leave.
+struct Claimant
+{
+    JobId job;
+    std::uint32_t claim = 0; ///< Tells a claim from an earlier one of the same job.
+};
+
 /// Asks borrowers to make room, step by step: throttle, checkpoint, stop. The last step comes early
 /// enough for a worker's lease to end within the lease term, so room is there within the term
 /// whether or not the borrower answers.
@@ -24,7 +31,7 @@
 
     /// Asks a job to leave, for the good of `claimant`. Asking again only adds the claimant.
     /// A job that has not started yet is stopped at once.
-    void ask(std::uint32_t job, JobId id, bool hasStarted, JobId claimant, TimePoint now);
+    void ask(std::uint32_t job, JobId id, bool hasStarted, const Claimant &claimant, TimePoint now);
     /// Asks a job to checkpoint and move elsewhere; it is never stopped for that.
     void askToMove(std::uint32_t job, JobId id, TimePoint now);
 
@@ -33,7 +40,7 @@
     std::optional<TimePoint> nextStep() const;
 
     /// The job has left its cells. Appends the claimants that waited for it.
-    void left(std::uint32_t job, std::vector<JobId> &claimants);
+    void left(std::uint32_t job, std::vector<Claimant> &claimants);
     bool isAsked(std::uint32_t job) const;
     std::size_t askedCount() const { return this->asked; }
 
@@ -45,7 +52,7 @@
         std::uint32_t ticket = 0; ///< 0 if the row is free.
         std::uint8_t step = 0;
         bool mayStop = false;
-        std::vector<JobId> claimants;
+        std::vector<Claimant> claimants;
     };
 
     Request &open(std::uint32_t job, JobId id, TimePoint now);
--- /dev/null
+++ b/Policy/Reservations.cpp
@@ -0,0 +1,286 @@
+#include <Policy/Reservations.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Hibiscus {
+
+namespace {
+
+/// A job past its expected end is taken to need half as long again, and at least this.
+constexpr Duration shortestRest = seconds(1);
+/// How long a job for which no workers can be reserved isn't looked at again.
+constexpr Duration refusalTerm = seconds(10);
+/// Times its patience after which a reservation chose badly and its job chooses anew.
+constexpr int patienceBound = 2;
+/// Reserved workers tried for one short job.
+constexpr unsigned backfillTries = 16;
+
+std::uint32_t slotsOf(const QueuedJob &spec)
+{
+    return std::max<std::uint32_t>(spec.accelerators, 1);
+}
+
+} // namespace
+
+bool Reservations::holds(std::uint32_t job) const
+{
+    return std::any_of(this->reservations.begin(), this->reservations.end(),
+                       [job](const Reservation &each) { return each.job == job; });
+}
+
+void Reservations::consider(std::uint32_t job, UrgencyClass urgency, SizeLane lane, TimePoint now)
+{
+    const JobRow &row = this->state.jobs.row(job);
+    if (slotsOf(row.spec) == 1 && lane <= SizeLane::Slot)
+        return;
+    for (const Reservation &each : this->reservations) {
+        if (each.job == job || (each.urgency == urgency && each.lane == lane))
+            return;
+    }
+    this->forgetRefusals(now);
+    if (this->refused.find(row.spec.job.value))
+        return;
+    if (!this->chooseWorkers(row.spec, now)) {
+        this->refused.insert(row.spec.job.value, 0);
+        return;
+    }
+    Reservation reservation{.job = job, .id = row.spec.job, .urgency = urgency, .lane = lane};
+    reservation.since = now;
+    for (const Candidate &candidate : this->chosen) {
+        reservation.readyAt = std::max(reservation.readyAt, candidate.readyAt);
+        reservation.workers.push_back(candidate.worker);
+        this->state.fleet.setReserved(candidate.worker, true);
+    }
+    this->reservations.push_back(std::move(reservation));
+}
+
+void Reservations::forgetRefusals(TimePoint now)
+{
+    const bool isFresh = this->refusalEpoch == this->state.fleet.serviceEpoch()
+        && now - this->refusalsSince < refusalTerm;
+    if (isFresh)
+        return;
+    this->refused = {};
+    this->refusalEpoch = this->state.fleet.serviceEpoch();
+    this->refusalsSince = now;
+}
+
+TimePoint Reservations::readyAt(WorkerId worker, TimePoint now) const
+{
+    const WorkerRow &row = this->state.fleet.row(worker);
+    TimePoint latest = now;
+    std::uint32_t last = noJob;
+    for (SlotMask rest = row.occupied; rest != 0; rest &= rest - 1) {
+        const std::uint32_t job = this->state.fleet.jobAt(worker, std::countr_zero(rest));
+        if (job == last)
+            continue;
+        last = job;
+        const JobRow &running = this->state.jobs.row(job);
+        TimePoint end = running.startedAt + running.expected;
+        if (end <= now)
+            end = now + std::max(shortestRest, (now - running.startedAt) / 2);
+        latest = std::max(latest, end);
+    }
+    return latest;
+}
+
+void Reservations::collect(const QueuedJob &spec, std::uint32_t rack, TimePoint now)
+{
+    const FleetTable &fleet = this->state.fleet;
+    const BorrowTerms terms = this->lifecycle.termsOf(spec);
+    for (const WorkerId worker : fleet.racks()[rack].workers) {
+        const WorkerRow &row = fleet.row(worker);
+        const bool fits = row.service == Service::Full && row.pool == Pool::Accelerated
+            && row.slots == fleet.shape().workerSlots && row.memoryMiB >= spec.memoryMiB;
+        const bool isKept
+            = row.isReserved || row.held != 0 || (row.bound != 0 && !terms.mayUseBound);
+        if (fits && !isKept)
+            this->candidates.push_back({worker, this->readyAt(worker, now)});
+    }
+}
+
+void Reservations::keepEarlier(std::uint32_t parts)
+{
+    if (this->candidates.size() < parts)
+        return;
+    const auto earlier = [](const Candidate &left, const Candidate &right) {
+        return left.readyAt != right.readyAt ? left.readyAt < right.readyAt
+                                             : left.worker < right.worker;
+    };
+    std::sort(this->candidates.begin(), this->candidates.end(), earlier);
+    const TimePoint ready = this->candidates[parts - 1].readyAt;
+    if (!this->chosen.empty() && this->chosen.back().readyAt <= ready)
+        return;
+    this->chosen.assign(this->candidates.begin(), this->candidates.begin() + parts);
+}
+
+void Reservations::chooseWindow(const QueuedJob &spec, std::uint32_t parts, TimePoint now)
+{
+    const FleetTable &fleet = this->state.fleet;
+    const auto order = fleet.racksByNumber();
+    const std::size_t perRack = std::max<std::size_t>(fleet.shape().rackWorkers, 1);
+    const std::size_t racks
+        = spec.adjacency == Adjacency::Rack ? 1 : (parts + perRack - 1) / perRack + 1;
+    for (std::size_t first = 0; first < order.size(); ++first) {
+        this->candidates.clear();
+        for (std::size_t place = first; place < std::min(first + racks, order.size()); ++place) {
+            if (place != first && fleet.nextRack(order[place - 1]) != order[place])
+                break;
+            this->collect(spec, order[place], now);
+        }
+        this->keepEarlier(parts);
+    }
+}
+
+bool Reservations::chooseWorkers(const QueuedJob &spec, TimePoint now)
+{
+    this->chosen.clear();
+    const FleetTable &fleet = this->state.fleet;
+    const std::uint32_t perWorker = fleet.shape().workerSlots;
+    if (perWorker == 0)
+        return false;
+    const std::uint32_t parts = (slotsOf(spec) + perWorker - 1) / perWorker;
+    if (parts > 1 && spec.adjacency != Adjacency::Any) {
+        this->chooseWindow(spec, parts, now);
+        return !this->chosen.empty();
+    }
+    this->candidates.clear();
+    for (std::uint32_t rack = 0; rack < fleet.racks().size(); ++rack)
+        this->collect(spec, rack, now);
+    this->keepEarlier(parts);
+    return !this->chosen.empty();
+}
+
+bool Reservations::isOver(const Reservation &reservation) const
+{
+    const JobRow &row = this->state.jobs.row(reservation.job);
+    return row.spec.job != reservation.id || row.phase != JobPhase::Queued;
+}
+
+void Reservations::drop(std::size_t index)
+{
+    for (const WorkerId worker : this->reservations[index].workers)
+        this->state.fleet.setReserved(worker, false);
+    this->reservations.erase(this->reservations.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void Reservations::workerLost(WorkerId worker)
+{
+    for (std::size_t index = this->reservations.size(); index-- > 0;) {
+        const auto &workers = this->reservations[index].workers;
+        if (std::find(workers.begin(), workers.end(), worker) != workers.end())
+            this->drop(index);
+    }
+}
+
+void Reservations::advance(TimePoint now, std::vector<Decision> &decisions)
+{
+    for (std::size_t index = this->reservations.size(); index-- > 0;) {
+        Reservation &reservation = this->reservations[index];
+        if (this->isOver(reservation) || this->tryStart(reservation, now, decisions)) {
+            this->drop(index);
+            continue;
+        }
+        const bool isStale
+            = now - reservation.since > this->state.settings.reservationPatience * patienceBound;
+        if (this->isIdle(reservation)) {
+            // All workers wait for the job, and yet it may not start there: others need them more.
+            this->refused.insert(reservation.id.value, 0);
+            this->drop(index);
+        } else if (isStale) {
+            this->drop(index);
+        } else {
+            this->moveLeftOver(reservation, now);
+        }
+    }
+}
+
+bool Reservations::isIdle(const Reservation &reservation) const
+{
+    return std::all_of(reservation.workers.begin(), reservation.workers.end(),
+                       [this](WorkerId worker) {
+                           const WorkerRow &row = this->state.fleet.row(worker);
+                           return row.idle() == row.full();
+                       });
+}
+
+bool Reservations::tryStart(Reservation &reservation, TimePoint now,
+                            std::vector<Decision> &decisions)
+{
+    const FleetTable &fleet = this->state.fleet;
+    const QueuedJob &spec = this->state.jobs.row(reservation.job).spec;
+    if (!this->state.budget.allows(fleet, Pool::Accelerated, spec.urgency, slotsOf(spec)))
+        return false;
+    if (reservation.workers.size() == 1)
+        return this->lifecycle.startBorrowedOn(reservation.job, reservation.workers.front(), now,
+                                               decisions);
+    return this->lifecycle.startGangOn(reservation.job, reservation.workers, now, decisions);
+}
+
+void Reservations::moveLeftOver(Reservation &reservation, TimePoint now)
+{
+    if (reservation.hasMoved || now - reservation.since < this->state.settings.moveAfter)
+        return;
+    const FleetTable &fleet = this->state.fleet;
+    this->leftOver.clear();
+    std::uint32_t slots = 0;
+    for (const WorkerId worker : reservation.workers) {
+        const WorkerRow &row = fleet.row(worker);
+        for (SlotMask rest = row.occupied; rest != 0; rest &= rest - 1) {
+            const std::uint32_t job = fleet.jobAt(worker, std::countr_zero(rest));
+            if (std::find(this->leftOver.begin(), this->leftOver.end(), job)
+                != this->leftOver.end())
+                continue;
+            // What can't move, or goes before the job itself, has to end by itself.
+            if (!this->state.cost.mayLeave(job)
+                || this->state.jobs.row(job).spec.urgency < reservation.urgency)
+                return;
+            this->leftOver.push_back(job);
+            slots += this->state.jobs.row(job).slots();
+        }
+    }
+    const JobRow &waiting = this->state.jobs.row(reservation.job);
+    if (slots > this->state.settings.movedShare * waiting.slots())
+        return;
+    reservation.hasMoved = true;
+    for (const std::uint32_t job : this->leftOver)
+        this->state.reclaimer.askToMove(job, this->state.jobs.row(job).spec.job, now);
+}
+
+bool Reservations::mayBackfill(const Reservation &reservation, std::uint32_t job,
+                               UrgencyClass urgency, TimePoint now) const
+{
+    if (urgency < reservation.urgency)
+        return true;
+    if (now - reservation.since > this->state.settings.reservationPatience)
+        return false;
+    const JobRow &row = this->state.jobs.row(job);
+    const auto needed
+        = std::chrono::duration_cast<Duration>(row.expected * this->state.settings.backfillMargin);
+    return now + needed <= reservation.readyAt;
+}
+
+bool Reservations::backfill(std::uint32_t job, UrgencyClass urgency, TimePoint now,
+                            std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    if (slotsOf(spec) > this->state.fleet.shape().workerSlots)
+        return false;
+    for (const Reservation &reservation : this->reservations) {
+        if (reservation.job == job || !this->mayBackfill(reservation, job, urgency, now))
+            continue;
+        unsigned tries = 0;
+        for (const WorkerId worker : reservation.workers) {
+            if (this->state.fleet.row(worker).idle() == 0)
+                continue;
+            if (this->lifecycle.startBorrowedOn(job, worker, now, decisions))
+                return true;
+            if (++tries == backfillTries)
+                break;
+        }
+    }
+    return false;
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/SchedulerState.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Policy/ClassBudget.h>
+#include <Policy/GuaranteeBook.h>
+#include <Policy/JobQueue.h>
+#include <Policy/JobTable.h>
+#include <Policy/ReclaimCost.h>
+#include <Policy/Reclaimer.h>
+#include <Policy/RunTimeModel.h>
+#include <Policy/SchedulerSettings.h>
+#include <Policy/WorkerHealth.h>
+
+#include <vector>
+
+namespace Hibiscus {
+
+/// What the platform says of a worker, apart from its health.
+enum class Presence : std::uint8_t { Absent, Leaving, Present };
+
+/// The state that the parts of one scheduler share. Not copied: its parts refer to each other.
+struct SchedulerState
+{
+    explicit SchedulerState(const SchedulerSettings &newSettings)
+        : settings(newSettings)
+        , runTimes(newSettings.runTimes)
+        , health(newSettings.health)
+        , reclaimer(newSettings.reclaim)
+    {}
+    SchedulerState(const SchedulerState &) = delete;
+    SchedulerState &operator=(const SchedulerState &) = delete;
+
+    SchedulerSettings settings;
+    FleetTable fleet;
+    JobTable jobs;
+    JobQueue queue;
+    ClassBudget budget;
+    GuaranteeBook book{this->fleet};
+    ReclaimCost cost{this->fleet, this->jobs};
+    RunTimeModel runTimes;
+    WorkerHealth health;
+    Reclaimer reclaimer;
+
+    std::vector<Presence> presence; ///< By worker.
+    std::optional<Preset> preset;
+    bool isClosed = false; ///< No new work starts in this data centre.
+    std::size_t customerCount = 0;
+
+    bool isServing() const { return this->preset.has_value() && !this->isClosed; }
+    bool isLending() const { return !this->preset || this->preset->lending; }
+    const ClassLimits &limits(UrgencyClass urgency) const
+    {
+        return this->preset->classes[static_cast<std::size_t>(urgency)];
+    }
+};
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Policy/StartPass.cpp
@@ -0,0 +1,289 @@
+#include <Policy/StartPass.h>
+
+#include <algorithm>
+
+namespace Hibiscus {
+
+namespace {
+
+/// Gangs that are tried in one pass over a class before the others have to wait for the next.
+constexpr unsigned gangTriesPerPass = 8;
+
+constexpr std::array<UrgencyClass, urgencyClassCount> classesInOrder{
+    UrgencyClass::Urgent, UrgencyClass::Standard, UrgencyClass::Background};
+
+std::size_t at(UrgencyClass urgency)
+{
+    return static_cast<std::size_t>(urgency);
+}
+
+std::optional<UrgencyClass> classBelow(UrgencyClass urgency)
+{
+    if (urgency == UrgencyClass::Background)
+        return std::nullopt;
+    return static_cast<UrgencyClass>(at(urgency) + 1);
+}
+
+} // namespace
+
+void StartPass::setCustomerCount(std::size_t count)
+{
+    const std::size_t room = std::max(count, this->failed.size());
+    this->guaranteeDirty.resize(room);
+    this->guaranteeStuck.resize(room);
+    this->failed.resize(room);
+}
+
+void StartPass::jobQueued(CustomerId customer, UrgencyClass urgency, SizeLane lane)
+{
+    this->dirtyLanes[at(urgency)] |= laneBit(lane);
+    this->guaranteeFreed(customer);
+}
+
+void StartPass::guaranteeFreed(CustomerId customer)
+{
+    if (this->guaranteeDirty[customer.value] != 0 || !this->state.book.hasGuarantee(customer))
+        return;
+    this->guaranteeDirty[customer.value] = 1;
+    this->dirtyCustomers.push_back(customer.value);
+}
+
+void StartPass::cellsFreed()
+{
+    if (!this->anyStuck)
+        return;
+    this->anyStuck = false;
+    for (std::size_t customer = 0; customer < this->guaranteeStuck.size(); ++customer) {
+        if (this->guaranteeStuck[customer] != 0)
+            this->guaranteeFreed({static_cast<std::uint16_t>(customer)});
+        this->guaranteeStuck[customer] = 0;
+    }
+}
+
+void StartPass::everythingChanged()
+{
+    this->dirtyLanes.fill(allLanes);
+    for (std::size_t customer = 0; customer < this->state.book.customerCount(); ++customer)
+        this->guaranteeFreed({static_cast<std::uint16_t>(customer)});
+}
+
+void StartPass::run(TimePoint now, std::vector<Decision> &decisions)
+{
+    this->runGuaranteed(now, decisions);
+    this->reservations.advance(now, decisions);
+    if (this->seenRoom != this->state.fleet.roomEpoch())
+        this->dirtyLanes.fill(allLanes);
+    for (const UrgencyClass urgency : classesInOrder)
+        this->runClass(urgency, now, decisions);
+    this->dirtyLanes.fill(0);
+    // Room that a failed try gave back is no news.
+    this->seenRoom = this->state.fleet.roomEpoch();
+}
+
+void StartPass::runGuaranteed(TimePoint now, std::vector<Decision> &decisions)
+{
+    // In the order of ids, so that the order of events before does not matter.
+    std::sort(this->dirtyCustomers.begin(), this->dirtyCustomers.end());
+    for (const std::uint16_t customer : this->dirtyCustomers) {
+        this->guaranteeDirty[customer] = 0;
+        this->runGuaranteedOf({customer}, now, decisions);
+    }
+    this->dirtyCustomers.clear();
+}
+
+void StartPass::runGuaranteedOf(CustomerId customer, TimePoint now,
+                                std::vector<Decision> &decisions)
+{
+    for (const UrgencyClass urgency : classesInOrder) {
+        LaneMask open = allLanes;
+        while (const auto head = this->state.queue.nextOf(customer, urgency, open)) {
+            const QueuedJob &spec = this->state.jobs.row(head->job).spec;
+            if (this->leavesGuarantee(spec)) {
+                open &= ~laneBit(head->lane);
+                continue;
+            }
+            if (this->lifecycle.startGuaranteed(head->job, now, decisions))
+                continue;
+            open &= ~laneBit(head->lane);
+            this->guaranteeStuck[customer.value] = 1;
+            this->anyStuck = true;
+        }
+    }
+}
+
+bool StartPass::leavesGuarantee(const QueuedJob &spec) const
+{
+    // A job without accelerators leaves the guarantee to others if it can run on a plain worker.
+    return spec.accelerators == 0 && this->state.fleet.guaranteePool() != Pool::Plain
+        && this->state.budget.allows(this->state.fleet, Pool::Plain, spec.urgency, 1);
+}
+
+std::optional<StartPass::Pick> StartPass::pickAged(UrgencyClass urgency, const ClassPass &pass,
+                                                   TimePoint now)
+{
+    const auto below = classBelow(urgency);
+    if (!below)
+        return std::nullopt;
+    const TimePoint until = now - this->state.limits(*below).ageing;
+    std::optional<Pick> oldest;
+    for (std::size_t index = 0; index < sizeLaneCount; ++index) {
+        const auto lane = static_cast<SizeLane>(index);
+        if ((pass.agedBlocked & laneBit(lane)) != 0)
+            continue;
+        const auto head = this->state.queue.oldest(*below, lane, until);
+        if (!head)
+            continue;
+        const TimePoint submitted = this->state.jobs.row(head->job).submitted;
+        if (!oldest || submitted < this->state.jobs.row(oldest->head.job).submitted)
+            oldest = Pick{*head, Source::Aged};
+    }
+    return oldest;
+}
+
+bool StartPass::mayLead(CustomerId customer, UrgencyClass urgency) const
+{
+    const double largest = std::chrono::duration<double>(this->state.settings.largestLead).count()
+        * (this->state.fleet.slots(Pool::Accelerated) + this->state.fleet.slots(Pool::Plain));
+    return this->state.queue.lead(customer, urgency) * this->state.queue.sumOfShares() <= largest;
+}
+
+std::optional<StartPass::Pick> StartPass::pickPressing(UrgencyClass urgency, const ClassPass &pass,
+                                                       TimePoint now)
+{
+    const TimePoint due = now + this->state.settings.pressingMargin;
+    for (std::size_t index = 0; index < sizeLaneCount; ++index) {
+        const auto lane = static_cast<SizeLane>(index);
+        if (((pass.pressingBlocked | pass.blocked) & laneBit(lane)) != 0)
+            continue;
+        const auto head = this->state.queue.mostPressing(urgency, lane, due);
+        if (head && this->mayLead(head->customer, urgency))
+            return Pick{*head, Source::Pressing};
+    }
+    return std::nullopt;
+}
+
+std::optional<StartPass::Pick> StartPass::pick(UrgencyClass urgency, const ClassPass &pass,
+                                               TimePoint now)
+{
+    const bool isAgedNext = this->sinceAged[at(urgency)] + 1 >= this->state.settings.agedEvery;
+    if (isAgedNext) {
+        if (const auto aged = this->pickAged(urgency, pass, now))
+            return aged;
+    }
+    if (const auto pressing = this->pickPressing(urgency, pass, now))
+        return pressing;
+    if (const auto head = this->state.queue.next(urgency, pass.blocked, this->failed))
+        return Pick{*head, Source::Fair};
+    if (!isAgedNext)
+        return this->pickAged(urgency, pass, now);
+    return std::nullopt;
+}
+
+void StartPass::runClass(UrgencyClass urgency, TimePoint now, std::vector<Decision> &decisions)
+{
+    ClassPass pass{.blocked = static_cast<LaneMask>(allLanes & ~this->dirtyLanes[at(urgency)])};
+    const auto below = classBelow(urgency);
+    pass.agedBlocked = below ? allLanes & ~this->dirtyLanes[at(*below)] : allLanes;
+    std::fill(this->failed.begin(), this->failed.end(), 0);
+    while (const auto pick = this->pick(urgency, pass, now)) {
+        const Outcome outcome = this->tryBorrow(*pick, urgency, now, decisions);
+        this->note(*pick, outcome, pass);
+        if (outcome != Outcome::Started)
+            continue;
+        std::uint32_t &count = this->sinceAged[at(urgency)];
+        count = pick->source == Source::Aged ? 0 : count + 1;
+    }
+}
+
+void StartPass::note(const Pick &pick, Outcome outcome, ClassPass &pass)
+{
+    if (outcome == Outcome::Started)
+        return;
+    const LaneMask lane = laneBit(pick.head.lane);
+    if (pick.source == Source::Aged) {
+        pass.agedBlocked |= lane;
+        return;
+    }
+    if (pick.source == Source::Pressing)
+        pass.pressingBlocked |= lane;
+    else
+        this->failed[pick.head.customer.value] |= lane;
+    if (outcome == Outcome::NoRoom)
+        pass.blocked |= lane;
+    if (pick.head.lane == SizeLane::Gang && ++pass.gangTries >= gangTriesPerPass)
+        pass.blocked |= lane;
+}
+
+bool StartPass::isLaneFull(SizeLane lane, Pool pool) const
+{
+    // The lanes of small jobs hold one cell size each; if no such cell is idle, nobody fits.
+    if (lane == SizeLane::Gang)
+        return false;
+    const unsigned first = lane <= SizeLane::Slot ? 0 : static_cast<unsigned>(lane) - 1;
+    for (unsigned order = first; order < cellOrderCount; ++order) {
+        if (!this->state.fleet.withIdleOrder(pool, Zone::All, order).isEmpty())
+            return false;
+    }
+    return this->state.fleet.oddIdle(pool, Zone::All).isEmpty();
+}
+
+StartPass::Outcome StartPass::tryPool(std::uint32_t job, Pool pool, SizeLane lane, TimePoint now,
+                                      std::vector<Decision> &decisions)
+{
+    const JobRow &row = this->state.jobs.row(job);
+    if (this->state.fleet.slots(pool) == 0)
+        return Outcome::NoRoom;
+    if (!this->state.budget.allows(this->state.fleet, pool, row.spec.urgency, row.slots()))
+        return lane == SizeLane::Gang ? Outcome::NotThisOne : Outcome::NoRoom;
+    if (this->lifecycle.startBorrowed(job, pool, now, decisions))
+        return Outcome::Started;
+    return this->isLaneFull(lane, pool) ? Outcome::NoRoom : Outcome::NotThisOne;
+}
+
+StartPass::Outcome StartPass::tryBorrow(const Pick &pick, UrgencyClass urgency, TimePoint now,
+                                        std::vector<Decision> &decisions)
+{
+    const std::uint32_t job = pick.head.job;
+    if (this->tryProbe(job, urgency, now, decisions))
+        return Outcome::Started;
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    Outcome outcome = Outcome::NoRoom;
+    if (spec.accelerators == 0)
+        outcome = this->tryPool(job, Pool::Plain, pick.head.lane, now, decisions);
+    if (outcome != Outcome::Started) {
+        const Outcome other = this->tryPool(job, Pool::Accelerated, pick.head.lane, now, decisions);
+        if (other != Outcome::NoRoom)
+            outcome = other;
+    }
+    if (outcome == Outcome::Started)
+        return outcome;
+    const bool mayRun
+        = this->state.budget.allows(this->state.fleet, Pool::Accelerated, spec.urgency,
+                                    std::max<std::uint32_t>(spec.accelerators, 1));
+    if (!mayRun)
+        return outcome;
+    if (this->reservations.backfill(job, urgency, now, decisions))
+        return Outcome::Started;
+    this->reservations.consider(job, urgency, pick.head.lane, now);
+    return outcome;
+}
+
+bool StartPass::tryProbe(std::uint32_t job, UrgencyClass urgency, TimePoint now,
+                         std::vector<Decision> &decisions)
+{
+    // Urgent work is no test for a worker that failed; it may repeat only what can start again.
+    const WorkerSet &probes = this->state.fleet.probes();
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    if (probes.isEmpty() || urgency == UrgencyClass::Urgent || !spec.checkpoints)
+        return false;
+    for (auto worker = probes.next(); worker; worker = probes.next({worker->value + 1})) {
+        const WorkerRow &row = this->state.fleet.row(*worker);
+        const bool fits = (spec.accelerators == 0) == (row.pool == Pool::Plain)
+            && std::max<std::uint32_t>(spec.accelerators, 1) <= row.slots;
+        if (fits && this->lifecycle.startBorrowedOn(job, *worker, now, decisions))
+            return true;
+    }
+    return false;
+}
+
+} // namespace Hibiscus
