Keep class names unique across packages

Cause: Policy and Ledger each had a JobTable in one namespace, and Policy and Entry a JobPhase; the first would have linked one package's functions into the other. Change: KeptJobTable in Ledger, DispatchPhase in Entry.

--- a/Entry/DispatchJob.h
+++ b/Entry/DispatchJob.h
@@ -45,7 +45,7 @@
     bool mayHaveRun() const { return this->isOver() && this->state != MemberState::Unstarted; }
 };
 
-enum class JobPhase : std::uint8_t {
+enum class DispatchPhase : std::uint8_t {
     Queued, ///< With the scheduler.
     Assigning, ///< The keeper is recording where it will start.
     Reserving, ///< A gang's members are being reserved.
@@ -70,7 +70,7 @@
     CallId call; ///< The requester's.
     JobId id; ///< The scheduler's; changes each time it is handed to it anew.
     bool scheduled = false; ///< The scheduler knows it under `id`.
-    JobPhase phase = JobPhase::Queued;
+    DispatchPhase phase = DispatchPhase::Queued;
     EndReason ending = EndReason::Preempt;
     bool checkpointing = false; ///< Ending by checkpoint, until a stop is decided.
     std::optional<WorkerId> faultyWorker;
--- a/Entry/Dispatcher.cpp
+++ b/Entry/Dispatcher.cpp
@@ -128,10 +128,10 @@
 {
     const std::string to = job.spec.durable ? this->keeperOf(job.key) : job.requester;
     JobAnswer answer = job.answer;
-    if (job.phase != JobPhase::Finished) {
-        const bool runs = job.phase == JobPhase::Running;
+    if (job.phase != DispatchPhase::Finished) {
+        const bool runs = job.phase == DispatchPhase::Running;
         answer = statusAnswer(runs ? JobStatus::Running : JobStatus::Accepted);
-        if (job.phase == JobPhase::InDoubt)
+        if (job.phase == DispatchPhase::InDoubt)
             answer = statusAnswer(JobStatus::Running, "its worker does not answer");
     }
     if (!to.empty())
@@ -161,8 +161,8 @@
 {
     const std::string key = jobKey(message.spec.customer, message.spec.requestId);
     DispatchJob *known = this->find(key);
-    const bool refusedBefore = known && !known->spec.durable && known->phase == JobPhase::Finished
-        && known->answer.status == JobStatus::NotRun;
+    const bool refusedBefore = known && !known->spec.durable
+        && known->phase == DispatchPhase::Finished && known->answer.status == JobStatus::NotRun;
     if (refusedBefore) {
         // Nothing ran, so asking again is a new try.
         this->drop(key);
@@ -207,7 +207,7 @@
 Admission Dispatcher::enqueue(DispatchJob &job, TimePoint now)
 {
     job.id = JobId{this->nextJob++};
-    job.phase = JobPhase::Queued;
+    job.phase = DispatchPhase::Queued;
     const Admission admission = this->scheduler->submit(this->queuedJob(job, now), now);
     if (admission.accepted()) {
         job.scheduled = true;
@@ -224,13 +224,13 @@
         this->reply(from, message.call, message.key, statusAnswer(JobStatus::Unknown), out);
         return;
     }
-    if (job->phase == JobPhase::Finished) {
+    if (job->phase == DispatchPhase::Finished) {
         this->sendUpdate(*job, out);
         return;
     }
     job->cancelRequested = true;
     this->touch(*job);
-    if (job->phase == JobPhase::Queued) {
+    if (job->phase == DispatchPhase::Queued) {
         const JobAnswer answer = statusAnswer(JobStatus::NotRun, "cancelled before it started");
         if (job->scheduled)
             this->scheduler->cancel(job->id, now);
@@ -238,8 +238,8 @@
         this->finish(*job, EndKind::Cancelled, answer, now, out);
         return;
     }
-    const bool started = job->phase == JobPhase::Reserving || job->phase == JobPhase::Starting
-        || job->phase == JobPhase::Running;
+    const bool started = job->phase == DispatchPhase::Reserving
+        || job->phase == DispatchPhase::Starting || job->phase == DispatchPhase::Running;
     if (started)
         this->end(*job, EndReason::Cancel, std::nullopt, now, out);
 }
@@ -281,7 +281,7 @@
         return;
     switch (decision.kind) {
     case DecisionKind::Start:
-        if (job->phase == JobPhase::Queued)
+        if (job->phase == DispatchPhase::Queued)
             this->place(*job, decision.placements, now, out);
         return;
     case DecisionKind::Throttle:
@@ -326,7 +326,7 @@
     this->setMembers(job, std::move(members));
     this->touch(job);
     if (job.runsOnce()) {
-        job.phase = JobPhase::Assigning;
+        job.phase = DispatchPhase::Assigning;
         this->sendAssign(job, now, out);
         return;
     }
@@ -340,7 +340,7 @@
     assign.key = job.key;
     assign.attempt = job.attempt;
     assign.dispatcherIncarnation = this->settings.incarnation;
-    if (job.phase == JobPhase::Assigning) {
+    if (job.phase == DispatchPhase::Assigning) {
         for (const Member &member : job.members)
             assign.places.push_back(member.place);
     }
@@ -355,7 +355,8 @@
     DispatchJob *job = this->find(message.key);
     if (!job || job->attempt != message.attempt)
         return;
-    const bool waits = job->phase == JobPhase::Assigning || job->phase == JobPhase::GivingUp;
+    const bool waits
+        = job->phase == DispatchPhase::Assigning || job->phase == DispatchPhase::GivingUp;
     if (!waits)
         return;
     if (!message.accepted) {
@@ -365,7 +366,7 @@
         this->drop(message.key);
         return;
     }
-    if (job->phase == JobPhase::GivingUp) {
+    if (job->phase == DispatchPhase::GivingUp) {
         ++job->attempt;
         this->forgetTasks(*job);
         if (job->cancelRequested) {
@@ -388,7 +389,7 @@
 void Dispatcher::begin(DispatchJob &job, TimePoint now, EntryActions &out)
 {
     const bool gang = job.members.size() > 1;
-    job.phase = gang ? JobPhase::Reserving : JobPhase::Starting;
+    job.phase = gang ? DispatchPhase::Reserving : DispatchPhase::Starting;
     this->sendToAll(job, gang ? WorkerVerb::Reserve : WorkerVerb::Start, now, out);
     // A worker may have been lost since it was chosen.
     this->advance(job, now, out);
@@ -397,7 +398,7 @@
 void Dispatcher::recorded(const std::string &key, TimePoint, EntryActions &)
 {
     DispatchJob *job = this->find(key);
-    if (!job || job->phase != JobPhase::Finished)
+    if (!job || job->phase != DispatchPhase::Finished)
         return;
     this->drop(key);
 }
@@ -432,7 +433,7 @@
             this->call(name, session.request(WorkerVerb::Release, {}), {}, 0, now, out);
     }
     for (const auto &[key, job] : this->jobs) {
-        if (job.phase == JobPhase::Finished) {
+        if (job.phase == DispatchPhase::Finished) {
             this->sendUpdate(job, out);
             continue;
         }
--- a/Entry/DispatcherJobs.cpp
+++ b/Entry/DispatcherJobs.cpp
@@ -50,23 +50,23 @@
 void Dispatcher::advance(DispatchJob &job, TimePoint now, EntryActions &out)
 {
     switch (job.phase) {
-    case JobPhase::Reserving:
+    case DispatchPhase::Reserving:
         if (job.allIn(MemberState::Reserved)) {
-            job.phase = JobPhase::Starting;
+            job.phase = DispatchPhase::Starting;
             this->sendToAll(job, WorkerVerb::Start, now, out);
         } else if (job.anyIn(MemberState::Unstarted)) {
             this->end(job, EndReason::WorkerFault, job.faultyWorker, now, out);
         }
         return;
-    case JobPhase::Starting:
-    case JobPhase::Running:
+    case DispatchPhase::Starting:
+    case DispatchPhase::Running:
         this->advanceStarting(job, now, out);
         return;
-    case JobPhase::Ending:
+    case DispatchPhase::Ending:
         if (job.allOver())
             this->concludeEnding(job, now, out);
         return;
-    case JobPhase::InDoubt:
+    case DispatchPhase::InDoubt:
         this->settleDoubt(job, now, out);
         return;
     default:
@@ -95,8 +95,8 @@
         this->finish(job, EndKind::Finished, std::move(answer), now, out);
         return;
     }
-    if (job.phase == JobPhase::Starting && !job.anyIn(MemberState::Starting)) {
-        job.phase = JobPhase::Running;
+    if (job.phase == DispatchPhase::Starting && !job.anyIn(MemberState::Starting)) {
+        job.phase = DispatchPhase::Running;
         if (job.scheduled)
             this->scheduler->started(job.id, now);
         this->sendUpdate(job, out);
@@ -117,9 +117,9 @@
         this->enterDoubt(job, now);
         return;
     }
-    if (job.phase != JobPhase::Ending || reason != EndReason::Preempt)
+    if (job.phase != DispatchPhase::Ending || reason != EndReason::Preempt)
         job.ending = reason;
-    job.phase = JobPhase::Ending;
+    job.phase = DispatchPhase::Ending;
     if (faulty)
         job.faultyWorker = faulty;
     this->stopMembers(job, now, out);
@@ -144,7 +144,7 @@
 {
     job.checkpointing = false;
     if (job.allIn(MemberState::Done)) {
-        job.phase = JobPhase::Running;
+        job.phase = DispatchPhase::Running;
         this->advanceStarting(job, now, out);
         return;
     }
@@ -205,7 +205,7 @@
 void Dispatcher::giveUpAttempt(DispatchJob &job, TimePoint now, EntryActions &out)
 {
     this->leaveScheduler(job, EndKind::WorkerFault, false, now);
-    job.phase = JobPhase::GivingUp;
+    job.phase = DispatchPhase::GivingUp;
     this->touch(job);
     this->sendAssign(job, now, out);
 }
@@ -219,7 +219,7 @@
         return;
     }
     const bool keepsPlace = job.scheduled;
-    job.phase = JobPhase::Queued;
+    job.phase = DispatchPhase::Queued;
     this->leaveScheduler(job, kind, true, now);
     job.faultyWorker.reset();
     this->forgetTasks(job);
@@ -248,7 +248,7 @@
 {
     assert(isFinal(answer.status));
     this->leaveScheduler(job, kind, false, now);
-    job.phase = JobPhase::Finished;
+    job.phase = DispatchPhase::Finished;
     job.answer = std::move(answer);
     job.forgetAt = now + this->settings.answersKept;
     job.resendAt = now + this->settings.resendAfter;
@@ -272,26 +272,26 @@
 bool Dispatcher::tickJob(DispatchJob &job, TimePoint now, EntryActions &out)
 {
     switch (job.phase) {
-    case JobPhase::Queued:
+    case DispatchPhase::Queued:
         if (!job.scheduled)
             this->tickQueued(job, now, out);
-        return job.phase != JobPhase::Queued || !job.scheduled;
-    case JobPhase::Assigning:
-    case JobPhase::GivingUp:
+        return job.phase != DispatchPhase::Queued || !job.scheduled;
+    case DispatchPhase::Assigning:
+    case DispatchPhase::GivingUp:
         if (now >= job.resendAt)
             this->sendAssign(job, now, out);
         return true;
-    case JobPhase::Reserving:
-    case JobPhase::Starting:
-    case JobPhase::Ending:
+    case DispatchPhase::Reserving:
+    case DispatchPhase::Starting:
+    case DispatchPhase::Ending:
         this->retryMembers(job, now, out);
         return true;
-    case JobPhase::Running:
+    case DispatchPhase::Running:
         return false;
-    case JobPhase::InDoubt:
+    case DispatchPhase::InDoubt:
         this->settleDoubt(job, now, out);
         return true;
-    case JobPhase::Finished:
+    case DispatchPhase::Finished:
         return this->tickFinished(job, now, out);
     }
     return false;
@@ -333,7 +333,7 @@
         if (member.isOver() || member.callSince || now < member.retryAt)
             continue;
         WorkerVerb verb = job.checkpointing ? WorkerVerb::Checkpoint : WorkerVerb::Stop;
-        if (job.phase != JobPhase::Ending) {
+        if (job.phase != DispatchPhase::Ending) {
             if (member.state != MemberState::Reserving && member.state != MemberState::Starting)
                 continue;
             const bool reserving = member.state == MemberState::Reserving;
@@ -345,7 +345,7 @@
 
 void Dispatcher::enterDoubt(DispatchJob &job, TimePoint now)
 {
-    job.phase = JobPhase::InDoubt;
+    job.phase = DispatchPhase::InDoubt;
     job.doubtSince = now;
     this->touch(job);
 }
@@ -396,7 +396,7 @@
     }
     if (!job.allIn(MemberState::Done) && !job.anyIn(MemberState::Unstarted))
         this->scheduleAdopted(job, now);
-    job.phase = JobPhase::Running;
+    job.phase = DispatchPhase::Running;
     this->sendUpdate(job, out);
     this->advanceStarting(job, now, out);
 }
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -166,11 +166,11 @@
     }
     for (const std::string &key : hit) {
         DispatchJob *job = this->find(key);
-        if (!job || job->phase == JobPhase::Finished || job->phase == JobPhase::InDoubt)
+        if (!job || job->phase == DispatchPhase::Finished || job->phase == DispatchPhase::InDoubt)
             continue;
-        if (job->phase == JobPhase::Ending)
+        if (job->phase == DispatchPhase::Ending)
             this->advance(*job, now, out);
-        else if (job->phase != JobPhase::Assigning && job->phase != JobPhase::GivingUp)
+        else if (job->phase != DispatchPhase::Assigning && job->phase != DispatchPhase::GivingUp)
             this->end(*job, EndReason::WorkerFault, id, now, out);
     }
 }
@@ -245,7 +245,7 @@
     DispatchJob *known = this->find(key);
     if (known) {
         // A job that waits for its keeper's hand-over after a restart takes its old tasks back.
-        const bool waitsUnplaced = known->phase == JobPhase::Queued && known->members.empty();
+        const bool waitsUnplaced = known->phase == DispatchPhase::Queued && known->members.empty();
         if (!waitsUnplaced)
             return nullptr;
         if (known->scheduled)
--- a/Ledger/JobTable.cpp
+++ b/Ledger/KeptJobTable.cpp
@@ -1,4 +1,4 @@
-#include <Ledger/JobTable.h>
+#include <Ledger/KeptJobTable.h>
 
 #include <utility>
 
@@ -26,34 +26,34 @@
 
 } // namespace
 
-KeptJob *JobTable::find(const std::string &key)
+KeptJob *KeptJobTable::find(const std::string &key)
 {
     const auto found = this->jobs.find(key);
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-KeptJob &JobTable::add(const std::string &key)
+KeptJob &KeptJobTable::add(const std::string &key)
 {
     return this->jobs[key];
 }
 
-void JobTable::clear()
+void KeptJobTable::clear()
 {
     this->jobs.clear();
     this->finished = 0;
 }
 
-KeptJob *JobTable::apply(const LedgerRecord &record, TimePoint now)
+KeptJob *KeptJobTable::apply(const LedgerRecord &record, TimePoint now)
 {
     return std::visit([this, now](const auto &typed) { return this->applyTo(typed, now); }, record);
 }
 
-KeptJob *JobTable::applyTo(const EpochRecord & /*record*/, TimePoint /*now*/)
+KeptJob *KeptJobTable::applyTo(const EpochRecord & /*record*/, TimePoint /*now*/)
 {
     return nullptr;
 }
 
-KeptJob *JobTable::applyTo(const ClaimRecord &record, TimePoint /*now*/)
+KeptJob *KeptJobTable::applyTo(const ClaimRecord &record, TimePoint /*now*/)
 {
     KeptJob &job = this->jobs[record.key];
     if (job.durable)
@@ -66,7 +66,7 @@
     return &job;
 }
 
-KeptJob *JobTable::applyTo(const AssignRecord &record, TimePoint /*now*/)
+KeptJob *KeptJobTable::applyTo(const AssignRecord &record, TimePoint /*now*/)
 {
     KeptJob *job = this->find(record.key);
     if (!job || job->isFinished())
@@ -76,7 +76,7 @@
     return job;
 }
 
-KeptJob *JobTable::applyTo(const UnassignRecord &record, TimePoint /*now*/)
+KeptJob *KeptJobTable::applyTo(const UnassignRecord &record, TimePoint /*now*/)
 {
     KeptJob *job = this->find(record.key);
     if (!job || job->isFinished())
@@ -87,7 +87,7 @@
     return job;
 }
 
-KeptJob *JobTable::applyTo(const FinishRecord &record, TimePoint now)
+KeptJob *KeptJobTable::applyTo(const FinishRecord &record, TimePoint now)
 {
     KeptJob &job = this->jobs[record.key];
     if (job.isFinished())
@@ -104,7 +104,7 @@
     return &job;
 }
 
-std::vector<std::string> JobTable::snapshot(TimePoint now, Duration finishedKept)
+std::vector<std::string> KeptJobTable::snapshot(TimePoint now, Duration finishedKept)
 {
     std::vector<std::string> records;
     for (auto entry = this->jobs.begin(); entry != this->jobs.end();) {
--- a/Ledger/JobTable.h
+++ b/Ledger/KeptJobTable.h
@@ -10,7 +10,7 @@
 
 /// The jobs of one shard. Records, applied in the log's order, are the only way in which what must
 /// last changes; recovery applies the same records again.
-class JobTable
+class KeptJobTable
 {
 public:
     using Jobs = std::map<std::string, KeptJob>;
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Ledger/JobKeeper.h>
-#include <Ledger/JobTable.h>
+#include <Ledger/KeptJobTable.h>
 #include <Ledger/LedgerShard.h>
 
 #include <cstdint>
@@ -87,7 +87,7 @@
     JobKeeperSettings settings;
     const Dispatchers &dispatchers;
     LedgerShard shard;
-    JobTable table;
+    KeptJobTable table;
     bool wanted = false;
     std::uint32_t losses = 0; ///< In a row, to another owner.
     TimePoint ownedSince{};
