--- /dev/null
+++ b/Sessions/History.cpp
@@ -0,0 +1,329 @@
+#include <Sessions/History.h>
+
+#include <array>
+#include <cstdio>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr Duration healingLimit = seconds(240);
+
+std::string asSeconds(TimePoint time)
+{
+    return std::to_string(std::chrono::duration<double>(time.time_since_epoch()).count());
+}
+
+} // namespace
+
+History::History(const Settings &settings)
+    : settings(settings)
+    , random(settings.seed)
+    , world(World::small(2, 2))
+{
+    if (!settings.trace)
+        return;
+    this->world.observe
+        = [this](const std::string &from, const std::string &to, const std::string &text) {
+              std::printf("%s %s -> %s: %s\n", asSeconds(this->world.now()).c_str(), from.c_str(),
+                          to.c_str(), text.c_str());
+          };
+}
+
+std::uint32_t History::draw(std::uint32_t bound)
+{
+    return this->random(bound);
+}
+
+template <class Range>
+const auto &History::pick(const Range &range)
+{
+    return range[this->draw(static_cast<std::uint32_t>(range.size()))];
+}
+
+std::string History::anyInstance()
+{
+    static const std::vector<std::string> names{"entry-a0", "entry-a1", "entry-b0", "entry-b1"};
+    return this->pick(names);
+}
+
+std::string History::anyLiveInstance()
+{
+    std::string name = this->anyInstance();
+    for (unsigned tries = 0; !this->world.isAlive(name) && tries < 16; ++tries)
+        name = this->anyInstance();
+    return name;
+}
+
+std::string History::anyWorker()
+{
+    static const std::vector<std::string> names{"worker-a0", "worker-a1", "worker-b0", "worker-b1"};
+    return this->pick(names);
+}
+
+void History::run()
+{
+    Customer parks;
+    parks.name = "parks";
+    Customer spa;
+    spa.name = "spa";
+    this->world.configure({parks, spa});
+    static constexpr std::array<Step, 22> steps{
+        &History::stepSubmit,
+        &History::stepSubmit,
+        &History::stepSubmit,
+        &History::stepSubmit,
+        &History::stepSubmit,
+        &History::stepSubmit,
+        &History::stepAgain,
+        &History::stepAgain,
+        &History::stepCancel,
+        &History::stepKill,
+        &History::stepRestart,
+        &History::stepRestart,
+        &History::stepPause,
+        &History::stepResume,
+        &History::stepCut,
+        &History::stepCut,
+        &History::stepHeal,
+        &History::stepStore,
+        &History::stepKillWorker,
+        &History::stepLoseWorkerAnswers,
+        &History::stepLoseStoreAnswers,
+        &History::stepSwitch,
+    };
+    for (unsigned i = 0; i < this->settings.steps && this->found.empty(); ++i) {
+        (this->*this->pick(steps))();
+        this->world.run(milliseconds(this->draw(700)));
+        this->examine();
+    }
+    this->heal();
+    this->seeThrough();
+}
+
+void History::stepSubmit()
+{
+    Request request;
+    JobSpec &spec = request.spec;
+    spec.requestId = "r" + std::to_string(this->requests.size());
+    spec.customer = this->draw(2) == 0 ? "parks" : "spa";
+    spec.caller = "key";
+    spec.kind = "kind";
+    spec.urgency = static_cast<UrgencyClass>(this->draw(urgencyClassCount));
+    spec.idempotent = this->draw(2) == 0;
+    static const std::vector<std::uint16_t> sizes{0, 1, 1, 4, 16};
+    spec.accelerators = this->pick(sizes);
+    request.members = spec.accelerators > 8 ? 2 : 1;
+    spec.declaredRunTime = milliseconds(50 + this->draw(1500));
+    spec.payload = "{\"ticket\":\"" + spec.requestId + "\"}";
+    request.wait = this->draw(2) == 0;
+    this->requests.push_back(std::move(request));
+    this->send(this->requests.back(), this->anyLiveInstance());
+}
+
+void History::send(Request &request, const std::string &instance)
+{
+    if (this->world.isAlive(instance))
+        request.calls.push_back(this->world.submit(instance, request.spec, request.wait));
+}
+
+void History::stepAgain()
+{
+    if (!this->requests.empty())
+        this->send(this->requests[this->draw(static_cast<std::uint32_t>(this->requests.size()))],
+                   this->anyLiveInstance());
+}
+
+void History::stepCancel()
+{
+    const std::string instance = this->anyLiveInstance();
+    if (this->requests.empty() || !this->world.isAlive(instance))
+        return;
+    Request &request
+        = this->requests[this->draw(static_cast<std::uint32_t>(this->requests.size()))];
+    request.cancelled = true;
+    request.calls.push_back(
+        this->world.cancel(instance, request.spec.customer, request.spec.requestId));
+}
+
+void History::stepKill()
+{
+    this->world.kill(this->anyInstance());
+}
+
+void History::stepRestart()
+{
+    const std::string name = this->anyInstance();
+    if (!this->world.isAlive(name))
+        this->world.restart(name);
+}
+
+void History::stepPause()
+{
+    this->world.pause(this->anyInstance());
+}
+
+void History::stepResume()
+{
+    this->world.resume(this->anyInstance());
+}
+
+void History::stepCut()
+{
+    const std::uint32_t kind = this->draw(3);
+    const std::string one = this->anyInstance();
+    const std::string other = kind == 0 ? this->anyInstance()
+        : kind == 1                     ? std::string("store")
+                                        : this->anyWorker();
+    if (one != other)
+        this->world.cut(one, other);
+}
+
+void History::stepHeal()
+{
+    this->world.healAll();
+}
+
+void History::stepStore()
+{
+    this->world.setStoreDown(!this->world.store().faults().down);
+}
+
+void History::stepLoseStoreAnswers()
+{
+    this->world.loseStoreAnswers(1 + this->draw(3));
+}
+
+void History::stepKillWorker()
+{
+    const std::string name = this->anyWorker();
+    this->world.killWorker(name);
+    this->world.restartWorker(name);
+}
+
+void History::stepLoseWorkerAnswers()
+{
+    WorkerFaults faults;
+    faults.loseAnswers = 1 + this->draw(4);
+    this->world.worker(this->anyWorker()).setFaults(faults);
+}
+
+void History::stepSwitch()
+{
+    const std::string instance = this->anyLiveInstance();
+    if (!this->world.isAlive(instance))
+        return;
+    Preset preset;
+    preset.name = "ordinary";
+    preset.classes[0].queuedPerCustomer = 100 + this->draw(100);
+    const std::string id = "change-" + std::to_string(this->changes++);
+    this->world.change(instance, {id, "test", {}, PutPreset{preset}});
+}
+
+void History::heal()
+{
+    this->world.healAll();
+    this->world.setStoreDown(false);
+    this->world.loseStoreAnswers(0);
+    for (const char *name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
+        if (this->world.isAlive(name))
+            this->world.resume(name);
+        else
+            this->world.restart(name);
+    }
+    for (const char *name : {"worker-a0", "worker-a1", "worker-b0", "worker-b1"})
+        this->world.worker(name).setFaults({});
+    this->world.run(std::chrono::seconds(5));
+    this->examine();
+}
+
+void History::seeThrough()
+{
+    const TimePoint end = this->world.now() + healingLimit;
+    for (;;) {
+        bool open = false;
+        for (Request &request : this->requests) {
+            if (request.final)
+                continue;
+            open = true;
+            this->send(request, this->anyLiveInstance());
+        }
+        if (!open || !this->found.empty())
+            return;
+        if (this->world.now() > end)
+            break;
+        this->world.run(milliseconds(1500));
+        this->examine();
+    }
+    for (const Request &request : this->requests) {
+        if (!request.final)
+            this->violate("no final answer: " + request.spec.requestId);
+    }
+}
+
+void History::examine()
+{
+    for (Request &request : this->requests) {
+        for (const CallId call : request.calls) {
+            const auto answered = this->world.answer(call);
+            if (answered)
+                this->examineAnswer(request, answered->answer);
+        }
+        std::erase_if(request.calls,
+                      [&](CallId call) { return this->world.answer(call).has_value(); });
+        const std::string key = jobKey(request.spec.customer, request.spec.requestId);
+        const std::uint32_t starts = this->world.starts(key);
+        if (!request.spec.idempotent && starts > request.members)
+            this->violate(key + " may run once and was started " + std::to_string(starts)
+                          + " times");
+    }
+    this->examineRevisions();
+}
+
+void History::examineAnswer(Request &request, const JobAnswer &answer)
+{
+    const std::string key = jobKey(request.spec.customer, request.spec.requestId);
+    const std::uint32_t starts = this->world.starts(key);
+    if (!isFinal(answer.status))
+        return;
+    if (answer.status == JobStatus::NotRun && !request.spec.idempotent && starts > 0)
+        this->violate(key + " was answered not-run (" + answer.reason + ") but was started");
+    if (answer.status == JobStatus::Done && starts == 0)
+        this->violate(key + " was answered done but never started");
+    const std::string ticket = "\\\"ticket\\\":\\\"" + request.spec.requestId + "\\\"";
+    const bool quoted = answer.result.find(ticket) != std::string::npos
+        || answer.result.find(request.spec.requestId) != std::string::npos;
+    if (answer.status == JobStatus::Done && !quoted)
+        this->violate(key + " got an answer that is not its own: " + answer.result);
+    // A refusal asks the caller to try again; everything else ends the request for good.
+    const bool refusal = answer.status == JobStatus::NotRun && answer.retryAfter.has_value();
+    if (refusal)
+        return;
+    const bool differs = request.final && request.final->status != answer.status;
+    if (differs && !request.spec.idempotent)
+        this->violate(key + " was answered " + toString(request.final->status) + " and then "
+                      + toString(answer.status));
+    request.final = answer;
+}
+
+void History::examineRevisions()
+{
+    for (const char *name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
+        EntryMachine *machine = this->world.machine(name);
+        auto &[before, revision] = this->revisions[name];
+        const std::uint64_t present = machine ? machine->configuration().revision : 0;
+        if (machine && machine == before && present < revision)
+            this->violate(std::string(name) + " fell back to configuration "
+                          + std::to_string(present));
+        before = machine;
+        revision = present;
+    }
+}
+
+void History::violate(const std::string &text)
+{
+    this->found.push_back("seed " + std::to_string(this->settings.seed) + " at "
+                          + asSeconds(this->world.now()) + ": " + text);
+}
+
+} // namespace Hibiscus
--- /dev/null
+++ b/Sessions/History.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <Sessions/World.h>
+
+#include <cstdint>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+namespace Hibiscus {
+
+/// One seeded random history of callers, operators and failures over a whole world, and the checks
+/// of what must hold in it. The same seed gives the same history.
+class History
+{
+public:
+    struct Settings
+    {
+        std::uint64_t seed = 0;
+        unsigned steps = 30;
+        bool trace = false; ///< Prints every delivered message.
+    };
+
+    explicit History(const Settings &settings);
+
+    /// Runs the history, lets everything heal, and sees every request through.
+    void run();
+
+    /// What did not hold, in words; empty if all held.
+    const std::vector<std::string> &violations() const { return this->found; }
+
+private:
+    struct Request
+    {
+        JobSpec spec;
+        bool wait = false;
+        bool cancelled = false;
+        std::vector<CallId> calls;
+        std::size_t examined = 0; ///< Of `calls`, from the front.
+        std::optional<JobAnswer> final; ///< The first final answer that was not a refusal.
+        std::uint32_t members = 1;
+    };
+    using Step = void (History::*)();
+
+    std::uint32_t draw(std::uint32_t bound);
+    template <class Range>
+    const auto &pick(const Range &range);
+    std::string anyInstance();
+    std::string anyLiveInstance();
+    std::string anyWorker();
+
+    void stepSubmit();
+    void stepAgain();
+    void stepCancel();
+    void stepKill();
+    void stepRestart();
+    void stepPause();
+    void stepResume();
+    void stepCut();
+    void stepHeal();
+    void stepStore();
+    void stepLoseStoreAnswers();
+    void stepKillWorker();
+    void stepLoseWorkerAnswers();
+    void stepSwitch();
+
+    void heal();
+    void seeThrough();
+    void send(Request &request, const std::string &instance);
+    void examine();
+    void examineAnswer(Request &request, const JobAnswer &answer);
+    void examineRevisions();
+    void violate(const std::string &text);
+
+    Settings settings;
+    pcg32 random;
+    World world;
+    std::vector<Request> requests;
+    std::map<std::string, std::pair<EntryMachine *, std::uint64_t>> revisions;
+    std::vector<std::string> found;
+    std::uint64_t changes = 0;
+};
+
+} // namespace Hibiscus
--- a/Sessions/World.cpp
+++ b/Sessions/World.cpp
@@ -15,7 +15,7 @@
 constexpr Duration workerLatency = milliseconds(1);
 constexpr Duration peerLatency = milliseconds(1);
 constexpr Duration listEvery = milliseconds(500);
-constexpr Duration watchEvery = milliseconds(5);
+constexpr Duration watchEvery = milliseconds(20);
 constexpr Duration callTimeout = seconds(2);
 
 std::string describe(const WorkerRequest &request)
@@ -348,7 +348,7 @@
 void World::collect(const std::string &name, std::uint64_t run, const WorkerCall &call,
                     TimePoint until)
 {
-    constexpr Duration lookEvery = milliseconds(5);
+    constexpr Duration lookEvery = milliseconds(15);
     WorkerState &worker = this->workers.at(call.worker);
     if (!worker.worker || this->isCut(name, call.worker)) {
         this->replyToWorkerCall(name, run, call, {});
