Wire: codec, framing, handshake and link between instances

Cause: entry instances have no way to talk to one another yet.

Change: messages are FlatBuffers tables (schema and generated header committed), verified before anything is read; a text that is named many times, an enumeration out of range and an unknown message are findings. PeerFrame cuts the stream, PeerHandshake is the mutual challenge, PeerFrameAuthenticator signs each later frame with a running counter, PeerConnection joins them as a state machine without I/O, PeerLink is the CAF broker around it.

Ruled out: a detached actor that connects for the broker. Why the exit did not reach it was not found. A non-blocking socket that is still connecting is handed to the broker instead, without a thread.

--- /dev/null
+++ b/UnitTests/Wire/PeerConnectionTest.cpp
@@ -0,0 +1,155 @@
+#include <Wire/PeerCodec.h>
+#include <Wire/PeerConnection.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus {
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+const std::string key = "0123456789abcdef";
+const TimePoint start{seconds(100)};
+constexpr std::size_t largestFrame = 1000;
+constexpr std::size_t largestBacklog = 3000;
+
+PeerConnection connection(PeerSide side)
+{
+    PeerConnectionSettings settings;
+    const bool isDialer = side == PeerSide::Dialer;
+    settings.handshake = {side, isDialer ? "a" : "b", isDialer ? "b" : "", key, {}};
+    settings.handshake.nonce.fill(isDialer ? 1 : 2);
+    settings.largestFrame = largestFrame;
+    settings.largestBacklog = largestBacklog;
+    settings.handshakeTimeout = seconds(5);
+    settings.keepAlive = seconds(1);
+    settings.silenceTimeout = seconds(4);
+    return {settings, start};
+}
+
+/// Two ends of one connection, linked.
+struct Pair
+{
+    PeerConnection a = connection(PeerSide::Dialer);
+    PeerConnection b = connection(PeerSide::Listener);
+
+    Pair()
+    {
+        const Bytes hello = this->b.receive(this->a.start(), start).reply;
+        const Bytes proof = this->a.receive(hello, start).reply;
+        const PeerInput last = this->b.receive(proof, start);
+        EXPECT_TRUE(last.established);
+        EXPECT_TRUE(this->a.receive(last.reply, start).established);
+    }
+};
+
+Bytes encoded(std::uint64_t revision)
+{
+    return encodePeerMessage(ConfigPull{revision});
+}
+
+Bytes operator+(Bytes left, const Bytes &right)
+{
+    left.insert(left.end(), right.begin(), right.end());
+    return left;
+}
+
+TEST(PeerConnection, MessagesOfAPeerArriveInOrder)
+{
+    Pair pair;
+    const Bytes first = *pair.a.send(encoded(1), start);
+    const Bytes second = *pair.a.send(encoded(2), start);
+    const PeerInput input = pair.b.receive(first + second, start);
+    EXPECT_EQ(input.closeReason, "");
+    EXPECT_EQ(input.messages, (std::vector<PeerMessage>{ConfigPull{1}, ConfigPull{2}}));
+}
+
+TEST(PeerConnection, AnInjectedRepeatedMovedOrReflectedFrameClosesItUnread)
+{
+    const auto closes = [](auto makeStream) {
+        Pair pair;
+        const PeerInput input = pair.b.receive(makeStream(pair), start);
+        return input.messages.empty() && !input.closeReason.empty();
+    };
+    EXPECT_TRUE(closes([](Pair &) { return makeFrame(encoded(1) + Bytes(16, 0)); }));
+    EXPECT_TRUE(closes([](Pair &) { return makeFrame(Bytes(3, 0)); }));
+    EXPECT_TRUE(closes([](Pair &pair) { return *pair.b.send(encoded(1), start); }));
+    EXPECT_TRUE(closes([](Pair &pair) {
+        const Bytes first = *pair.a.send(encoded(1), start);
+        const Bytes second = *pair.a.send(encoded(2), start);
+        return second + first;
+    }));
+    Pair pair;
+    const Bytes frame = *pair.a.send(encoded(1), start);
+    const PeerInput input = pair.b.receive(frame + frame, start);
+    EXPECT_EQ(input.messages.size(), 1U);
+    EXPECT_NE(input.closeReason, "");
+}
+
+TEST(PeerConnection, NothingCountsBeforeTheProof)
+{
+    PeerConnection b = connection(PeerSide::Listener);
+    const PeerInput message = b.receive(makeFrame(encoded(1)), start);
+    EXPECT_TRUE(message.messages.empty() && message.reply.empty());
+    EXPECT_NE(message.closeReason, "");
+
+    PeerConnection flooded = connection(PeerSide::Listener);
+    const PeerInput tooLarge = flooded.receive(makeFrame(Bytes(largestHandshakeFrame + 1)), start);
+    EXPECT_TRUE(tooLarge.reply.empty());
+    EXPECT_NE(tooLarge.closeReason, "");
+}
+
+TEST(PeerConnection, FramesRightBehindTheProofAreRead)
+{
+    PeerConnection a = connection(PeerSide::Dialer);
+    PeerConnection b = connection(PeerSide::Listener);
+    const Bytes hello = b.receive(a.start(), start).reply;
+    const Bytes proof = b.receive(a.receive(hello, start).reply, start).reply;
+    const PeerInput input = a.receive(proof + *b.send(encoded(7), start), start);
+    EXPECT_TRUE(input.established);
+    EXPECT_EQ(input.messages, (std::vector<PeerMessage>{ConfigPull{7}}));
+}
+
+TEST(PeerConnection, AnUnreadableMessageOfAProvenPeerIsPassedOver)
+{
+    Pair pair;
+    const Bytes unreadable = *pair.a.send(Bytes(40, 1), start);
+    const Bytes readable = *pair.a.send(encoded(2), start);
+    const PeerInput input = pair.b.receive(unreadable + readable, start);
+    EXPECT_EQ(input.closeReason, "");
+    EXPECT_EQ(input.ignored.size(), 1U);
+    EXPECT_EQ(input.messages, (std::vector<PeerMessage>{ConfigPull{2}}));
+}
+
+TEST(PeerConnection, APeerThatDoesNotTakeItsFramesIsDropped)
+{
+    Pair pair;
+    const Bytes body(largestFrame - PeerFrameAuthenticator::tagSize, 1);
+    EXPECT_FALSE(pair.a.send(Bytes(body.size() + 1), start)) << "no frame beyond the largest";
+    std::size_t sent = 0;
+    while (pair.a.closeReason(start).empty() && sent <= 2 * largestBacklog)
+        sent += pair.a.send(body, start)->size();
+    EXPECT_GT(sent, largestBacklog);
+    EXPECT_LE(sent, largestBacklog + largestFrame + frameLengthSize);
+    pair.a.written(sent);
+    EXPECT_EQ(pair.a.closeReason(start), "");
+}
+
+TEST(PeerConnection, AStrangerAndASilentPeerAreDroppedInTime)
+{
+    const PeerConnection stranger = connection(PeerSide::Listener);
+    EXPECT_EQ(stranger.closeReason(start + seconds(5) - Duration(1)), "");
+    EXPECT_NE(stranger.closeReason(start + seconds(5)), "");
+
+    Pair pair;
+    EXPECT_EQ(pair.a.keepAlive(start + seconds(1) - Duration(1)), Bytes{});
+    const Bytes keepAlive = pair.a.keepAlive(start + seconds(1));
+    EXPECT_EQ(pair.a.keepAlive(start + seconds(1)), Bytes{}) << "one is enough";
+    const PeerInput input = pair.b.receive(keepAlive, start + seconds(1));
+    EXPECT_TRUE(input.messages.empty() && input.closeReason.empty());
+    EXPECT_EQ(pair.b.closeReason(start + seconds(5) - Duration(1)), "");
+    EXPECT_NE(pair.b.closeReason(start + seconds(5)), "");
+}
+
+} // namespace
+} // namespace Hibiscus
--- /dev/null
+++ b/UnitTests/Wire/PeerHandshakeTest.cpp
@@ -0,0 +1,155 @@
+#include <Wire/PeerHandshake.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus {
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+const std::string key = "0123456789abcdef0123456789abcdef";
+
+PeerNonce nonceOf(std::uint8_t value)
+{
+    PeerNonce nonce;
+    nonce.fill(value);
+    return nonce;
+}
+
+PeerHandshake dialer(const std::string &clusterKey = key, std::uint8_t nonce = 1)
+{
+    return PeerHandshake({PeerSide::Dialer, "a", "b", clusterKey, nonceOf(nonce)});
+}
+
+PeerHandshake listener(const std::string &clusterKey = key, std::uint8_t nonce = 2)
+{
+    return PeerHandshake({PeerSide::Listener, "b", "", clusterKey, nonceOf(nonce)});
+}
+
+/// Everything that one honest handshake puts on the wire.
+struct Transcript
+{
+    Bytes dialerHello;
+    Bytes listenerHello;
+    Bytes dialerProof;
+    Bytes listenerProof;
+};
+
+Transcript run(PeerHandshake &a, PeerHandshake &b)
+{
+    Transcript transcript;
+    transcript.dialerHello = a.start();
+    transcript.listenerHello = b.receive(transcript.dialerHello).value();
+    transcript.dialerProof = a.receive(transcript.listenerHello).value();
+    transcript.listenerProof = b.receive(transcript.dialerProof).value();
+    EXPECT_EQ(a.receive(transcript.listenerProof).value(), Bytes{});
+    return transcript;
+}
+
+TEST(PeerHandshake, BothSidesProveTheKeyAndShareSessionKeys)
+{
+    PeerHandshake a = dialer();
+    PeerHandshake b = listener();
+    EXPECT_TRUE(b.start().empty());
+    run(a, b);
+    ASSERT_TRUE(a.isDone() && b.isDone());
+    EXPECT_EQ(a.peer(), "b");
+    EXPECT_EQ(b.peer(), "a");
+    EXPECT_EQ(a.sessionKeys().send, b.sessionKeys().receive);
+    EXPECT_EQ(a.sessionKeys().receive, b.sessionKeys().send);
+    EXPECT_NE(a.sessionKeys().send, a.sessionKeys().receive);
+}
+
+TEST(PeerHandshake, AWrongKeyIsRefusedByBothSides)
+{
+    PeerHandshake stranger = dialer("another key of the same size....");
+    PeerHandshake b = listener();
+    const Bytes hello = b.receive(stranger.start()).value();
+    EXPECT_FALSE(b.receive(stranger.receive(hello).value()));
+    EXPECT_FALSE(b.isDone());
+
+    PeerHandshake a = dialer();
+    PeerHandshake impostor = listener("another key of the same size....");
+    const Bytes proof = a.receive(impostor.receive(a.start()).value()).value();
+    EXPECT_FALSE(impostor.receive(proof));
+    EXPECT_FALSE(a.receive(proof)) << "a proof of its own must not pass for its peer's";
+    EXPECT_FALSE(a.isDone());
+}
+
+TEST(PeerHandshake, ReflectedFramesAreRefused)
+{
+    PeerHandshake a = dialer();
+    EXPECT_FALSE(a.receive(a.start())) << "its own hello";
+
+    PeerHandshake again = dialer();
+    PeerHandshake b = listener(key, 1);
+    EXPECT_FALSE(b.receive(again.start())) << "its own nonce under another name";
+
+    PeerHandshake third = dialer();
+    PeerHandshake fourth = listener();
+    const Bytes proof = third.receive(fourth.receive(third.start()).value()).value();
+    EXPECT_FALSE(third.receive(proof)) << "its own proof";
+}
+
+TEST(PeerHandshake, AReplayedConversationIsRefused)
+{
+    PeerHandshake a = dialer();
+    PeerHandshake b = listener();
+    const Transcript old = run(a, b);
+
+    PeerHandshake laterListener = listener(key, 3);
+    ASSERT_TRUE(laterListener.receive(old.dialerHello));
+    EXPECT_FALSE(laterListener.receive(old.dialerProof));
+
+    PeerHandshake laterDialer = dialer(key, 4);
+    ASSERT_TRUE(laterDialer.receive(old.listenerHello));
+    EXPECT_FALSE(laterDialer.receive(old.listenerProof));
+}
+
+TEST(PeerHandshake, OnlyTheExpectedNameAndOnlyALowerOneIsAccepted)
+{
+    PeerHandshake a = dialer();
+    PeerHandshake other({PeerSide::Listener, "c", "", key, nonceOf(2)});
+    EXPECT_FALSE(a.receive(other.receive(a.start()).value()));
+
+    PeerHandshake higher({PeerSide::Dialer, "c", "b", key, nonceOf(1)});
+    EXPECT_FALSE(listener().receive(higher.start()));
+    PeerHandshake same({PeerSide::Dialer, "b", "b", key, nonceOf(1)});
+    EXPECT_FALSE(listener().receive(same.start()));
+}
+
+TEST(PeerHandshake, AnythingElseBeforeItsEndIsRefusedForGood)
+{
+    PeerHandshake a = dialer();
+    const Bytes hello = a.start();
+    for (std::size_t size = 0; size < hello.size(); ++size) {
+        PeerHandshake b = listener();
+        const auto reply = b.receive(std::span(hello).first(size));
+        EXPECT_FALSE(reply) << size;
+        EXPECT_FALSE(b.receive(hello)) << "a refused side must not go on";
+    }
+    Bytes longName = hello;
+    longName.resize(largestHandshakeFrame, 'a');
+    EXPECT_FALSE(listener().receive(longName));
+
+    PeerHandshake b = listener();
+    ASSERT_TRUE(b.receive(hello));
+    EXPECT_FALSE(b.receive(hello)) << "a second hello";
+}
+
+TEST(PeerHandshake, EveryFlippedBitOfAProofIsRefused)
+{
+    PeerHandshake a = dialer();
+    PeerHandshake b = listener();
+    const Transcript transcript = run(a, b);
+    for (std::size_t bit = 0; bit < transcript.dialerProof.size() * 8; ++bit) {
+        Bytes proof = transcript.dialerProof;
+        proof[bit / 8] ^= static_cast<std::uint8_t>(1U << (bit % 8));
+        PeerHandshake fresh = listener();
+        ASSERT_TRUE(fresh.receive(transcript.dialerHello));
+        EXPECT_FALSE(fresh.receive(proof)) << bit;
+    }
+}
+
+} // namespace
+} // namespace Hibiscus
--- /dev/null
+++ b/Wire/PeerLink.cpp
@@ -0,0 +1,388 @@
+#include <Wire/PeerLink.h>
+
+#include <Wire/PeerCodec.h>
+#include <Wire/PeerConnection.h>
+#include <Wire/PeerDialer.h>
+
+#include <caf/all.hpp>
+#include <caf/io/all.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <openssl/rand.h>
+#include <sys/socket.h>
+
+namespace Hibiscus {
+namespace {
+
+/// Messages of the broker and its dialer to themselves and one another.
+struct PeerLinkPeers
+{
+    std::vector<PeerAddress> peers;
+};
+
+struct PeerLinkStop
+{};
+
+struct PeerLinkTick
+{};
+
+} // namespace
+} // namespace Hibiscus
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::PeerSend)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::PeerLinkPeers)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::PeerLinkStop)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(Hibiscus::PeerLinkTick)
+
+namespace Hibiscus {
+namespace {
+
+using caf::io::connection_handle;
+
+constexpr std::size_t shortestClusterKey = 16; // Bytes.
+constexpr std::size_t readSize = std::size_t(16) * 1024; // Bytes.
+constexpr std::size_t mostUnprovenCallers = 64;
+constexpr seconds stopTimeout(1);
+const std::string brokenConnection = "the connection broke";
+
+TimePoint presentTime()
+{
+    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
+}
+
+/// State and handlers of the broker.
+class PeerBroker
+{
+public:
+    PeerBroker(caf::io::broker *broker, PeerLinkSettings settings, PeerLinkHandlers handlers)
+        : broker(broker)
+        , settings(std::move(settings))
+        , handlers(std::move(handlers))
+    {}
+
+    void start()
+    {
+        if (this->settings.clusterKey.size() < shortestClusterKey) {
+            this->handlers.log("The cluster key is too short; no peer is linked.");
+            return;
+        }
+        this->tick();
+    }
+
+    void setPeers(std::vector<PeerAddress> peers) { this->peers = std::move(peers); }
+
+    void send(PeerSend &send)
+    {
+        if (send.instance == this->settings.instance) {
+            this->handlers.received(send.instance, std::move(send.message));
+            return;
+        }
+        const auto found = this->linked.find(send.instance);
+        if (found == this->linked.end())
+            return;
+        const connection_handle handle = found->second;
+        const auto frame
+            = this->connections.at(handle).send(encodePeerMessage(send.message), presentTime());
+        if (!frame) {
+            this->handlers.log("A message to " + send.instance + " is too large.");
+            return;
+        }
+        this->write(handle, *frame);
+        this->closeIfDue(handle);
+    }
+
+    void tick()
+    {
+        this->broker->delayed_send(this->broker, this->settings.reconnect, PeerLinkTick{});
+        if (this->isStopping()) {
+            this->finishStop();
+            return;
+        }
+        this->listen();
+        this->sweep();
+        this->dialMissingPeers();
+        this->logRejections();
+    }
+
+    void accepted(connection_handle handle)
+    {
+        // Strangers that only connect must not use up the descriptors.
+        if (this->callers.size() >= mostUnprovenCallers)
+            this->drop(this->callers.front(), "too many wait for their proof");
+        this->callers.push_back(handle);
+        this->open(handle, PeerSide::Listener, {});
+    }
+
+    void receive(connection_handle handle, const std::vector<char> &bytes)
+    {
+        const auto found = this->connections.find(handle);
+        if (found == this->connections.end())
+            return;
+        const std::string_view view(bytes.data(), bytes.size());
+        PeerInput input = found->second.receive(bytesOf(view), presentTime());
+        this->write(handle, input.reply);
+        if (input.established)
+            this->established(handle);
+        for (const std::string &reason : input.ignored)
+            this->handlers.log("Ignored a frame of " + found->second.peer() + ": it " + reason
+                               + ".");
+        for (PeerMessage &message : input.messages)
+            this->handlers.received(found->second.peer(), std::move(message));
+        if (!input.closeReason.empty())
+            this->drop(handle, input.closeReason);
+    }
+
+    void written(connection_handle handle, std::size_t bytes)
+    {
+        const auto found = this->connections.find(handle);
+        if (found == this->connections.end())
+            return;
+        found->second.written(bytes);
+        if (this->isStopping())
+            this->finishStop();
+    }
+
+    void closed(connection_handle handle) { this->forget(handle, brokenConnection); }
+
+    void acceptorClosed() { this->isListening = false; }
+
+    void stop()
+    {
+        this->stopUntil = presentTime() + stopTimeout;
+        this->finishStop();
+    }
+
+private:
+    void listen()
+    {
+        if (this->isListening)
+            return;
+        const auto door
+            = this->broker->add_tcp_doorman(this->settings.port, this->settings.host.c_str(), true);
+        if (!door) {
+            if (!std::exchange(this->listenFailed, true))
+                this->handlers.log("The peer port cannot be opened; it is tried again.");
+            return;
+        }
+        this->isListening = true;
+        this->listenFailed = false;
+        this->settings.port = door->second;
+        this->handlers.listening(door->second);
+    }
+
+    void open(connection_handle handle, PeerSide side, const std::string &expectedPeer)
+    {
+        PeerConnectionSettings connection;
+        connection.handshake
+            = {side, this->settings.instance, expectedPeer, this->settings.clusterKey, {}};
+        if (RAND_bytes(connection.handshake.nonce.data(),
+                       static_cast<int>(connection.handshake.nonce.size()))
+            != 1) {
+            this->close(handle);
+            return;
+        }
+        connection.largestFrame = this->settings.largestFrame;
+        connection.largestBacklog = this->settings.largestBacklog;
+        connection.handshakeTimeout = this->settings.handshakeTimeout;
+        connection.keepAlive = this->settings.keepAlive;
+        connection.silenceTimeout = this->settings.silenceTimeout;
+        const auto [position, isNew]
+            = this->connections.try_emplace(handle, std::move(connection), presentTime());
+        this->broker->ack_writes(handle, true);
+        this->broker->configure_read(handle, caf::io::receive_policy::at_most(readSize));
+        this->write(handle, position->second.start());
+    }
+
+    void write(connection_handle handle, const std::vector<std::uint8_t> &bytes)
+    {
+        if (bytes.empty())
+            return;
+        this->broker->write(handle, bytes.size(), bytes.data());
+        this->broker->flush(handle);
+    }
+
+    void established(connection_handle handle)
+    {
+        const std::string &peer = this->connections.at(handle).peer();
+        this->forgetUnproven(handle, peer);
+        // The peer gave the older connection up, or it would not have opened another one.
+        const auto older = this->linked.find(peer);
+        if (older != this->linked.end())
+            this->drop(older->second, "a newer connection replaces it");
+        this->linked[peer] = handle;
+        this->handlers.log("Linked with " + peer + ".");
+    }
+
+    // CAF closes a connection only once the other side has taken all and closed it, too; one that
+    // does neither would be kept for ever. CAF's handles carry the descriptor's number.
+    void close(connection_handle handle)
+    {
+        this->broker->close(handle);
+        ::shutdown(static_cast<int>(handle.id()), SHUT_RDWR);
+    }
+
+    void drop(connection_handle handle, const std::string &reason)
+    {
+        this->forget(handle, reason);
+        this->close(handle);
+    }
+
+    void forget(connection_handle handle, const std::string &reason)
+    {
+        const auto found = this->connections.find(handle);
+        if (found == this->connections.end())
+            return;
+        if (found->second.isEstablished()) {
+            const std::string &peer = found->second.peer();
+            this->handlers.log("Lost " + peer + ": " + reason + ".");
+            this->linked.erase(peer);
+        } else {
+            this->forgetUnproven(handle, found->second.peer());
+            this->noteRejection(found->second.peer(), reason);
+        }
+        this->connections.erase(found);
+    }
+
+    void forgetUnproven(connection_handle handle, const std::string &peer)
+    {
+        std::erase(this->callers, handle);
+        const auto found = this->dialed.find(peer);
+        if (found != this->dialed.end() && found->second == handle)
+            this->dialed.erase(found);
+    }
+
+    void closeIfDue(connection_handle handle)
+    {
+        const std::string reason = this->connections.at(handle).closeReason(presentTime());
+        if (!reason.empty())
+            this->drop(handle, reason);
+    }
+
+    void sweep()
+    {
+        const TimePoint now = presentTime();
+        std::vector<connection_handle> handles;
+        handles.reserve(this->connections.size());
+        for (auto &[handle, connection] : this->connections) {
+            this->write(handle, connection.keepAlive(now));
+            handles.push_back(handle);
+        }
+        for (const connection_handle &handle : handles)
+            this->closeIfDue(handle);
+    }
+
+    void dialMissingPeers()
+    {
+        for (const PeerAddress &peer : this->peers) {
+            const bool isMine = this->settings.instance < peer.instance;
+            if (isMine && !this->linked.contains(peer.instance)
+                && !this->dialed.contains(peer.instance))
+                this->dial(peer);
+        }
+    }
+
+    // CAF's own connect blocks; a socket that is still connecting serves it as well.
+    void dial(const PeerAddress &peer)
+    {
+        const auto descriptor = beginConnection(peer);
+        if (!descriptor)
+            return;
+        const connection_handle handle = this->broker->add_scribe(*descriptor);
+        this->dialed[peer.instance] = handle;
+        this->open(handle, PeerSide::Dialer, peer.instance);
+    }
+
+    // A peer that is away is called again and again; that is no news.
+    void noteRejection(const std::string &called, const std::string &reason)
+    {
+        if (!called.empty() && reason == brokenConnection)
+            return;
+        ++this->rejections;
+        this->lastRejection = reason;
+    }
+
+    // One line a tick: a stranger must not fill the log.
+    void logRejections()
+    {
+        if (this->rejections == 0)
+            return;
+        this->handlers.log("Closed " + std::to_string(this->rejections)
+                           + " unproven connections, the last because: " + this->lastRejection
+                           + ".");
+        this->rejections = 0;
+    }
+
+    bool isStopping() const { return this->stopUntil.has_value(); }
+
+    void finishStop()
+    {
+        const bool waits = std::ranges::any_of(
+            this->connections, [](const auto &entry) { return entry.second.hasBacklog(); });
+        if (!waits || presentTime() >= *this->stopUntil)
+            this->broker->quit();
+    }
+
+    caf::io::broker *broker;
+    PeerLinkSettings settings;
+    PeerLinkHandlers handlers;
+    std::vector<PeerAddress> peers;
+    std::map<connection_handle, PeerConnection> connections;
+    std::map<std::string, connection_handle> linked; // By proven name.
+    std::map<std::string, connection_handle> dialed; // Unproven, by the name called.
+    std::vector<connection_handle> callers; // Unproven, oldest first.
+    std::optional<TimePoint> stopUntil;
+    std::string lastRejection;
+    std::size_t rejections = 0;
+    bool isListening = false;
+    bool listenFailed = false;
+};
+
+caf::behavior peerBroker(caf::io::broker *self, const PeerLinkSettings &settings,
+                         const PeerLinkHandlers &handlers)
+{
+    const auto state = std::make_shared<PeerBroker>(self, settings, handlers);
+    state->start();
+    return {
+        [state](PeerSend &send) { state->send(send); },
+        [state](PeerLinkPeers &message) { state->setPeers(std::move(message.peers)); },
+        [state](const PeerLinkStop &) { state->stop(); },
+        [state](const PeerLinkTick &) { state->tick(); },
+        [state](const caf::io::new_connection_msg &message) { state->accepted(message.handle); },
+        [state](const caf::io::new_data_msg &message) {
+            state->receive(message.handle, message.buf);
+        },
+        [state](const caf::io::data_transferred_msg &message) {
+            state->written(message.handle, message.written);
+        },
+        [state](const caf::io::connection_closed_msg &message) { state->closed(message.handle); },
+        [state](const caf::io::acceptor_closed_msg &) { state->acceptorClosed(); },
+    };
+}
+
+} // namespace
+
+caf::actor startPeerLink(caf::actor_system &system, const PeerLinkSettings &settings,
+                         PeerLinkHandlers handlers)
+{
+    return system.middleman().spawn_broker(peerBroker, settings, std::move(handlers));
+}
+
+void sendToPeer(caf::actor_system &, const caf::actor &link, PeerSend send)
+{
+    caf::anon_send(link, std::move(send));
+}
+
+void setPeers(caf::actor_system &, const caf::actor &link, std::vector<PeerAddress> peers)
+{
+    caf::anon_send(link, PeerLinkPeers{std::move(peers)});
+}
+
+void stopPeerLink(caf::actor_system &, const caf::actor &link)
+{
+    caf::anon_send(link, PeerLinkStop{});
+}
+
+} // namespace Hibiscus
