--- a/UnitTests/Wire/PeerCodecTest.cpp
+++ b/UnitTests/Wire/PeerCodecTest.cpp
@@ -98,7 +98,7 @@
     flatbuffers::FlatBufferBuilder builder;
     const auto spec = Flat::CreateJobSpecDirect(builder, "id", "customer", "caller", "kind",
                                                 outOfRange, true, true, 0, outOfRange);
-    const auto job = Flat::CreateSubmitJob(builder, 1, outOfRange, spec);
+    const auto job = Flat::CreateSubmitJob(builder, 1, outOfRange, 0, spec);
     const auto decoded = decodePeerMessage(finish(builder, Flat::Body::SubmitJob, job.Union()));
     ASSERT_FALSE(decoded);
     const std::vector<Finding> expected{{"/body/role", "is out of range"},
--- a/UnitTests/Wire/PeerMessageGenerators.h
+++ b/UnitTests/Wire/PeerMessageGenerators.h
@@ -100,11 +100,18 @@
 
 inline rc::Gen<PeerMessage> submitJob()
 {
-    return message<SubmitJob>(rc::gen::set(&SubmitJob::call, call()),
-                              rc::gen::set(&SubmitJob::role, upTo(JobRole::Dispatcher)),
-                              rc::gen::set(&SubmitJob::spec, spec()),
-                              rc::gen::set(&SubmitJob::attempt),
-                              rc::gen::set(&SubmitJob::places, places()));
+    return message<SubmitJob>(
+        rc::gen::set(&SubmitJob::call, call()),
+        rc::gen::set(&SubmitJob::role, upTo(JobRole::Dispatcher)),
+        rc::gen::set(&SubmitJob::dataCenter), rc::gen::set(&SubmitJob::spec, spec()),
+        rc::gen::set(&SubmitJob::attempt), rc::gen::set(&SubmitJob::places, places()));
+}
+
+inline rc::Gen<PeerMessage> admitJob()
+{
+    return message<AdmitJob>(rc::gen::set(&AdmitJob::call, call()),
+                             rc::gen::set(&AdmitJob::dataCenter),
+                             rc::gen::set(&AdmitJob::spec, spec()));
 }
 
 template <class Message>
@@ -141,8 +148,8 @@
 /// One generator for each alternative, in the order of PeerMessage.
 inline std::vector<rc::Gen<PeerMessage>> all()
 {
-    return {heartbeat(),       configPull(), configPush(), submitJob(),  keyed<CancelJob>(),
-            keyed<QueryJob>(), jobUpdate(),  assignJob(),  assignReply()};
+    return {heartbeat(),        configPull(),      configPush(), submitJob(), admitJob(),
+            keyed<CancelJob>(), keyed<QueryJob>(), jobUpdate(),  assignJob(), assignReply()};
 }
 
 } // namespace Hibiscus::PeerMessageGenerators
--- a/Wire/PeerCodec.cpp
+++ b/Wire/PeerCodec.cpp
@@ -97,11 +97,20 @@
 {
     const auto spec = encodeSpec(builder, message.spec);
     const FlatPlaces places = encodePlaces(builder, message.places);
+    const FlatString dataCenter = builder.CreateString(message.dataCenter);
     const auto table = Flat::CreateSubmitJob(builder, message.call.value, number(message.role),
-                                             spec, message.attempt, places);
+                                             dataCenter, spec, message.attempt, places);
     return {Flat::Body::SubmitJob, table.Union()};
 }
 
+EncodedBody encode(FlatBufferBuilder &builder, const AdmitJob &message)
+{
+    const auto spec = encodeSpec(builder, message.spec);
+    const FlatString dataCenter = builder.CreateString(message.dataCenter);
+    const auto table = Flat::CreateAdmitJob(builder, message.call.value, dataCenter, spec);
+    return {Flat::Body::AdmitJob, table.Union()};
+}
+
 EncodedBody encode(FlatBufferBuilder &builder, const CancelJob &message)
 {
     const FlatString key = builder.CreateString(message.key);
@@ -164,6 +173,8 @@
             return this->read(*envelope.body_as_ConfigPush());
         case Flat::Body::SubmitJob:
             return this->read(*envelope.body_as_SubmitJob());
+        case Flat::Body::AdmitJob:
+            return this->read(*envelope.body_as_AdmitJob());
         case Flat::Body::CancelJob:
             return this->read<CancelJob>(*envelope.body_as_CancelJob());
         case Flat::Body::QueryJob:
@@ -291,12 +302,22 @@
         SubmitJob result;
         result.call = CallId{table.call()};
         result.role = this->enumeration("/body/role", table.role(), JobRole::Dispatcher);
+        result.dataCenter = this->text(table.data_center());
         result.spec = this->spec(*table.spec());
         result.attempt = table.attempt();
         result.places = this->places(table.places());
         return result;
     }
 
+    AdmitJob read(const Flat::AdmitJob &table)
+    {
+        AdmitJob result;
+        result.call = CallId{table.call()};
+        result.dataCenter = this->text(table.data_center());
+        result.spec = this->spec(*table.spec());
+        return result;
+    }
+
     template <class Message, class Table>
     Message read(const Table &table)
     {
--- a/Wire/PeerMessage_generated.h
+++ b/Wire/PeerMessage_generated.h
@@ -34,6 +34,9 @@
 struct SubmitJob;
 struct SubmitJobBuilder;
 
+struct AdmitJob;
+struct AdmitJobBuilder;
+
 struct CancelJob;
 struct CancelJobBuilder;
 
@@ -61,22 +64,24 @@
   ConfigPull = 2,
   ConfigPush = 3,
   SubmitJob = 4,
-  CancelJob = 5,
-  QueryJob = 6,
-  JobUpdate = 7,
-  AssignJob = 8,
-  AssignReply = 9,
+  AdmitJob = 5,
+  CancelJob = 6,
+  QueryJob = 7,
+  JobUpdate = 8,
+  AssignJob = 9,
+  AssignReply = 10,
   MIN = NONE,
   MAX = AssignReply
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
     Body::ConfigPull,
     Body::ConfigPush,
     Body::SubmitJob,
+    Body::AdmitJob,
     Body::CancelJob,
     Body::QueryJob,
     Body::JobUpdate,
@@ -87,12 +92,13 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Heartbeat",
     "ConfigPull",
     "ConfigPush",
     "SubmitJob",
+    "AdmitJob",
     "CancelJob",
     "QueryJob",
     "JobUpdate",
@@ -129,6 +135,10 @@
   static const Body enum_value = Body::SubmitJob;
 };
 
+template<> struct BodyTraits<Hibiscus::Flat::AdmitJob> {
+  static const Body enum_value = Body::AdmitJob;
+};
+
 template<> struct BodyTraits<Hibiscus::Flat::CancelJob> {
   static const Body enum_value = Body::CancelJob;
 };
@@ -736,9 +746,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
     VT_ROLE = 6,
-    VT_SPEC = 8,
-    VT_ATTEMPT = 10,
-    VT_PLACES = 12
+    VT_DATA_CENTER = 8,
+    VT_SPEC = 10,
+    VT_ATTEMPT = 12,
+    VT_PLACES = 14
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -746,6 +757,9 @@
   uint8_t role() const {
     return GetField<uint8_t>(VT_ROLE, 0);
   }
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
   const Hibiscus::Flat::JobSpec *spec() const {
     return GetPointer<const Hibiscus::Flat::JobSpec *>(VT_SPEC);
   }
@@ -759,6 +773,8 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
            VerifyField<uint8_t>(verifier, VT_ROLE, 1) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
            VerifyOffsetRequired(verifier, VT_SPEC) &&
            verifier.VerifyTable(spec()) &&
            VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
@@ -779,6 +795,9 @@
   void add_role(uint8_t role) {
     fbb_.AddElement<uint8_t>(SubmitJob::VT_ROLE, role, 0);
   }
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(SubmitJob::VT_DATA_CENTER, data_center);
+  }
   void add_spec(flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec) {
     fbb_.AddOffset(SubmitJob::VT_SPEC, spec);
   }
@@ -804,6 +823,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
     uint8_t role = 0,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
     flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec = 0,
     uint32_t attempt = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Hibiscus::Flat::TaskPlace>>> places = 0) {
@@ -812,6 +832,7 @@
   builder_.add_places(places);
   builder_.add_attempt(attempt);
   builder_.add_spec(spec);
+  builder_.add_data_center(data_center);
   builder_.add_role(role);
   return builder_.Finish();
 }
@@ -825,19 +846,105 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
     uint8_t role = 0,
+    const char *data_center = nullptr,
     flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec = 0,
     uint32_t attempt = 0,
     const std::vector<flatbuffers::Offset<Hibiscus::Flat::TaskPlace>> *places = nullptr) {
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<Hibiscus::Flat::TaskPlace>>(*places) : 0;
   return Hibiscus::Flat::CreateSubmitJob(
       _fbb,
       call,
       role,
+      data_center__,
       spec,
       attempt,
       places__);
 }
 
+struct AdmitJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdmitJobBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_DATA_CENTER = 6,
+    VT_SPEC = 8
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
+  const Hibiscus::Flat::JobSpec *spec() const {
+    return GetPointer<const Hibiscus::Flat::JobSpec *>(VT_SPEC);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
+           VerifyOffsetRequired(verifier, VT_SPEC) &&
+           verifier.VerifyTable(spec()) &&
+           verifier.EndTable();
+  }
+};
+
+struct AdmitJobBuilder {
+  typedef AdmitJob Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(AdmitJob::VT_CALL, call, 0);
+  }
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(AdmitJob::VT_DATA_CENTER, data_center);
+  }
+  void add_spec(flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec) {
+    fbb_.AddOffset(AdmitJob::VT_SPEC, spec);
+  }
+  explicit AdmitJobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdmitJob> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdmitJob>(end);
+    fbb_.Required(o, AdmitJob::VT_SPEC);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdmitJob> CreateAdmitJob(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
+    flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec = 0) {
+  AdmitJobBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_spec(spec);
+  builder_.add_data_center(data_center);
+  return builder_.Finish();
+}
+
+struct AdmitJob::Traits {
+  using type = AdmitJob;
+  static auto constexpr Create = CreateAdmitJob;
+};
+
+inline flatbuffers::Offset<AdmitJob> CreateAdmitJobDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *data_center = nullptr,
+    flatbuffers::Offset<Hibiscus::Flat::JobSpec> spec = 0) {
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
+  return Hibiscus::Flat::CreateAdmitJob(
+      _fbb,
+      call,
+      data_center__,
+      spec);
+}
+
 struct CancelJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CancelJobBuilder Builder;
   struct Traits;
@@ -1429,6 +1536,9 @@
   const Hibiscus::Flat::SubmitJob *body_as_SubmitJob() const {
     return body_type() == Hibiscus::Flat::Body::SubmitJob ? static_cast<const Hibiscus::Flat::SubmitJob *>(body()) : nullptr;
   }
+  const Hibiscus::Flat::AdmitJob *body_as_AdmitJob() const {
+    return body_type() == Hibiscus::Flat::Body::AdmitJob ? static_cast<const Hibiscus::Flat::AdmitJob *>(body()) : nullptr;
+  }
   const Hibiscus::Flat::CancelJob *body_as_CancelJob() const {
     return body_type() == Hibiscus::Flat::Body::CancelJob ? static_cast<const Hibiscus::Flat::CancelJob *>(body()) : nullptr;
   }
@@ -1469,6 +1579,10 @@
   return body_as_SubmitJob();
 }
 
+template<> inline const Hibiscus::Flat::AdmitJob *Envelope::body_as<Hibiscus::Flat::AdmitJob>() const {
+  return body_as_AdmitJob();
+}
+
 template<> inline const Hibiscus::Flat::CancelJob *Envelope::body_as<Hibiscus::Flat::CancelJob>() const {
   return body_as_CancelJob();
 }
@@ -1547,6 +1661,10 @@
       auto ptr = reinterpret_cast<const Hibiscus::Flat::SubmitJob *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AdmitJob: {
+      auto ptr = reinterpret_cast<const Hibiscus::Flat::AdmitJob *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::CancelJob: {
       auto ptr = reinterpret_cast<const Hibiscus::Flat::CancelJob *>(obj);
       return verifier.VerifyTable(ptr);
