Tell 'not run' only where it is true; find violations by random histories

Cause: a search over random histories of failures found 'not run' told for work that an earlier call had started: an instance without configuration refused retries, a dispatcher that had lost a worker called gangs that fit the whole fleet impossible. Ruled out: recording every refusal, which would let a flood of refused work write to the store. Change: a call says whether it is a retry; a refused retry of work that may run once is answered as unknown, not as not run; what does not fit while workers are out of reach is asked again later; a front begins nothing for callers whose wait is over.

--- a/Config/Configuration.h
+++ b/Config/Configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Core/Cells.h>
 #include <Core/Job.h>
 #include <Core/Time.h>
 
@@ -11,14 +12,6 @@
 
 namespace Hibiscus {
 
-/// The sizes in which guaranteed capacity is stated and kept whole, smallest first.
-/// A slot is one of a worker's places for a task, with its accelerator where the worker has any.
-enum class CellLevel : std::uint8_t { Slot, Pair, Quad, Worker, Rack };
-inline constexpr std::size_t cellLevelCount = 5;
-
-/// A guaranteed shape: how many cells of each level.
-using CellCounts = std::array<std::uint32_t, cellLevelCount>;
-
 enum class Role : std::uint8_t { Caller, Operator };
 
 /// A caller's or operator's key as it is stored. The secret itself is nowhere kept.
--- a/Config/RequestJson.cpp
+++ b/Config/RequestJson.cpp
@@ -44,6 +44,7 @@
     if (spec.payload.size() > largestPayload)
         findings.add("/payload", "is longer than 65536 bytes");
     body.wait = value.value("wait", false);
+    body.retry = value.value("retry", false);
     checkGang(spec, findings);
     return body;
 }
@@ -74,7 +75,8 @@
                {"adjacency", toString(spec.adjacency)},
                {"memoryMiB", spec.memoryMiB},
                {"payload", spec.payload},
-               {"wait", body.wait}};
+               {"wait", body.wait},
+               {"retry", body.retry}};
     if (spec.declaredRunTime > Duration::zero())
         value["declaredRunTimeMs"] = toMs(spec.declaredRunTime);
     if (spec.deadline)
--- a/Config/RequestJson.h
+++ b/Config/RequestJson.h
@@ -21,6 +21,9 @@
 {
     JobSpec spec;
     bool wait = false; ///< The caller holds the connection until the job has ended.
+    /// An earlier call with this request id got no answer, so a refusal of this one alone can't
+    /// say that the work did not run.
+    bool retry = false;
 };
 
 /// Reads a request body; all findings come back together, with their JSON pointers.
--- a/Config/Schemas.cpp
+++ b/Config/Schemas.cpp
@@ -89,7 +89,7 @@
     "memoryMiB": {"type": "integer", "minimum": 0, "maximum": 16777216},
     "declaredRunTimeMs": {"$ref": "#/definitions/milliseconds"},
     "deadlineMs": {"$ref": "#/definitions/milliseconds"},
-    "payload": {"type": "string"}, "wait": {"type": "boolean"}}},
+    "payload": {"type": "string"}, "wait": {"type": "boolean"}, "retry": {"type": "boolean"}}},
 "answer": {"type": "object", "additionalProperties": {"not": {}},
     "required": ["requestId", "status"], "properties": {
     "requestId": {"$ref": "#/definitions/id"}, "status": {"type": "string"},
--- a/Core/Ids.h
+++ b/Core/Ids.h
@@ -13,7 +13,7 @@
 {
     Number value = 0;
 
-    constexpr auto operator<=>(const Id &) const = default;
+    constexpr auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A worker's index in the tables of one instance; dense, never sent to another process.
--- a/Entry/CallMetrics.cpp
+++ b/Entry/CallMetrics.cpp
@@ -19,8 +19,8 @@
         below += histogram.bucket(i);
         const bool last = i + 1 == Histogram::bucketCount;
         const std::string bound = last ? "+Inf" : seconds(Histogram::upperBound(i));
-        text += std::string(completionName) + "_bucket{" + labels + ",le=\"" + bound + "\"} "
-            + std::to_string(below) + '\n';
+        text.append(completionName).append("_bucket{").append(labels).append(",le=\"");
+        text.append(bound).append("\"} ").append(std::to_string(below)).append("\n");
     }
     text += std::string(completionName) + "_sum{" + labels + "} " + seconds(histogram.sum()) + '\n';
     text += std::string(completionName) + "_count{" + labels + "} "
--- a/Entry/Dispatcher.cpp
+++ b/Entry/Dispatcher.cpp
@@ -16,6 +16,9 @@
     return answer;
 }
 
+/// When a refusal for want of workers that are out of reach is worth another try.
+constexpr Duration fleetRetry = seconds(1);
+
 JobAnswer refusalAnswer(const Admission &admission)
 {
     JobAnswer answer = statusAnswer(JobStatus::NotRun, toString(admission.refusal));
@@ -148,9 +151,11 @@
     probe.id = JobId{this->nextJob++};
     QueuedJob queued = this->queuedJob(probe, now);
     queued.admitted = false;
-    const Admission admission = this->scheduler->submit(queued, now);
+    Admission admission = this->scheduler->submit(queued, now);
     if (admission.accepted())
         this->scheduler->cancel(probe.id, now);
+    if (this->mayFitLater(admission))
+        admission.retryAfter = fleetRetry;
     const JobAnswer answer
         = admission.accepted() ? statusAnswer(JobStatus::Accepted) : refusalAnswer(admission);
     this->reply(from, message.call, probe.key, answer, out);
@@ -193,17 +198,26 @@
     // What a former dispatcher started may still run on a worker that is not acquired yet.
     if (job.spec.durable && this->recovering(now))
         return;
-    const Admission admission = this->enqueue(job, now);
-    if (admission.accepted()) {
+    Admission admission = this->enqueue(job, now);
+    const bool held = job.spec.durable && this->mayFitLater(admission);
+    if (admission.accepted() || held) {
         this->sendUpdate(job, out);
         return;
     }
+    if (this->mayFitLater(admission))
+        admission.retryAfter = fleetRetry;
     this->finish(job, EndKind::Cancelled, refusalAnswer(admission), now, out);
     // A flood of refusals leaves nothing behind.
     if (!job.spec.durable)
         this->drop(key);
 }
 
+bool Dispatcher::mayFitLater(const Admission &admission) const
+{
+    return admission.refusal == RefusalReason::NeverFits
+        && this->ownedWorkers() < this->sessions.size();
+}
+
 Admission Dispatcher::enqueue(DispatchJob &job, TimePoint now)
 {
     job.id = JobId{this->nextJob++};
@@ -299,6 +313,9 @@
     case DecisionKind::Expire: {
         job->scheduled = false;
         this->keysOfJobs.erase(it);
+        this->touch(*job);
+        if (job->spec.durable && this->mayFitLater({decision.reason, std::nullopt}))
+            return;
         const JobAnswer answer = statusAnswer(JobStatus::NotRun, toString(decision.reason));
         this->finish(*job, EndKind::Cancelled, answer, now, out);
         return;
--- a/Entry/Dispatcher.h
+++ b/Entry/Dispatcher.h
@@ -149,6 +149,8 @@
     void takePlaces(DispatchJob &job, const std::vector<TaskPlace> &places, TimePoint now);
     void drop(const std::string &key);
     bool recovering(TimePoint now) const;
+    /// What does not fit now may do so when workers that are out of reach are back.
+    bool mayFitLater(const Admission &admission) const;
     void touch(const DispatchJob &job) { this->attention.insert(job.key); }
 
     CustomerId customerId(const std::string &name);
--- a/Entry/DispatcherJobs.cpp
+++ b/Entry/DispatcherJobs.cpp
@@ -306,6 +306,8 @@
         this->sendUpdate(job, out);
         return;
     }
+    if (this->mayFitLater(admission))
+        return;
     JobAnswer answer = finalAnswer(JobStatus::NotRun, toString(admission.refusal));
     answer.retryAfter = admission.retryAfter;
     this->finish(job, EndKind::Cancelled, std::move(answer), now, out);
--- a/Entry/EntryMachine.cpp
+++ b/Entry/EntryMachine.cpp
@@ -51,17 +51,19 @@
         && this->front.openRequests() == 0 && this->dispatchers.empty() && this->shards.empty();
 }
 
-void EntryMachine::submit(CallId call, JobSpec spec, bool wait, TimePoint now, EntryActions &out)
+void EntryMachine::submit(CallId call, SubmitBody body, TimePoint now, EntryActions &out)
 {
     if (!this->isReady()) {
         JobAnswer refusal;
-        refusal.status = JobStatus::NotRun;
+        // Whether an earlier call has run can't be asked from here.
+        const bool mayHaveRun = body.retry && !body.spec.idempotent;
+        refusal.status = mayHaveRun ? JobStatus::Unknown : JobStatus::NotRun;
         refusal.reason = this->draining ? "this instance is leaving" : "no configuration is known";
         refusal.retryAfter = this->settings.front.refusalRetry;
-        out.callerAnswers.push_back({call, spec.requestId, std::move(refusal)});
+        out.callerAnswers.push_back({call, body.spec.requestId, std::move(refusal)});
         return;
     }
-    this->front.submit(call, std::move(spec), wait, this->membership, now, out);
+    this->front.submit(call, std::move(body), this->membership, now, out);
     this->settle(now, out);
 }
 
@@ -182,6 +184,7 @@
             counts[static_cast<std::size_t>(CellLevel::Rack)] += 1;
     }
     std::vector<DataCenterCells> whole;
+    whole.reserve(cells.size());
     for (const auto &[dataCenter, counts] : cells)
         whole.push_back({dataCenter, counts});
     return whole;
--- a/Entry/EntryMachine.h
+++ b/Entry/EntryMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Config/ConfigKeeper.h>
+#include <Config/RequestJson.h>
 #include <Entry/Dispatcher.h>
 #include <Entry/EntryActions.h>
 #include <Entry/Front.h>
@@ -41,7 +42,7 @@
     EntryMachine(const Settings &settings, SchedulerFactory makeScheduler, TimePoint now);
 
     // Callers and operators. Each call is answered exactly once under its id.
-    void submit(CallId call, JobSpec spec, bool wait, TimePoint now, EntryActions &out);
+    void submit(CallId call, SubmitBody body, TimePoint now, EntryActions &out);
     void poll(CallId call, const std::string &customer, const std::string &requestId, Duration wait,
               TimePoint now, EntryActions &out);
     void cancel(CallId call, const std::string &customer, const std::string &requestId,
--- a/Entry/Front.cpp
+++ b/Entry/Front.cpp
@@ -69,9 +69,11 @@
     ++this->waitingInAll;
 }
 
-void Front::submit(CallId call, JobSpec spec, bool wait, const Membership &members, TimePoint now,
+void Front::submit(CallId call, SubmitBody body, const Membership &members, TimePoint now,
                    EntryActions &out)
 {
+    JobSpec &spec = body.spec;
+    const bool wait = body.wait;
     spec.durable = !spec.idempotent || !wait;
     const bool room = this->mayWait(spec.customer);
     if (!room && !spec.durable) {
@@ -91,6 +93,7 @@
     }
     request.spec = std::move(spec);
     request.submitting = true;
+    request.retry = body.retry;
     request.arrivedAt = now;
     this->enter(request, request.spec.durable ? Stage::AskKeeper : Stage::Dispatch, members, now,
                 out);
@@ -237,7 +240,9 @@
 {
     const JobAnswer &answer = message.answer;
     if (isFinal(answer.status)) {
-        this->finish(request, answer, now, out);
+        // A refusal with a time to try again is the keeper's own and is recorded nowhere.
+        const bool recorded = answer.status != JobStatus::NotRun || !answer.retryAfter;
+        this->finish(request, recorded ? answer : this->truthful(request, answer), now, out);
         return;
     }
     if (answer.status == JobStatus::Unknown && request.stage == Stage::AskKeeper) {
@@ -274,7 +279,7 @@
         }
     }
     if (isFinal(answer.status)) {
-        this->finish(request, answer, now, out);
+        this->finish(request, refused ? this->truthful(request, answer) : answer, now, out);
         return;
     }
     if (request.stage == Stage::Admit) {
@@ -318,10 +323,21 @@
 bool Front::surelyNotRun(const Request &request) const
 {
     // Until the keeper has said that it does not know the key, an earlier call may have run.
-    const bool keyIsNew = request.stage == Stage::Admit || request.stage == Stage::Dispatch;
+    const bool keyIsNew
+        = request.stage == Stage::Dispatch || (request.stage == Stage::Admit && !request.retry);
     return request.submitting && !request.handedOver && keyIsNew;
 }
 
+JobAnswer Front::truthful(const Request &request, const JobAnswer &refusal) const
+{
+    if (!request.retry || request.spec.idempotent)
+        return refusal;
+    JobAnswer answer = refusal;
+    answer.status = JobStatus::Unknown;
+    answer.reason += "; an earlier call may be under way";
+    return answer;
+}
+
 JobAnswer Front::presentAnswer(const Request &request) const
 {
     if (request.latest.status != JobStatus::Unknown)
@@ -337,6 +353,18 @@
 bool Front::tickRequest(Request &request, const Membership &members, TimePoint now,
                         EntryActions &out)
 {
+    const JobAnswer present = this->presentAnswer(request);
+    std::erase_if(request.waiters, [&](const Waiter &waiter) {
+        if (now < waiter.until)
+            return false;
+        out.callerAnswers.push_back({waiter.call, request.spec.requestId, present});
+        --this->waiting[request.spec.customer];
+        --this->waitingInAll;
+        return true;
+    });
+    // Nothing is begun for callers who are gone, however late this instance comes to it.
+    if (request.waiters.empty())
+        return false;
     const std::optional<Membership::Member> to = this->holder(request, members, now);
     const bool moved
         = to && (to->name != request.sentTo || to->incarnation != request.sentToIncarnation);
@@ -347,16 +375,7 @@
     const bool stuck = !request.handedOver && !request.acknowledged
         && now - request.stageSince >= this->settings.roleWait;
     if (stuck)
-        this->finish(request, this->presentAnswer(request), now, out);
-    const JobAnswer present = this->presentAnswer(request);
-    std::erase_if(request.waiters, [&](const Waiter &waiter) {
-        if (now < waiter.until)
-            return false;
-        out.callerAnswers.push_back({waiter.call, request.spec.requestId, present});
-        --this->waiting[request.spec.customer];
-        --this->waitingInAll;
-        return true;
-    });
+        this->finish(request, present, now, out);
     return !request.waiters.empty();
 }
 
--- a/Entry/Front.h
+++ b/Entry/Front.h
@@ -2,6 +2,7 @@
 
 #include <Config/Authenticator.h>
 #include <Config/Configuration.h>
+#include <Config/RequestJson.h>
 #include <Entry/CallMetrics.h>
 #include <Entry/EntryActions.h>
 #include <Entry/Membership.h>
@@ -36,8 +37,7 @@
 
     void setConfiguration(const Configuration &configuration);
 
-    /// `wait`: the caller stays for the final answer; otherwise it polls.
-    void submit(CallId call, JobSpec spec, bool wait, const Membership &members, TimePoint now,
+    void submit(CallId call, SubmitBody body, const Membership &members, TimePoint now,
                 EntryActions &out);
     /// `wait`: how long the caller stays for a final answer.
     void poll(CallId call, const std::string &customer, const std::string &requestId, Duration wait,
@@ -74,6 +74,7 @@
         std::string key;
         JobSpec spec; ///< Only the ids are set if this instance never saw the submission.
         bool submitting = false;
+        bool retry = false; ///< An earlier call may be under way elsewhere.
         bool cancelling = false;
         Stage stage = Stage::AskKeeper;
         bool handedOver = false; ///< A message that may start work has been sent.
@@ -111,6 +112,8 @@
     void answer(Request &request, const JobAnswer &answer, bool final, EntryActions &out);
     void finish(Request &request, const JobAnswer &answer, TimePoint now, EntryActions &out);
     bool surelyNotRun(const Request &request) const;
+    /// A refusal as it may be told: it speaks for earlier calls too only if none can exist.
+    JobAnswer truthful(const Request &request, const JobAnswer &refusal) const;
     JobAnswer presentAnswer(const Request &request) const;
     bool tickRequest(Request &request, const Membership &members, TimePoint now, EntryActions &out);
 
--- a/Fleet/CellCensus.h
+++ b/Fleet/CellCensus.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Config/Configuration.h>
+#include <Core/Cells.h>
 #include <Fleet/SlotMasks.h>
 #include <Fleet/WorkerSet.h>
 
--- a/Hibiscusd/EntryProcess.cpp
+++ b/Hibiscusd/EntryProcess.cpp
@@ -214,7 +214,7 @@
     };
     const WorkerClient::Settings client{description->second.host, description->second.port,
                                         workerTimeout};
-    const caf::actor lane = startWorkerLane(this->self->system(), client, replied);
+    caf::actor lane = startWorkerLane(this->self->system(), client, replied);
     lanes.emplace(worker, lane);
     return lane;
 }
--- a/Hibiscusd/HttpFront.cpp
+++ b/Hibiscusd/HttpFront.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t operatorThreads = 4;
 constexpr std::size_t healthThreads = 2;
 constexpr std::size_t queuedForEachThread = 8;
-constexpr std::size_t smallBody = 256 * 1024; ///< Bytes.
+constexpr std::size_t smallBody = std::size_t(256) * 1024; ///< Bytes.
 constexpr time_t idleConnection = 5; ///< Seconds that a kept-alive connection may hold a thread.
 constexpr time_t slowestRead = 5; ///< Seconds between two parts of one request.
 
@@ -217,7 +217,7 @@
     Findings findings;
     for (Listener &listener : this->listeners) {
         const ListenAddress &address = listener.address;
-        if (!listener.server->bind_to_port(address.host.c_str(), address.port)) {
+        if (!listener.server->bind_to_port(address.host, address.port)) {
             findings.add(listener.name,
                          "can't listen on " + address.host + " port "
                              + std::to_string(address.port));
@@ -275,11 +275,14 @@
     body->spec.caller = principal->keyName;
     const std::string requestId = body->spec.requestId;
     auto ticket = this->shared.callers.open();
-    this->process.post({[call = ticket.call, spec = std::move(body->spec), wait = body->wait](
+    this->process.post({[call = ticket.call, body = std::move(*body)](
                             EntryMachine &machine, TimePoint now, EntryActions &out) {
-        machine.submit(call, spec, wait, now, out);
+        machine.submit(call, body, now, out);
     }});
     this->writeAnswer(ticket, requestId, response);
+    // Asking for a status may find nothing; a submission that is not settled is asked again.
+    if (response.status == NotFound)
+        response.status = Unavailable;
 }
 
 void HttpFront::poll(const httplib::Request &request, httplib::Response &response)
--- a/Policy/GuaranteeBook.cpp
+++ b/Policy/GuaranteeBook.cpp
@@ -163,7 +163,7 @@
 {
     RackBinding &binding = this->rackBindings[rack];
     for (const WorkerId worker : this->fleet.racks()[rack].workers) {
-        const std::uint32_t index = this->slotCells[worker.value * maxSlots];
+        const std::uint32_t index = this->slotCells[std::size_t(worker.value) * maxSlots];
         if (index != none && this->cells[index].cell.level == CellLevel::Rack)
             this->removeCell(index);
     }
@@ -309,7 +309,7 @@
     CellRow &row = this->cells[index];
     row.bucket = this->bucketOf(row.cell);
     std::uint32_t &first
-        = this->customers[row.cell.customer.value].buckets[static_cast<std::size_t>(row.bucket)];
+        = this->customers[row.cell.customer.value].buckets[static_cast<std::uint8_t>(row.bucket)];
     row.previous = none;
     row.next = first;
     if (first != none)
@@ -321,7 +321,7 @@
 {
     CellRow &row = this->cells[index];
     std::uint32_t &first
-        = this->customers[row.cell.customer.value].buckets[static_cast<std::size_t>(row.bucket)];
+        = this->customers[row.cell.customer.value].buckets[static_cast<std::uint8_t>(row.bucket)];
     if (row.previous == none)
         first = row.next;
     else
--- a/Sessions/History.h
+++ b/Sessions/History.h
@@ -36,9 +36,10 @@
         JobSpec spec;
         bool wait = false;
         bool cancelled = false;
-        std::vector<CallId> calls;
-        std::size_t examined = 0; ///< Of `calls`, from the front.
-        std::optional<JobAnswer> final; ///< The first final answer that was not a refusal.
+        std::vector<CallId> calls; ///< Not answered yet, or lost.
+        unsigned sent = 0; ///< Submissions in all.
+        std::optional<JobAnswer> final; ///< The latest final answer that asks for no new try.
+        std::optional<TimePoint> saidNotRun; ///< Since when it has been said for good.
         std::uint32_t members = 1;
     };
     using Step = void (History::*)();
@@ -69,7 +70,8 @@
     void seeThrough();
     void send(Request &request, const std::string &instance);
     void examine();
-    void examineAnswer(Request &request, const JobAnswer &answer);
+    void examineAnswer(Request &request, const World::Answered &answered);
+    void examineRefusal(Request &request, const World::Answered &answered);
     void examineRevisions();
     void violate(const std::string &text);
 
--- a/Sessions/World.cpp
+++ b/Sessions/World.cpp
@@ -369,8 +369,11 @@
 {
     for (const std::string &line : worker.worker->runs().takeLines()) {
         const nlohmann::json run = nlohmann::json::parse(line);
-        if (run.at("event") == "started")
-            ++this->startsOfJobs[run.at("job").get<std::string>()];
+        if (run.at("event") == "started") {
+            const auto job = run.at("job").get<std::string>();
+            ++this->startsOfJobs[job];
+            this->firstStarts.try_emplace(job, this->time);
+        }
         this->note(worker.description.name, "-",
                    run.at("event").get<std::string>() + ' ' + run.at("task").get<std::string>());
     }
@@ -392,12 +395,13 @@
     return it == this->changeReplies.end() ? std::nullopt : std::optional(it->second);
 }
 
-void World::configure(std::vector<Customer> customers)
+void World::configure(const std::vector<Customer> &customers)
 {
     this->run(this->settings.listLag + seconds(2));
     const std::string first = this->settings.instances.front().first;
     std::vector<ConfigChange> changes;
-    for (Customer &customer : customers)
+    changes.reserve(customers.size() + 2);
+    for (const Customer &customer : customers)
         changes.push_back({"customer-" + customer.name, "test", {}, PutCustomer{customer}});
     Preset preset;
     preset.name = "ordinary";
@@ -412,13 +416,13 @@
     this->run(seconds(4));
 }
 
-CallId World::submit(const std::string &instance, const JobSpec &spec, bool wait)
+CallId World::submit(const std::string &instance, const JobSpec &spec, bool wait, bool retry)
 {
     const CallId call{this->nextCall++};
     this->note("caller", instance, "submit " + spec.requestId);
     this->apply(instance, this->instances.at(instance).run,
                 [=, this](EntryMachine &machine, EntryActions &out) {
-                    machine.submit(call, spec, wait, this->time, out);
+                    machine.submit(call, {spec, wait, retry}, this->time, out);
                 });
     return call;
 }
@@ -567,6 +571,12 @@
     return this->instances.at(instance).machine != nullptr;
 }
 
+std::optional<TimePoint> World::firstStart(const std::string &key) const
+{
+    const auto it = this->firstStarts.find(key);
+    return it == this->firstStarts.end() ? std::nullopt : std::optional(it->second);
+}
+
 std::uint32_t World::starts(const std::string &key) const
 {
     const auto it = this->startsOfJobs.find(key);
--- a/Sessions/World.h
+++ b/Sessions/World.h
@@ -52,10 +52,10 @@
     CallId change(const std::string &instance, ConfigChange change);
     std::optional<ChangeReply> changeReply(CallId call) const;
     /// Customers without guarantees but those given, a preset "ordinary" in force, all ready.
-    void configure(std::vector<Customer> customers);
+    void configure(const std::vector<Customer> &customers);
 
     /// A caller's calls. An answer that is lost with its instance never comes.
-    CallId submit(const std::string &instance, const JobSpec &spec, bool wait);
+    CallId submit(const std::string &instance, const JobSpec &spec, bool wait, bool retry = false);
     CallId poll(const std::string &instance, const std::string &customer,
                 const std::string &requestId);
     CallId cancel(const std::string &instance, const std::string &customer,
@@ -86,7 +86,8 @@
 
     /// Starts of a job over all workers and all their incarnations.
     std::uint32_t starts(const std::string &key) const;
-    std::map<std::string, std::uint32_t> allStarts() const { return this->startsOfJobs; }
+    /// When it was first started, if it was.
+    std::optional<TimePoint> firstStart(const std::string &key) const;
 
     /// Called with each message that is delivered, for golden sessions.
     std::function<void(const std::string &from, const std::string &to, const std::string &text)>
@@ -140,6 +141,7 @@
     std::map<CallId, Answered> answers;
     std::map<CallId, ChangeReply> changeReplies;
     std::map<std::string, std::uint32_t> startsOfJobs;
+    std::map<std::string, TimePoint> firstStarts;
 };
 
 } // namespace Hibiscus
