Settle what a change key proves, and test rules and keys

Cause: an instance that is paused until old change keys were removed creates one of them anew and would take its own change, and have others take it, for an old revision.

Secrets are printable ASCII without dots.

--- a/Config/Authenticator.cpp
+++ b/Config/Authenticator.cpp
@@ -59,8 +59,19 @@
     return bytes;
 }
 
+/// Printable ASCII but dots. HMAC fills short keys up with zero bytes, so a secret with zero bytes at its
+/// end would be taken for the one without.
+bool isSecret(std::string_view text)
+{
+    const auto isPrintable = [](char c) { return c > ' ' && c <= '~' && c != '.'; };
+    return !text.empty() && text.size() <= longestSecret
+        && std::all_of(text.begin(), text.end(), isPrintable);
+}
+
 bool deriveHash(std::string_view secret, std::string_view saltHex, Digest &hash)
 {
+    if (!isSecret(secret))
+        return false;
     const std::vector<unsigned char> salt = fromHex(saltHex);
     return PKCS5_PBKDF2_HMAC(secret.data(), static_cast<int>(secret.size()), salt.data(),
                              static_cast<int>(salt.size()), derivationRounds, EVP_sha256(),
@@ -170,7 +181,7 @@
         return std::nullopt;
     // Names may hold dots, secrets not.
     const std::size_t dot = presented.rfind('.');
-    if (dot == std::string_view::npos || dot == 0 || dot + 1 == presented.size())
+    if (dot == std::string_view::npos || !isSecret(presented.substr(dot + 1)))
         return std::nullopt;
     const auto stored = this->data->find(presented.substr(0, dot));
     if (!stored)
--- a/Config/Authenticator.h
+++ b/Config/Authenticator.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Hibiscus {
 
@@ -32,7 +33,8 @@
     void setKeys(const Configuration &configuration, const std::vector<ApiKey> &operators);
     std::optional<Principal> authenticate(std::string_view presented) const;
 
-    /// A key's stored form under a fresh salt.
+    /// A key's stored form under a salt. The secret is 1 to 128 printable ASCII characters without
+    /// a dot; for any other the hash is left empty, and such a key accepts nothing.
     static ApiKey derive(std::string_view name, Role role, std::string_view secret,
                          std::string_view saltHex);
     /// A fresh random secret, 32 hexadecimal digits.
--- a/Config/ConfigKeeper.cpp
+++ b/Config/ConfigKeeper.cpp
@@ -334,9 +334,10 @@
     const auto revision = this->keys.revisionOf(entry.key);
     if (!revision || *revision <= this->state.revision())
         return;
-    // Within a watch that began at a finished read, a revision's first key comes before every
-    // later one of the same name; so the next revision is the true one.
-    if (*revision == this->state.revision() + 1 && this->state.apply(entry.value))
+    // A key that was created anew after its removal comes behind the floor that allowed it.
+    const bool isTrue = *revision > this->snapshotter.floor();
+    const bool isNext = *revision == this->state.revision() + 1;
+    if (isTrue && isNext && this->state.apply(entry.value))
         return;
     this->readWanted = true;
 }
--- a/UnitTests/Config/ConfigCluster.h
+++ b/UnitTests/Config/ConfigCluster.h
@@ -31,10 +31,16 @@
 class ConfigCluster
 {
 public:
+    struct SentCall
+    {
+        StoreCall call;
+        std::int64_t sentAt = 0; ///< The store's revision then.
+    };
+
     struct Node
     {
         std::unique_ptr<ConfigKeeper> keeper;
-        std::deque<StoreCall> calls;
+        std::deque<SentCall> calls;
         std::optional<std::int64_t> watch; ///< Next store revision to report.
         std::uint64_t seenRevision = 0;
     };
@@ -79,7 +85,7 @@
         ConfigActions out;
         event(*node.keeper, out);
         for (StoreCall &call : out.storeCalls)
-            node.calls.push_back(std::move(call));
+            node.calls.push_back({std::move(call), this->store.latest()});
         for (const ConfigActions::Answer &answer : out.answers)
             this->answers[answer.call.value] = answer.reply;
         if (out.watchFrom)
@@ -139,26 +145,24 @@
     void carryOut(std::size_t index, CallFate fate)
     {
         Node &node = this->nodes[index];
-        const StoreCall call = node.calls.front();
+        const SentCall sent = node.calls.front();
         node.calls.pop_front();
         StoreReply reply;
         if (fate == CallFate::Normal || fate == CallFate::LostAnswer)
-            reply = this->store.execute(call.request);
+            reply = this->store.execute(sent.call.request, sent.sentAt);
         if (fate == CallFate::LateEffect)
-            this->late.push_back(call.request);
+            this->late.push_back(sent.call.request);
         if (fate != CallFate::Normal)
             reply = StoreReply();
         this->act(index, [&](ConfigKeeper &keeper, ConfigActions &out) {
-            keeper.storeReply(call.call, reply, this->time, out);
+            keeper.storeReply(sent.call.call, reply, this->time, out);
         });
     }
 
-    std::size_t lateEffects() const { return this->late.size(); }
-
     void landLateEffects()
     {
         for (const StoreRequest &request : std::exchange(this->late, {}))
-            this->store.execute(request);
+            this->store.execute(request, this->store.latest());
     }
 
     /// Carries out every call and watch until nobody has anything to do now.
@@ -172,7 +176,7 @@
                     continue;
                 while (!this->nodes[i].calls.empty()) {
                     busy = true;
-                    const StoreRequest &request = this->nodes[i].calls.front().request;
+                    const StoreRequest &request = this->nodes[i].calls.front().call.request;
                     this->carryOut(i, this->fate ? this->fate(i, request) : CallFate::Normal);
                 }
                 this->deliverWatch(i);
--- a/UnitTests/Config/ConfigKeeperTest.cpp
+++ b/UnitTests/Config/ConfigKeeperTest.cpp
@@ -106,6 +106,29 @@
     EXPECT_EQ(cluster.keeper(1).current().revision, 9U);
 }
 
+TEST(ConfigKeeper, AWriteThatMayStillTakeEffectIsNotAnsweredInvalid)
+{
+    ConfigCluster cluster(1);
+    makeChanges(cluster, 0, 1, 1);
+    int lost = 0;
+    cluster.fate = [&](std::size_t, const StoreRequest &request) {
+        return request.verb == StoreVerb::Swap && lost++ == 0 ? CallFate::LateEffect
+                                                              : CallFate::Normal;
+    };
+    Customer customer;
+    customer.name = "parks";
+    customer.guarantees["athens"] = {0, 0, 0, 12, 0};
+    const std::uint64_t call = cluster.change(0, {"x", "operator", {}, PutCustomer{customer}});
+    cluster.settle();
+    ASSERT_EQ(lost, 1);
+    cluster.keeper(0).setFleet({});
+    cluster.run(seconds(5));
+    cluster.landLateEffects();
+    cluster.run(seconds(6));
+    EXPECT_TRUE(cluster.keeper(0).current().customers.contains("parks"));
+    EXPECT_EQ(cluster.answers.at(call).status, ChangeStatus::Accepted);
+}
+
 TEST(ConfigKeeper, WhileTheStoreIsDownAChangeEndsUnavailableAndALaterRetrySucceeds)
 {
     ConfigCluster cluster(1);
@@ -127,7 +150,7 @@
 {
     ConfigCluster cluster(1);
     cluster.tick(0);
-    const StoreCall stuck = cluster.node(0).calls.front();
+    const StoreCall stuck = cluster.node(0).calls.front().call;
     cluster.node(0).calls.clear();
     cluster.passTime(seconds(2));
     cluster.tick(0);
@@ -204,16 +227,17 @@
     ASSERT_EQ(cluster.keeper(1).current().revision, 2U);
     cluster.held[1] = true;
     cluster.held[2] = true;
+    // It has sent its read before, and gets the answer in the end.
+    cluster.setWatching(2, true);
     makeChanges(cluster, 0, 3, 9);
     ASSERT_FALSE(cluster.store.all().contains("config/change/000000000003"));
 
     const std::uint64_t call = cluster.change(1, putPreset("late", "plate"));
-    ASSERT_EQ(cluster.node(1).calls.front().request.key, "config/change/000000000003");
+    ASSERT_EQ(cluster.node(1).calls.front().call.request.key, "config/change/000000000003");
     cluster.carryOut(1, CallFate::Normal);
     // Meanwhile another instance that was paused as well reads the store.
     cluster.held.erase(2);
     cluster.held[0] = true;
-    cluster.setWatching(2, true);
     cluster.settle();
     EXPECT_EQ(cluster.keeper(2).current(), cluster.keeper(0).current());
     cluster.held.clear();
@@ -225,6 +249,21 @@
     EXPECT_EQ(cluster.keeper(0).current(), cluster.keeper(1).current());
 }
 
+TEST(ConfigKeeper, AWatchedKeyBelowTheFloorIsNotTakenForTheNextRevision)
+{
+    ConfigCluster cluster(1);
+    makeChanges(cluster, 0, 1, 2);
+    StoreWatchBatch batch;
+    batch.written.push_back({"config/floor", "7", 50});
+    batch.written.push_back(
+        {"config/change/000000000003", toJson(ChangeRecord{3, putPreset("old", "pold")}), 51});
+    cluster.act(0, [&](ConfigKeeper &keeper, ConfigActions &out) {
+        keeper.watchBatch(batch, cluster.now(), out);
+    });
+    EXPECT_EQ(cluster.keeper(0).current().revision, 2U);
+    EXPECT_EQ(cluster.node(0).calls.size(), 1U) << "the store should be read again";
+}
+
 TEST(ConfigKeeper, OldChangesLeaveTheStoreAndAnIdleKeeperAsksItSeldom)
 {
     ConfigCluster cluster(2);
--- a/UnitTests/Config/FakeStore.h
+++ b/UnitTests/Config/FakeStore.h
@@ -2,17 +2,20 @@
 
 #include <Platform/Store.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace Hibiscus {
 
-/// The platform's store in memory, without leases, and its history for watches.
+/// The platform's store in memory, without leases, and its history for watches. A List is no
+/// atomic view, as the store promises none: it shows the last of its keys as of when the call
+/// was sent, and the others as of when it is answered.
 class FakeStore
 {
 public:
-    StoreReply execute(const StoreRequest &request)
+    StoreReply execute(const StoreRequest &request, std::int64_t sentAt)
     {
         StoreReply reply;
         reply.status = StoreStatus::Ok;
@@ -26,11 +29,11 @@
             this->write(request.key, request.value);
         else if (request.verb == StoreVerb::Remove && exists)
             this->remove(request.key);
+        reply.storeRevision = this->revision;
         if (request.verb == StoreVerb::List)
-            this->list(request, reply);
+            this->list(request, sentAt, reply);
         else if (this->entries.contains(request.key))
             reply.entries.push_back(this->entries.at(request.key));
-        reply.storeRevision = this->revision;
         return reply;
     }
 
@@ -62,8 +65,9 @@
         this->entries.erase(key);
     }
 
-    void list(const StoreRequest &request, StoreReply &reply) const
+    void list(const StoreRequest &request, std::int64_t sentAt, StoreReply &reply) const
     {
+        reply.storeRevision = sentAt;
         auto at = this->entries.lower_bound(request.key);
         const auto limit = static_cast<std::size_t>(request.limit);
         for (; at != this->entries.end() && at->first < request.end; ++at) {
@@ -71,6 +75,16 @@
                 return;
             reply.entries.push_back(at->second);
         }
+        if (reply.entries.empty() || reply.entries.back().revision <= sentAt)
+            return;
+        const std::string last = reply.entries.back().key;
+        reply.entries.pop_back();
+        const auto isEarlier = [&](const StoreEntry &entry) {
+            return entry.key == last && entry.revision <= sentAt;
+        };
+        const auto earlier = std::find_if(this->written.rbegin(), this->written.rend(), isEarlier);
+        if (earlier != this->written.rend())
+            reply.entries.push_back(*earlier);
     }
 
     std::map<std::string, StoreEntry> entries;
