--- a/Wire/PeerMessage.h
+++ b/Wire/PeerMessage.h
@@ -66,6 +66,7 @@
 {
     CallId call;
     JobRole role = JobRole::Keeper;
+    std::string dataCenter; ///< Where it is to run.
     JobSpec spec;
     std::uint32_t attempt = 0; ///< Dispatcher: rises with every assignment that was given up.
     std::vector<TaskPlace> places; ///< Dispatcher: where the present attempt may have started.
@@ -73,6 +74,17 @@
     bool operator==(const SubmitJob &) const = default;
 };
 
+/// Asks a dispatcher whether it would take a job, before the job is recorded anywhere, so that a
+/// flood of refused work costs the store nothing. Answered by a JobUpdate: Accepted or NotRun.
+struct AdmitJob
+{
+    CallId call;
+    std::string dataCenter; ///< Whose dispatcher is asked.
+    JobSpec spec;
+
+    bool operator==(const AdmitJob &) const = default;
+};
+
 struct CancelJob
 {
     CallId call;
@@ -127,8 +139,8 @@
 };
 
 /// Everything that one entry instance says to another.
-using PeerMessage = std::variant<Heartbeat, ConfigPull, ConfigPush, SubmitJob, CancelJob, QueryJob,
-                                 JobUpdate, AssignJob, AssignReply>;
+using PeerMessage = std::variant<Heartbeat, ConfigPull, ConfigPush, SubmitJob, AdmitJob, CancelJob,
+                                 QueryJob, JobUpdate, AssignJob, AssignReply>;
 
 /// A message with its destination; an instance's own name is delivered to itself.
 struct PeerSend
