Let an instance say again that it watches

Cause: the entry machine states at every tick whether its instance watches; the keeper took each statement for a new watch and read the store each time. Change: only a change of the statement has an effect. Failed first: SayingAgainThatItWatchesCausesNoCall found a store call waiting. After: ConfigTests, 100 of 100 pass.

--- a/Config/ConfigKeeper.cpp
+++ b/Config/ConfigKeeper.cpp
@@ -413,9 +413,11 @@
 void ConfigKeeper::setWatching(bool watching, TimePoint now, ConfigActions &out)
 {
     const ChangeNotice notice(this->current(), out);
-    this->data->watching = watching;
-    this->data->watchWanted = watching;
-    this->data->readWanted = this->data->readWanted || watching;
+    if (watching != this->data->watching) {
+        this->data->watching = watching;
+        this->data->watchWanted = watching;
+        this->data->readWanted = this->data->readWanted || watching;
+    }
     this->data->advance(now, out);
 }
 
--- a/Config/ConfigKeeper.h
+++ b/Config/ConfigKeeper.h
@@ -112,7 +112,8 @@
     ConfigKeeper(ConfigKeeper &&) noexcept;
     ConfigKeeper &operator=(ConfigKeeper &&) noexcept;
 
-    /// Whether this instance watches the store itself (one does in each data centre).
+    /// Whether this instance watches the store itself (one does in each data centre). May be said
+    /// again and again; only a change has an effect.
     void setWatching(bool watching, TimePoint now, ConfigActions &out);
     /// The fleet as known, to check that guarantees fit it together.
     void setFleet(std::vector<DataCenterCells> fleet);
--- a/UnitTests/Config/ConfigKeeperTest.cpp
+++ b/UnitTests/Config/ConfigKeeperTest.cpp
@@ -182,6 +182,18 @@
     EXPECT_EQ(cluster.keeper(1).current().revision, 10U) << "the watch was not opened again";
 }
 
+TEST(ConfigKeeper, SayingAgainThatItWatchesCausesNoCall)
+{
+    ConfigCluster cluster(1);
+    cluster.setWatching(0, true);
+    cluster.settle();
+    cluster.run(seconds(1));
+    const auto watch = cluster.node(0).watch;
+    cluster.setWatching(0, true);
+    EXPECT_TRUE(cluster.node(0).calls.empty());
+    EXPECT_EQ(cluster.node(0).watch, watch);
+}
+
 TEST(ConfigKeeper, RelaysThatComeOutOfOrderOrTwiceAddUpToTheLatestRevision)
 {
     ConfigCluster cluster(2);
