--- a/Entry/Front.h
+++ b/Entry/Front.h
@@ -2,6 +2,8 @@
 
 #include <Config/Authenticator.h>
 #include <Config/Configuration.h>
+#include <Config/RequestJson.h>
+#include <Entry/CallMetrics.h>
 #include <Entry/EntryActions.h>
 #include <Entry/Membership.h>
 
@@ -35,8 +37,7 @@
 
     void setConfiguration(const Configuration &configuration);
 
-    /// `wait`: the caller stays for the final answer; otherwise it polls.
-    void submit(CallId call, JobSpec spec, bool wait, const Membership &members, TimePoint now,
+    void submit(CallId call, SubmitBody body, const Membership &members, TimePoint now,
                 EntryActions &out);
     /// `wait`: how long the caller stays for a final answer.
     void poll(CallId call, const std::string &customer, const std::string &requestId, Duration wait,
@@ -48,6 +49,7 @@
     void tick(const Membership &members, TimePoint now, EntryActions &out);
 
     std::size_t waitingCalls() const;
+    const CallMetrics &metrics() const { return this->callMetrics; }
     std::size_t openRequests() const { return this->requests.size(); }
 
 private:
@@ -72,6 +74,7 @@
         std::string key;
         JobSpec spec; ///< Only the ids are set if this instance never saw the submission.
         bool submitting = false;
+        bool retry = false; ///< An earlier call may be under way elsewhere.
         bool cancelling = false;
         Stage stage = Stage::AskKeeper;
         bool handedOver = false; ///< A message that may start work has been sent.
@@ -80,6 +83,7 @@
         std::uint64_t sentToIncarnation = 0;
         TimePoint sentAt{};
         TimePoint stageSince{};
+        TimePoint arrivedAt{}; ///< Of the submission.
         std::string dataCenter; ///< Whose dispatcher is asked.
         std::vector<std::string> refusedBy; ///< Data centres that would not take it.
         JobAnswer latest;
@@ -106,8 +110,10 @@
                             TimePoint now, EntryActions &out);
     /// Answers those who wait: all of them if `final`, else those who only wanted acceptance.
     void answer(Request &request, const JobAnswer &answer, bool final, EntryActions &out);
-    void finish(Request &request, const JobAnswer &answer, EntryActions &out);
+    void finish(Request &request, const JobAnswer &answer, TimePoint now, EntryActions &out);
     bool surelyNotRun(const Request &request) const;
+    /// A refusal as it may be told: it speaks for earlier calls too only if none can exist.
+    JobAnswer truthful(const Request &request, const JobAnswer &refusal) const;
     JobAnswer presentAnswer(const Request &request) const;
     bool tickRequest(Request &request, const Membership &members, TimePoint now, EntryActions &out);
 
@@ -116,6 +122,7 @@
     std::map<std::string, std::size_t> waiting; ///< Held calls by customer.
     std::size_t waitingInAll = 0;
     std::map<std::string, Request> requests; ///< By job key.
+    CallMetrics callMetrics;
 };
 
 } // namespace Hibiscus
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Ledger/JobKeeper.h>
-#include <Ledger/JobTable.h>
+#include <Ledger/KeptJobTable.h>
 #include <Ledger/LedgerShard.h>
 
 #include <cstdint>
@@ -53,7 +53,8 @@
     void cancel(const KeeperRequest &request, const CancelJob &message, TimePoint now,
                 KeeperActions &out);
     void query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out);
-    void assign(const KeeperRequest &request, const AssignJob &message, KeeperActions &out);
+    void assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
+                KeeperActions &out);
     void update(const KeeperRequest &request, const JobUpdate &message, TimePoint now,
                 KeeperActions &out);
     void progress(KeptJob &job, const std::string &key, const JobUpdate &message, TimePoint now,
@@ -86,7 +87,7 @@
     JobKeeperSettings settings;
     const Dispatchers &dispatchers;
     LedgerShard shard;
-    JobTable table;
+    KeptJobTable table;
     bool wanted = false;
     std::uint32_t losses = 0; ///< In a row, to another owner.
     TimePoint ownedSince{};
