Wire: drop peers that take nothing, also during a stop

Cause: CAF keeps a closed connection, and with it the process, for as long as bytes wait for a peer that takes none.

Tests link by hand a peer that never reads.

--- a/UnitTests/Wire/PeerLinkTest.cpp
+++ b/UnitTests/Wire/PeerLinkTest.cpp
@@ -1,15 +1,20 @@
+#include <Wire/PeerConnection.h>
 #include <Wire/PeerLink.h>
 
 #include <arpa/inet.h>
 #include <caf/actor_system_config.hpp>
 #include <caf/io/middleman.hpp>
+#include <caf/scoped_actor.hpp>
 #include <condition_variable>
+#include <filesystem>
+#include <future>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace Hibiscus {
@@ -64,11 +69,19 @@
         EXPECT_TRUE(this->waitFor([this] { return this->listeningPort != 0; }));
     }
 
-    ~Node() { stopPeerLink(this->system, this->link); }
+    ~Node() { this->stop(); }
 
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
+    /// Returns once the link has ended.
+    void stop()
+    {
+        stopPeerLink(this->system, this->link);
+        caf::scoped_actor waiting(this->system);
+        waiting->wait_for(this->link);
+    }
+
     PeerAddress address() const { return {this->name, loopback, this->listeningPort}; }
 
     void setPeers(std::vector<PeerAddress> peers)
@@ -153,12 +166,25 @@
     Stranger(const Stranger &) = delete;
     Stranger &operator=(const Stranger &) = delete;
 
+    void send(const std::vector<std::uint8_t> &bytes) const
+    {
+        this->send({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+    }
+
     void send(std::string_view bytes) const
     {
         EXPECT_EQ(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL),
                   static_cast<ssize_t>(bytes.size()));
     }
 
+    std::vector<std::uint8_t> receiveSome() const
+    {
+        std::vector<std::uint8_t> bytes(1024);
+        const ssize_t size = ::recv(this->descriptor, bytes.data(), bytes.size(), 0);
+        bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+        return bytes;
+    }
+
     /// True if the other side closes the connection without having sent a byte.
     bool getsNothing() const
     {
@@ -171,6 +197,25 @@
     int descriptor;
 };
 
+std::size_t countDescriptors()
+{
+    const std::filesystem::directory_iterator entries("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
+/// For what no handler reports.
+template <class Condition>
+bool waitUntil(Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::yield();
+    }
+    return true;
+}
+
 bool waitUntilLinked(Node &left, const std::string &leftName, Node &right,
                      const std::string &rightName, std::size_t count = 1)
 {
@@ -318,6 +363,77 @@
     EXPECT_EQ(b.messages(), (std::vector<Received>{{"a", ConfigPull{2}}}));
 }
 
+TEST(PeerLink, ManyStrangersThatStayKeepNoDescriptorAndNoPeerOut)
+{
+    Node a("a");
+    Node b("b");
+    const std::size_t before = countDescriptors();
+    constexpr std::size_t strangerCount = 200;
+    std::vector<std::unique_ptr<Stranger>> strangers;
+    strangers.reserve(strangerCount);
+    for (std::size_t i = 0; i < strangerCount; ++i) {
+        strangers.push_back(std::make_unique<Stranger>(b.address().port));
+        if (i % 2 == 0)
+            strangers.back()->send(std::string(100, 'x'));
+    }
+    a.setPeers({b.address()});
+    ASSERT_TRUE(waitUntilLinked(a, "a", b, "b"));
+    // The strangers' own ends, those that may still prove themselves, and the link's two ends.
+    constexpr std::size_t mostUnproven = 64;
+    EXPECT_TRUE(
+        waitUntil([&] { return countDescriptors() <= before + strangerCount + mostUnproven + 2; }));
+}
+
+/// Proves itself as instance "a" and then takes no byte any more.
+void linkByHand(const Stranger &socket)
+{
+    PeerConnectionSettings settings;
+    settings.handshake = {PeerSide::Dialer, "a", "b", key, {}};
+    settings.largestFrame = 1024;
+    PeerConnection connection(settings, TimePoint());
+    socket.send(connection.start());
+    while (!connection.isEstablished()) {
+        const PeerInput input = connection.receive(socket.receiveSome(), TimePoint());
+        ASSERT_EQ(input.closeReason, "");
+        socket.send(input.reply);
+    }
+}
+
+TEST(PeerLink, APeerThatTakesNothingIsDroppedAndItsDescriptorClosed)
+{
+    Node b("b");
+    const std::size_t before = countDescriptors();
+    const Stranger socket(b.address().port);
+    linkByHand(socket);
+    ASSERT_TRUE(b.waitForLine("Linked with a"));
+    ConfigPush push;
+    push.snapshot.assign(std::size_t(3) * 1024 * 1024, 'x');
+    for (int i = 0; i < 10; ++i)
+        b.send("a", push);
+    EXPECT_TRUE(b.waitForLine("Lost a: it does not take its frames"));
+    EXPECT_TRUE(waitUntil([&] { return countDescriptors() == before + 1; }));
+}
+
+void stopWithAPeerThatTakesNothing()
+{
+    std::unique_ptr<Stranger> socket; // Outlives the instance.
+    Node b("b");
+    socket = std::make_unique<Stranger>(b.address().port);
+    linkByHand(*socket);
+    ASSERT_TRUE(b.waitForLine("Linked with a"));
+    ConfigPush push;
+    push.snapshot.assign(std::size_t(3) * 1024 * 1024, 'x');
+    for (int i = 0; i < 4; ++i)
+        b.send("a", push);
+}
+
+TEST(PeerLink, APeerThatTakesNothingDoesNotHoldUpAStop)
+{
+    // CAF wants a system to end in the thread that made it.
+    auto stopped = std::async(std::launch::async, stopWithAPeerThatTakesNothing);
+    EXPECT_EQ(stopped.wait_for(patience), std::future_status::ready);
+}
+
 TEST(PeerLink, AStopSendsWhatWaits)
 {
     Node b("b");
--- a/Wire/PeerLink.cpp
+++ b/Wire/PeerLink.cpp
@@ -317,12 +317,22 @@
 
     bool isStopping() const { return this->stopUntil.has_value(); }
 
+    // CAF ends no connection of a broker that has quit while bytes wait, and the process with it;
+    // so these are closed first, and the next tick quits.
+    void dropAll()
+    {
+        while (!this->connections.empty())
+            this->drop(this->connections.begin()->first, "this instance stops");
+    }
+
     void finishStop()
     {
         const bool waits = std::ranges::any_of(
             this->connections, [](const auto &entry) { return entry.second.hasBacklog(); });
-        if (!waits || presentTime() >= *this->stopUntil)
+        if (!waits)
             this->broker->quit();
+        else if (presentTime() >= *this->stopUntil)
+            this->dropAll();
     }
 
     caf::io::broker *broker;
