Test the ledger against lost answers, deaths, pauses and two owners

Cause: found by the tests themselves. Change: an idle owner looks at its next slot every 5 s, such a hand-over is postponed, a copy of a refused submission (same sender and call id) gets the same answer.

--- a/Ledger/KeeperReply.cpp
+++ b/Ledger/KeeperReply.cpp
@@ -28,14 +28,6 @@
                                                 .accepted = accepted}});
 }
 
-void KeeperReply::refused(const std::string &to, CallId call, const std::string &key,
-                          const std::string &reason, std::optional<Duration> retryAfter,
-                          KeeperActions &out)
-{
-    const JobAnswer answer{.status = JobStatus::NotRun, .reason = reason, .retryAfter = retryAfter};
-    KeeperReply::news(to, call, key, answer, out);
-}
-
 void KeeperReply::cancel(const std::string &to, CallId call, const std::string &key,
                          KeeperActions &out)
 {
--- a/Ledger/KeeperReply.h
+++ b/Ledger/KeeperReply.h
@@ -17,9 +17,6 @@
                          KeeperActions &out);
     static void assignment(const std::string &to, const AssignJob &message, bool accepted,
                            KeeperActions &out);
-    static void refused(const std::string &to, CallId call, const std::string &key,
-                        const std::string &reason, std::optional<Duration> retryAfter,
-                        KeeperActions &out);
     static void cancel(const std::string &to, CallId call, const std::string &key,
                        KeeperActions &out);
 };
--- a/Ledger/LedgerShard.cpp
+++ b/Ledger/LedgerShard.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint32_t slotsPerRead = 16;
+constexpr Duration checkSpacing = seconds(5);
 constexpr std::int64_t partsPerList = 64;
 /// Removals that may wait while batches have something to write.
 constexpr std::size_t patientRemovals = 32;
@@ -99,15 +100,17 @@
         return this->waitUntil;
     const bool work
         = this->write || this->batchReady() || this->snapshot || !this->removals.empty();
-    return work ? std::max(this->waitUntil, this->nextWrite) : TimePoint::max();
+    return std::max(this->waitUntil, work ? this->nextWrite : this->nextCheck);
 }
 
 void LedgerShard::handleReply(const StoreReply &reply, TimePoint now, LedgerShardEvents &events)
 {
-    if (reply.status == StoreStatus::NoAnswer)
+    if (reply.status == StoreStatus::NoAnswer) {
         this->waitUntil = this->caller.backOff(now);
-    else
+    } else {
         this->caller.noteSuccess();
+        this->nextCheck = now + checkSpacing;
+    }
     switch (this->callKind) {
     case CallKind::Load:
         this->loadReply(reply, now);
@@ -228,7 +231,7 @@
         return;
     auto entry = reply.entries.begin();
     const std::uint32_t first = this->layout.slotOf(this->nextSequence);
-    const std::uint32_t end = std::min(first + slotsPerRead, this->layout.slotCount());
+    const std::uint32_t end = first + this->slotsRead;
     for (std::uint32_t slot = first; slot < end; ++slot) {
         const std::string key = this->layout.slotKey(slot);
         const bool present = entry != reply.entries.end() && entry->key == key;
@@ -329,6 +332,17 @@
         this->issue(CallKind::Write, this->write->request(), now, out);
 }
 
+void LedgerShard::readSlots(std::uint32_t count, TimePoint now, std::vector<StoreCall> &out)
+{
+    const std::uint32_t slot = this->layout.slotOf(this->nextSequence);
+    this->slotsRead = std::min(count, this->layout.slotCount() - slot);
+    this->issue(CallKind::ReadSlots,
+                {.verb = StoreVerb::List,
+                 .key = this->layout.slotKey(slot),
+                 .end = this->layout.slotKey(slot + this->slotsRead)},
+                now, out);
+}
+
 bool LedgerShard::chooseWork(TimePoint now, std::vector<StoreCall> &out)
 {
     const bool batch = this->batchReady();
@@ -339,17 +353,15 @@
             this->startBatch();
             return false;
         }
-        const std::uint32_t slot = this->layout.slotOf(this->nextSequence);
-        const std::uint32_t end = std::min(slot + slotsPerRead, this->layout.slotCount());
-        this->issue(CallKind::ReadSlots,
-                    {.verb = StoreVerb::List,
-                     .key = this->layout.slotKey(slot),
-                     .end = this->layout.slotKey(end)},
-                    now, out);
+        this->readSlots(slotsPerRead, now, out);
+        return true;
+    }
+    if (!maintenance) {
+        if (now < this->nextCheck)
+            return false;
+        this->readSlots(1, now, out);
         return true;
     }
-    if (!maintenance)
-        return false;
     if (this->snapshot && !this->partsListed) {
         const std::string prefix = this->layout.partPrefix();
         std::string end = prefix;
--- a/Ledger/LedgerShard.h
+++ b/Ledger/LedgerShard.h
@@ -38,7 +38,8 @@
 
 /// The log of one shard, written by group commit. It is owned by whoever wrote its last batch: a
 /// new owner writes an epoch record behind the last batch it has read, after which the former
-/// owner's next write fails. One call is in flight at a time, and all writes are spaced.
+/// owner's next write fails. An owner with nothing to write looks at its next slot now and then, so
+/// that it learns of a successor. One call is in flight at a time, and all writes are spaced.
 class LedgerShard
 {
 public:
@@ -108,6 +109,7 @@
     void handleReply(const StoreReply &reply, TimePoint now, LedgerShardEvents &events);
     void loadReply(const StoreReply &reply, TimePoint now);
     void writeReply(const StoreReply &reply, TimePoint now, LedgerShardEvents &events);
+    void readSlots(std::uint32_t count, TimePoint now, std::vector<StoreCall> &out);
     void readSlotsReply(const StoreReply &reply, LedgerShardEvents &events);
     void listPartsReply(const StoreReply &reply);
 
@@ -143,6 +145,8 @@
     CallKind callKind = CallKind::Load;
     TimePoint waitUntil{}; ///< Backoff.
     TimePoint nextWrite{}; ///< Spacing.
+    TimePoint nextCheck{}; ///< That the shard is still owned, if nothing is written before.
+    std::uint32_t slotsRead = 0; ///< By the last ReadSlots.
     std::uint64_t counter = 0; ///< Of values, for writer ids.
 
     std::optional<LedgerLoader> loader;
--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -232,8 +232,9 @@
         return;
     }
     if (job->digest != digest) {
-        KeeperReply::refused(request.from, message.call, key,
-                             "the request id is taken by another request", std::nullopt, out);
+        const JobAnswer taken{.status = JobStatus::NotRun,
+                              .reason = "the request id is taken by another request"};
+        KeeperReply::news(request.from, message.call, key, taken, out);
         return;
     }
     if (!job->isFinished())
@@ -246,31 +247,46 @@
                         const std::string &key, std::uint64_t digest, TimePoint now,
                         KeeperActions &out)
 {
+    const JobRequester requester{.instance = request.from, .call = message.call};
+    if (const JobAnswer *refusal = this->refusedCalls.find(request.from, message.call)) {
+        // A copy that was on its way when the first was refused. That answer has to stay true.
+        KeeperReply::news(request.from, message.call, key, *refusal, out);
+        return;
+    }
     if (this->shard.isUnanswered()) {
-        KeeperReply::refused(request.from, message.call, key,
-                             "the request cannot be recorded while the store does not answer",
-                             refusedRetryAfter, out);
+        this->refuseClaim(requester, key,
+                          "the request cannot be recorded while the store does not answer",
+                          refusedRetryAfter, out);
         return;
     }
     if (this->shard.waitingCount() >= this->settings.queuedAppends) {
-        KeeperReply::refused(request.from, message.call, key,
-                             "too many requests wait to be recorded", refusedRetryAfter, out);
+        this->refuseClaim(requester, key, "too many requests wait to be recorded",
+                          refusedRetryAfter, out);
         return;
     }
     ClaimRecord record{.key = key, .dataCenter = request.dataCenter, .spec = message.spec};
     std::string text = encodeRecord(record);
     if (text.size() > this->settings.largestBatch) {
-        KeeperReply::refused(request.from, message.call, key,
-                             "the request is too large to be recorded", std::nullopt, out);
+        this->refuseClaim(requester, key, "the request is too large to be recorded", std::nullopt,
+                          out);
         return;
     }
     KeptJob &job = this->table.add(key);
     job.digest = digest;
-    job.addRequester({.instance = request.from, .call = message.call});
+    job.addRequester(requester);
     job.claim = this->shard.append(std::move(record), std::move(text));
     this->claimDeadlines.emplace_back(now + 2 * this->settings.storeTimeout, key);
 }
 
+void ShardKeeper::refuseClaim(const JobRequester &requester, const std::string &key,
+                              const std::string &reason, std::optional<Duration> retryAfter,
+                              KeeperActions &out)
+{
+    const JobAnswer answer{.status = JobStatus::NotRun, .reason = reason, .retryAfter = retryAfter};
+    this->refusedCalls.add(requester.instance, requester.call, answer);
+    KeeperReply::news(requester.instance, requester.call, key, answer, out);
+}
+
 void ShardKeeper::settleOverdueClaims(TimePoint now, KeeperActions &out)
 {
     while (!this->claimDeadlines.empty() && this->claimDeadlines.front().first <= now) {
@@ -288,9 +304,8 @@
             continue;
         }
         for (const JobRequester &requester : job->requesters)
-            KeeperReply::refused(requester.instance, requester.call, key,
-                                 "the request could not be recorded in time", refusedRetryAfter,
-                                 out);
+            this->refuseClaim(requester, key, "the request could not be recorded in time",
+                              refusedRetryAfter, out);
         this->table.remove(key);
     }
 }
@@ -309,8 +324,7 @@
     job->cancelled = true;
     if (job->claim && this->shard.withdraw(*job->claim)) {
         for (const JobRequester &requester : job->requesters)
-            KeeperReply::refused(requester.instance, requester.call, message.key,
-                                 "cancelled by its caller", std::nullopt, out);
+            this->refuseClaim(requester, message.key, "cancelled by its caller", std::nullopt, out);
         this->table.remove(message.key);
         return;
     }
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -3,6 +3,7 @@
 #include <Ledger/JobKeeper.h>
 #include <Ledger/JobTable.h>
 #include <Ledger/LedgerShard.h>
+#include <Ledger/RefusedCalls.h>
 
 #include <cstdint>
 #include <deque>
@@ -62,6 +63,9 @@
 
     void claim(const KeeperRequest &request, const SubmitJob &message, const std::string &key,
                std::uint64_t digest, TimePoint now, KeeperActions &out);
+    void refuseClaim(const JobRequester &requester, const std::string &key,
+                     const std::string &reason, std::optional<Duration> retryAfter,
+                     KeeperActions &out);
     void finish(KeptJob &job, const std::string &key, const JobAnswer &answer);
 
     void settle(TimePoint now, KeeperActions &out);
@@ -93,6 +97,7 @@
     TimePoint ownedSince{};
     std::minstd_rand random;
     std::uint64_t callCounter;
+    RefusedCalls refusedCalls;
     std::vector<KeeperRequest> deferred; ///< Until the shard is loaded.
     std::set<std::pair<TimePoint, std::string>> due; ///< Jobs to submit to their dispatchers.
     TimePoint nextHandover{}; ///< Paces `due`.
--- a/Ledger/ShardKeeperDispatch.cpp
+++ b/Ledger/ShardKeeperDispatch.cpp
@@ -77,9 +77,13 @@
 void ShardKeeper::dispatch(KeptJob &job, const std::string &key, TimePoint now, KeeperActions &out)
 {
     const DispatcherId *dispatcher = this->dispatcherOf(job);
-    // While an assignment is being recorded nobody else may be told that there is none.
-    if (!dispatcher || job.pendingAssign || job.ending || job.isFinished())
+    if (!dispatcher || job.ending || job.isFinished())
         return;
+    // While an assignment is being recorded nobody may be told that there is none.
+    if (job.pendingAssign) {
+        this->schedule(job, key, now + this->settings.commitSpacing);
+        return;
+    }
     job.dispatcher = *dispatcher;
     out.sends.push_back({.instance = dispatcher->instance,
                          .message = SubmitJob{.call = this->nextCall(),
--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -49,7 +49,7 @@
     std::map<std::string, Node> nodes;
     std::string owner; ///< Whom callers and dispatcher believe to be the keeper.
     Dispatcher dispatcher;
-    std::map<std::string, JobSpec> open; ///< Submitted, without a final answer yet.
+    std::map<std::string, SubmitJob> open; ///< Submitted, without a final answer yet.
     std::map<std::string, std::vector<JobAnswer>> answers; ///< By key, all that came.
     std::uint64_t steps = 0;
     std::uint64_t incarnations = 0;
@@ -109,20 +109,24 @@
 
     void submit(const std::string &id)
     {
-        this->open[key(id)] = spec(id);
-        this->sendSubmit(this->owner, spec(id));
+        // Copies of one try have one call id.
+        const SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec(id)};
+        this->open[key(id)] = message;
+        this->sentTo[key(id)] = this->owner;
+        this->toKeepers.push_back({this->owner, "entry", message});
     }
 
+    /// From another entry instance, which takes answers from any keeper.
     void sendSubmit(const std::string &node, const JobSpec &spec)
     {
         SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec};
-        this->toKeepers.push_back({node, "entry", message});
+        this->toKeepers.push_back({node, "other", message});
     }
 
     void sendCancel(const std::string &node, const std::string &id)
     {
         const CancelJob message{.call = CallId{++this->lastCall}, .key = key(id)};
-        this->toKeepers.push_back({node, "entry", message});
+        this->toKeepers.push_back({node, "other", message});
     }
 
     void sendToKeeper(const std::string &node, const std::string &from, const PeerMessage &message)
@@ -200,8 +204,10 @@
         if (this->now < this->nextRepeat)
             return;
         this->nextRepeat = this->now + seconds(1);
-        for (const auto &[key, spec] : this->open)
-            this->sendSubmit(this->owner, spec);
+        for (const auto &[key, message] : this->open) {
+            this->sentTo[key] = this->owner;
+            this->toKeepers.push_back({this->owner, "entry", message});
+        }
         for (const std::string &key : this->dispatcher.unacknowledged)
             this->report(key);
     }
@@ -214,7 +220,7 @@
             if (send.instance == "dispatcher")
                 this->atDispatcher(from, send.message);
             else if (const auto *update = std::get_if<JobUpdate>(&send.message))
-                this->atEntry(*update);
+                this->atEntry(from, send.instance, *update);
             return true;
         }
         for (auto inbound = this->toKeepers.begin(); inbound != this->toKeepers.end(); ++inbound) {
@@ -281,9 +287,10 @@
         });
     }
 
-    void atEntry(const JobUpdate &update)
+    /// "entry" has moved on from the keepers it asked before.
+    void atEntry(const std::string &from, const std::string &to, const JobUpdate &update)
     {
-        if (update.notOwner)
+        if (update.notOwner || (to == "entry" && from != this->sentTo[update.key]))
             return;
         this->answers[update.key].push_back(update.answer);
         if (isFinal(update.answer.status))
@@ -377,6 +384,7 @@
     std::uint64_t lastCall = 0;
     std::uint64_t placeCount = 0;
     TimePoint nextRepeat{};
+    std::map<std::string, std::string> sentTo; ///< The keeper that "entry" asked last.
 };
 
 } // namespace Hibiscus
