Test the death of a dispatcher at every step

Cause: the fake dispatcher remembered across its restarts what it had started, so an assignment answered before it was recorded went unnoticed. Change: a successor knows only what keepers and workers tell it.

--- a/UnitTests/Ledger/JobKeeperTest.cpp
+++ b/UnitTests/Ledger/JobKeeperTest.cpp
@@ -15,7 +15,7 @@
     world.run(seconds(1));
     ASSERT_TRUE(world.wasTold("1", JobStatus::Accepted));
     EXPECT_EQ(world.lastStatus("1"), JobStatus::Done);
-    EXPECT_EQ(world.dispatcher.runs[LedgerWorld::key("1")], 1);
+    EXPECT_EQ(world.runs[LedgerWorld::key("1")], 1);
     EXPECT_TRUE(world.dispatcher.unacknowledged.empty());
 }
 
--- a/UnitTests/Ledger/LedgerFaultTest.cpp
+++ b/UnitTests/Ledger/LedgerFaultTest.cpp
@@ -46,7 +46,7 @@
         }
         ASSERT_TRUE(end) << what << ": " << key;
         // "Not run" is true, and whatever else ended had run once.
-        const int runs = world.dispatcher.runs[key];
+        const int runs = world.runs[key];
         EXPECT_EQ(runs, end->status == JobStatus::NotRun ? 0 : 1) << what << ": " << key;
     }
 }
@@ -108,6 +108,24 @@
     }
 }
 
+TEST(LedgerFaultTest, aDispatcherThatDiesAtAnyStepIsReplacedWithoutLossOrDoubling)
+{
+    for (std::uint64_t at = 1; at <= 300; ++at) {
+        LedgerWorld world = smallWorld();
+        world.start("a");
+        world.own("a", true);
+        bool killed = false;
+        runJobs(world, [&] {
+            if (killed || world.steps < at)
+                return;
+            killed = true;
+            world.restartDispatcher();
+        });
+        expectKept(world, "step " + std::to_string(at));
+        ASSERT_FALSE(HasFailure());
+    }
+}
+
 TEST(LedgerFaultTest, aPausedOwnerThatResumesAfterATakeoverChangesNothing)
 {
     for (const bool callTakesEffect : {false, true}) {
@@ -220,12 +238,7 @@
             } else if (kind == 5) {
                 world.store.down = true;
             } else {
-                ++world.dispatcher.incarnation;
-                for (auto &[name, node] : world.nodes)
-                    world.act(node, [&](JobKeeper &keeper, KeeperActions &out) {
-                        keeper.setDispatcher(LedgerWorld::dataCenter, "dispatcher",
-                                             world.dispatcher.incarnation, world.now, out);
-                    });
+                world.restartDispatcher();
             }
         };
         runJobs(world, [&] {
--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -36,9 +36,10 @@
         std::uint64_t incarnation = 1;
         bool holdsWork = false; ///< Takes jobs but assigns none.
         std::uint64_t lastCall = 0;
-        std::map<std::string, CallId> asked; ///< Calls that may still be answered "accepted".
+        /// Calls that may still be answered "accepted", with the worker they are for, by key.
+        std::map<std::string, std::pair<CallId, std::string>> asked;
         std::set<std::uint64_t> givenUp; ///< Calls that give an attempt up.
-        std::map<std::string, int> runs; ///< How often each job was started.
+        std::map<std::string, std::string> started; ///< Worker by key, of this incarnation.
         std::set<std::string> unacknowledged;
         std::set<std::string> cancelled;
     };
@@ -49,6 +50,8 @@
     std::map<std::string, Node> nodes;
     std::string owner; ///< Whom callers and dispatcher believe to be the keeper.
     Dispatcher dispatcher;
+    std::map<std::string, int> runs; ///< How often each job was started on any worker.
+    std::set<std::pair<std::string, std::string>> ran; ///< Key and worker; workers remember.
     std::map<std::string, SubmitJob> open; ///< Submitted, without a final answer yet.
     std::map<std::string, std::vector<JobAnswer>> answers; ///< By key, all that came.
     std::uint64_t steps = 0;
@@ -88,6 +91,21 @@
         return node;
     }
 
+    /// Kills the dispatcher; its successor knows only what keepers and workers tell it.
+    void restartDispatcher()
+    {
+        Dispatcher successor;
+        successor.incarnation = this->dispatcher.incarnation + 1;
+        successor.lastCall = this->dispatcher.lastCall;
+        successor.holdsWork = this->dispatcher.holdsWork;
+        this->dispatcher = successor;
+        for (auto &[name, node] : this->nodes)
+            this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+                keeper.setDispatcher(dataCenter, "dispatcher", successor.incarnation, this->now,
+                                     out);
+            });
+    }
+
     void own(const std::string &name, bool owns)
     {
         const std::vector<std::uint32_t> shards(owns ? 1 : 0, 0);
@@ -309,15 +327,15 @@
                 this->dispatcher.unacknowledged.erase(update->key);
         } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
             this->dispatcher.cancelled.insert(cancel->key);
-            if (this->dispatcher.runs[cancel->key] == 0)
-                this->dispatcher.asked.erase(cancel->key);
         }
     }
 
     void dispatch(const std::string &from, const SubmitJob &submit)
     {
         const std::string key = jobKey(submit.spec.customer, submit.spec.requestId);
-        if (this->dispatcher.runs[key] > 0) {
+        const bool worked
+            = !submit.places.empty() && this->ran.contains({key, submit.places.front().worker});
+        if (worked || this->dispatcher.started.contains(key)) {
             this->dispatcher.unacknowledged.insert(key);
             this->report(key);
             return;
@@ -341,7 +359,7 @@
     {
         assign.places = {
             {.worker = "w" + std::to_string(++this->placeCount), .incarnation = "i1", .slots = 1}};
-        this->dispatcher.asked[assign.key] = assign.call;
+        this->dispatcher.asked[assign.key] = {assign.call, assign.places.front().worker};
     }
 
     void assigned(const std::string &from, const AssignReply &reply)
@@ -357,11 +375,15 @@
             return;
         }
         const auto asked = this->dispatcher.asked.find(reply.key);
-        const bool awaited = asked != this->dispatcher.asked.end() && asked->second == reply.call;
+        const bool awaited
+            = asked != this->dispatcher.asked.end() && asked->second.first == reply.call;
         if (!reply.accepted || !awaited)
             return;
+        const std::string worker = asked->second.second;
         this->dispatcher.asked.erase(asked);
-        ++this->dispatcher.runs[reply.key];
+        this->dispatcher.started[reply.key] = worker;
+        this->ran.insert({reply.key, worker});
+        ++this->runs[reply.key];
         this->dispatcher.unacknowledged.insert(reply.key);
         this->sendToKeeper(from, "dispatcher", this->doneUpdate(reply.key));
     }
