Let the fake worker forget what is acknowledged

Cause: told its dispatcher of an end before the end was durable, the ledger still passed (put in as a fault). Change: an acknowledged end is forgotten. Left out without a failure: the epoch record. Every batch is a swap from the revision the writer saw, so a writer whose view is old cannot append with or without it; it only brings forward when the former owner learns that.

--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -324,18 +324,31 @@
             this->assigned(from, *reply);
         else if (const auto *update = std::get_if<JobUpdate>(&message)) {
             if (isFinal(update->answer.status) && !update->notOwner)
-                this->dispatcher.unacknowledged.erase(update->key);
+                this->forget(update->key);
         } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
             this->dispatcher.cancelled.insert(cancel->key);
         }
     }
 
+    /// The end is recorded: dispatcher and worker know nothing of the job any more.
+    void forget(const std::string &key)
+    {
+        this->dispatcher.unacknowledged.erase(key);
+        const auto started = this->dispatcher.started.find(key);
+        if (started == this->dispatcher.started.end())
+            return;
+        this->ran.erase({key, started->second});
+        this->dispatcher.started.erase(started);
+    }
+
     void dispatch(const std::string &from, const SubmitJob &submit)
     {
         const std::string key = jobKey(submit.spec.customer, submit.spec.requestId);
         const bool worked
             = !submit.places.empty() && this->ran.contains({key, submit.places.front().worker});
-        if (worked || this->dispatcher.started.contains(key)) {
+        if (worked)
+            this->dispatcher.started[key] = submit.places.front().worker;
+        if (this->dispatcher.started.contains(key)) {
             this->dispatcher.unacknowledged.insert(key);
             this->report(key);
             return;
