--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -193,7 +193,6 @@
     std::vector<std::pair<std::string, PeerMessage>> toDispatcher; ///< All, with the sender.
     std::vector<AssignReply> assignReplies; ///< All that the dispatcher got.
 
-private:
     struct Inbound
     {
         std::string node;
@@ -230,17 +229,24 @@
             this->report(key);
     }
 
+    /// Hands over the next message that a keeper has sent.
+    bool stepFromKeeper()
+    {
+        if (this->fromKeepers.empty())
+            return false;
+        const auto [from, send] = std::move(this->fromKeepers.front());
+        this->fromKeepers.pop_front();
+        if (send.instance == "dispatcher")
+            this->atDispatcher(from, send.message);
+        else if (const auto *update = std::get_if<JobUpdate>(&send.message))
+            this->atEntry(from, send.instance, *update);
+        return true;
+    }
+
     bool stepMessage()
     {
-        if (!this->fromKeepers.empty()) {
-            const auto [from, send] = std::move(this->fromKeepers.front());
-            this->fromKeepers.pop_front();
-            if (send.instance == "dispatcher")
-                this->atDispatcher(from, send.message);
-            else if (const auto *update = std::get_if<JobUpdate>(&send.message))
-                this->atEntry(from, send.instance, *update);
+        if (this->stepFromKeeper())
             return true;
-        }
         for (auto inbound = this->toKeepers.begin(); inbound != this->toKeepers.end(); ++inbound) {
             const auto node = this->nodes.find(inbound->node);
             if (node != this->nodes.end() && node->second.paused)
@@ -259,21 +265,24 @@
         for (auto &[name, node] : this->nodes) {
             if (node.paused)
                 continue;
-            if (!node.replies.empty()) {
-                const std::pair<CallId, StoreReply> reply = std::move(node.replies.front());
-                node.replies.pop_front();
-                this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
-                    keeper.storeReply(reply.first, reply.second, this->now, out);
-                });
-                return true;
-            }
-            if (this->makeCall(node))
+            if (this->deliverReply(node) || this->makeCall(node))
                 return true;
         }
         return false;
     }
 
-public:
+    bool deliverReply(Node &node)
+    {
+        if (node.replies.empty())
+            return false;
+        const std::pair<CallId, StoreReply> reply = std::move(node.replies.front());
+        node.replies.pop_front();
+        this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+            keeper.storeReply(reply.first, reply.second, this->now, out);
+        });
+        return true;
+    }
+
     /// Lets a node's next store call take effect without handing the reply over yet.
     bool makeCall(Node &node)
     {
@@ -287,7 +296,6 @@
         return true;
     }
 
-private:
     void atKeeper(Node &node, const Inbound &inbound)
     {
         this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
