Reclaim every full guarantee within one lease term

The checker counts fixed slots from the table, and checks that each such job's slots are among them.

--- a/Fleet/CellCensus.cpp
+++ b/Fleet/CellCensus.cpp
@@ -130,6 +130,15 @@
     return missing;
 }
 
+SlotMask CellCensus::slotsIn(WorkerId worker, std::uint32_t rack, CellLevel level) const
+{
+    const SlotMask mask = this->masks[worker.value];
+    if (!this->whole.contains(worker))
+        return level >= CellLevel::Worker ? 0 : slotsInParts(mask, static_cast<unsigned>(level));
+    const CellLevel own = this->isRackWhole(rack) ? CellLevel::Rack : CellLevel::Worker;
+    return level == own ? mask : 0;
+}
+
 bool CellCensus::isRackWhole(std::uint32_t rack) const
 {
     return this->shape.rackWorkers != 0 && this->wholeInRack[rack] == this->shape.rackWorkers;
--- a/Fleet/CellCensus.h
+++ b/Fleet/CellCensus.h
@@ -41,6 +41,10 @@
     /// What of `need` cannot be cut out, for each level.
     CellCounts deficit(const CellCounts &need) const;
 
+    /// The slots of the worker that lie in largest cells of that level. Cells are cut out of the
+    /// smallest that hold them; then a cut fails only if no other would do.
+    SlotMask slotsIn(WorkerId worker, std::uint32_t rack, CellLevel level) const;
+
     const CellCounts &largestCells() const { return this->cells; }
     bool isRackWhole(std::uint32_t rack) const;
     /// Workers of the shape's size whose slots all count, in whole racks or not.
--- a/Fleet/FleetTable.h
+++ b/Fleet/FleetTable.h
@@ -40,7 +40,8 @@
     SlotMask occupied = 0; ///< Held by jobs.
     SlotMask held = 0; ///< Kept for a job that waits until others have left.
     SlotMask bound = 0; ///< Inside a customer's bound guaranteed cell.
-    SlotMask fixed = 0; ///< Held by jobs beyond any guarantee that are never asked to leave.
+    /// Held, or their memory is, by jobs beyond any guarantee that are never asked to leave.
+    SlotMask fixed = 0;
     std::uint32_t memoryMiB = 0;
     std::uint32_t usedMemoryMiB = 0;
     std::uint32_t heldMemoryMiB = 0; ///< For the jobs that slots are held for.
@@ -51,6 +52,8 @@
     bool isListed = false; ///< Counted in the table's indexes and totals.
     bool isReserved = false; ///< Kept for a gang; only short jobs may still start here.
 
+    /// Slots out of which unused guarantees can be cut.
+    SlotMask reclaimable() const { return this->full() & ~this->bound & ~this->fixed; }
     SlotMask full() const { return lowSlots(this->slots); }
     SlotMask idle() const { return this->full() & ~this->occupied & ~this->held; }
     /// Below zero while memory is held that others still use.
@@ -88,8 +91,12 @@
     void unhold(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB);
     void bind(WorkerId worker, SlotMask slots);
     void unbind(WorkerId worker, SlotMask slots);
-    void fix(WorkerId worker, SlotMask slots);
-    void unfix(WorkerId worker, SlotMask slots);
+    /// Counts the slots that `job` occupies as held for good, and as many more as its memory is
+    /// worth, so that what is left of the worker keeps its part of the memory. False, with as
+    /// many fixed as there are, if not enough lie outside bound cells.
+    bool fix(WorkerId worker, SlotMask slots, std::uint32_t memoryMiB, std::uint32_t job);
+    /// Ends that for all that was fixed for `job` on the worker.
+    void unfix(WorkerId worker, std::uint32_t job);
 
     /// True if describing the worker so would change nothing here.
     bool isDescribedAs(WorkerId worker, const WorkerDescription &description) const;
@@ -167,6 +174,7 @@
 
     std::vector<WorkerRow> rows;
     std::vector<std::uint32_t> slotJobs;
+    std::vector<std::uint32_t> fixedJobs; ///< Like slotJobs, for fixed slots.
     std::vector<std::array<std::int8_t, zoneCount>> indexedOrder;
     std::vector<RackRow> rackRows;
     std::map<std::uint32_t, std::uint32_t> rackByNumber;
--- a/Fleet/SlotMasks.cpp
+++ b/Fleet/SlotMasks.cpp
@@ -66,4 +66,13 @@
     return parts;
 }
 
+SlotMask slotsInParts(SlotMask mask, unsigned order)
+{
+    const SlotMask quads = spread(alignedStarts(mask, 2), 2);
+    if (order == 2)
+        return quads;
+    const SlotMask pairs = spread(alignedStarts(mask & ~quads, 1), 1);
+    return order == 1 ? pairs : mask & ~quads & ~pairs;
+}
+
 } // namespace Hibiscus
--- a/Fleet/SlotMasks.h
+++ b/Fleet/SlotMasks.h
@@ -41,4 +41,7 @@
 };
 CellParts partsOf(SlotMask mask);
 
+/// The slots of those parts that have that level: slot, pair or quad.
+SlotMask slotsInParts(SlotMask mask, unsigned order);
+
 } // namespace Hibiscus
--- a/Policy/BorrowPlanner.cpp
+++ b/Policy/BorrowPlanner.cpp
@@ -9,8 +9,6 @@
 
 /// Workers tried where a choice may break the terms, before the job has to wait.
 constexpr unsigned strictTries = 32;
-constexpr int breakageCount = 3;
-constexpr int anyBreakage = -1;
 
 std::uint32_t slotsOf(const QueuedJob &spec)
 {
@@ -46,59 +44,73 @@
 bool BorrowPlanner::placeSingle(const QueuedJob &spec, std::uint32_t job, Pool pool, Zone zone,
                                 const BorrowTerms &terms)
 {
+    if (isStrict(terms) && pool == this->fleet.guaranteePool()) {
+        constexpr std::array<CellLevel, cellLevelCount> containers{
+            CellLevel::Slot, CellLevel::Pair, CellLevel::Quad, CellLevel::Worker, CellLevel::Rack};
+        return std::any_of(containers.begin(), containers.end(), [&](CellLevel container) {
+            return this->placeStrictly(spec, job, pool, container, terms);
+        });
+    }
     const std::uint32_t count = slotsOf(spec);
     for (unsigned order = orderFor(count); order < cellOrderCount; ++order) {
         const WorkerSet &set = this->fleet.withIdleOrder(pool, zone, order);
-        if (set.isEmpty())
-            continue;
-        if (!isStrict(terms)) {
-            if (this->placeFrom(set, spec, job, zone, terms, anyBreakage))
-                return true;
-            continue;
-        }
-        for (int breakage = 0; breakage < breakageCount; ++breakage) {
-            if (this->placeFrom(set, spec, job, zone, terms, breakage))
-                return true;
-        }
+        if (this->placeFrom(set, spec, job, zone, terms))
+            return true;
     }
-    if (count <= 1 || std::has_single_bit(count))
+    if (std::has_single_bit(count))
         return false;
-    return this->placeFrom(this->fleet.oddIdle(pool, zone), spec, job, zone, terms, anyBreakage);
+    return this->placeFrom(this->fleet.oddIdle(pool, zone), spec, job, zone, terms);
 }
 
 bool BorrowPlanner::placeFrom(const WorkerSet &set, const QueuedJob &spec, std::uint32_t job,
-                              Zone zone, const BorrowTerms &terms, int breakage)
+                              Zone zone, const BorrowTerms &terms)
 {
-    unsigned tries = 0;
     for (auto worker = set.next(); worker; worker = set.next({worker->value + 1})) {
-        if (breakage != anyBreakage && this->breakageOf(*worker) != breakage)
-            continue;
-        if (this->fleet.row(*worker).idleMemoryMiB() < spec.memoryMiB)
-            continue;
-        if (this->tryWorker(spec, job, *worker, zone, terms))
+        if (this->tryWorker(spec, job, *worker, this->openSlots(*worker, zone, terms), terms))
             return true;
-        if (isStrict(terms) && ++tries == strictTries)
-            return false;
     }
     return false;
 }
 
-int BorrowPlanner::breakageOf(WorkerId worker) const
+bool BorrowPlanner::placeStrictly(const QueuedJob &spec, std::uint32_t job, Pool pool,
+                                  CellLevel container, const BorrowTerms &terms)
+{
+    const CellCensus &census
+        = terms.keepsIdleCells ? this->fleet.idleCells() : this->fleet.reclaimable();
+    const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
+    const unsigned first = std::min(orderFor(slotsOf(spec)), lastOrder);
+    unsigned tries = 0;
+    for (unsigned order = first; order < cellOrderCount; ++order) {
+        const WorkerSet &set = this->fleet.withIdleOrder(pool, Zone::Unbound, order);
+        for (auto worker = set.next(); worker; worker = set.next({worker->value + 1})) {
+            const SlotMask cells
+                = census.slotsIn(*worker, this->fleet.row(*worker).rack, container);
+            const SlotMask among = cells & this->openSlots(*worker, Zone::Unbound, terms);
+            if (among == 0)
+                continue;
+            if (this->tryWorker(spec, job, *worker, among, terms))
+                return true;
+            if (++tries == strictTries)
+                return false;
+        }
+    }
+    return false;
+}
+
+SlotMask BorrowPlanner::openSlots(WorkerId worker, Zone zone, const BorrowTerms &terms) const
 {
-    const CellCensus &census = this->fleet.reclaimable();
-    if (!census.wholeWorkers().contains(worker))
-        return 0;
-    return census.isRackWhole(this->fleet.row(worker).rack) ? 2 : 1;
+    const WorkerRow &row = this->fleet.row(worker);
+    const SlotMask idle = zone == Zone::All ? row.idle() : row.idle() & ~row.bound;
+    return terms.keepsCells ? idle & ~row.fixed : idle;
 }
 
-bool BorrowPlanner::tryWorker(const QueuedJob &spec, std::uint32_t job, WorkerId worker, Zone zone,
-                              const BorrowTerms &terms)
+bool BorrowPlanner::tryWorker(const QueuedJob &spec, std::uint32_t job, WorkerId worker,
+                              SlotMask among, const BorrowTerms &terms)
 {
     const WorkerRow &row = this->fleet.row(worker);
     if (row.idleMemoryMiB() < spec.memoryMiB)
         return false;
-    const SlotMask idle = zone == Zone::All ? row.idle() : row.idle() & ~row.bound;
-    const SlotMask slots = bestFit(idle, slotsOf(spec), row.slots);
+    const SlotMask slots = bestFit(among, slotsOf(spec), row.slots);
     if (slots == 0)
         return false;
     this->result.assign(1, {worker, slots});
@@ -109,8 +121,10 @@
                                                   WorkerId worker, const BorrowTerms &terms)
 {
     this->result.clear();
-    if (this->tryWorker(spec, job, worker, Zone::Unbound, terms)
-        || (terms.mayUseBound && this->tryWorker(spec, job, worker, Zone::All, terms)))
+    const SlotMask unbound = this->openSlots(worker, Zone::Unbound, terms);
+    const SlotMask all = this->openSlots(worker, Zone::All, terms);
+    if (this->tryWorker(spec, job, worker, unbound, terms)
+        || (terms.mayUseBound && this->tryWorker(spec, job, worker, all, terms)))
         return this->result;
     return {};
 }
@@ -123,8 +137,9 @@
     std::uint32_t left = slotsOf(spec);
     for (const WorkerId worker : workers) {
         const WorkerRow &row = this->fleet.row(worker);
-        const bool isBound = row.bound != 0 && !terms.mayUseBound;
-        if (row.idle() != row.full() || isBound || row.idleMemoryMiB() < spec.memoryMiB)
+        const bool isTaken
+            = (row.bound != 0 && !terms.mayUseBound) || (row.fixed != 0 && terms.keepsCells);
+        if (row.idle() != row.full() || isTaken || row.idleMemoryMiB() < spec.memoryMiB)
             return {};
         const std::uint32_t count = std::min<std::uint32_t>(left, row.slots);
         this->result.push_back({worker, lowSlots(count)});
@@ -144,7 +159,7 @@
     const std::uint32_t parts = (slotsOf(spec) + perWorker - 1) / perWorker;
     if (!this->chooseRacks(spec, parts, zone))
         return false;
-    return this->fillGang(spec, parts, zone) && this->take(spec, job, terms);
+    return this->fillGang(spec, parts, zone, terms) && this->take(spec, job, terms);
 }
 
 bool BorrowPlanner::chooseRacks(const QueuedJob &spec, std::uint32_t parts, Zone zone)
@@ -224,7 +239,8 @@
     return false;
 }
 
-bool BorrowPlanner::fillGang(const QueuedJob &spec, std::uint32_t parts, Zone zone)
+bool BorrowPlanner::fillGang(const QueuedJob &spec, std::uint32_t parts, Zone zone,
+                             const BorrowTerms &terms)
 {
     this->result.clear();
     std::uint32_t left = slotsOf(spec);
@@ -233,7 +249,8 @@
             if (this->result.size() == parts)
                 return true;
             const WorkerRow &row = this->fleet.row(worker);
-            if (!this->fleet.isIdleWorker(worker, zone) || row.idleMemoryMiB() < spec.memoryMiB)
+            if (!this->fleet.isIdleWorker(worker, zone) || row.idleMemoryMiB() < spec.memoryMiB
+                || (terms.keepsCells && row.fixed != 0))
                 continue;
             const std::uint32_t count = std::min<std::uint32_t>(left, row.slots);
             this->result.push_back({worker, lowSlots(count)});
@@ -247,18 +264,19 @@
 {
     const CellCounts cells = terms.keepsCells ? this->book.deficit() : CellCounts{};
     const CellCounts idleCells = terms.keepsIdleCells ? this->book.idleDeficit() : CellCounts{};
+    bool lacksMemory = false;
     for (const Placement &part : this->result) {
         this->fleet.occupy(part.worker, part.slots, spec.memoryMiB, job);
         if (terms.keepsCells)
-            this->fleet.fix(part.worker, part.slots);
+            lacksMemory |= !this->fleet.fix(part.worker, part.slots, spec.memoryMiB, job);
     }
     const bool breaksCells = terms.keepsCells && lacksMore(this->book.deficit(), cells);
     const bool breaksIdle = terms.keepsIdleCells && lacksMore(this->book.idleDeficit(), idleCells);
-    if (!breaksCells && !breaksIdle)
+    if (!lacksMemory && !breaksCells && !breaksIdle)
         return true;
     for (const Placement &part : this->result) {
         if (terms.keepsCells)
-            this->fleet.unfix(part.worker, part.slots);
+            this->fleet.unfix(part.worker, job);
         this->fleet.release(part.worker, part.slots, spec.memoryMiB);
     }
     this->result.clear();
--- a/Policy/BorrowPlanner.h
+++ b/Policy/BorrowPlanner.h
@@ -44,19 +44,22 @@
     bool placeSingle(const QueuedJob &spec, std::uint32_t job, Pool pool, Zone zone,
                      const BorrowTerms &terms);
     bool placeFrom(const WorkerSet &set, const QueuedJob &spec, std::uint32_t job, Zone zone,
-                   const BorrowTerms &terms, int breakage);
-    bool tryWorker(const QueuedJob &spec, std::uint32_t job, WorkerId worker, Zone zone,
                    const BorrowTerms &terms);
+    /// Takes the slots only out of largest cells of that level.
+    bool placeStrictly(const QueuedJob &spec, std::uint32_t job, Pool pool, CellLevel container,
+                       const BorrowTerms &terms);
+    bool tryWorker(const QueuedJob &spec, std::uint32_t job, WorkerId worker, SlotMask among,
+                   const BorrowTerms &terms);
+    SlotMask openSlots(WorkerId worker, Zone zone, const BorrowTerms &terms) const;
     bool placeGang(const QueuedJob &spec, std::uint32_t job, Zone zone, const BorrowTerms &terms);
     bool chooseRacks(const QueuedJob &spec, std::uint32_t parts, Zone zone);
     bool chooseOneRack(std::uint32_t parts, Zone zone);
     bool chooseNeighbors(std::uint32_t parts, Zone zone);
     bool chooseAnyRacks(std::uint32_t parts, Zone zone);
     /// Fills `result` with idle workers of the chosen racks; false if memory is lacking.
-    bool fillGang(const QueuedJob &spec, std::uint32_t parts, Zone zone);
+    bool fillGang(const QueuedJob &spec, std::uint32_t parts, Zone zone, const BorrowTerms &terms);
     /// Occupies `result`; undoes it all if that breaks the terms.
     bool take(const QueuedJob &spec, std::uint32_t job, const BorrowTerms &terms);
-    int breakageOf(WorkerId worker) const;
 
     FleetTable &fleet;
     const GuaranteeBook &book;
--- a/Policy/GuaranteePlanner.cpp
+++ b/Policy/GuaranteePlanner.cpp
@@ -10,7 +10,6 @@
 /// Candidates looked at in one bucket or set before the best so far is taken.
 constexpr unsigned idleTries = 32;
 constexpr unsigned reclaimTries = 256;
-constexpr unsigned breakageCount = 3;
 
 std::uint32_t slotsOf(const QueuedJob &job)
 {
@@ -37,15 +36,17 @@
         return this->commit(job, *choice, plan);
     constexpr std::array<CellLevel, cellLevelCount> levels{
         CellLevel::Slot, CellLevel::Pair, CellLevel::Quad, CellLevel::Worker, CellLevel::Rack};
-    for (const CellLevel level : levels) {
-        if (this->levelHolds(job, level) && this->planIdleNewCell(job, level, plan))
-            return true;
-    }
     const auto own = this->cheapestInOwnCell(job);
+    // The smallest cell that holds the job, whatever it costs: if a small job took a larger cell
+    // because that was idle, the customer could not have the larger cell any more.
     for (const CellLevel level : levels) {
-        if (this->levelHolds(job, level)
-            && this->planCheapestNewCell(job, level, own ? &*own : nullptr, plan))
+        if (!this->levelHolds(job, level))
+            continue;
+        if (this->planIdleNewCell(job, level, plan)
+            || this->planCheapestNewCell(job, level, own ? &*own : nullptr, plan))
             return true;
+        if (own)
+            break;
     }
     return own && this->commit(job, *own, plan);
 }
@@ -82,30 +83,20 @@
     return slotsOf(job) <= (1U << static_cast<unsigned>(level));
 }
 
-unsigned GuaranteePlanner::breakageOf(WorkerId worker) const
-{
-    const CellCensus &census = this->fleet.reclaimable();
-    if (!census.wholeWorkers().contains(worker))
-        return 0;
-    return census.isRackWhole(this->fleet.row(worker).rack) ? 2 : 1;
-}
-
 bool GuaranteePlanner::planIdleNewCell(const QueuedJob &job, CellLevel level, GuaranteePlan &plan)
 {
     const Pool pool = this->fleet.guaranteePool();
     const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
     const unsigned firstOrder = std::min(orderFor(slotsOf(job)), lastOrder);
-    // Cells are cut from what is broken already; only if that has none idle, from whole workers.
-    for (unsigned breakage = 0; breakage < breakageCount; ++breakage) {
+    for (auto container = static_cast<unsigned>(level); container < cellLevelCount; ++container) {
         for (unsigned order = firstOrder; order < cellOrderCount; ++order) {
             const WorkerSet &set = this->fleet.withIdleOrder(pool, Zone::Unbound, order);
             unsigned tries = 0;
             for (auto worker = set.next(); worker && tries < idleTries;
                  worker = set.next({worker->value + 1})) {
-                if (this->breakageOf(*worker) != breakage)
-                    continue;
-                ++tries;
-                const auto choice = this->newCellOn(job, level, *worker);
+                const auto choice
+                    = this->newCellOn(job, level, static_cast<CellLevel>(container), *worker);
+                tries += choice.has_value();
                 if (choice && choice->cost == 0 && this->commit(job, *choice, plan))
                     return true;
             }
@@ -114,30 +105,35 @@
     return false;
 }
 
+std::optional<GuaranteePlanner::Choice>
+GuaranteePlanner::cheapestNewCell(const QueuedJob &job, CellLevel level, CellLevel container) const
+{
+    const CellCensus &census = this->fleet.reclaimable();
+    const WorkerSet &set
+        = container < CellLevel::Worker ? census.withCell(container) : census.wholeWorkers();
+    std::optional<Choice> best;
+    unsigned tries = 0;
+    for (auto worker = set.next(); worker && tries < reclaimTries;
+         worker = set.next({worker->value + 1})) {
+        const auto choice = this->newCellOn(job, level, container, *worker);
+        tries += choice.has_value();
+        if (choice && (!best || choice->cost < best->cost))
+            best = choice;
+    }
+    return best;
+}
+
 bool GuaranteePlanner::planCheapestNewCell(const QueuedJob &job, CellLevel level,
                                            const Choice *bestOwn, GuaranteePlan &plan)
 {
-    std::array<std::optional<Choice>, breakageCount> best;
-    const auto consider = [&](WorkerId worker) {
-        const auto choice = this->newCellOn(job, level, worker);
-        if (!choice || (bestOwn != nullptr && choice->cost >= bestOwn->cost))
-            return;
-        std::optional<Choice> &place = best[this->breakageOf(worker)];
-        if (!place || choice->cost < place->cost)
-            place = choice;
-    };
-    const auto scan = [&](const WorkerSet &set) {
-        unsigned tries = 0;
-        for (auto worker = set.next(); worker && tries < reclaimTries;
-             worker = set.next({worker->value + 1}), ++tries)
-            consider(*worker);
-    };
-    const CellCensus &census = this->fleet.reclaimable();
-    for (std::size_t part = static_cast<std::size_t>(level);
-         part < static_cast<std::size_t>(CellLevel::Worker); ++part)
-        scan(census.withCell(static_cast<CellLevel>(part)));
-    scan(census.wholeWorkers());
-    std::sort(best.begin(), best.end(), [](const auto &left, const auto &right) {
+    std::array<std::optional<Choice>, cellLevelCount> best;
+    for (auto container = static_cast<std::size_t>(level); container < cellLevelCount;
+         ++container) {
+        best[container] = this->cheapestNewCell(job, level, static_cast<CellLevel>(container));
+        if (bestOwn != nullptr && best[container] && best[container]->cost >= bestOwn->cost)
+            best[container].reset();
+    }
+    std::stable_sort(best.begin(), best.end(), [](const auto &left, const auto &right) {
         return left && (!right || left->cost < right->cost);
     });
     return std::any_of(best.begin(), best.end(), [&](const std::optional<Choice> &choice) {
@@ -145,29 +141,28 @@
     });
 }
 
-std::optional<GuaranteePlanner::Choice>
-GuaranteePlanner::newCellOn(const QueuedJob &job, CellLevel level, WorkerId worker) const
+std::optional<GuaranteePlanner::Choice> GuaranteePlanner::newCellOn(const QueuedJob &job,
+                                                                    CellLevel level,
+                                                                    CellLevel container,
+                                                                    WorkerId worker) const
 {
     const WorkerRow &row = this->fleet.row(worker);
-    const CellCensus &census = this->fleet.reclaimable();
+    const SlotMask open = this->fleet.reclaimable().slotsIn(worker, row.rack, container);
+    if (open == 0)
+        return std::nullopt;
     std::optional<Choice> best;
-    if (level >= CellLevel::Worker) {
-        if (!census.wholeWorkers().contains(worker)
-            || (level == CellLevel::Rack && !census.isRackWhole(row.rack)))
-            return std::nullopt;
-        if (job.memoryMiB <= row.memoryMiB)
-            best = this->cheapestSlots(job, worker, row.full());
-    } else {
-        const auto order = static_cast<unsigned>(level);
-        const SlotMask unbound = row.full() & ~row.bound & ~row.fixed;
-        for (SlotMask starts = alignedStarts(unbound, order); starts != 0; starts &= starts - 1) {
-            const SlotMask cellSlots = lowSlots(1U << order) << std::countr_zero(starts);
-            if (job.memoryMiB > this->book.memoryRight(worker, cellSlots))
-                continue;
-            const auto choice = this->cheapestSlots(job, worker, cellSlots);
-            if (choice && (!best || choice->cost < best->cost))
-                best = choice;
-        }
+    const bool isWhole = level >= CellLevel::Worker;
+    const unsigned order = isWhole ? 0 : static_cast<unsigned>(level);
+    // A worker or a rack's worker is one cell, whatever its size.
+    SlotMask starts = isWhole ? SlotMask(1) : alignedStarts(open, order);
+    for (; starts != 0; starts &= starts - 1) {
+        const SlotMask cellSlots
+            = isWhole ? row.full() : lowSlots(1U << order) << std::countr_zero(starts);
+        if (job.memoryMiB > this->book.memoryRight(worker, cellSlots))
+            continue;
+        const auto choice = this->cheapestSlots(job, worker, cellSlots);
+        if (choice && (!best || choice->cost < best->cost))
+            best = choice;
     }
     if (best)
         best->level = level;
@@ -270,7 +265,7 @@
                                                           const Placement &part)
 {
     const WorkerRow &row = this->fleet.row(part.worker);
-    const SlotMask unbound = row.full() & ~row.bound & ~row.fixed;
+    const SlotMask unbound = row.reclaimable();
     for (unsigned order = 0; order <= static_cast<unsigned>(CellLevel::Quad); ++order) {
         const unsigned first = std::countr_zero(part.slots) & ~((1U << order) - 1);
         const SlotMask cellSlots = lowSlots(1U << order) << first;
--- a/Policy/GuaranteePlanner.h
+++ b/Policy/GuaranteePlanner.h
@@ -48,14 +48,16 @@
     std::optional<Choice> cheapestInCell(const QueuedJob &job, std::uint32_t cell) const;
     bool levelHolds(const QueuedJob &job, CellLevel level) const;
     bool planIdleNewCell(const QueuedJob &job, CellLevel level, GuaranteePlan &plan);
+    std::optional<Choice> cheapestNewCell(const QueuedJob &job, CellLevel level,
+                                          CellLevel container) const;
     bool planCheapestNewCell(const QueuedJob &job, CellLevel level, const Choice *bestOwn,
                              GuaranteePlan &plan);
-    /// The cheapest place in a new cell of that level on one worker, if it has one.
-    std::optional<Choice> newCellOn(const QueuedJob &job, CellLevel level, WorkerId worker) const;
+    /// The cheapest place on one worker in a new cell that is cut out of a largest cell of level
+    /// `container`, if there is one.
+    std::optional<Choice> newCellOn(const QueuedJob &job, CellLevel level, CellLevel container,
+                                    WorkerId worker) const;
     std::optional<Choice> cheapestSlots(const QueuedJob &job, WorkerId worker,
                                         SlotMask cellSlots) const;
-    /// 0 for workers whose cells are broken already, higher where more is broken up.
-    unsigned breakageOf(WorkerId worker) const;
     bool commit(const QueuedJob &job, const Choice &choice, GuaranteePlan &plan);
     bool chargeInPlace(const QueuedJob &job, const Placement &part);
     std::optional<std::uint32_t> bindAround(const QueuedJob &job, const Placement &part);
--- a/Policy/JobLifecycle.cpp
+++ b/Policy/JobLifecycle.cpp
@@ -215,7 +215,7 @@
     row.isFixed = !row.isGuaranteed && !row.spec.checkpoints;
     if (row.isFixed) {
         for (const Placement &part : placements)
-            this->state.fleet.fix(part.worker, part.slots);
+            this->state.fleet.fix(part.worker, part.slots, row.spec.memoryMiB, job);
     }
     this->count(job);
     return true;
@@ -232,7 +232,7 @@
     for (const Placement &part : this->state.jobs.placements(job)) {
         this->state.fleet.release(part.worker, part.slots, row.spec.memoryMiB);
         if (row.isFixed)
-            this->state.fleet.unfix(part.worker, part.slots);
+            this->state.fleet.unfix(part.worker, job);
         if (row.isGuaranteed)
             this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
     }
@@ -303,7 +303,7 @@
     if (!row.isFixed)
         return;
     for (const Placement &part : this->state.jobs.placements(job))
-        this->state.fleet.fix(part.worker, part.slots);
+        this->state.fleet.fix(part.worker, part.slots, row.spec.memoryMiB, job);
 }
 
 void JobLifecycle::vacateSlots(WorkerId worker, SlotMask slots)
--- a/UnitTests/Policy/GuaranteeChecker.h
+++ b/UnitTests/Policy/GuaranteeChecker.h
@@ -83,8 +83,12 @@
             const JobRow &row = state.jobs.row(job);
             if (!row.holdsCells() || row.isGuaranteed || row.spec.checkpoints)
                 continue;
-            for (const Placement &part : state.jobs.placements(job))
-                this->open[part.worker.value] &= ~part.slots;
+            // Their slots, and as many more as their memory is worth.
+            for (const Placement &part : state.jobs.placements(job)) {
+                const WorkerRow &worker = state.fleet.row(part.worker);
+                EXPECT_EQ(part.slots & ~worker.fixed, 0U) << "job " << row.spec.job.value;
+                this->open[part.worker.value] &= ~worker.fixed;
+            }
         }
     }
 
