--- a/Fleet/FleetTable.cpp
+++ b/Fleet/FleetTable.cpp
@@ -313,7 +313,7 @@
     if (row.service == Service::Full) {
         --this->fullService;
         this->slotTotals[at(row.pool)] -= row.slots;
-        this->idleTotals[at(row.pool)] -= std::popcount(row.idle());
+        this->idleTotals[at(row.pool)] -= row.isReserved ? 0 : std::popcount(row.idle());
     }
     this->probeSet.erase(worker);
     for (const Zone zone : zones) {
@@ -347,9 +347,9 @@
         return;
     ++this->fullService;
     this->slotTotals[at(row.pool)] += row.slots;
-    this->idleTotals[at(row.pool)] += std::popcount(row.idle());
     if (row.isReserved)
         return;
+    this->idleTotals[at(row.pool)] += std::popcount(row.idle());
     for (const Zone zone : zones)
         this->enterZone(worker, zone);
 }
--- a/Fleet/FleetTable.h
+++ b/Fleet/FleetTable.h
@@ -141,6 +141,7 @@
     {
         return this->slotTotals[static_cast<std::size_t>(pool)];
     }
+    /// Idle slots of workers that aren't reserved.
     std::uint32_t idleSlots(Pool pool) const
     {
         return this->idleTotals[static_cast<std::size_t>(pool)];
--- a/PerformanceTests/SchedulerBenchmark.cpp
+++ b/PerformanceTests/SchedulerBenchmark.cpp
@@ -412,7 +412,7 @@
     ->Arg(5000)
     ->Arg(17000)
     ->UseManualTime()
-    ->Iterations(40)
+    ->Iterations(20)
     ->Unit(benchmark::kMicrosecond);
 BENCHMARK(cancelWave)
     ->Arg(100)
--- a/Policy/CellScheduler.cpp
+++ b/Policy/CellScheduler.cpp
@@ -381,6 +381,9 @@
             gauges.largestFreeCell
                 = std::max<std::uint32_t>(gauges.largestFreeCell, fleet.row(*odd).slots);
     }
+    const WorkerSet &reserved = fleet.reserved();
+    for (auto worker = reserved.next(); worker; worker = reserved.next({worker->value + 1}))
+        gauges.freeSlots += std::popcount(fleet.row(*worker).idle());
     for (const RackRow &rack : fleet.racks()) {
         const std::uint32_t idle = rack.idleWorkers[static_cast<std::size_t>(Zone::All)];
         if (fleet.shape().rackWorkers != 0 && idle == fleet.shape().rackWorkers)
--- a/Policy/ClassBudget.cpp
+++ b/Policy/ClassBudget.cpp
@@ -36,6 +36,11 @@
     this->used[at(pool)][at(urgency)] -= slots;
 }
 
+void ClassBudget::setReserved(UrgencyClass urgency, std::uint32_t slots)
+{
+    this->reserved[at(urgency)] = slots;
+}
+
 double ClassBudget::largest(const FleetTable &fleet, Pool pool, UrgencyClass urgency) const
 {
     double keptByOthers = 0;
@@ -47,12 +52,19 @@
     return fleet.slots(pool) * std::max(share, 0.0);
 }
 
+bool ClassBudget::allowsShare(const FleetTable &fleet, Pool pool, UrgencyClass urgency,
+                              std::uint32_t slots) const
+{
+    return this->used[at(pool)][at(urgency)] + slots <= this->largest(fleet, pool, urgency);
+}
+
 bool ClassBudget::allows(const FleetTable &fleet, Pool pool, UrgencyClass urgency,
                          std::uint32_t slots) const
 {
     const double total = fleet.slots(pool);
     const auto &filled = this->used[at(pool)];
-    if (filled[at(urgency)] + slots > this->limits[at(urgency)].largestShare * total)
+    const std::uint32_t kept = pool == Pool::Accelerated ? this->reserved[at(urgency)] : 0;
+    if (filled[at(urgency)] + kept + slots > this->limits[at(urgency)].largestShare * total)
         return false;
     double keptByOthers = 0;
     for (std::size_t other = 0; other < urgencyClassCount; ++other) {
--- a/Policy/ClassBudget.h
+++ b/Policy/ClassBudget.h
@@ -18,15 +18,22 @@
     void add(Pool pool, UrgencyClass urgency, std::uint32_t slots);
     void remove(Pool pool, UrgencyClass urgency, std::uint32_t slots);
 
-    /// True if a job beyond guarantees may take that many slots more.
+    /// Idle accelerated slots that reservations of the class keep; they count as filled by it.
+    void setReserved(UrgencyClass urgency, std::uint32_t slots);
+
+    /// True if a job beyond guarantees may take that many slots more now.
     bool allows(const FleetTable &fleet, Pool pool, UrgencyClass urgency,
                 std::uint32_t slots) const;
+    /// The same for reserved slots: only shares count.
+    bool allowsShare(const FleetTable &fleet, Pool pool, UrgencyClass urgency,
+                     std::uint32_t slots) const;
     /// The slots that the class may fill at most.
     double largest(const FleetTable &fleet, Pool pool, UrgencyClass urgency) const;
 
 private:
     std::array<ClassLimits, urgencyClassCount> limits;
     std::array<std::array<std::uint32_t, urgencyClassCount>, poolCount> used{};
+    std::array<std::uint32_t, urgencyClassCount> reserved{};
 };
 
 } // namespace Hibiscus
--- a/Policy/Reservations.cpp
+++ b/Policy/Reservations.cpp
@@ -29,11 +29,15 @@
                        [job](const Reservation &each) { return each.job == job; });
 }
 
-void Reservations::consider(std::uint32_t job, UrgencyClass urgency, SizeLane lane, TimePoint now)
+void Reservations::consider(std::uint32_t job, SizeLane lane, TimePoint now)
 {
     const JobRow &row = this->state.jobs.row(job);
+    const UrgencyClass urgency = row.spec.urgency;
     if (slotsOf(row.spec) == 1 && lane <= SizeLane::Slot)
         return;
+    if (slotsOf(row.spec)
+        > this->state.budget.largest(this->state.fleet, Pool::Accelerated, urgency))
+        return;
     for (const Reservation &each : this->reservations) {
         if (each.job == job || (each.urgency == urgency && each.lane == lane))
             return;
@@ -194,6 +198,19 @@
             this->moveLeftOver(reservation, now);
         }
     }
+    this->countKept();
+}
+
+void Reservations::countKept()
+{
+    std::array<std::uint32_t, urgencyClassCount> kept{};
+    for (const Reservation &reservation : this->reservations) {
+        for (const WorkerId worker : reservation.workers)
+            kept[static_cast<std::size_t>(reservation.urgency)]
+                += std::popcount(this->state.fleet.row(worker).idle());
+    }
+    for (std::size_t urgency = 0; urgency < urgencyClassCount; ++urgency)
+        this->state.budget.setReserved(static_cast<UrgencyClass>(urgency), kept[urgency]);
 }
 
 bool Reservations::isIdle(const Reservation &reservation) const
@@ -208,9 +225,9 @@
 bool Reservations::tryStart(Reservation &reservation, TimePoint now,
                             std::vector<Decision> &decisions)
 {
-    const FleetTable &fleet = this->state.fleet;
     const QueuedJob &spec = this->state.jobs.row(reservation.job).spec;
-    if (!this->state.budget.allows(fleet, Pool::Accelerated, spec.urgency, slotsOf(spec)))
+    if (!this->state.budget.allowsShare(this->state.fleet, Pool::Accelerated, spec.urgency,
+                                        slotsOf(spec)))
         return false;
     if (reservation.workers.size() == 1)
         return this->lifecycle.startBorrowedOn(reservation.job, reservation.workers.front(), now,
@@ -248,27 +265,37 @@
         this->state.reclaimer.askToMove(job, this->state.jobs.row(job).spec.job, now);
 }
 
+UrgencyClass Reservations::urgencyOf(const Reservation &reservation, TimePoint now) const
+{
+    const JobRow &row = this->state.jobs.row(reservation.job);
+    const bool hasAged = now - row.submitted >= this->state.limits(reservation.urgency).ageing;
+    if (!hasAged || reservation.urgency == UrgencyClass::Urgent)
+        return reservation.urgency;
+    return static_cast<UrgencyClass>(static_cast<std::size_t>(reservation.urgency) - 1);
+}
+
 bool Reservations::mayBackfill(const Reservation &reservation, std::uint32_t job,
-                               UrgencyClass urgency, TimePoint now) const
+                               TimePoint now) const
 {
-    if (urgency < reservation.urgency)
+    const JobRow &row = this->state.jobs.row(job);
+    if (row.spec.urgency < this->urgencyOf(reservation, now))
         return true;
     if (now - reservation.since > this->state.settings.reservationPatience)
         return false;
-    const JobRow &row = this->state.jobs.row(job);
     const auto needed
         = std::chrono::duration_cast<Duration>(row.expected * this->state.settings.backfillMargin);
     return now + needed <= reservation.readyAt;
 }
 
-bool Reservations::backfill(std::uint32_t job, UrgencyClass urgency, TimePoint now,
-                            std::vector<Decision> &decisions)
+bool Reservations::backfill(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions)
 {
     const QueuedJob &spec = this->state.jobs.row(job).spec;
-    if (slotsOf(spec) > this->state.fleet.shape().workerSlots)
+    if (slotsOf(spec) > this->state.fleet.shape().workerSlots
+        || !this->state.budget.allowsShare(this->state.fleet, Pool::Accelerated, spec.urgency,
+                                           slotsOf(spec)))
         return false;
     for (const Reservation &reservation : this->reservations) {
-        if (reservation.job == job || !this->mayBackfill(reservation, job, urgency, now))
+        if (reservation.job == job || !this->mayBackfill(reservation, job, now))
             continue;
         unsigned tries = 0;
         for (const WorkerId worker : reservation.workers) {
--- a/Policy/Reservations.h
+++ b/Policy/Reservations.h
@@ -21,12 +21,11 @@
     {}
 
     /// The job found no room. Reserves workers for it unless its class and lane have a reservation.
-    void consider(std::uint32_t job, UrgencyClass urgency, SizeLane lane, TimePoint now);
+    void consider(std::uint32_t job, SizeLane lane, TimePoint now);
     /// Drops what is over, starts what can start, and moves borrowers that are left over.
     void advance(TimePoint now, std::vector<Decision> &decisions);
     /// Starts a job on workers reserved for others if it is short or more urgent than they are.
-    bool backfill(std::uint32_t job, UrgencyClass urgency, TimePoint now,
-                  std::vector<Decision> &decisions);
+    bool backfill(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
     void workerLost(WorkerId worker);
     bool holds(std::uint32_t job) const;
     std::size_t count() const { return this->reservations.size(); }
@@ -52,6 +51,7 @@
 
     void forgetRefusals(TimePoint now);
     bool isIdle(const Reservation &reservation) const;
+    void countKept();
     bool isOver(const Reservation &reservation) const;
     void drop(std::size_t index);
     bool chooseWorkers(const QueuedJob &spec, TimePoint now);
@@ -62,8 +62,9 @@
     TimePoint readyAt(WorkerId worker, TimePoint now) const;
     bool tryStart(Reservation &reservation, TimePoint now, std::vector<Decision> &decisions);
     void moveLeftOver(Reservation &reservation, TimePoint now);
-    bool mayBackfill(const Reservation &reservation, std::uint32_t job, UrgencyClass urgency,
-                     TimePoint now) const;
+    bool mayBackfill(const Reservation &reservation, std::uint32_t job, TimePoint now) const;
+    /// One class higher once the job that waits has aged.
+    UrgencyClass urgencyOf(const Reservation &reservation, TimePoint now) const;
 
     SchedulerState &state;
     JobLifecycle &lifecycle;
--- a/Policy/StartPass.cpp
+++ b/Policy/StartPass.cpp
@@ -9,6 +9,9 @@
 /// Gangs that are tried in one pass over a class before the others have to wait for the next.
 constexpr unsigned gangTriesPerPass = 8;
 
+/// Customers whose first job is tried for room on reserved workers in one pass over a class.
+constexpr unsigned backfillTriesPerPass = 16;
+
 constexpr std::array<UrgencyClass, urgencyClassCount> classesInOrder{
     UrgencyClass::Urgent, UrgencyClass::Standard, UrgencyClass::Background};
 
@@ -165,8 +168,9 @@
 std::optional<StartPass::Pick> StartPass::pick(UrgencyClass urgency, const ClassPass &pass,
                                                TimePoint now)
 {
-    const bool isAgedNext = this->sinceAged[at(urgency)] + 1 >= this->state.settings.agedEvery;
-    if (isAgedNext) {
+    // Only every so many starts of a class go to jobs that have aged into it. If all that waits has
+    // aged, the order inside a class has to stay what it is, or the longest queue would win.
+    if (this->sinceAged[at(urgency)] + 1 >= this->state.settings.agedEvery) {
         if (const auto aged = this->pickAged(urgency, pass, now))
             return aged;
     }
@@ -174,8 +178,6 @@
         return pressing;
     if (const auto head = this->state.queue.next(urgency, pass.blocked, this->failed))
         return Pick{*head, Source::Fair};
-    if (!isAgedNext)
-        return this->pickAged(urgency, pass, now);
     return std::nullopt;
 }
 
@@ -208,7 +210,10 @@
         pass.pressingBlocked |= lane;
     else
         this->failed[pick.head.customer.value] |= lane;
-    if (outcome == Outcome::NoRoom)
+    // On reserved workers another customer's shorter job may still find room.
+    const bool mayBackfill
+        = this->reservations.count() != 0 && ++pass.backfillTries < backfillTriesPerPass;
+    if (outcome == Outcome::NoRoom && !mayBackfill)
         pass.blocked |= lane;
     if (pick.head.lane == SizeLane::Gang && ++pass.gangTries >= gangTriesPerPass)
         pass.blocked |= lane;
@@ -257,14 +262,9 @@
     }
     if (outcome == Outcome::Started)
         return outcome;
-    const bool mayRun
-        = this->state.budget.allows(this->state.fleet, Pool::Accelerated, spec.urgency,
-                                    std::max<std::uint32_t>(spec.accelerators, 1));
-    if (!mayRun)
-        return outcome;
-    if (this->reservations.backfill(job, urgency, now, decisions))
+    if (this->reservations.backfill(job, now, decisions))
         return Outcome::Started;
-    this->reservations.consider(job, urgency, pick.head.lane, now);
+    this->reservations.consider(job, pick.head.lane, now);
     return outcome;
 }
 
--- a/Policy/StartPass.h
+++ b/Policy/StartPass.h
@@ -51,6 +51,7 @@
         LaneMask pressingBlocked = 0;
         LaneMask agedBlocked = 0;
         unsigned gangTries = 0;
+        unsigned backfillTries = 0;
     };
 
     void runGuaranteed(TimePoint now, std::vector<Decision> &decisions);
