Let urgent work take its customer's guarantee, and free large cells

Cause: a customer whose planning filled its own guarantee had no room there for a recalculation; and a worker cell stayed taken by one small job after the slot it could have been charged to came free. Change: an urgent job that finds no room takes over the charge of a less urgent job of its customer, which becomes a borrower and is asked to leave; small jobs are charged to smaller cells where they run. Ruled out: doing either while something lacks. Fails first: without the take-over the urgent job never starts; without the new charge the large job is not running (CellScheduler tests).

--- a/Policy/GuaranteeBook.cpp
+++ b/Policy/GuaranteeBook.cpp
@@ -277,6 +277,14 @@
     return this->slotCells[place];
 }
 
+bool GuaranteeBook::isComplete(std::uint32_t index) const
+{
+    const BoundCell &cell = this->cells[index].cell;
+    return cell.level != CellLevel::Rack
+        || this->rackBindings[this->fleet.row(cell.worker).rack].cells
+        >= this->fleet.shape().rackWorkers;
+}
+
 std::uint32_t GuaranteeBook::memoryRight(const BoundCell &cell) const
 {
     return this->memoryRight(cell.worker, cell.slots);
--- a/Policy/GuaranteeBook.h
+++ b/Policy/GuaranteeBook.h
@@ -84,6 +84,8 @@
     std::vector<Shortfall> shortfalls() const;
 
     std::optional<std::uint32_t> cellAt(WorkerId worker, unsigned slot) const;
+    /// False for a cell of a bound rack that has lost workers.
+    bool isComplete(std::uint32_t cell) const;
     const BoundCell &cell(std::uint32_t index) const { return this->cells[index].cell; }
     /// Rows of cells, bound ones and free ones.
     std::uint32_t cellRows() const { return static_cast<std::uint32_t>(this->cells.size()); }
--- a/Policy/JobLifecycle.h
+++ b/Policy/JobLifecycle.h
@@ -21,6 +21,12 @@
     /// Starts a waiting job inside its customer's guarantee, or claims cells there and asks their
     /// borrowers to leave. False, with nothing changed, if it does not fit.
     bool startGuaranteed(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    /// Lets a waiting job take the place, inside its customer's guarantee, of a less urgent job of
+    /// the same customer, which is asked to leave. False, with nothing changed, if there is none.
+    bool displaceOwn(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    /// Charges jobs of the customer to smaller cells where they are, if a larger one comes free by
+    /// that for the job. False, with all charged as before, if none does.
+    bool rechargeFor(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
     /// Starts a waiting job on idle slots beyond the guarantee.
     bool startBorrowed(std::uint32_t job, Pool pool, TimePoint now,
                        std::vector<Decision> &decisions);
@@ -57,6 +63,12 @@
     double workOf(std::uint32_t job) const;
 
 private:
+    std::uint32_t findLessUrgent(const QueuedJob &spec) const;
+    bool mayDisplace(const QueuedJob &spec, std::uint32_t other) const;
+    void collectJobsIn(std::uint32_t cell, std::vector<std::uint32_t> &jobs) const;
+    bool rechargeCell(std::uint32_t cell, std::uint32_t job, TimePoint now,
+                      std::vector<Decision> &decisions);
+    void chargeBack(const BoundCell &cell, std::span<const std::uint32_t> jobs);
     bool finishBorrowed(std::uint32_t job, std::span<const Placement> placements, TimePoint now,
                         std::vector<Decision> &decisions);
     void leaveQueue(std::uint32_t job);
@@ -76,6 +88,7 @@
     std::vector<std::uint32_t> claims; ///< Jobs in phase Claiming.
     std::vector<JobId> readyClaims;
     std::vector<Claimant> claimants;
+    std::vector<std::uint32_t> cellJobs;
     std::uint32_t lastClaim = 0;
 };
 
--- /dev/null
+++ b/Policy/JobRecharge.cpp
@@ -0,0 +1,167 @@
+#include <Policy/JobLifecycle.h>
+
+#include <algorithm>
+#include <cassert>
+
+// Changes of what is charged to which cell of one customer's guarantee.
+
+namespace Hibiscus {
+
+namespace {
+
+/// Cells of the customer looked at for one job.
+constexpr unsigned cellTries = 64;
+/// A cell with more jobs is left as it is.
+constexpr std::size_t mostJobsRecharged = 4;
+
+} // namespace
+
+bool JobLifecycle::mayDisplace(const QueuedJob &spec, std::uint32_t other) const
+{
+    const JobRow &row = this->state.jobs.row(other);
+    const bool isLess = row.holdsCells() && row.isGuaranteed && row.spec.checkpoints
+        && !row.isLeaving && row.spec.urgency > spec.urgency
+        && row.slots() >= std::max<std::uint32_t>(spec.accelerators, 1);
+    if (!isLess)
+        return false;
+    // A rack that lost a worker could not be bound again.
+    const auto parts = this->state.jobs.placements(other);
+    return std::all_of(parts.begin(), parts.end(), [this](const Placement &part) {
+        return this->state.book.isComplete(
+            *this->state.book.cellAt(part.worker, std::countr_zero(part.slots)));
+    });
+}
+
+std::uint32_t JobLifecycle::findLessUrgent(const QueuedJob &spec) const
+{
+    const GuaranteeBook &book = this->state.book;
+    std::uint32_t best = noJob;
+    unsigned tries = 0;
+    for (std::size_t bucket = GuaranteeBook::bucketCount; bucket-- > 0;) {
+        for (std::uint32_t index = book.firstInBucket(spec.customer, bucket);
+             index != GuaranteeBook::none && tries < cellTries;
+             index = book.nextInBucket(index), ++tries) {
+            const BoundCell &cell = book.cell(index);
+            for (SlotMask rest = cell.used; rest != 0; rest &= rest - 1) {
+                const std::uint32_t other
+                    = this->state.fleet.jobAt(cell.worker, std::countr_zero(rest));
+                if (other == noJob || other == best || !this->mayDisplace(spec, other))
+                    continue;
+                const bool isBetter = best == noJob
+                    || this->state.jobs.row(other).spec.urgency
+                        > this->state.jobs.row(best).spec.urgency
+                    || (this->state.jobs.row(other).spec.urgency
+                            == this->state.jobs.row(best).spec.urgency
+                        && this->state.jobs.row(other).slots()
+                            < this->state.jobs.row(best).slots());
+                if (isBetter)
+                    best = other;
+            }
+        }
+    }
+    return best;
+}
+
+bool JobLifecycle::displaceOwn(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    // While something lacks, what is given up for a moment may not be had back.
+    if (!this->state.book.hasGuarantee(spec.customer) || !isNothing(this->state.book.deficit()))
+        return false;
+    const std::uint32_t other = this->findLessUrgent(spec);
+    if (other == noJob)
+        return false;
+    this->demote(other);
+    if (this->startGuaranteed(job, now, decisions))
+        return true;
+    JobRow &row = this->state.jobs.row(other);
+    row.isGuaranteed
+        = this->guaranteePlanner.planInPlace(row.spec, this->state.jobs.placements(other));
+    return false;
+}
+
+void JobLifecycle::collectJobsIn(std::uint32_t index, std::vector<std::uint32_t> &jobs) const
+{
+    const BoundCell &cell = this->state.book.cell(index);
+    jobs.clear();
+    for (SlotMask rest = cell.used; rest != 0; rest &= rest - 1) {
+        const std::uint32_t job = this->state.fleet.jobAt(cell.worker, std::countr_zero(rest));
+        if (jobs.empty() || jobs.back() != job)
+            jobs.push_back(job);
+    }
+}
+
+bool JobLifecycle::rechargeFor(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions)
+{
+    const QueuedJob &spec = this->state.jobs.row(job).spec;
+    const GuaranteeBook &book = this->state.book;
+    bool hasSmaller = false;
+    for (unsigned level = 0; level < static_cast<unsigned>(CellLevel::Worker); ++level)
+        hasSmaller |= book.unbound(spec.customer, static_cast<CellLevel>(level)) != 0;
+    if (!hasSmaller || !isNothing(book.deficit())
+        || spec.accelerators > this->state.fleet.shape().workerSlots)
+        return false;
+    unsigned tries = 0;
+    for (std::size_t bucket = 0; bucket < GuaranteeBook::fullBucket; ++bucket) {
+        for (std::uint32_t index = book.firstInBucket(spec.customer, bucket);
+             index != GuaranteeBook::none && tries < cellTries; ++tries) {
+            const std::uint32_t next = book.nextInBucket(index);
+            const BoundCell &cell = book.cell(index);
+            const bool isLarge = cell.level != CellLevel::Rack
+                && static_cast<unsigned>(std::popcount(cell.slots)) >= spec.accelerators;
+            // A success or a failed try files cells anew, so the list is not followed any further.
+            if (isLarge && this->rechargeCell(index, job, now, decisions))
+                return true;
+            if (isLarge)
+                break;
+            index = next;
+        }
+    }
+    return false;
+}
+
+bool JobLifecycle::rechargeCell(std::uint32_t index, std::uint32_t job, TimePoint now,
+                                std::vector<Decision> &decisions)
+{
+    const BoundCell cell = this->state.book.cell(index);
+    this->collectJobsIn(index, this->cellJobs);
+    const auto isPlain = [this](std::uint32_t other) {
+        return other != noJob && this->state.jobs.row(other).isGuaranteed
+            && this->state.jobs.placements(other).size() == 1;
+    };
+    if (this->cellJobs.size() > mostJobsRecharged
+        || !std::all_of(this->cellJobs.begin(), this->cellJobs.end(), isPlain))
+        return false;
+    for (const std::uint32_t other : this->cellJobs) {
+        const JobRow &row = this->state.jobs.row(other);
+        this->state.book.release(cell.worker, row.first.slots, row.spec.memoryMiB);
+    }
+    std::size_t done = 0;
+    while (done < this->cellJobs.size()) {
+        const JobRow &row = this->state.jobs.row(this->cellJobs[done]);
+        if (!this->guaranteePlanner.planInPlace(row.spec, {&row.first, 1}))
+            break;
+        ++done;
+    }
+    if (done == this->cellJobs.size() && this->startGuaranteed(job, now, decisions))
+        return true;
+    for (std::size_t place = 0; place < done; ++place) {
+        const JobRow &row = this->state.jobs.row(this->cellJobs[place]);
+        this->state.book.release(cell.worker, row.first.slots, row.spec.memoryMiB);
+    }
+    this->chargeBack(cell, this->cellJobs);
+    return false;
+}
+
+void JobLifecycle::chargeBack(const BoundCell &cell, std::span<const std::uint32_t> jobs)
+{
+    const auto bound = this->state.book.tryBind(cell.customer, cell.level, cell.worker, cell.slots);
+    // All is as it was before, when this cell was bound.
+    assert(bound.has_value());
+    for (const std::uint32_t job : jobs) {
+        const JobRow &row = this->state.jobs.row(job);
+        this->state.book.use(*bound, row.first.slots, row.spec.memoryMiB);
+    }
+}
+
+} // namespace Hibiscus
--- a/Policy/StartPass.cpp
+++ b/Policy/StartPass.cpp
@@ -107,6 +107,8 @@
             }
             if (this->lifecycle.startGuaranteed(head->job, now, decisions))
                 continue;
+            if (this->lifecycle.rechargeFor(head->job, now, decisions))
+                continue;
             open &= ~laneBit(head->lane);
             if (!this->lifecycle.isKeptFromGuarantee(head->job))
                 continue;
@@ -266,10 +268,20 @@
         return outcome;
     if (this->reservations.backfill(job, now, decisions))
         return Outcome::Started;
+    if (this->mayDisplaceOwn(spec) && this->lifecycle.displaceOwn(job, now, decisions))
+        return Outcome::Started;
     this->reservations.consider(job, pick.head.lane, now);
     return outcome;
 }
 
+bool StartPass::mayDisplaceOwn(const QueuedJob &spec) const
+{
+    // Only for work that a person waits for is work of the same customer interrupted.
+    return spec.urgency == UrgencyClass::Urgent
+        && this->state.budget.allowsShare(this->state.fleet, Pool::Accelerated, spec.urgency,
+                                          std::max<std::uint32_t>(spec.accelerators, 1));
+}
+
 bool StartPass::tryProbe(std::uint32_t job, UrgencyClass urgency, TimePoint now,
                          std::vector<Decision> &decisions)
 {
--- a/Policy/StartPass.h
+++ b/Policy/StartPass.h
@@ -68,6 +68,7 @@
                     std::vector<Decision> &decisions);
     bool tryProbe(std::uint32_t job, UrgencyClass urgency, TimePoint now,
                   std::vector<Decision> &decisions);
+    bool mayDisplaceOwn(const QueuedJob &spec) const;
     bool isLaneFull(SizeLane lane, Pool pool) const;
     bool mayLead(CustomerId customer, UrgencyClass urgency) const;
 
--- a/UnitTests/Policy/CellSchedulerTest.cpp
+++ b/UnitTests/Policy/CellSchedulerTest.cpp
@@ -51,4 +51,53 @@
     EXPECT_TRUE(driver.running.contains(owner.job.value));
 }
 
+TEST(CellScheduler, urgentWorkTakesItsCustomersGuaranteeFromLessUrgentWork)
+{
+    SchedulerDriver driver;
+    driver.addWorkers(2);
+    driver.setCustomers({shape({0, 0, 0, 1, 0}), shape(nothing)});
+    driver.scheduler.setPreset(SchedulerDriver::openPreset(), false, driver.now);
+    QueuedJob planning = driver.job(0, 8);
+    planning.urgency = UrgencyClass::Background;
+    driver.submit(planning);
+    driver.submit(driver.job(1, 8));
+    driver.decide();
+    ASSERT_EQ(driver.running.size(), 2U);
+    QueuedJob urgent = driver.job(0, 1);
+    urgent.urgency = UrgencyClass::Urgent;
+    driver.submit(urgent);
+    const auto events = driver.decide();
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events.front().kind, DecisionKind::Throttle);
+    EXPECT_EQ(events.front().job, planning.job);
+    driver.now += seconds(1);
+    driver.end(planning.job, EndKind::Preempted, true);
+    driver.decide();
+    EXPECT_TRUE(driver.running.contains(urgent.job.value));
+}
+
+TEST(CellScheduler, aLargeCellIsHadAlthoughASmallJobWasChargedToIt)
+{
+    SchedulerDriver driver;
+    driver.addWorkers(3);
+    driver.setCustomers({shape({1, 0, 0, 1, 0}), shape({0, 0, 0, 1, 0})});
+    driver.scheduler.setPreset(SchedulerDriver::openPreset(), false, driver.now);
+    const QueuedJob first = driver.job(0, 1);
+    const QueuedJob second = driver.job(0, 1);
+    driver.submit(first);
+    driver.submit(second);
+    driver.submit(driver.job(1, 8));
+    driver.decide();
+    ASSERT_EQ(driver.running.size(), 3U);
+    // The second is charged to the worker, and the slot comes free.
+    driver.end(first.job);
+    const QueuedJob large = driver.job(0, 8);
+    driver.submit(large);
+    driver.decide();
+    ASSERT_TRUE(driver.running.contains(large.job.value));
+    const SchedulerState &state = driver.scheduler.inspect();
+    EXPECT_TRUE(state.jobs.row(*state.jobs.find(large.job)).isGuaranteed);
+    EXPECT_TRUE(state.jobs.row(*state.jobs.find(second.job)).isGuaranteed);
+}
+
 } // namespace Hibiscus
