--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -322,12 +322,8 @@
     }
     job->addRequester({.instance = request.from, .call = message.call});
     job->cancelled = true;
-    if (job->claim && this->shard.withdraw(*job->claim)) {
-        for (const JobRequester &requester : job->requesters)
-            this->refuseClaim(requester, message.key, "cancelled by its caller", std::nullopt, out);
-        this->table.remove(message.key);
-        return;
-    }
+    // A claim on its way is not withdrawn: only a recorded end keeps other calls with the same key,
+    // wherever they are delayed, from starting the work after it was called "not run".
     if (!job->durable || job->ending)
         return;
     if (job->dispatcher)
