Hibiscusctl: the command line of callers and operators

Cause: jobs, customers, presets and keys could only be handled with a bare HTTP client.

Change: hibiscusctl reads its command line, builds the call, repeats calls without an answer under the same id, and renders the answer; each is a unit of its own.

--- /dev/null
+++ b/Hibiscusctl/main.cpp
@@ -0,0 +1,101 @@
+#include <Config/Authenticator.h>
+#include <Hibiscusctl/ApiClient.h>
+#include <Hibiscusctl/ApiRequest.h>
+#include <Hibiscusctl/CommandLine.h>
+#include <Hibiscusctl/Outcome.h>
+#include <Hibiscusctl/Tables.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus {
+namespace {
+
+constexpr const char *version = "hibiscusctl 0.1.0";
+
+tl::expected<std::string, Findings> readFile(const std::string &name)
+{
+    std::ifstream file(name, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    if (file && !file.bad())
+        return text;
+    Findings findings;
+    findings.add(name, "can't be read");
+    return tl::unexpected(std::move(findings));
+}
+
+tl::expected<std::string, Findings> readCommandFile(const Command &command)
+{
+    if (command.kind == CommandKind::CustomerPut || command.kind == CommandKind::PresetPut)
+        return readFile(command.argument);
+    return command.payloadFile.empty() ? std::string() : readFile(command.payloadFile);
+}
+
+ExitCode complain(const Findings &findings)
+{
+    std::cerr << findings.toString();
+    return ExitCode::Usage;
+}
+
+ExitCode printKey(const Command &command)
+{
+    const std::string secret = Authenticator::newSecret();
+    const std::string salt = Authenticator::newSecret();
+    const ApiKey key = Authenticator::derive(command.argument, command.role, secret, salt);
+    const char *role = key.role == Role::Operator ? "operator" : "caller";
+    const nlohmann::json stored{
+        {"name", key.name}, {"role", role}, {"salt", key.salt}, {"hash", key.hash}};
+    const std::string whole = key.name + "." + secret;
+    if (command.json)
+        std::cout << nlohmann::json{{"key", whole}, {"stored", stored}}.dump(2) << '\n';
+    else
+        std::cout << "key     " << whole << "\nstored  " << stored.dump() << '\n';
+    return ExitCode::Success;
+}
+
+ExitCode callInstance(const Command &command)
+{
+    const auto fileText = readCommandFile(command);
+    if (!fileText)
+        return complain(fileText.error());
+    const auto request = buildRequest(command, *fileText, Authenticator::newSecret());
+    if (!request)
+        return complain(request.error());
+    ApiClient client(command);
+    const ApiReply reply = client.run(*request);
+    const ExitCode code = exitCodeOf(command.kind, reply);
+    std::ostream &out = code == ExitCode::Success || command.json ? std::cout : std::cerr;
+    out << (command.json ? reply.body + "\n" : renderReply(command.kind, reply.body));
+    return code;
+}
+
+ExitCode run(const Command &command)
+{
+    switch (command.kind) {
+    case CommandKind::Help:
+        std::cout << commandLineHelp();
+        return ExitCode::Success;
+    case CommandKind::Version:
+        std::cout << version << '\n';
+        return ExitCode::Success;
+    case CommandKind::Key:
+        return printKey(command);
+    default:
+        return callInstance(command);
+    }
+}
+
+} // namespace
+} // namespace Hibiscus
+
+int main(int argc, char *argv[])
+{
+    using namespace Hibiscus;
+    const char *key = std::getenv("HIBISCUS_KEY");
+    const std::span<const char *const> arguments(argv, static_cast<std::size_t>(argc));
+    const auto command = parseCommandLine(arguments, key ? key : "");
+    return static_cast<int>(command ? run(*command) : complain(command.error()));
+}
