--- a/Hibiscusctl/ApiClient.cpp
+++ b/Hibiscusctl/ApiClient.cpp
@@ -112,7 +112,7 @@
 {
     const httplib::Result result = send(*this->data->client, request);
     if (!result)
-        return {0, httplib::to_string(result.error()), {}};
+        return {0, "no answer: " + httplib::to_string(result.error()), {}};
     return {result->status, result->body, retryAfterOf(*result)};
 }
 
--- a/Hibiscusctl/main.cpp
+++ b/Hibiscusctl/main.cpp
@@ -56,12 +56,22 @@
     return ExitCode::Success;
 }
 
+// Asking again under the same id can't do the same thing twice.
+void adviseRetry(const Command &command, const std::string &freshId)
+{
+    const bool isJob = command.kind == CommandKind::Submit;
+    const std::string &given = isJob ? command.submit.spec.requestId : command.changeId;
+    std::cerr << "to ask again: " << (isJob ? "--id " : "--change-id ")
+              << (given.empty() ? freshId : given) << '\n';
+}
+
 ExitCode callInstance(const Command &command)
 {
     const auto fileText = readCommandFile(command);
     if (!fileText)
         return complain(fileText.error());
-    const auto request = buildRequest(command, *fileText, Authenticator::newSecret());
+    const std::string freshId = Authenticator::newSecret();
+    const auto request = buildRequest(command, *fileText, freshId);
     if (!request)
         return complain(request.error());
     ApiClient client(command);
@@ -69,6 +79,9 @@
     const ExitCode code = exitCodeOf(command.kind, reply);
     std::ostream &out = code == ExitCode::Success || command.json ? std::cout : std::cerr;
     out << (command.json ? reply.body + "\n" : renderReply(command.kind, reply.body));
+    if (code == ExitCode::Unavailable && request->method == HttpMethod::Post
+        && command.kind != CommandKind::Drain)
+        adviseRetry(command, freshId);
     return code;
 }
 
