--- a/Policy/CellScheduler.cpp
+++ b/Policy/CellScheduler.cpp
@@ -217,11 +217,13 @@
     if (!job || !this->state.jobs.row(*job).holdsCells())
         return;
     JobRow &row = this->state.jobs.row(*job);
+    const bool wasGuaranteed = row.isGuaranteed;
     this->learnRunTime(row, end, now);
     this->learnHealth(*job, end, faultyWorker, now);
     this->lifecycle.leaveCells(*job, now);
     this->startPass.cellsFreed();
-    this->startPass.guaranteeFreed(row.spec.customer);
+    if (wasGuaranteed)
+        this->startPass.guaranteeFreed(row.spec.customer);
     if (requeue)
         this->queueAgain(*job);
     else
@@ -381,6 +383,9 @@
             gauges.largestFreeCell
                 = std::max<std::uint32_t>(gauges.largestFreeCell, fleet.row(*odd).slots);
     }
+    const WorkerSet &reserved = fleet.reserved();
+    for (auto worker = reserved.next(); worker; worker = reserved.next({worker->value + 1}))
+        gauges.freeSlots += std::popcount(fleet.row(*worker).idle());
     for (const RackRow &rack : fleet.racks()) {
         const std::uint32_t idle = rack.idleWorkers[static_cast<std::size_t>(Zone::All)];
         if (fleet.shape().rackWorkers != 0 && idle == fleet.shape().rackWorkers)
--- a/Policy/GuaranteeBook.cpp
+++ b/Policy/GuaranteeBook.cpp
@@ -277,6 +277,14 @@
     return this->slotCells[place];
 }
 
+bool GuaranteeBook::isComplete(std::uint32_t index) const
+{
+    const BoundCell &cell = this->cells[index].cell;
+    return cell.level != CellLevel::Rack
+        || this->rackBindings[this->fleet.row(cell.worker).rack].cells
+        >= this->fleet.shape().rackWorkers;
+}
+
 std::uint32_t GuaranteeBook::memoryRight(const BoundCell &cell) const
 {
     return this->memoryRight(cell.worker, cell.slots);
@@ -294,22 +302,21 @@
     return this->customers[customer.value].buckets[bucket];
 }
 
-std::int8_t GuaranteeBook::bucketOf(const BoundCell &cell) const
+std::uint8_t GuaranteeBook::bucketOf(const BoundCell &cell) const
 {
     if (cell.unused() == 0)
-        return static_cast<std::int8_t>(fullBucket);
+        return static_cast<std::uint8_t>(fullBucket);
     const bool isOdd = !std::has_single_bit(static_cast<unsigned>(std::popcount(cell.slots)));
     if (isOdd && cell.used == 0)
-        return static_cast<std::int8_t>(oddBucket);
-    return static_cast<std::int8_t>(largestOrder(cell.unused()));
+        return static_cast<std::uint8_t>(oddBucket);
+    return static_cast<std::uint8_t>(largestOrder(cell.unused()));
 }
 
 void GuaranteeBook::fileCell(std::uint32_t index)
 {
     CellRow &row = this->cells[index];
     row.bucket = this->bucketOf(row.cell);
-    std::uint32_t &first
-        = this->customers[row.cell.customer.value].buckets[static_cast<std::uint8_t>(row.bucket)];
+    std::uint32_t &first = this->customers[row.cell.customer.value].buckets[row.bucket];
     row.previous = none;
     row.next = first;
     if (first != none)
@@ -320,8 +327,7 @@
 void GuaranteeBook::unfileCell(std::uint32_t index)
 {
     CellRow &row = this->cells[index];
-    std::uint32_t &first
-        = this->customers[row.cell.customer.value].buckets[static_cast<std::uint8_t>(row.bucket)];
+    std::uint32_t &first = this->customers[row.cell.customer.value].buckets[row.bucket];
     if (row.previous == none)
         first = row.next;
     else
