--- a/Ledger/LedgerShard.cpp
+++ b/Ledger/LedgerShard.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::uint32_t slotsPerRead = 16;
 constexpr Duration checkSpacing = seconds(5);
-constexpr std::int64_t partsPerList = 64;
 /// Removals that may wait while batches have something to write.
 constexpr std::size_t patientRemovals = 32;
 
@@ -49,6 +48,7 @@
     this->snapshot.reset();
     this->parts.clear();
     this->removals.clear();
+    this->partsCursor.clear();
     this->partsListed = false;
 }
 
@@ -367,12 +367,16 @@
         std::string end = prefix;
         ++end.back();
         this->issue(CallKind::ListParts,
-                    {.verb = StoreVerb::List, .key = prefix, .end = end, .limit = partsPerList},
+                    {.verb = StoreVerb::List,
+                     .key = std::max(this->partsCursor, prefix),
+                     .end = end,
+                     .limit = partsPerList},
                     now, out);
         return true;
     }
     this->maintenanceLast = true;
-    if (this->snapshot) {
+    // Under load one snapshot follows another; removals must not wait for a gap between them.
+    if (this->snapshot && !this->removalsUrgent()) {
         this->startSnapshotWrite();
         return false;
     }
--- a/Ledger/LedgerShard.h
+++ b/Ledger/LedgerShard.h
@@ -77,6 +77,8 @@
     std::uint64_t readCount() const { return this->caller.readCount(); }
 
 private:
+    static constexpr std::int64_t partsPerList = 32;
+
     enum class Phase : std::uint8_t { Released, Loading, Owned };
     enum class CallKind : std::uint8_t { Load, Write, ReadSlots, ListParts, RemovePart };
     enum class WriteKind : std::uint8_t { Epoch, Batch, Part, Head };
@@ -169,7 +171,8 @@
     std::size_t headBytes = 0; ///< Of the whole snapshot.
     std::vector<KeyRevision> parts; ///< Of the head.
     std::deque<KeyRevision> removals;
-    bool partsListed = false;
+    std::string partsCursor; ///< Where to go on looking for unreferenced parts.
+    bool partsListed = false; ///< All of them were looked at.
 };
 
 } // namespace Hibiscus
--- a/Ledger/LedgerShardSnapshot.cpp
+++ b/Ledger/LedgerShardSnapshot.cpp
@@ -114,6 +114,7 @@
     this->headRevision = present->revision;
     this->headSequence = std::max(this->headSequence, head->sequence);
     this->parts.clear();
+    this->partsCursor.clear();
     this->partsListed = false;
     this->snapshot.reset();
 }
@@ -122,7 +123,9 @@
 {
     if (reply.status == StoreStatus::NoAnswer)
         return;
-    this->partsListed = true;
+    this->partsListed = reply.entries.size() < static_cast<std::size_t>(partsPerList);
+    if (!this->partsListed)
+        this->partsCursor = reply.entries.back().key + '\0';
     for (const StoreEntry &entry : reply.entries) {
         const auto isEntry = [&entry](const KeyRevision &part) { return part.key == entry.key; };
         if (std::none_of(this->parts.begin(), this->parts.end(), isEntry)
