--- a/StandIns/StandInWorker.cpp
+++ b/StandIns/StandInWorker.cpp
@@ -12,6 +12,9 @@
 /// A throttled task takes so many times as long.
 constexpr int throttledSlowness = 4;
 
+/// The longest run time that a payload can ask for, one day.
+constexpr std::uint64_t longestRunMs = 86'400'000;
+
 /// What a payload may ask of a task.
 struct PayloadOrders
 {
@@ -27,7 +30,7 @@
         return orders;
     const auto runMs = document.find("runMs");
     if (runMs != document.end() && runMs->is_number_unsigned())
-        orders.runTime = milliseconds(runMs->get<std::uint32_t>());
+        orders.runTime = milliseconds(std::min(runMs->get<std::uint64_t>(), longestRunMs));
     const auto fail = document.find("fail");
     orders.fail = fail != document.end() && fail->is_boolean() && fail->get<bool>();
     return orders;
@@ -217,6 +220,7 @@
     auto entry = this->reported.upper_bound(request.sequence);
     for (; entry != this->reported.end(); ++entry) {
         const Task &task = this->tasks.at(entry->second);
+        // Later reports wait too, or the reader's sequence would pass this one by.
         if (task.reportVisibleFrom > now)
             break;
         reply.reports.push_back(task.report);
@@ -343,10 +347,7 @@
     this->reported.erase(task.report.sequence);
     task.report.state = state;
     task.report.sequence = ++this->lastSequence;
-    // Never before an earlier report, or a reader would pass that one by.
-    const TimePoint visibleFrom = now + milliseconds(this->activeFaults.lateMs);
-    this->lastVisibleFrom = std::max(this->lastVisibleFrom, visibleFrom);
-    task.reportVisibleFrom = this->lastVisibleFrom;
+    task.reportVisibleFrom = now + milliseconds(this->activeFaults.lateMs);
     this->reported[task.report.sequence] = task.report.task;
 }
 
