--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <Ledger/JobKeeper.h>
-#include <Ledger/JobTable.h>
+#include <Ledger/KeptJobTable.h>
 #include <Ledger/LedgerShard.h>
+#include <Ledger/RefusedCalls.h>
 
 #include <cstdint>
 #include <deque>
@@ -53,7 +54,8 @@
     void cancel(const KeeperRequest &request, const CancelJob &message, TimePoint now,
                 KeeperActions &out);
     void query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out);
-    void assign(const KeeperRequest &request, const AssignJob &message, KeeperActions &out);
+    void assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
+                KeeperActions &out);
     void update(const KeeperRequest &request, const JobUpdate &message, TimePoint now,
                 KeeperActions &out);
     void progress(KeptJob &job, const std::string &key, const JobUpdate &message, TimePoint now,
@@ -61,6 +63,9 @@
 
     void claim(const KeeperRequest &request, const SubmitJob &message, const std::string &key,
                std::uint64_t digest, TimePoint now, KeeperActions &out);
+    void refuseClaim(const JobRequester &requester, const std::string &key,
+                     const std::string &reason, std::optional<Duration> retryAfter,
+                     KeeperActions &out);
     void finish(KeptJob &job, const std::string &key, const JobAnswer &answer);
 
     void settle(TimePoint now, KeeperActions &out);
@@ -86,12 +91,13 @@
     JobKeeperSettings settings;
     const Dispatchers &dispatchers;
     LedgerShard shard;
-    JobTable table;
+    KeptJobTable table;
     bool wanted = false;
     std::uint32_t losses = 0; ///< In a row, to another owner.
     TimePoint ownedSince{};
     std::minstd_rand random;
     std::uint64_t callCounter;
+    RefusedCalls refusedCalls;
     std::vector<KeeperRequest> deferred; ///< Until the shard is loaded.
     std::set<std::pair<TimePoint, std::string>> due; ///< Jobs to submit to their dispatchers.
     TimePoint nextHandover{}; ///< Paces `due`.
--- a/UnitTests/Ledger/LedgerWorld.h
+++ b/UnitTests/Ledger/LedgerWorld.h
@@ -36,9 +36,10 @@
         std::uint64_t incarnation = 1;
         bool holdsWork = false; ///< Takes jobs but assigns none.
         std::uint64_t lastCall = 0;
-        std::map<std::string, CallId> asked; ///< Calls that may still be answered "accepted".
-        std::set<CallId> givenUp; ///< Calls that give an attempt up.
-        std::map<std::string, int> runs; ///< How often each job was started.
+        /// Calls that may still be answered "accepted", with the worker they are for, by key.
+        std::map<std::string, std::pair<CallId, std::string>> asked;
+        std::set<std::uint64_t> givenUp; ///< Calls that give an attempt up.
+        std::map<std::string, std::string> started; ///< Worker by key, of this incarnation.
         std::set<std::string> unacknowledged;
         std::set<std::string> cancelled;
     };
@@ -49,7 +50,9 @@
     std::map<std::string, Node> nodes;
     std::string owner; ///< Whom callers and dispatcher believe to be the keeper.
     Dispatcher dispatcher;
-    std::map<std::string, JobSpec> open; ///< Submitted, without a final answer yet.
+    std::map<std::string, int> runs; ///< How often each job was started on any worker.
+    std::set<std::pair<std::string, std::string>> ran; ///< Key and worker; workers remember.
+    std::map<std::string, SubmitJob> open; ///< Submitted, without a final answer yet.
     std::map<std::string, std::vector<JobAnswer>> answers; ///< By key, all that came.
     std::uint64_t steps = 0;
     std::uint64_t incarnations = 0;
@@ -88,6 +91,21 @@
         return node;
     }
 
+    /// Kills the dispatcher; its successor knows only what keepers and workers tell it.
+    void restartDispatcher()
+    {
+        Dispatcher successor;
+        successor.incarnation = this->dispatcher.incarnation + 1;
+        successor.lastCall = this->dispatcher.lastCall;
+        successor.holdsWork = this->dispatcher.holdsWork;
+        this->dispatcher = successor;
+        for (auto &[name, node] : this->nodes)
+            this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+                keeper.setDispatcher(dataCenter, "dispatcher", successor.incarnation, this->now,
+                                     out);
+            });
+    }
+
     void own(const std::string &name, bool owns)
     {
         const std::vector<std::uint32_t> shards(owns ? 1 : 0, 0);
@@ -109,25 +127,29 @@
 
     void submit(const std::string &id)
     {
-        this->open[key(id)] = spec(id);
-        this->sendSubmit(this->owner, spec(id));
+        // Copies of one try have one call id.
+        const SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec(id)};
+        this->open[key(id)] = message;
+        this->sentTo[key(id)] = this->owner;
+        this->toKeepers.push_back({this->owner, "entry", message});
     }
 
+    /// From another entry instance, which takes answers from any keeper.
     void sendSubmit(const std::string &node, const JobSpec &spec)
     {
         SubmitJob message{.call = CallId{++this->lastCall}, .spec = spec};
-        this->toKeepers.emplace_back(node, "entry", message);
+        this->toKeepers.push_back({node, "other", message});
     }
 
     void sendCancel(const std::string &node, const std::string &id)
     {
-        this->toKeepers.emplace_back(node, "entry",
-                                     CancelJob{.call = CallId{++this->lastCall}, .key = key(id)});
+        const CancelJob message{.call = CallId{++this->lastCall}, .key = key(id)};
+        this->toKeepers.push_back({node, "other", message});
     }
 
-    void sendToKeeper(const std::string &node, const std::string &from, PeerMessage message)
+    void sendToKeeper(const std::string &node, const std::string &from, const PeerMessage &message)
     {
-        this->toKeepers.emplace_back(node, from, std::move(message));
+        this->toKeepers.push_back({node, from, message});
     }
 
     /// One store call or message; false if only time can go on.
@@ -171,7 +193,6 @@
     std::vector<std::pair<std::string, PeerMessage>> toDispatcher; ///< All, with the sender.
     std::vector<AssignReply> assignReplies; ///< All that the dispatcher got.
 
-private:
     struct Inbound
     {
         std::string node;
@@ -200,23 +221,32 @@
         if (this->now < this->nextRepeat)
             return;
         this->nextRepeat = this->now + seconds(1);
-        for (const auto &[key, spec] : this->open)
-            this->sendSubmit(this->owner, spec);
+        for (const auto &[key, message] : this->open) {
+            this->sentTo[key] = this->owner;
+            this->toKeepers.push_back({this->owner, "entry", message});
+        }
         for (const std::string &key : this->dispatcher.unacknowledged)
             this->report(key);
     }
 
+    /// Hands over the next message that a keeper has sent.
+    bool stepFromKeeper()
+    {
+        if (this->fromKeepers.empty())
+            return false;
+        const auto [from, send] = std::move(this->fromKeepers.front());
+        this->fromKeepers.pop_front();
+        if (send.instance == "dispatcher")
+            this->atDispatcher(from, send.message);
+        else if (const auto *update = std::get_if<JobUpdate>(&send.message))
+            this->atEntry(from, send.instance, *update);
+        return true;
+    }
+
     bool stepMessage()
     {
-        if (!this->fromKeepers.empty()) {
-            const auto [from, send] = std::move(this->fromKeepers.front());
-            this->fromKeepers.pop_front();
-            if (send.instance == "dispatcher")
-                this->atDispatcher(from, send.message);
-            else if (const auto *update = std::get_if<JobUpdate>(&send.message))
-                this->atEntry(*update);
+        if (this->stepFromKeeper())
             return true;
-        }
         for (auto inbound = this->toKeepers.begin(); inbound != this->toKeepers.end(); ++inbound) {
             const auto node = this->nodes.find(inbound->node);
             if (node != this->nodes.end() && node->second.paused)
@@ -235,21 +265,24 @@
         for (auto &[name, node] : this->nodes) {
             if (node.paused)
                 continue;
-            if (!node.replies.empty()) {
-                const auto [call, reply] = std::move(node.replies.front());
-                node.replies.pop_front();
-                this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
-                    keeper.storeReply(call, reply, this->now, out);
-                });
-                return true;
-            }
-            if (this->makeCall(node))
+            if (this->deliverReply(node) || this->makeCall(node))
                 return true;
         }
         return false;
     }
 
-public:
+    bool deliverReply(Node &node)
+    {
+        if (node.replies.empty())
+            return false;
+        const std::pair<CallId, StoreReply> reply = std::move(node.replies.front());
+        node.replies.pop_front();
+        this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
+            keeper.storeReply(reply.first, reply.second, this->now, out);
+        });
+        return true;
+    }
+
     /// Lets a node's next store call take effect without handing the reply over yet.
     bool makeCall(Node &node)
     {
@@ -263,7 +296,6 @@
         return true;
     }
 
-private:
     void atKeeper(Node &node, const Inbound &inbound)
     {
         this->act(node, [&](JobKeeper &keeper, KeeperActions &out) {
@@ -281,9 +313,10 @@
         });
     }
 
-    void atEntry(const JobUpdate &update)
+    /// "entry" has moved on from the keepers it asked before.
+    void atEntry(const std::string &from, const std::string &to, const JobUpdate &update)
     {
-        if (update.notOwner)
+        if (update.notOwner || (to == "entry" && from != this->sentTo[update.key]))
             return;
         this->answers[update.key].push_back(update.answer);
         if (isFinal(update.answer.status))
@@ -299,18 +332,31 @@
             this->assigned(from, *reply);
         else if (const auto *update = std::get_if<JobUpdate>(&message)) {
             if (isFinal(update->answer.status) && !update->notOwner)
-                this->dispatcher.unacknowledged.erase(update->key);
+                this->forget(update->key);
         } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
             this->dispatcher.cancelled.insert(cancel->key);
-            if (this->dispatcher.runs[cancel->key] == 0)
-                this->dispatcher.asked.erase(cancel->key);
         }
     }
 
+    /// The end is recorded: dispatcher and worker know nothing of the job any more.
+    void forget(const std::string &key)
+    {
+        this->dispatcher.unacknowledged.erase(key);
+        const auto started = this->dispatcher.started.find(key);
+        if (started == this->dispatcher.started.end())
+            return;
+        this->ran.erase({key, started->second});
+        this->dispatcher.started.erase(started);
+    }
+
     void dispatch(const std::string &from, const SubmitJob &submit)
     {
         const std::string key = jobKey(submit.spec.customer, submit.spec.requestId);
-        if (this->dispatcher.runs[key] > 0) {
+        const bool worked
+            = !submit.places.empty() && this->ran.contains({key, submit.places.front().worker});
+        if (worked)
+            this->dispatcher.started[key] = submit.places.front().worker;
+        if (this->dispatcher.started.contains(key)) {
             this->dispatcher.unacknowledged.insert(key);
             this->report(key);
             return;
@@ -326,7 +372,7 @@
         if (submit.places.empty())
             this->askFor(assign);
         else
-            this->dispatcher.givenUp.insert(assign.call);
+            this->dispatcher.givenUp.insert(assign.call.value);
         this->sendToKeeper(from, "dispatcher", assign);
     }
 
@@ -334,13 +380,13 @@
     {
         assign.places = {
             {.worker = "w" + std::to_string(++this->placeCount), .incarnation = "i1", .slots = 1}};
-        this->dispatcher.asked[assign.key] = assign.call;
+        this->dispatcher.asked[assign.key] = {assign.call, assign.places.front().worker};
     }
 
     void assigned(const std::string &from, const AssignReply &reply)
     {
         this->assignReplies.push_back(reply);
-        if (reply.accepted && this->dispatcher.givenUp.erase(reply.call) > 0) {
+        if (reply.accepted && this->dispatcher.givenUp.erase(reply.call.value) > 0) {
             AssignJob again{.call = CallId{++this->dispatcher.lastCall},
                             .key = reply.key,
                             .attempt = reply.attempt + 1,
@@ -350,11 +396,15 @@
             return;
         }
         const auto asked = this->dispatcher.asked.find(reply.key);
-        const bool awaited = asked != this->dispatcher.asked.end() && asked->second == reply.call;
+        const bool awaited
+            = asked != this->dispatcher.asked.end() && asked->second.first == reply.call;
         if (!reply.accepted || !awaited)
             return;
+        const std::string worker = asked->second.second;
         this->dispatcher.asked.erase(asked);
-        ++this->dispatcher.runs[reply.key];
+        this->dispatcher.started[reply.key] = worker;
+        this->ran.insert({reply.key, worker});
+        ++this->runs[reply.key];
         this->dispatcher.unacknowledged.insert(reply.key);
         this->sendToKeeper(from, "dispatcher", this->doneUpdate(reply.key));
     }
@@ -377,6 +427,7 @@
     std::uint64_t lastCall = 0;
     std::uint64_t placeCount = 0;
     TimePoint nextRepeat{};
+    std::map<std::string, std::string> sentTo; ///< The keeper that "entry" asked last.
 };
 
 } // namespace Hibiscus
