Probe before guarantees, keep gauges by counting, bound what is learned

Cause: read through once more. A fleet whose work all fits guarantees never probed an ejected worker; steady failures put off the check for jobs that never fit; gauges walked over all jobs; kinds named by callers were kept without a bound; every submission walked over ejected workers.

--- a/Policy/CellScheduler.cpp
+++ b/Policy/CellScheduler.cpp
@@ -94,7 +94,6 @@
     this->setPresence(worker, description.leaving ? Presence::Leaving : Presence::Present);
     this->state.health.add(worker);
     this->syncService(worker);
-    this->startPass.everythingChanged();
     this->updateWakeup(now);
 }
 
@@ -104,8 +103,7 @@
         return;
     this->setPresence(worker, Presence::Leaving);
     this->syncService(worker);
-    this->recheckAt = now + this->state.settings.absenceGrace;
-    this->updateWakeup(now);
+    this->recheckAfterGrace(now);
 }
 
 void CellScheduler::workerDown(WorkerId worker, TimePoint now)
@@ -115,7 +113,14 @@
     this->setPresence(worker, Presence::Absent);
     this->state.health.remove(worker);
     this->syncService(worker);
-    this->recheckAt = now + this->state.settings.absenceGrace;
+    this->recheckAfterGrace(now);
+}
+
+void CellScheduler::recheckAfterGrace(TimePoint now)
+{
+    // A later loss doesn't put off the check: under steady failures it would never come.
+    if (!this->recheckAt)
+        this->recheckAt = now + this->state.settings.absenceGrace;
     this->updateWakeup(now);
 }
 
@@ -392,18 +397,11 @@
             gauges.largestFreeCell
                 = std::max(gauges.largestFreeCell, idle * std::uint32_t(fleet.shape().workerSlots));
     }
-    for (std::uint32_t job = 0; job < this->state.jobs.rowCount(); ++job) {
-        const JobRow &row = this->state.jobs.row(job);
-        if (row.phase == JobPhase::Free)
-            continue;
-        const auto urgency = static_cast<std::size_t>(row.spec.urgency);
-        if (!row.holdsCells()) {
-            ++gauges.queued[urgency];
-            continue;
-        }
-        ++gauges.running[urgency];
-        gauges.lentSlots += row.isGuaranteed ? 0 : row.slots();
-    }
+    gauges.running = this->state.running;
+    gauges.lentSlots = this->state.lentSlots;
+    gauges.queued = this->lifecycle.claimsByClass();
+    for (std::size_t urgency = 0; urgency < urgencyClassCount; ++urgency)
+        gauges.queued[urgency] += this->state.queue.queued(static_cast<UrgencyClass>(urgency));
     gauges.ejectedWorkers = this->state.health.ejectedCount();
     return gauges;
 }
--- a/Policy/CellScheduler.h
+++ b/Policy/CellScheduler.h
@@ -37,6 +37,7 @@
     const Reservations &inspectReservations() const { return this->reservations; }
 
 private:
+    void recheckAfterGrace(TimePoint now);
     void setPresence(WorkerId worker, Presence presence);
     /// Gives the worker the service that its presence and health allow.
     void syncService(WorkerId worker);
--- a/Policy/JobLifecycle.cpp
+++ b/Policy/JobLifecycle.cpp
@@ -63,12 +63,29 @@
     this->state.budget.remove(row.pool, row.spec.urgency, row.slots());
 }
 
+void JobLifecycle::countRunning(const JobRow &row, bool isRunning)
+{
+    const std::uint32_t change = isRunning ? 1 : ~std::uint32_t(0);
+    this->state.running[static_cast<std::size_t>(row.spec.urgency)] += change;
+    if (!row.isGuaranteed)
+        this->state.lentSlots += change * row.slots();
+}
+
+std::array<std::uint32_t, urgencyClassCount> JobLifecycle::claimsByClass() const
+{
+    std::array<std::uint32_t, urgencyClassCount> counts{};
+    for (const std::uint32_t job : this->claims)
+        ++counts[static_cast<std::size_t>(this->state.jobs.row(job).spec.urgency)];
+    return counts;
+}
+
 void JobLifecycle::emitStart(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions)
 {
     JobRow &row = this->state.jobs.row(job);
     row.phase = JobPhase::Starting;
     row.startedAt = now;
     row.isAdopted = false;
+    this->countRunning(row, true);
     decisions.push_back({.kind = DecisionKind::Start,
                          .job = row.spec.job,
                          .placements = this->state.jobs.placements(job)});
@@ -218,6 +235,7 @@
             this->state.fleet.fix(part.worker, part.slots, row.spec.memoryMiB, job);
     }
     this->count(job);
+    this->countRunning(row, true);
     return true;
 }
 
@@ -237,6 +255,7 @@
             this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
     }
     this->uncount(job);
+    this->countRunning(row, false);
     row.isGuaranteed = false;
     row.isFixed = false;
     row.isLeaving = false;
@@ -299,6 +318,7 @@
     for (const Placement &part : this->state.jobs.placements(job))
         this->state.book.release(part.worker, part.slots, row.spec.memoryMiB);
     row.isGuaranteed = false;
+    this->state.lentSlots += row.slots();
     row.isFixed = !row.spec.checkpoints;
     if (!row.isFixed)
         return;
--- a/Policy/JobLifecycle.h
+++ b/Policy/JobLifecycle.h
@@ -58,7 +58,8 @@
     {
         return this->guaranteePlanner.hasUnboundCellFor(this->state.jobs.row(job).spec);
     }
-    std::size_t claimCount() const { return this->claims.size(); }
+    /// Jobs whose cells are held for them until borrowers have left.
+    std::array<std::uint32_t, urgencyClassCount> claimsByClass() const;
     BorrowTerms termsOf(const QueuedJob &spec) const;
     double workOf(std::uint32_t job) const;
 
@@ -77,6 +78,7 @@
     void countDeparture(const Claimant &claimant);
     void vacateSlots(WorkerId worker, SlotMask slots);
     void giveUpClaimsOn(WorkerId worker, SlotMask slots);
+    void countRunning(const JobRow &row, bool isRunning);
     void count(std::uint32_t job);
     void uncount(std::uint32_t job);
     bool areFree(std::span<const Placement> placements) const;
--- a/Policy/JobRecharge.cpp
+++ b/Policy/JobRecharge.cpp
@@ -77,6 +77,8 @@
     JobRow &row = this->state.jobs.row(other);
     row.isGuaranteed
         = this->guaranteePlanner.planInPlace(row.spec, this->state.jobs.placements(other));
+    if (row.isGuaranteed)
+        this->state.lentSlots -= row.slots();
     return false;
 }
 
--- a/Policy/RunTimeModel.cpp
+++ b/Policy/RunTimeModel.cpp
@@ -48,6 +48,8 @@
 void RunTimeModel::learn(const QueuedJob &job, Duration seen)
 {
     auto found = this->index.find(key(job));
+    if (!found && this->records.size() >= this->settings.mostKinds)
+        return;
     if (!found) {
         found = static_cast<std::uint32_t>(this->records.size());
         this->index.insert(key(job), *found);
--- a/Policy/RunTimeModel.h
+++ b/Policy/RunTimeModel.h
@@ -15,6 +15,7 @@
     struct Settings
     {
         Duration unknownRunTime = seconds(60); ///< For a kind never seen that declares nothing.
+        std::size_t mostKinds = 100000; ///< Learned; kinds are named by callers without a bound.
         double newestWeight = 1.0 / 16; ///< Of the newest run once enough were seen.
     };
 
--- a/Policy/SchedulerState.h
+++ b/Policy/SchedulerState.h
@@ -44,6 +44,8 @@
     std::optional<Preset> preset;
     bool isClosed = false; ///< No new work starts in this data centre.
     std::size_t customerCount = 0;
+    std::array<std::uint32_t, urgencyClassCount> running{}; ///< Jobs that hold cells.
+    std::uint32_t lentSlots = 0; ///< Held by jobs beyond guarantees.
 
     bool isServing() const { return this->preset.has_value() && !this->isClosed; }
     bool isLending() const { return !this->preset || this->preset->lending; }
--- a/Policy/StartPass.cpp
+++ b/Policy/StartPass.cpp
@@ -72,6 +72,7 @@
 
 void StartPass::run(TimePoint now, std::vector<Decision> &decisions)
 {
+    this->runProbes(now, decisions);
     this->runGuaranteed(now, decisions);
     this->reservations.advance(now, decisions);
     if (this->seenRoom != this->state.fleet.roomEpoch())
@@ -83,6 +84,19 @@
     this->seenRoom = this->state.fleet.roomEpoch();
 }
 
+void StartPass::runProbes(TimePoint now, std::vector<Decision> &decisions)
+{
+    // Before anything else: if all work fits guarantees, none would be left over to probe with.
+    if (this->state.fleet.probes().isEmpty())
+        return;
+    std::fill(this->failed.begin(), this->failed.end(), 0);
+    for (const UrgencyClass urgency : {UrgencyClass::Background, UrgencyClass::Standard}) {
+        const auto head = this->state.queue.next(urgency, laneBit(SizeLane::Gang), this->failed);
+        if (head)
+            this->tryProbe(head->job, urgency, now, decisions);
+    }
+}
+
 void StartPass::runGuaranteed(TimePoint now, std::vector<Decision> &decisions)
 {
     // In the order of ids, so that the order of events before does not matter.
--- a/Policy/StartPass.h
+++ b/Policy/StartPass.h
@@ -54,6 +54,7 @@
         unsigned backfillTries = 0;
     };
 
+    void runProbes(TimePoint now, std::vector<Decision> &decisions);
     void runGuaranteed(TimePoint now, std::vector<Decision> &decisions);
     void runGuaranteedOf(CustomerId customer, TimePoint now, std::vector<Decision> &decisions);
     bool leavesGuarantee(const QueuedJob &spec) const;
--- a/Policy/WorkerHealth.cpp
+++ b/Policy/WorkerHealth.cpp
@@ -23,6 +23,7 @@
     Record &record = this->records[worker.value];
     this->ejected -= record.state != HealthState::Healthy;
     std::erase(this->waiting, worker);
+    this->findEarliest();
     record = {};
     --this->known;
 }
@@ -38,6 +39,7 @@
         return;
     --this->ejected;
     std::erase(this->waiting, worker);
+    this->findEarliest();
     record.state = HealthState::Healthy;
     record.backoff = {};
 }
@@ -84,6 +86,7 @@
     record.until = now + record.backoff;
     record.state = HealthState::Ejected;
     this->waiting.push_back(worker);
+    this->findEarliest();
 }
 
 bool WorkerHealth::advance(TimePoint now)
@@ -95,18 +98,21 @@
         record.state = HealthState::Probing;
         return true;
     };
-    return std::erase_if(this->waiting, isOver) != 0;
+    if (!this->earliest || *this->earliest > now)
+        return false;
+    std::erase_if(this->waiting, isOver);
+    this->findEarliest();
+    return true;
 }
 
-std::optional<TimePoint> WorkerHealth::nextChange() const
+void WorkerHealth::findEarliest()
 {
-    std::optional<TimePoint> earliest;
+    this->earliest.reset();
     for (const WorkerId worker : this->waiting) {
         const TimePoint until = this->records[worker.value].until;
-        if (!earliest || until < *earliest)
-            earliest = until;
+        if (!this->earliest || until < *this->earliest)
+            this->earliest = until;
     }
-    return earliest;
 }
 
 } // namespace Hibiscus
--- a/Policy/WorkerHealth.h
+++ b/Policy/WorkerHealth.h
@@ -47,7 +47,7 @@
 
     /// Backoffs that are over become probes; true if any did.
     bool advance(TimePoint now);
-    std::optional<TimePoint> nextChange() const;
+    std::optional<TimePoint> nextChange() const { return this->earliest; }
 
     HealthState state(WorkerId worker) const { return this->records[worker.value].state; }
     std::uint32_t ejectedCount() const { return this->ejected; }
@@ -65,11 +65,13 @@
         bool isKnown = false;
     };
 
+    void findEarliest();
     void eject(WorkerId worker, TimePoint now);
 
     Settings settings;
     std::vector<Record> records;
     std::vector<WorkerId> waiting; ///< Ejected workers.
+    std::optional<TimePoint> earliest; ///< End of their first backoff.
     std::uint32_t known = 0;
     std::uint32_t ejected = 0; ///< Ejected or probing.
 };
--- a/UnitTests/Policy/GuaranteeChecker.h
+++ b/UnitTests/Policy/GuaranteeChecker.h
@@ -43,6 +43,7 @@
                 EXPECT_EQ(state.book.cell(*cell).customer, row.spec.customer);
             }
         }
+        this->checkGauges();
         std::map<std::uint32_t, SlotMask> used;
         for (std::uint32_t index = 0; index < state.book.cellRows(); ++index) {
             const BoundCell &cell = state.book.cell(index);
@@ -60,6 +61,25 @@
     }
 
 private:
+    void checkGauges() const
+    {
+        const SchedulerState &state = this->driver.scheduler.inspect();
+        const SchedulerGauges gauges = this->driver.scheduler.gauges();
+        std::uint32_t running = 0;
+        std::uint32_t lent = 0;
+        for (std::uint32_t job = 0; job < state.jobs.rowCount(); ++job) {
+            const JobRow &row = state.jobs.row(job);
+            if (row.phase == JobPhase::Free || !row.holdsCells())
+                continue;
+            ++running;
+            lent += row.isGuaranteed ? 0 : row.slots();
+        }
+        EXPECT_EQ(gauges.running[0] + gauges.running[1] + gauges.running[2], running);
+        EXPECT_EQ(gauges.lentSlots, lent);
+        EXPECT_EQ(gauges.queued[0] + gauges.queued[1] + gauges.queued[2],
+                  this->driver.waiting.size());
+    }
+
     void layOut()
     {
         const SchedulerState &state = this->driver.scheduler.inspect();
