--- a/Entry/Front.cpp
+++ b/Entry/Front.cpp
@@ -173,10 +173,15 @@
     request.sentAt = now;
     if (!to)
         return;
+    PeerMessage message = this->message(request);
+    const bool handsOver = std::holds_alternative<SubmitJob>(message);
+    const bool elsewhere
+        = to->name != request.sentTo || to->incarnation != request.sentToIncarnation;
+    // From here on a former holder may have begun what the present one refuses.
+    request.retry = request.retry || (handsOver && request.handedOver && elsewhere);
+    request.handedOver = request.handedOver || handsOver;
     request.sentTo = to->name;
     request.sentToIncarnation = to->incarnation;
-    PeerMessage message = this->message(request);
-    request.handedOver = request.handedOver || std::holds_alternative<SubmitJob>(message);
     out.sends.push_back({to->name, std::move(message)});
 }
 
@@ -246,7 +251,9 @@
         return;
     }
     if (answer.status == JobStatus::Unknown && request.stage == Stage::AskKeeper) {
-        if (request.submitting && !request.cancelling)
+        if (request.refusal)
+            this->finish(request, this->truthful(request, *request.refusal), now, out);
+        else if (request.submitting && !request.cancelling)
             this->enter(request, Stage::Admit, members, now, out);
         else
             this->enter(request, Stage::AskDispatcher, members, now, out);
@@ -278,8 +285,14 @@
             return;
         }
     }
+    if (refused && !request.spec.idempotent) {
+        // Another call with the same id may have been recorded while this one was on its way.
+        request.refusal = answer;
+        this->enter(request, Stage::AskKeeper, members, now, out);
+        return;
+    }
     if (isFinal(answer.status)) {
-        this->finish(request, refused ? this->truthful(request, answer) : answer, now, out);
+        this->finish(request, answer, now, out);
         return;
     }
     if (request.stage == Stage::Admit) {
@@ -323,9 +336,7 @@
 bool Front::surelyNotRun(const Request &request) const
 {
     // Until the keeper has said that it does not know the key, an earlier call may have run.
-    const bool keyIsNew
-        = request.stage == Stage::Dispatch || (request.stage == Stage::Admit && !request.retry);
-    return request.submitting && !request.handedOver && keyIsNew;
+    return request.submitting && !request.handedOver && request.spec.idempotent;
 }
 
 JobAnswer Front::truthful(const Request &request, const JobAnswer &refusal) const
