Keep admissions apart from news of the job; hold promised jobs

Ruled out: a keeper that guesses by call id, which changes hands with its requester. Change: JobUpdate says that it answers an admission; jobs that were promised wait out a dispatcher that does not serve yet; a recorded end names no time to try again; an assignment that was recorded elsewhere replaces a waiting job's own.

--- a/Entry/Dispatcher.cpp
+++ b/Entry/Dispatcher.cpp
@@ -158,7 +158,13 @@
         admission.retryAfter = fleetRetry;
     const JobAnswer answer
         = admission.accepted() ? statusAnswer(JobStatus::Accepted) : refusalAnswer(admission);
-    this->reply(from, message.call, probe.key, answer, out);
+    JobUpdate update;
+    update.call = message.call;
+    update.from = JobRole::Dispatcher;
+    update.key = probe.key;
+    update.answer = answer;
+    update.admission = true;
+    out.sends.push_back({from, std::move(update)});
 }
 
 void Dispatcher::submit(const std::string &from, const SubmitJob &message, TimePoint now,
@@ -180,6 +186,16 @@
             known->spec = message.spec;
             known->hasPayload = true;
         }
+        const bool unplaced
+            = known->phase == DispatchPhase::Queued || known->phase == DispatchPhase::Assigning;
+        if (unplaced && !message.places.empty()) {
+            // A former dispatcher's assignment was recorded after the job had come here.
+            if (known->phase == DispatchPhase::Queued)
+                this->withdraw(*known, now);
+            this->leaveScheduler(*known, EndKind::Cancelled, false, now);
+            known->attempt = message.attempt;
+            this->takePlaces(*known, message.places, now);
+        }
         this->sendUpdate(*known, out);
         return;
     }
@@ -199,8 +215,7 @@
     if (job.spec.durable && this->recovering(now))
         return;
     Admission admission = this->enqueue(job, now);
-    const bool held = job.spec.durable && this->mayFitLater(admission);
-    if (admission.accepted() || held) {
+    if (admission.accepted() || this->isHeld(job, admission, now)) {
         this->sendUpdate(job, out);
         return;
     }
@@ -218,6 +233,33 @@
         && this->ownedWorkers() < this->sessions.size();
 }
 
+bool Dispatcher::isHeld(const DispatchJob &job, const Admission &admission, TimePoint now) const
+{
+    if (!job.spec.durable)
+        return false;
+    switch (admission.refusal) {
+    case RefusalReason::NotServing:
+    case RefusalReason::QueueFull:
+        return true;
+    case RefusalReason::NeverFits:
+        return this->mayFitLater(admission);
+    case RefusalReason::UnknownCustomer:
+        // The configuration here may be older than the one its caller was admitted under.
+        return now - job.acceptedAt < this->settings.doubt;
+    default:
+        return false;
+    }
+}
+
+void Dispatcher::withdraw(DispatchJob &job, TimePoint now)
+{
+    if (!job.scheduled)
+        return;
+    this->scheduler->cancel(job.id, now);
+    this->keysOfJobs.erase(job.id);
+    job.scheduled = false;
+}
+
 Admission Dispatcher::enqueue(DispatchJob &job, TimePoint now)
 {
     job.id = JobId{this->nextJob++};
@@ -246,9 +288,7 @@
     this->touch(*job);
     if (job->phase == DispatchPhase::Queued) {
         const JobAnswer answer = statusAnswer(JobStatus::NotRun, "cancelled before it started");
-        if (job->scheduled)
-            this->scheduler->cancel(job->id, now);
-        job->scheduled = false;
+        this->withdraw(*job, now);
         this->finish(*job, EndKind::Cancelled, answer, now, out);
         return;
     }
@@ -314,7 +354,7 @@
         job->scheduled = false;
         this->keysOfJobs.erase(it);
         this->touch(*job);
-        if (job->spec.durable && this->mayFitLater({decision.reason, std::nullopt}))
+        if (this->isHeld(*job, {decision.reason, std::nullopt}, now))
             return;
         const JobAnswer answer = statusAnswer(JobStatus::NotRun, toString(decision.reason));
         this->finish(*job, EndKind::Cancelled, answer, now, out);
--- a/Entry/Dispatcher.h
+++ b/Entry/Dispatcher.h
@@ -134,6 +134,8 @@
     void requeue(DispatchJob &job, EndKind kind, TimePoint now, EntryActions &out);
     void finish(DispatchJob &job, EndKind kind, JobAnswer answer, TimePoint now, EntryActions &out);
     void leaveScheduler(DispatchJob &job, EndKind kind, bool requeue, TimePoint now);
+    /// Takes a job that waits out of the scheduler's queue.
+    void withdraw(DispatchJob &job, TimePoint now);
     void sendUpdate(const DispatchJob &job, EntryActions &out);
     void reply(const std::string &to, CallId call, const std::string &key, JobAnswer answer,
                EntryActions &out);
@@ -151,6 +153,8 @@
     bool recovering(TimePoint now) const;
     /// What does not fit now may do so when workers that are out of reach are back.
     bool mayFitLater(const Admission &admission) const;
+    /// A job that its caller was promised ends by a refusal only if nothing can change it.
+    bool isHeld(const DispatchJob &job, const Admission &admission, TimePoint now) const;
     void touch(const DispatchJob &job) { this->attention.insert(job.key); }
 
     CustomerId customerId(const std::string &name);
--- a/Entry/DispatcherJobs.cpp
+++ b/Entry/DispatcherJobs.cpp
@@ -250,6 +250,9 @@
     this->leaveScheduler(job, kind, false, now);
     job.phase = DispatchPhase::Finished;
     job.answer = std::move(answer);
+    // What is recorded is final; there is nothing to try again under this id.
+    if (job.spec.durable)
+        job.answer.retryAfter.reset();
     job.forgetAt = now + this->settings.answersKept;
     job.resendAt = now + this->settings.resendAfter;
     this->touch(job);
@@ -306,7 +309,7 @@
         this->sendUpdate(job, out);
         return;
     }
-    if (this->mayFitLater(admission))
+    if (this->isHeld(job, admission, now))
         return;
     JobAnswer answer = finalAnswer(JobStatus::NotRun, toString(admission.refusal));
     answer.retryAfter = admission.retryAfter;
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -248,9 +248,7 @@
         const bool waitsUnplaced = known->phase == DispatchPhase::Queued && known->members.empty();
         if (!waitsUnplaced)
             return nullptr;
-        if (known->scheduled)
-            this->scheduler->cancel(known->id, now);
-        known->scheduled = false;
+        this->withdraw(*known, now);
     }
     DispatchJob &job = this->jobs[key];
     if (!known) {
--- a/Entry/EntryMachine.cpp
+++ b/Entry/EntryMachine.cpp
@@ -329,6 +329,10 @@
 void EntryMachine::deliverUpdate(const std::string &from, const JobUpdate &message, TimePoint now,
                                  EntryActions &out)
 {
+    if (message.admission) {
+        this->front.update(from, message, this->membership, now, out);
+        return;
+    }
     if (message.from == JobRole::Dispatcher) {
         // Durable jobs are the keeper's, the others the front's; each ignores what is not its own.
         KeeperActions actions;
--- a/UnitTests/Wire/PeerMessageGenerators.h
+++ b/UnitTests/Wire/PeerMessageGenerators.h
@@ -127,7 +127,8 @@
     return message<JobUpdate>(
         rc::gen::set(&JobUpdate::call, call()),
         rc::gen::set(&JobUpdate::from, upTo(JobRole::Dispatcher)), rc::gen::set(&JobUpdate::key),
-        rc::gen::set(&JobUpdate::answer, answer()), rc::gen::set(&JobUpdate::notOwner));
+        rc::gen::set(&JobUpdate::answer, answer()), rc::gen::set(&JobUpdate::notOwner),
+        rc::gen::set(&JobUpdate::admission));
 }
 
 inline rc::Gen<PeerMessage> assignJob()
--- a/Wire/PeerCodec.cpp
+++ b/Wire/PeerCodec.cpp
@@ -131,7 +131,7 @@
     const FlatString key = builder.CreateString(message.key);
     const auto answer = encodeAnswer(builder, message.answer);
     const auto table = Flat::CreateJobUpdate(builder, message.call.value, number(message.from), key,
-                                             answer, message.notOwner);
+                                             answer, message.notOwner, message.admission);
     return {Flat::Body::JobUpdate, table.Union()};
 }
 
@@ -336,6 +336,7 @@
         result.key = this->text(table.key());
         result.answer = this->answer(*table.answer());
         result.notOwner = table.not_owner();
+        result.admission = table.admission();
         return result;
     }
 
--- a/Wire/PeerMessage_generated.h
+++ b/Wire/PeerMessage_generated.h
@@ -1210,7 +1210,8 @@
     VT_FROM = 6,
     VT_KEY = 8,
     VT_ANSWER = 10,
-    VT_NOT_OWNER = 12
+    VT_NOT_OWNER = 12,
+    VT_ADMISSION = 14
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -1227,6 +1228,9 @@
   bool not_owner() const {
     return GetField<uint8_t>(VT_NOT_OWNER, 0) != 0;
   }
+  bool admission() const {
+    return GetField<uint8_t>(VT_ADMISSION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -1236,6 +1240,7 @@
            VerifyOffsetRequired(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
            VerifyField<uint8_t>(verifier, VT_NOT_OWNER, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ADMISSION, 1) &&
            verifier.EndTable();
   }
 };
@@ -1259,6 +1264,9 @@
   void add_not_owner(bool not_owner) {
     fbb_.AddElement<uint8_t>(JobUpdate::VT_NOT_OWNER, static_cast<uint8_t>(not_owner), 0);
   }
+  void add_admission(bool admission) {
+    fbb_.AddElement<uint8_t>(JobUpdate::VT_ADMISSION, static_cast<uint8_t>(admission), 0);
+  }
   explicit JobUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1277,11 +1285,13 @@
     uint8_t from = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<Hibiscus::Flat::JobAnswer> answer = 0,
-    bool not_owner = false) {
+    bool not_owner = false,
+    bool admission = false) {
   JobUpdateBuilder builder_(_fbb);
   builder_.add_call(call);
   builder_.add_answer(answer);
   builder_.add_key(key);
+  builder_.add_admission(admission);
   builder_.add_not_owner(not_owner);
   builder_.add_from(from);
   return builder_.Finish();
@@ -1298,7 +1308,8 @@
     uint8_t from = 0,
     const char *key = nullptr,
     flatbuffers::Offset<Hibiscus::Flat::JobAnswer> answer = 0,
-    bool not_owner = false) {
+    bool not_owner = false,
+    bool admission = false) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return Hibiscus::Flat::CreateJobUpdate(
       _fbb,
@@ -1306,7 +1317,8 @@
       from,
       key__,
       answer,
-      not_owner);
+      not_owner,
+      admission);
 }
 
 struct AssignJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
