--- a/PerformanceTests/ConfigBenchmark.cpp
+++ b/PerformanceTests/ConfigBenchmark.cpp
@@ -46,6 +46,7 @@
 std::vector<DataCenterCells> fleet()
 {
     std::vector<DataCenterCells> made;
+    made.reserve(dataCenters);
     for (int i = 0; i < dataCenters; ++i)
         made.push_back({"data-center-" + std::to_string(i), {9712, 4856, 2428, 1214, 202}, {}});
     return made;
@@ -111,7 +112,7 @@
     for (auto _ : state)
         benchmark::DoNotOptimize(parseSubmitBody(text));
 }
-BENCHMARK(readRequest)->Arg(100)->Arg(64 * 1024);
+BENCHMARK(readRequest)->Arg(100)->Arg(65536);
 
 /// A key that was used before, and one that costs the derivation.
 void authenticate(benchmark::State &state)
