--- a/Entry/Front.cpp
+++ b/Entry/Front.cpp
@@ -330,7 +330,9 @@
 
 JobAnswer Front::truthful(const Request &request, const JobAnswer &refusal) const
 {
-    if (!request.retry || request.spec.idempotent)
+    // A call that only cancels can't know of submissions that are delayed elsewhere.
+    const bool speaksForAll = !request.retry && request.submitting;
+    if (speaksForAll || request.spec.idempotent)
         return refusal;
     JobAnswer answer = refusal;
     answer.status = JobStatus::Unknown;
--- a/Policy/GuaranteeBook.h
+++ b/Policy/GuaranteeBook.h
@@ -84,6 +84,8 @@
     std::vector<Shortfall> shortfalls() const;
 
     std::optional<std::uint32_t> cellAt(WorkerId worker, unsigned slot) const;
+    /// False for a cell of a bound rack that has lost workers.
+    bool isComplete(std::uint32_t cell) const;
     const BoundCell &cell(std::uint32_t index) const { return this->cells[index].cell; }
     /// Rows of cells, bound ones and free ones.
     std::uint32_t cellRows() const { return static_cast<std::uint32_t>(this->cells.size()); }
@@ -107,7 +109,7 @@
         BoundCell cell;
         std::uint32_t previous = none;
         std::uint32_t next = none;
-        std::int8_t bucket = -1;
+        std::uint8_t bucket = 0;
     };
 
     struct CustomerRow
@@ -130,7 +132,7 @@
     void countBound(CustomerId customer, CellLevel level, bool isBound);
     void fileCell(std::uint32_t index);
     void unfileCell(std::uint32_t index);
-    std::int8_t bucketOf(const BoundCell &cell) const;
+    std::uint8_t bucketOf(const BoundCell &cell) const;
     RackBinding &bindingOf(std::uint32_t rack);
     void growSlots();
 
--- a/Policy/JobLifecycle.h
+++ b/Policy/JobLifecycle.h
@@ -21,6 +21,12 @@
     /// Starts a waiting job inside its customer's guarantee, or claims cells there and asks their
     /// borrowers to leave. False, with nothing changed, if it does not fit.
     bool startGuaranteed(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    /// Lets a waiting job take the place, inside its customer's guarantee, of a less urgent job of
+    /// the same customer, which is asked to leave. False, with nothing changed, if there is none.
+    bool displaceOwn(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
+    /// Charges jobs of the customer to smaller cells where they are, if a larger one comes free by
+    /// that for the job. False, with all charged as before, if none does.
+    bool rechargeFor(std::uint32_t job, TimePoint now, std::vector<Decision> &decisions);
     /// Starts a waiting job on idle slots beyond the guarantee.
     bool startBorrowed(std::uint32_t job, Pool pool, TimePoint now,
                        std::vector<Decision> &decisions);
@@ -47,11 +53,23 @@
     /// Asks a borrower to leave for nobody in particular.
     void askToLeave(std::uint32_t job, TimePoint now);
 
-    std::size_t claimCount() const { return this->claims.size(); }
+    /// True if the job did not fit its customer's guarantee although cells for it are unused.
+    bool isKeptFromGuarantee(std::uint32_t job) const
+    {
+        return this->guaranteePlanner.hasUnboundCellFor(this->state.jobs.row(job).spec);
+    }
+    /// Jobs whose cells are held for them until borrowers have left.
+    std::array<std::uint32_t, urgencyClassCount> claimsByClass() const;
     BorrowTerms termsOf(const QueuedJob &spec) const;
     double workOf(std::uint32_t job) const;
 
 private:
+    std::uint32_t findLessUrgent(const QueuedJob &spec) const;
+    bool mayDisplace(const QueuedJob &spec, std::uint32_t other) const;
+    void collectJobsIn(std::uint32_t cell, std::vector<std::uint32_t> &jobs) const;
+    bool rechargeCell(std::uint32_t cell, std::uint32_t job, TimePoint now,
+                      std::vector<Decision> &decisions);
+    void chargeBack(const BoundCell &cell, std::span<const std::uint32_t> jobs);
     bool finishBorrowed(std::uint32_t job, std::span<const Placement> placements, TimePoint now,
                         std::vector<Decision> &decisions);
     void leaveQueue(std::uint32_t job);
@@ -60,6 +78,7 @@
     void countDeparture(const Claimant &claimant);
     void vacateSlots(WorkerId worker, SlotMask slots);
     void giveUpClaimsOn(WorkerId worker, SlotMask slots);
+    void countRunning(const JobRow &row, bool isRunning);
     void count(std::uint32_t job);
     void uncount(std::uint32_t job);
     bool areFree(std::span<const Placement> placements) const;
@@ -71,6 +90,7 @@
     std::vector<std::uint32_t> claims; ///< Jobs in phase Claiming.
     std::vector<JobId> readyClaims;
     std::vector<Claimant> claimants;
+    std::vector<std::uint32_t> cellJobs;
     std::uint32_t lastClaim = 0;
 };
 
--- a/Policy/StartPass.h
+++ b/Policy/StartPass.h
@@ -51,8 +51,10 @@
         LaneMask pressingBlocked = 0;
         LaneMask agedBlocked = 0;
         unsigned gangTries = 0;
+        unsigned backfillTries = 0;
     };
 
+    void runProbes(TimePoint now, std::vector<Decision> &decisions);
     void runGuaranteed(TimePoint now, std::vector<Decision> &decisions);
     void runGuaranteedOf(CustomerId customer, TimePoint now, std::vector<Decision> &decisions);
     bool leavesGuarantee(const QueuedJob &spec) const;
@@ -67,6 +69,7 @@
                     std::vector<Decision> &decisions);
     bool tryProbe(std::uint32_t job, UrgencyClass urgency, TimePoint now,
                   std::vector<Decision> &decisions);
+    bool mayDisplaceOwn(const QueuedJob &spec) const;
     bool isLaneFull(SizeLane lane, Pool pool) const;
     bool mayLead(CustomerId customer, UrgencyClass urgency) const;
 
--- a/UnitTests/StandIns/StandInPlatformServerTest.cpp
+++ b/UnitTests/StandIns/StandInPlatformServerTest.cpp
@@ -139,6 +139,21 @@
     EXPECT_FALSE(this->client().watch("a", 1, deliver, {}));
 }
 
+TEST_F(StandInPlatformServerTest, WatchWhoseClientHasGoneFreesItsConnection)
+{
+    StandInPlatformServer other({.connections = 2});
+    const StoreClient::Settings settings{
+        .host = host, .port = other.start().value(), .timeout = ample};
+    const std::int64_t revision = StoreClient(settings).execute(swap("a", "1", 0)).storeRevision;
+    for (int i = 0; i < 2; ++i) {
+        std::stop_source stop;
+        const auto leave = [&](const StoreWatchBatch &) { stop.request_stop(); };
+        EXPECT_TRUE(StoreClient(settings).watch("a", revision, leave, stop.get_token()));
+    }
+    EXPECT_EQ(StoreClient(settings).execute({.verb = StoreVerb::Get, .key = "a"}).status,
+              StoreStatus::Ok);
+}
+
 TEST_F(StandInPlatformServerTest, FaultsSetOverHttpReachTheClient)
 {
     StoreClient store = this->client();
@@ -163,6 +178,28 @@
     EXPECT_FALSE(store.watch("a", 1, [](const StoreWatchBatch &) {}, {}));
 }
 
+TEST_F(StandInPlatformServerTest, AnswerThatTricklesInIsCutOffAtTheTimeout)
+{
+    // Whole only after five seconds, with never a long silence before.
+    constexpr std::size_t blanks = 5000;
+    HttpServer trickling(2, seconds(1));
+    const auto trickle = [](std::size_t offset, httplib::DataSink &sink) {
+        const std::string answer = R"({"header":{"revision":"7"}})";
+        std::this_thread::sleep_for(milliseconds(1));
+        if (offset < blanks)
+            return sink.write(" ", 1);
+        sink.write(answer.data(), answer.size());
+        sink.done();
+        return true;
+    };
+    trickling.routes().Post(".*", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_chunked_content_provider("application/json", trickle);
+    });
+    const std::uint16_t slowPort = trickling.listen(host, 0).value();
+    StoreClient store({.host = host, .port = slowPort, .timeout = milliseconds(200)});
+    EXPECT_EQ(store.execute({.verb = StoreVerb::Get, .key = "a"}), StoreReply{});
+}
+
 TEST_F(StandInPlatformServerTest, TooLargeAValueIsRefusedAndLeavesNothing)
 {
     StoreClient store = this->client();
