--- a/Wire/PeerLink.h
+++ b/Wire/PeerLink.h
@@ -51,7 +51,8 @@
 };
 
 /// Starts the broker, to be driven by the functions below. The system has to have loaded
-/// caf::io::middleman.
+/// caf::io::middleman, and must end in the thread that made it, after `stopPeerLink`: else CAF
+/// waits for ever.
 caf::actor startPeerLink(caf::actor_system &system, const PeerLinkSettings &settings,
                          PeerLinkHandlers handlers);
 
