Check guarantees without knowing the configuration

Cause: Fleet stands before Config now; check-layers refused the include. Change: checkGuarantees takes the stated guarantees with their places.

--- a/Fleet/GuaranteeCheck.cpp
+++ b/Fleet/GuaranteeCheck.cpp
@@ -10,11 +10,11 @@
 constexpr std::array<const char *, cellLevelCount> levelNames{"slot", "pair", "quad", "worker",
                                                               "rack"};
 
-FleetTable tableOf(std::string_view dataCenter, std::span<const WorkerDescription> workers)
+FleetTable tableOf(std::span<const WorkerDescription> workers)
 {
     FleetTable fleet;
     for (const WorkerDescription &worker : workers) {
-        if (worker.dataCenter != dataCenter || worker.leaving || worker.slots == 0)
+        if (worker.leaving || worker.slots == 0)
             continue;
         const WorkerId id{static_cast<std::uint32_t>(fleet.workerCount())};
         fleet.describe(id, worker);
@@ -33,29 +33,23 @@
 
 } // namespace
 
-Findings checkGuarantees(const Configuration &configuration, std::string_view dataCenter,
+Findings checkGuarantees(std::span<const StatedGuarantee> guarantees,
                          std::span<const WorkerDescription> workers)
 {
     Findings findings;
-    const FleetTable fleet = tableOf(dataCenter, workers);
+    const FleetTable fleet = tableOf(workers);
     CellCounts need{};
-    for (const auto &[name, customer] : configuration.customers) {
-        const auto guarantee = customer.guarantees.find(std::string(dataCenter));
-        if (guarantee == customer.guarantees.end())
-            continue;
+    for (const StatedGuarantee &guarantee : guarantees) {
         for (std::size_t level = 0; level < cellLevelCount; ++level) {
-            const std::uint32_t wanted = guarantee->second[level];
+            const std::uint32_t wanted = guarantee.cells[level];
             const std::uint64_t before = sum(fleet.reclaimable().deficit(need));
             need[level] += wanted;
             const std::uint64_t after = sum(fleet.reclaimable().deficit(need));
             if (after <= before)
                 continue;
-            std::string message = std::to_string(wanted) + " cells of level ";
-            message += levelNames[level];
-            message += " do not fit beside the guarantees before them";
-            findings.add("/customers/" + name + "/guarantees/" + std::string(dataCenter) + "/"
-                             + levelNames[level],
-                         message);
+            findings.add(guarantee.place + "/" + levelNames[level],
+                         std::to_string(wanted) + " cells of level " + levelNames[level]
+                             + " do not fit beside the guarantees before them");
             // What does not fit is left out, so that each later finding stands for itself.
             need[level] -= wanted;
         }
--- a/Fleet/GuaranteeCheck.h
+++ b/Fleet/GuaranteeCheck.h
@@ -1,19 +1,26 @@
 #pragma once
 
-#include <Config/Configuration.h>
+#include <Core/Cells.h>
 #include <Core/Findings.h>
 #include <Fleet/Worker.h>
 
 #include <span>
-#include <string_view>
+#include <string>
 
 namespace Hibiscus {
 
-/// Whether the workers of a data centre hold all guarantees stated for it at the same time, cells
+/// What one customer is guaranteed in a data centre, with the place that states it.
+struct StatedGuarantee
+{
+    std::string place; ///< A JSON pointer.
+    CellCounts cells{};
+};
+
+/// Whether the workers of one data centre hold all guarantees stated for it at the same time, cells
 /// of accelerated workers first of all. Use it before a change of customers is accepted. One
-/// finding for each customer and level that doesn't fit beside those before it, at the JSON pointer
-/// of its count.
-Findings checkGuarantees(const Configuration &configuration, std::string_view dataCenter,
+/// finding for each guarantee and level that doesn't fit beside those before it, at the place and
+/// the name of the level.
+Findings checkGuarantees(std::span<const StatedGuarantee> guarantees,
                          std::span<const WorkerDescription> workers);
 
 } // namespace Hibiscus
--- a/PerformanceTests/SchedulerBenchmark.cpp
+++ b/PerformanceTests/SchedulerBenchmark.cpp
@@ -67,7 +67,8 @@
         QueuedJob spec;
         spec.job = {++this->lastJob};
         spec.customer = {static_cast<std::uint16_t>(this->random() % this->customers)};
-        spec.caller = {static_cast<std::uint32_t>(spec.customer.value * 8 + this->random() % 8)};
+        spec.caller = {static_cast<std::uint32_t>(std::uint64_t(spec.customer.value) * 8
+                                                  + this->random() % 8)};
         spec.kind = {static_cast<std::uint32_t>(this->random() % 4)};
         spec.accelerators = accelerators;
         spec.urgency = urgency;
--- a/UnitTests/Policy/FloodTest.cpp
+++ b/UnitTests/Policy/FloodTest.cpp
@@ -60,7 +60,7 @@
                     std::chrono::duration<double>(*outcome.finished - outcome.submitted).count());
         }
         std::sort(values.begin(), values.end());
-        return values.at(static_cast<std::size_t>(quantile * (values.size() - 1)));
+        return values.at(static_cast<std::size_t>(quantile * double(values.size() - 1)));
     }
 
     double urgentWait(double quantile) const
@@ -68,7 +68,7 @@
         const auto waits = this->run.waits([&](const EventRun::Outcome &outcome) {
             return this->isUsual(outcome, UrgencyClass::Urgent);
         });
-        return waits.at(static_cast<std::size_t>(quantile * (waits.size() - 1)));
+        return waits.at(static_cast<std::size_t>(quantile * double(waits.size() - 1)));
     }
 
     static constexpr CustomerId floodCustomer{3};
--- a/UnitTests/Policy/OrderTest.cpp
+++ b/UnitTests/Policy/OrderTest.cpp
@@ -35,7 +35,8 @@
         const bool isLarge = index % 24 < 20;
         spec.caller = {isLarge ? 100U : 1U + index % 4};
         spec.declaredRunTime = seconds(10);
-        run.add(begin + milliseconds(250 * index + random() % 250), spec, seconds(10));
+        run.add(begin + milliseconds(std::uint64_t(250) * index + random() % 250), spec,
+                seconds(10));
     }
     run.runUntil(begin + seconds(5000));
     std::vector<double> small;
