--- a/UnitTests/Policy/EventRun.h
+++ b/UnitTests/Policy/EventRun.h
@@ -43,6 +43,7 @@
         std::stable_sort(
             this->arrivals.begin(), this->arrivals.end(),
             [](const Arrival &left, const Arrival &right) { return left.when < right.when; });
+        this->follow(this->driver.decide());
         while (true) {
             const TimePoint next = this->nextTime();
             if (next > until)
--- /dev/null
+++ b/UnitTests/Policy/LendingTest.cpp
@@ -0,0 +1,120 @@
+#include "EventRun.h"
+#include "GuaranteeChecker.h"
+
+namespace Hibiscus {
+
+namespace {
+
+Preset lendingPreset(bool isLending)
+{
+    Preset preset = SchedulerDriver::openPreset();
+    preset.lending = isLending;
+    return preset;
+}
+
+/// Half of the fleet is guaranteed to customer 0, which is idle; customer 1 wants it all.
+class HalfGuaranteed
+{
+public:
+    explicit HalfGuaranteed(bool isLending)
+    {
+        this->driver.addWorkers(6, 8, 8, 3);
+        this->driver.setCustomers({{.guarantee = {0, 0, 0, 0, 1}}, {}});
+        this->driver.scheduler.setPreset(lendingPreset(isLending), false, this->driver.now);
+    }
+
+    void addBorrowers(bool checkpoints)
+    {
+        for (int index = 0; index < 60; ++index) {
+            QueuedJob spec = this->driver.job(1, 1);
+            spec.checkpoints = checkpoints;
+            this->run.add(this->driver.now, spec, seconds(100000));
+        }
+        this->run.runUntil(this->driver.now + seconds(1));
+    }
+
+    SchedulerDriver driver;
+    EventRun run{this->driver};
+};
+
+} // namespace
+
+TEST(Lending, usesIdleGuaranteesAndEndsWhenThePresetEndsIt)
+{
+    HalfGuaranteed half(true);
+    half.addBorrowers(true);
+    EXPECT_EQ(half.driver.usedSlots(), 48U);
+    half.driver.scheduler.setPreset(lendingPreset(false), false, half.driver.now);
+    half.run.runUntil(half.driver.now + seconds(10));
+    EXPECT_EQ(half.driver.usedSlots(), 24U);
+    EXPECT_TRUE(isNothing(half.driver.scheduler.inspect().book.idleDeficit()));
+}
+
+TEST(Lending, neverBeginsWithoutLending)
+{
+    HalfGuaranteed half(false);
+    half.addBorrowers(true);
+    EXPECT_EQ(half.driver.usedSlots(), 24U);
+    EXPECT_TRUE(isNothing(half.driver.scheduler.inspect().book.idleDeficit()));
+}
+
+TEST(Lending, isNotForJobsThatMayNotBeInterrupted)
+{
+    HalfGuaranteed half(true);
+    half.addBorrowers(false);
+    EXPECT_EQ(half.driver.usedSlots(), 24U);
+    QueuedJob gang = half.driver.job(0, 24);
+    gang.adjacency = Adjacency::Rack;
+    half.driver.submit(gang);
+    half.driver.decide();
+    EXPECT_TRUE(half.driver.running.contains(gang.job.value)) << "at once: nobody has to leave";
+}
+
+TEST(Lending, leavesRoomForNothingWhereTheDataCenterIsClosed)
+{
+    HalfGuaranteed half(true);
+    half.driver.scheduler.setPreset(lendingPreset(true), true, half.driver.now);
+    EXPECT_EQ(half.driver.submit(half.driver.job(0, 1)).refusal, RefusalReason::NotServing);
+    QueuedJob promised = half.driver.job(0, 1);
+    promised.admitted = true;
+    EXPECT_TRUE(half.driver.submit(promised).accepted());
+    half.driver.decide();
+    EXPECT_TRUE(half.driver.running.empty());
+    half.driver.scheduler.setPreset(lendingPreset(true), false, half.driver.now);
+    half.driver.decide();
+    EXPECT_TRUE(half.driver.running.contains(promised.job.value));
+}
+
+TEST(Adoption, ofAllRunningJobsChargesThemAsBefore)
+{
+    SchedulerDriver driver;
+    driver.addWorkers(6, 8, 8, 3);
+    const std::vector<Scheduler::CustomerShape> shapes{{.guarantee = {1, 1, 1, 1, 1}}, {}};
+    driver.setCustomers(shapes);
+    driver.scheduler.setPreset(lendingPreset(true), false, driver.now);
+    for (const std::uint16_t size : {24, 8, 4, 2, 1})
+        driver.submit(driver.job(0, size));
+    for (int index = 0; index < 9; ++index)
+        driver.submit(driver.job(1, 1));
+    driver.decide();
+    ASSERT_EQ(driver.usedSlots(), 48U);
+
+    CellScheduler successor{CellScheduler::Settings{}};
+    successor.setCustomers(shapes, driver.now);
+    successor.setPreset(lendingPreset(true), false, driver.now);
+    for (std::uint32_t worker = 0; worker < 6; ++worker)
+        successor.workerUp({worker}, driver.descriptions[worker], driver.now);
+    // In an order that has nothing to do with how they came in.
+    for (auto running = driver.running.rbegin(); running != driver.running.rend(); ++running) {
+        const SchedulerDriver::Running &job = running->second;
+        EXPECT_TRUE(successor.adopt(job.spec, job.placements, driver.now));
+        EXPECT_TRUE(successor.adopt(job.spec, job.placements, driver.now)) << "idempotent";
+    }
+    EXPECT_EQ(successor.gauges().lentSlots, driver.scheduler.gauges().lentSlots);
+    EXPECT_EQ(successor.gauges().freeSlots, 0U);
+    QueuedJob other = driver.job(1, 1);
+    const Placement taken{{0}, 1};
+    EXPECT_FALSE(successor.adopt(other, {&taken, 1}, driver.now));
+}
+
+} // namespace Hibiscus
--- a/UnitTests/Policy/RandomStepsTest.cpp
+++ b/UnitTests/Policy/RandomStepsTest.cpp
@@ -58,6 +58,8 @@
         }
     }
 
+    const std::vector<SchedulerDriver::Event> &history() const { return this->driver.history; }
+
 private:
     static CellScheduler::Settings settingsFor(const Disturbances &disturbances)
     {
@@ -252,4 +254,18 @@
     runSeeds(3000, {.workersFail = true, .configurationChanges = true});
 }
 
+TEST(RandomSteps, theSameCallsGiveTheSameDecisions)
+{
+    RandomHistory first(42, {.workersFail = true, .configurationChanges = true});
+    RandomHistory second(42, {.workersFail = true, .configurationChanges = true});
+    first.run(stepsPerSeed);
+    second.run(stepsPerSeed);
+    ASSERT_EQ(first.history().size(), second.history().size());
+    EXPECT_GT(first.history().size(), 1000U);
+    for (std::size_t index = 0; index < first.history().size(); ++index) {
+        EXPECT_EQ(first.history()[index].kind, second.history()[index].kind);
+        EXPECT_EQ(first.history()[index].job, second.history()[index].job);
+    }
+}
+
 } // namespace Hibiscus
