Mark what the ledger holds as recorded

Ruled out: telling them apart by the time to try again, which refusals of another kind lack. Change: JobUpdate::recorded, set by the keeper alone.

--- a/Entry/EntryMachine.cpp
+++ b/Entry/EntryMachine.cpp
@@ -341,7 +341,7 @@
         this->front.update(from, message, this->membership, now, out);
         return;
     }
-    if (isFinal(message.answer.status)) {
+    if (message.recorded) {
         for (auto &[dataCenter, slot] : this->dispatchers)
             slot.dispatcher->recorded(message.key, now, out);
     }
--- a/Entry/Front.cpp
+++ b/Entry/Front.cpp
@@ -245,9 +245,8 @@
 {
     const JobAnswer &answer = message.answer;
     if (isFinal(answer.status)) {
-        // A refusal with a time to try again is the keeper's own and is recorded nowhere.
-        const bool recorded = answer.status != JobStatus::NotRun || !answer.retryAfter;
-        this->finish(request, recorded ? answer : this->truthful(request, answer), now, out);
+        const bool unsure = answer.status == JobStatus::NotRun && !message.recorded;
+        this->finish(request, unsure ? this->truthful(request, answer) : answer, now, out);
         return;
     }
     if (answer.status == JobStatus::Unknown && request.stage == Stage::AskKeeper) {
--- a/Ledger/KeeperReply.cpp
+++ b/Ledger/KeeperReply.cpp
@@ -10,6 +10,17 @@
                              .call = call, .from = JobRole::Keeper, .key = key, .answer = answer}});
 }
 
+void KeeperReply::state(const std::string &to, CallId call, const std::string &key,
+                        const KeptJob &job, KeeperActions &out)
+{
+    out.sends.push_back({.instance = to,
+                         .message = JobUpdate{.call = call,
+                                              .from = JobRole::Keeper,
+                                              .key = key,
+                                              .answer = job.answer(),
+                                              .recorded = job.isFinished()}});
+}
+
 void KeeperReply::notOwner(const std::string &to, CallId call, const std::string &key,
                            KeeperActions &out)
 {
--- a/Ledger/KeeperReply.h
+++ b/Ledger/KeeperReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Ledger/JobKeeper.h>
+#include <Ledger/KeptJob.h>
 
 #include <string>
 
@@ -12,6 +13,9 @@
 public:
     static void news(const std::string &to, CallId call, const std::string &key,
                      const JobAnswer &answer, KeeperActions &out);
+    /// How a job stands by the ledger; marked as recorded if that is its end.
+    static void state(const std::string &to, CallId call, const std::string &key,
+                      const KeptJob &job, KeeperActions &out);
     /// This instance does not own the key's shard.
     static void notOwner(const std::string &to, CallId call, const std::string &key,
                          KeeperActions &out);
--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -240,7 +240,7 @@
     if (!job->isFinished())
         job->addRequester({.instance = request.from, .call = message.call});
     if (job->durable)
-        KeeperReply::news(request.from, message.call, key, job->answer(), out);
+        KeeperReply::state(request.from, message.call, key, *job, out);
 }
 
 void ShardKeeper::claim(const KeeperRequest &request, const SubmitJob &message,
@@ -315,9 +315,7 @@
 {
     KeptJob *job = this->table.find(message.key);
     if (!job || job->isFinished()) {
-        const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
-        KeeperReply::news(request.from, message.call, message.key, job ? job->answer() : unknown,
-                          out);
+        this->tell(request.from, message.call, message.key, job, out);
         return;
     }
     job->addRequester({.instance = request.from, .call = message.call});
@@ -337,13 +335,22 @@
         this->schedule(*job, message.key, now);
 }
 
+void ShardKeeper::tell(const std::string &to, CallId call, const std::string &key,
+                       const KeptJob *job, KeeperActions &out)
+{
+    const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
+    if (job)
+        KeeperReply::state(to, call, key, *job, out);
+    else
+        KeeperReply::news(to, call, key, unknown, out);
+}
+
 void ShardKeeper::query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out)
 {
     KeptJob *job = this->table.find(message.key);
-    const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
     if (job && !job->isFinished())
         job->addRequester({.instance = request.from, .call = message.call});
-    KeeperReply::news(request.from, message.call, message.key, job ? job->answer() : unknown, out);
+    this->tell(request.from, message.call, message.key, job, out);
 }
 
 void ShardKeeper::assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
@@ -387,7 +394,7 @@
         return;
     const bool final = isFinal(message.answer.status) && !message.notOwner;
     if (job->isFinished()) {
-        KeeperReply::news(request.from, message.call, message.key, job->answer(), out);
+        KeeperReply::state(request.from, message.call, message.key, *job, out);
         return;
     }
     if (!final) {
@@ -397,7 +404,7 @@
     }
     if (!job->ending) {
         if (!job->believes(request.from, message.answer.status)) {
-            KeeperReply::news(request.from, message.call, message.key, job->answer(), out);
+            KeeperReply::state(request.from, message.call, message.key, *job, out);
             return;
         }
         // Without room the report is dropped; its sender repeats it until it is acknowledged.
@@ -427,7 +434,7 @@
         return;
     job.running = running;
     for (const JobRequester &requester : job.requesters)
-        KeeperReply::news(requester.instance, requester.call, key, job.answer(), out);
+        KeeperReply::state(requester.instance, requester.call, key, job, out);
 }
 
 void ShardKeeper::finish(KeptJob &job, const std::string &key, const JobAnswer &answer)
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -53,6 +53,8 @@
                 KeeperActions &out);
     void cancel(const KeeperRequest &request, const CancelJob &message, TimePoint now,
                 KeeperActions &out);
+    static void tell(const std::string &to, CallId call, const std::string &key, const KeptJob *job,
+                     KeeperActions &out);
     void query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out);
     void assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
                 KeeperActions &out);
--- a/Ledger/ShardKeeperDispatch.cpp
+++ b/Ledger/ShardKeeperDispatch.cpp
@@ -120,7 +120,7 @@
                                 KeeperActions &out)
 {
     for (const JobRequester &requester : job.requesters)
-        KeeperReply::news(requester.instance, requester.call, key, job.answer(), out);
+        KeeperReply::state(requester.instance, requester.call, key, job, out);
     if (job.cancelled)
         this->finish(job, key, {.status = JobStatus::NotRun, .reason = "cancelled by its caller"});
     else
@@ -149,9 +149,9 @@
 {
     this->unschedule(job, key);
     for (const JobRequester &requester : job.requesters)
-        KeeperReply::news(requester.instance, requester.call, key, *job.end, out);
+        KeeperReply::state(requester.instance, requester.call, key, job, out);
     for (const JobRequester &reporter : job.reporters)
-        KeeperReply::news(reporter.instance, reporter.call, key, *job.end, out);
+        KeeperReply::state(reporter.instance, reporter.call, key, job, out);
     job.requesters.clear();
     job.reporters.clear();
 }
--- a/UnitTests/Wire/PeerMessageGenerators.h
+++ b/UnitTests/Wire/PeerMessageGenerators.h
@@ -128,7 +128,7 @@
         rc::gen::set(&JobUpdate::call, call()),
         rc::gen::set(&JobUpdate::from, upTo(JobRole::Dispatcher)), rc::gen::set(&JobUpdate::key),
         rc::gen::set(&JobUpdate::answer, answer()), rc::gen::set(&JobUpdate::notOwner),
-        rc::gen::set(&JobUpdate::admission));
+        rc::gen::set(&JobUpdate::admission), rc::gen::set(&JobUpdate::recorded));
 }
 
 inline rc::Gen<PeerMessage> assignJob()
--- a/Wire/PeerCodec.cpp
+++ b/Wire/PeerCodec.cpp
@@ -130,8 +130,9 @@
 {
     const FlatString key = builder.CreateString(message.key);
     const auto answer = encodeAnswer(builder, message.answer);
-    const auto table = Flat::CreateJobUpdate(builder, message.call.value, number(message.from), key,
-                                             answer, message.notOwner, message.admission);
+    const auto table
+        = Flat::CreateJobUpdate(builder, message.call.value, number(message.from), key, answer,
+                                message.notOwner, message.admission, message.recorded);
     return {Flat::Body::JobUpdate, table.Union()};
 }
 
@@ -337,6 +338,7 @@
         result.answer = this->answer(*table.answer());
         result.notOwner = table.not_owner();
         result.admission = table.admission();
+        result.recorded = table.recorded();
         return result;
     }
 
--- a/Wire/PeerMessage.h
+++ b/Wire/PeerMessage.h
@@ -110,6 +110,7 @@
     JobRole from = JobRole::Keeper;
     std::string key;
     JobAnswer answer;
+    bool recorded = false; ///< From the keeper: the answer is the end as the ledger holds it.
     bool admission = false; ///< Answers AdmitJob: it speaks of one call and not of the job.
     bool notOwner = false; ///< The receiver does not play that role for this key; ask elsewhere.
 
--- a/Wire/PeerMessage_generated.h
+++ b/Wire/PeerMessage_generated.h
@@ -1211,7 +1211,8 @@
     VT_KEY = 8,
     VT_ANSWER = 10,
     VT_NOT_OWNER = 12,
-    VT_ADMISSION = 14
+    VT_ADMISSION = 14,
+    VT_RECORDED = 16
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -1231,6 +1232,9 @@
   bool admission() const {
     return GetField<uint8_t>(VT_ADMISSION, 0) != 0;
   }
+  bool recorded() const {
+    return GetField<uint8_t>(VT_RECORDED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -1241,6 +1245,7 @@
            verifier.VerifyTable(answer()) &&
            VerifyField<uint8_t>(verifier, VT_NOT_OWNER, 1) &&
            VerifyField<uint8_t>(verifier, VT_ADMISSION, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1267,6 +1272,9 @@
   void add_admission(bool admission) {
     fbb_.AddElement<uint8_t>(JobUpdate::VT_ADMISSION, static_cast<uint8_t>(admission), 0);
   }
+  void add_recorded(bool recorded) {
+    fbb_.AddElement<uint8_t>(JobUpdate::VT_RECORDED, static_cast<uint8_t>(recorded), 0);
+  }
   explicit JobUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1286,11 +1294,13 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<Hibiscus::Flat::JobAnswer> answer = 0,
     bool not_owner = false,
-    bool admission = false) {
+    bool admission = false,
+    bool recorded = false) {
   JobUpdateBuilder builder_(_fbb);
   builder_.add_call(call);
   builder_.add_answer(answer);
   builder_.add_key(key);
+  builder_.add_recorded(recorded);
   builder_.add_admission(admission);
   builder_.add_not_owner(not_owner);
   builder_.add_from(from);
@@ -1309,7 +1319,8 @@
     const char *key = nullptr,
     flatbuffers::Offset<Hibiscus::Flat::JobAnswer> answer = 0,
     bool not_owner = false,
-    bool admission = false) {
+    bool admission = false,
+    bool recorded = false) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return Hibiscus::Flat::CreateJobUpdate(
       _fbb,
@@ -1318,7 +1329,8 @@
       key__,
       answer,
       not_owner,
-      admission);
+      admission,
+      recorded);
 }
 
 struct AssignJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
