Let a later attempt overtake a former dispatcher's doubt

Ruled out: never acknowledging what is not understood, which would let a worker's memory grow without bound. Change: a report or a hand-over of a later attempt replaces the doubted one.

--- a/Entry/Dispatcher.cpp
+++ b/Entry/Dispatcher.cpp
@@ -188,8 +188,10 @@
         }
         const bool unplaced
             = known->phase == DispatchPhase::Queued || known->phase == DispatchPhase::Assigning;
-        if (unplaced && !message.places.empty()) {
-            // A former dispatcher's assignment was recorded after the job had come here.
+        const bool overtaken = known->phase == DispatchPhase::InDoubt && known->runsOnce()
+            && message.attempt > known->attempt;
+        if ((unplaced || overtaken) && !message.places.empty()) {
+            // Another dispatcher's assignment was recorded after the job had come here.
             if (known->phase == DispatchPhase::Queued)
                 this->withdraw(*known, now);
             this->leaveScheduler(*known, EndKind::Cancelled, false, now);
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -246,8 +246,13 @@
     if (known) {
         // A job that waits for its keeper's hand-over after a restart takes its old tasks back.
         const bool waitsUnplaced = known->phase == DispatchPhase::Queued && known->members.empty();
-        if (!waitsUnplaced)
+        // A later attempt exists only if the one that is known here was given up, unstarted.
+        const bool overtaken = known->runsOnce() && text.attempt > known->attempt
+            && known->phase != DispatchPhase::Finished;
+        if (!waitsUnplaced && !overtaken)
             return nullptr;
+        if (!waitsUnplaced)
+            this->leaveScheduler(*known, EndKind::Cancelled, false, now);
         this->withdraw(*known, now);
     }
     DispatchJob &job = this->jobs[key];
