--- a/UnitTests/Config/ConfigCluster.h
+++ b/UnitTests/Config/ConfigCluster.h
@@ -149,7 +149,7 @@
         node.calls.pop_front();
         StoreReply reply;
         if (fate == CallFate::Normal || fate == CallFate::LostAnswer)
-            reply = this->store.execute(sent.call.request, sent.sentAt);
+            reply = this->execute(sent.call.request, sent.sentAt);
         if (fate == CallFate::LateEffect)
             this->late.push_back(sent.call.request);
         if (fate != CallFate::Normal)
@@ -162,7 +162,7 @@
     void landLateEffects()
     {
         for (const StoreRequest &request : std::exchange(this->late, {}))
-            this->store.execute(request, this->store.latest());
+            this->execute(request, this->store.latest());
     }
 
     /// Carries out every call and watch until nobody has anything to do now.
@@ -239,6 +239,26 @@
     std::map<std::size_t, bool> held; ///< Nodes that are paused.
 
 private:
+    /// Every write to the store: neither the floor nor the snapshot may fall.
+    StoreReply execute(const StoreRequest &request, std::int64_t sentAt)
+    {
+        const StoreReply reply = this->store.execute(request, sentAt);
+        if (request.verb != StoreVerb::Swap || reply.status != StoreStatus::Ok)
+            return reply;
+        if (request.key == "config/floor") {
+            const std::uint64_t floor = std::stoull(request.value);
+            EXPECT_GT(floor, this->floor) << "the floor fell";
+            this->floor = floor;
+        }
+        if (request.key == "config/snapshot") {
+            const auto snapshot = parseConfigSnapshot(request.value);
+            EXPECT_GT(snapshot.value().configuration.revision, this->snapshot)
+                << "the snapshot fell";
+            this->snapshot = snapshot->configuration.revision;
+        }
+        return reply;
+    }
+
     void check(Node &node, const ConfigActions &out)
     {
         const Configuration &current = node.keeper->current();
@@ -257,6 +277,8 @@
     std::vector<StoreRequest> late;
     std::map<std::uint64_t, Configuration> history;
     TimePoint time;
+    std::uint64_t floor = 0;
+    std::uint64_t snapshot = 0;
     std::uint64_t lastSeed = 0;
     std::uint64_t lastChange = 0;
 };
