--- a/UnitTests/Config/ConfigCluster.h
+++ b/UnitTests/Config/ConfigCluster.h
@@ -242,7 +242,7 @@
     /// Every write to the store: neither the floor nor the snapshot may fall.
     StoreReply execute(const StoreRequest &request, std::int64_t sentAt)
     {
-        const StoreReply reply = this->store.execute(request, sentAt);
+        StoreReply reply = this->store.execute(request, sentAt);
         if (request.verb != StoreVerb::Swap || reply.status != StoreStatus::Ok)
             return reply;
         if (request.key == "config/floor") {
