Let a refusal and a cancellation hold for every copy of a request

A cancelled claim that was still waiting was withdrawn and forgotten, so a later copy ran after its caller was told 'not run'; and copies of a refused submission carry no call id. Change: a waiting claim that is cancelled becomes durable and is ended; a refusal is repeated to every copy of the key for the 2 s that callers are asked to wait (by key instead of by call id). Ruled out: refusing the key for good, since callers are asked to try again.

--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -248,27 +248,26 @@
                         KeeperActions &out)
 {
     const JobRequester requester{.instance = request.from, .call = message.call};
-    if (const JobAnswer *refusal = this->refusedCalls.find(request.from, message.call)) {
-        // A copy that was on its way when the first was refused. That answer has to stay true.
+    if (const JobAnswer *refusal = this->refusedKeys.find(key, now)) {
         KeeperReply::news(request.from, message.call, key, *refusal, out);
         return;
     }
     if (this->shard.isUnanswered()) {
         this->refuseClaim(requester, key,
                           "the request cannot be recorded while the store does not answer",
-                          refusedRetryAfter, out);
+                          refusedRetryAfter, now, out);
         return;
     }
     if (this->shard.waitingCount() >= this->settings.queuedAppends) {
         this->refuseClaim(requester, key, "too many requests wait to be recorded",
-                          refusedRetryAfter, out);
+                          refusedRetryAfter, now, out);
         return;
     }
     ClaimRecord record{.key = key, .dataCenter = request.dataCenter, .spec = message.spec};
     std::string text = encodeRecord(record);
     if (text.size() > this->settings.largestBatch) {
         this->refuseClaim(requester, key, "the request is too large to be recorded", std::nullopt,
-                          out);
+                          now, out);
         return;
     }
     KeptJob &job = this->table.add(key);
@@ -280,10 +279,10 @@
 
 void ShardKeeper::refuseClaim(const JobRequester &requester, const std::string &key,
                               const std::string &reason, std::optional<Duration> retryAfter,
-                              KeeperActions &out)
+                              TimePoint now, KeeperActions &out)
 {
     const JobAnswer answer{.status = JobStatus::NotRun, .reason = reason, .retryAfter = retryAfter};
-    this->refusedCalls.add(requester.instance, requester.call, answer);
+    this->refusedKeys.add(key, answer, now, refusedRetryAfter);
     KeeperReply::news(requester.instance, requester.call, key, answer, out);
 }
 
@@ -305,7 +304,7 @@
         }
         for (const JobRequester &requester : job->requesters)
             this->refuseClaim(requester, key, "the request could not be recorded in time",
-                              refusedRetryAfter, out);
+                              refusedRetryAfter, now, out);
         this->table.remove(key);
     }
 }
@@ -322,12 +321,8 @@
     }
     job->addRequester({.instance = request.from, .call = message.call});
     job->cancelled = true;
-    if (job->claim && this->shard.withdraw(*job->claim)) {
-        for (const JobRequester &requester : job->requesters)
-            this->refuseClaim(requester, message.key, "cancelled by its caller", std::nullopt, out);
-        this->table.remove(message.key);
-        return;
-    }
+    // A claim that is being recorded is ended once it is durable: forgotten, it could be submitted
+    // again by another copy after its caller was told that it did not run.
     if (!job->durable || job->ending)
         return;
     if (job->dispatcher)
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -3,7 +3,7 @@
 #include <Ledger/JobKeeper.h>
 #include <Ledger/KeptJobTable.h>
 #include <Ledger/LedgerShard.h>
-#include <Ledger/RefusedCalls.h>
+#include <Ledger/RefusedKeys.h>
 
 #include <cstdint>
 #include <deque>
@@ -64,7 +64,7 @@
     void claim(const KeeperRequest &request, const SubmitJob &message, const std::string &key,
                std::uint64_t digest, TimePoint now, KeeperActions &out);
     void refuseClaim(const JobRequester &requester, const std::string &key,
-                     const std::string &reason, std::optional<Duration> retryAfter,
+                     const std::string &reason, std::optional<Duration> retryAfter, TimePoint now,
                      KeeperActions &out);
     void finish(KeptJob &job, const std::string &key, const JobAnswer &answer);
 
@@ -97,7 +97,7 @@
     TimePoint ownedSince{};
     std::minstd_rand random;
     std::uint64_t callCounter;
-    RefusedCalls refusedCalls;
+    RefusedKeys refusedKeys;
     std::vector<KeeperRequest> deferred; ///< Until the shard is loaded.
     std::set<std::pair<TimePoint, std::string>> due; ///< Jobs to submit to their dispatchers.
     TimePoint nextHandover{}; ///< Paces `due`.
--- a/UnitTests/Ledger/JobKeeperTest.cpp
+++ b/UnitTests/Ledger/JobKeeperTest.cpp
@@ -87,6 +87,41 @@
     EXPECT_TRUE(world.dispatcher.cancelled.contains(LedgerWorld::key("1")));
 }
 
+TEST(JobKeeperTest, aJobCancelledWhileItsClaimWaitsStaysNotRunForEveryLaterCopy)
+{
+    LedgerWorld world = ownedWorld();
+    world.submit("0");
+    world.submit("1");
+    world.sendCancel("a", "1");
+    world.run(seconds(1));
+    ASSERT_EQ(world.lastStatus("1"), JobStatus::NotRun);
+    world.sendSubmit("a", LedgerWorld::spec("1"));
+    world.run(seconds(5));
+    EXPECT_EQ(world.lastStatus("1"), JobStatus::NotRun);
+    EXPECT_EQ(world.runs[LedgerWorld::key("1")], 0);
+}
+
+TEST(JobKeeperTest, aCopyOfARefusedSubmissionIsRefusedAlikeUntilItsCallerMayTryAgain)
+{
+    LedgerWorld world = ownedWorld();
+    world.store.down = true;
+    world.submit("0");
+    world.run(milliseconds(2100));
+    world.submit("1");
+    world.run(milliseconds(10));
+    ASSERT_EQ(world.lastStatus("1"), JobStatus::NotRun);
+    const JobAnswer refusal = world.answers[LedgerWorld::key("1")].back();
+    world.store.down = false;
+    world.run(milliseconds(500));
+    world.sendSubmit("a", LedgerWorld::spec("1"));
+    world.run(milliseconds(500));
+    EXPECT_EQ(world.answers[LedgerWorld::key("1")].back(), refusal);
+    world.run(*refusal.retryAfter);
+    world.submit("1");
+    world.run(seconds(1));
+    EXPECT_EQ(world.lastStatus("1"), JobStatus::Done);
+}
+
 TEST(JobKeeperTest, ofAFinishAndACancelThatCrossTheFirstRecordedEndWins)
 {
     for (const bool cancelFirst : {false, true}) {
