--- a/Entry/Front.h
+++ b/Entry/Front.h
@@ -87,6 +87,8 @@
         std::string dataCenter; ///< Whose dispatcher is asked.
         std::vector<std::string> refusedBy; ///< Data centres that would not take it.
         JobAnswer latest;
+        /// The dispatchers' refusal, told once the keeper has said again that the key is unknown.
+        std::optional<JobAnswer> refusal;
         std::vector<Waiter> waiters;
     };
 
