--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration refusedRetryAfter = seconds(2);
+constexpr Duration claimRecheck = milliseconds(100);
 constexpr std::size_t mostDeferred = 1024;
 /// How often a job is offered again to the dispatcher that has it.
 constexpr Duration heldJobCheck = seconds(30);
@@ -18,6 +19,12 @@
 /// Larger records are not written: the store's values end at a megabyte.
 constexpr std::size_t largestRecord = std::size_t(800) * 1024;
 
+/// How long a claim waits to be recorded before it is refused.
+Duration claimPatience(const JobKeeperSettings &settings)
+{
+    return 2 * settings.storeTimeout;
+}
+
 const std::string &keyOf(const KeeperRequest &request, std::string &buffer)
 {
     if (const auto *message = std::get_if<SubmitJob>(&request.message)) {
@@ -136,7 +143,7 @@
     if (!this->due.empty())
         next = std::min(next, std::max(this->due.begin()->first, this->nextHandover));
     if (!this->claimDeadlines.empty())
-        next = std::min(next, this->claimDeadlines.front().first);
+        next = std::min(next, this->claimDeadlines.begin()->first);
     return next;
 }
 
@@ -250,53 +257,58 @@
                         KeeperActions &out)
 {
     const JobRequester requester{.instance = request.from, .call = message.call};
-    if (const JobAnswer *refusal = this->refusedCalls.find(request.from, message.call)) {
-        // A copy that was on its way when the first was refused. That answer has to stay true.
+    if (const JobAnswer *refusal = this->refusedKeys.find(key, now)) {
         KeeperReply::news(request.from, message.call, key, *refusal, out);
         return;
     }
     if (this->shard.isUnanswered()) {
         this->refuseClaim(requester, key,
                           "the request cannot be recorded while the store does not answer",
-                          refusedRetryAfter, out);
+                          refusedRetryAfter, now, out);
         return;
     }
     if (this->shard.waitingCount() >= this->settings.queuedAppends) {
         this->refuseClaim(requester, key, "too many requests wait to be recorded",
-                          refusedRetryAfter, out);
+                          refusedRetryAfter, now, out);
         return;
     }
     ClaimRecord record{.key = key, .dataCenter = request.dataCenter, .spec = message.spec};
     std::string text = encodeRecord(record);
     if (text.size() > this->settings.largestBatch) {
         this->refuseClaim(requester, key, "the request is too large to be recorded", std::nullopt,
-                          out);
+                          now, out);
         return;
     }
     KeptJob &job = this->table.add(key);
     job.digest = digest;
     job.addRequester(requester);
     job.claim = this->shard.append(std::move(record), std::move(text));
-    this->claimDeadlines.emplace_back(now + 2 * this->settings.storeTimeout, key);
+    this->claimDeadlines.emplace(now + claimPatience(this->settings), key);
 }
 
 void ShardKeeper::refuseClaim(const JobRequester &requester, const std::string &key,
                               const std::string &reason, std::optional<Duration> retryAfter,
-                              KeeperActions &out)
+                              TimePoint now, KeeperActions &out)
 {
     const JobAnswer answer{.status = JobStatus::NotRun, .reason = reason, .retryAfter = retryAfter};
-    this->refusedCalls.add(requester.instance, requester.call, answer);
+    this->refusedKeys.add(key, answer, now, refusedRetryAfter);
     KeeperReply::news(requester.instance, requester.call, key, answer, out);
 }
 
 void ShardKeeper::settleOverdueClaims(TimePoint now, KeeperActions &out)
 {
-    while (!this->claimDeadlines.empty() && this->claimDeadlines.front().first <= now) {
-        const std::string key = std::move(this->claimDeadlines.front().second);
-        this->claimDeadlines.pop_front();
+    while (!this->claimDeadlines.empty() && this->claimDeadlines.begin()->first <= now) {
+        const std::string key = this->claimDeadlines.begin()->second;
+        this->claimDeadlines.erase(this->claimDeadlines.begin());
         KeptJob *job = this->table.find(key);
         if (!job || !job->claim)
             continue;
+        // After a pause another owner may have the claim; the store will tell in a moment.
+        const bool confirmed = now - this->shard.confirmedAt() < claimPatience(this->settings);
+        if (!confirmed && !this->shard.isUnanswered()) {
+            this->claimDeadlines.emplace(now + claimRecheck, key);
+            continue;
+        }
         if (!this->shard.withdraw(*job->claim)) {
             // It may be durable. Nothing final can be said before the store has answered.
             const JobAnswer unsettled{.status = JobStatus::Unknown,
@@ -307,7 +319,7 @@
         }
         for (const JobRequester &requester : job->requesters)
             this->refuseClaim(requester, key, "the request could not be recorded in time",
-                              refusedRetryAfter, out);
+                              refusedRetryAfter, now, out);
         this->table.remove(key);
     }
 }
--- a/Ledger/ShardKeeper.h
+++ b/Ledger/ShardKeeper.h
@@ -3,10 +3,9 @@
 #include <Ledger/JobKeeper.h>
 #include <Ledger/KeptJobTable.h>
 #include <Ledger/LedgerShard.h>
-#include <Ledger/RefusedCalls.h>
+#include <Ledger/RefusedKeys.h>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -66,7 +65,7 @@
     void claim(const KeeperRequest &request, const SubmitJob &message, const std::string &key,
                std::uint64_t digest, TimePoint now, KeeperActions &out);
     void refuseClaim(const JobRequester &requester, const std::string &key,
-                     const std::string &reason, std::optional<Duration> retryAfter,
+                     const std::string &reason, std::optional<Duration> retryAfter, TimePoint now,
                      KeeperActions &out);
     void finish(KeptJob &job, const std::string &key, const JobAnswer &answer);
 
@@ -99,11 +98,11 @@
     TimePoint ownedSince{};
     std::minstd_rand random;
     std::uint64_t callCounter;
-    RefusedCalls refusedCalls;
+    RefusedKeys refusedKeys;
     std::vector<KeeperRequest> deferred; ///< Until the shard is loaded.
     std::set<std::pair<TimePoint, std::string>> due; ///< Jobs to submit to their dispatchers.
     TimePoint nextHandover{}; ///< Paces `due`.
-    std::deque<std::pair<TimePoint, std::string>> claimDeadlines;
+    std::set<std::pair<TimePoint, std::string>> claimDeadlines;
 };
 
 } // namespace Hibiscus
