Choose the worker for one waiting job among 128

Cause: the p99 of an urgent decision at fleet size was 595 us: a reservation for a job on one worker looked at the ends of all that runs anywhere. Change: such a reservation stops at 128 candidates and goes on from there the next time.

--- a/Policy/GuaranteePlanner.cpp
+++ b/Policy/GuaranteePlanner.cpp
@@ -100,23 +100,42 @@
     const Pool pool = this->fleet.guaranteePool();
     const unsigned lastOrder = std::bit_width(this->fleet.shape().workerSlots) - 1;
     const unsigned firstOrder = std::min(orderFor(slotsOf(job)), lastOrder);
+    const CellCensus &census = this->fleet.reclaimable();
     for (auto container = static_cast<unsigned>(level); container < cellLevelCount; ++container) {
+        const auto from = static_cast<CellLevel>(container);
+        if (census.largestCells()[container] == 0)
+            continue;
+        // Few workers are broken up; whole ones are many, and those with idle cells are known.
+        if (from < CellLevel::Worker) {
+            if (this->planIdleAmong(census.withCell(from), job, level, from, plan))
+                return true;
+            continue;
+        }
         for (unsigned order = firstOrder; order < cellOrderCount; ++order) {
             const WorkerSet &set = this->fleet.withIdleOrder(pool, Zone::Unbound, order);
-            unsigned tries = 0;
-            for (auto worker = set.next(); worker && tries < idleTries;
-                 worker = set.next({worker->value + 1})) {
-                const auto choice
-                    = this->newCellOn(job, level, static_cast<CellLevel>(container), *worker);
-                tries += choice.has_value();
-                if (choice && choice->cost == 0 && this->commit(job, *choice, plan))
-                    return true;
-            }
+            if (this->planIdleAmong(set, job, level, from, plan))
+                return true;
         }
     }
     return false;
 }
 
+bool GuaranteePlanner::planIdleAmong(const WorkerSet &set, const QueuedJob &job, CellLevel level,
+                                     CellLevel container, GuaranteePlan &plan)
+{
+    unsigned tries = 0;
+    for (auto worker = set.next(); worker && tries < reclaimTries;
+         worker = set.next({worker->value + 1})) {
+        if (this->fleet.row(*worker).idle() == 0)
+            continue;
+        const auto choice = this->newCellOn(job, level, container, *worker);
+        tries += choice.has_value();
+        if (choice && choice->cost == 0 && this->commit(job, *choice, plan))
+            return true;
+    }
+    return false;
+}
+
 std::optional<GuaranteePlanner::Choice>
 GuaranteePlanner::cheapestNewCell(const QueuedJob &job, CellLevel level, CellLevel container) const
 {
--- a/Policy/GuaranteePlanner.h
+++ b/Policy/GuaranteePlanner.h
@@ -51,6 +51,8 @@
     std::optional<Choice> cheapestInCell(const QueuedJob &job, std::uint32_t cell) const;
     bool levelHolds(const QueuedJob &job, CellLevel level) const;
     bool planIdleNewCell(const QueuedJob &job, CellLevel level, GuaranteePlan &plan);
+    bool planIdleAmong(const WorkerSet &set, const QueuedJob &job, CellLevel level,
+                       CellLevel container, GuaranteePlan &plan);
     std::optional<Choice> cheapestNewCell(const QueuedJob &job, CellLevel level,
                                           CellLevel container) const;
     bool planCheapestNewCell(const QueuedJob &job, CellLevel level, const Choice *bestOwn,
--- a/Policy/Reservations.cpp
+++ b/Policy/Reservations.cpp
@@ -13,6 +13,8 @@
 constexpr Duration refusalTerm = seconds(10);
 /// Times its patience after which a reservation chose badly and its job chooses anew.
 constexpr int patienceBound = 2;
+/// Workers among which that for a job on one worker is chosen.
+constexpr std::size_t singleCandidates = 128;
 /// Reserved workers tried for one short job.
 constexpr unsigned backfillTries = 16;
 
@@ -150,8 +152,13 @@
         return !this->chosen.empty();
     }
     this->candidates.clear();
-    for (std::uint32_t rack = 0; rack < fleet.racks().size(); ++rack)
-        this->collect(spec, rack, now);
+    // For one worker a part of the fleet is choice enough, another part each time.
+    const std::size_t enough = parts == 1 ? singleCandidates : fleet.workerCount();
+    const auto rackCount = static_cast<std::uint32_t>(fleet.racks().size());
+    for (std::uint32_t seen = 0; seen < rackCount && this->candidates.size() < enough; ++seen) {
+        this->nextRack = (this->nextRack + 1) % rackCount;
+        this->collect(spec, this->nextRack, now);
+    }
     this->keepEarlier(parts);
     return !this->chosen.empty();
 }
--- a/Policy/Reservations.h
+++ b/Policy/Reservations.h
@@ -72,6 +72,7 @@
     std::vector<Candidate> candidates;
     std::vector<Candidate> chosen;
     std::vector<std::uint32_t> leftOver;
+    std::uint32_t nextRack = 0; ///< Where the last search for one worker ended.
     IdMap refused; ///< Jobs for which no workers could be reserved lately.
     std::uint64_t refusalEpoch = 0;
     TimePoint refusalsSince;
