--- a/Policy/AdmissionControl.cpp
+++ b/Policy/AdmissionControl.cpp
@@ -143,6 +143,11 @@
         std::uint32_t &memory = this->capacity.largestMemory[pool][row.slots];
         memory = std::max(memory, std::max<std::uint32_t>(row.memoryMiB, 1));
         this->capacity.slots[pool] += row.slots;
+        if (row.pool != Pool::Accelerated || row.slots != fleet.shape().workerSlots)
+            continue;
+        ++this->capacity.standardWorkers;
+        this->capacity.smallestStandardMemory
+            = std::min(this->capacity.smallestStandardMemory, row.memoryMiB);
     }
     // Whatever fits a worker fits a larger one.
     for (auto &memories : this->capacity.largestMemory) {
@@ -184,6 +189,11 @@
         return false;
     const std::uint32_t perWorker = fleet.shape().workerSlots;
     const std::uint32_t parts = (job.accelerators + perWorker - 1) / perWorker;
+    if (parts > this->capacity.standardWorkers)
+        return false;
+    // Most gangs need no walk over the racks.
+    if (job.adjacency == Adjacency::Any && job.memoryMiB <= this->capacity.smallestStandardMemory)
+        return true;
     std::uint32_t run = 0;
     std::optional<std::uint32_t> previous;
     for (const std::uint32_t rack : fleet.racksByNumber()) {
--- a/Policy/AdmissionControl.h
+++ b/Policy/AdmissionControl.h
@@ -38,6 +38,8 @@
         std::array<std::array<std::uint32_t, maxSlots + 1>, poolCount> largestMemory{};
         std::array<std::uint32_t, poolCount> slots{};
         std::uint64_t guaranteedSlots = 0;
+        std::uint32_t standardWorkers = 0; ///< Accelerated and of the shape's size.
+        std::uint32_t smallestStandardMemory = ~std::uint32_t(0);
     };
 
     const SchedulerState &state;
