--- a/Entry/EntryMachine.cpp
+++ b/Entry/EntryMachine.cpp
@@ -341,7 +341,7 @@
         this->front.update(from, message, this->membership, now, out);
         return;
     }
-    if (isFinal(message.answer.status)) {
+    if (message.recorded) {
         for (auto &[dataCenter, slot] : this->dispatchers)
             slot.dispatcher->recorded(message.key, now, out);
     }
@@ -377,8 +377,12 @@
             this->take(std::move(actions), out);
         },
         [&](const AssignReply &reply) {
-            for (auto &[dataCenter, slot] : this->dispatchers)
-                slot.dispatcher->assignReply(reply, now, out);
+            for (auto &[dataCenter, slot] : this->dispatchers) {
+                if (slot.dispatcher->knows(reply.key))
+                    return slot.dispatcher->assignReply(reply, now, out);
+            }
+            // It was asked for by a dispatcher that has been released since.
+            this->notOwner(from, JobRole::Dispatcher, reply.key, out);
         },
     };
     std::visit(visitor, message);
--- a/Ledger/ShardKeeper.cpp
+++ b/Ledger/ShardKeeper.cpp
@@ -9,6 +9,8 @@
 
 constexpr Duration refusedRetryAfter = seconds(2);
 constexpr std::size_t mostDeferred = 1024;
+/// How often a job is offered again to the dispatcher that has it.
+constexpr Duration heldJobCheck = seconds(30);
 constexpr Duration shortestPauseAfterLoss = seconds(1);
 constexpr std::uint32_t mostPauseDoublings = 5;
 /// A shard held for longer was not contended for.
@@ -240,7 +242,7 @@
     if (!job->isFinished())
         job->addRequester({.instance = request.from, .call = message.call});
     if (job->durable)
-        KeeperReply::news(request.from, message.call, key, job->answer(), out);
+        KeeperReply::state(request.from, message.call, key, *job, out);
 }
 
 void ShardKeeper::claim(const KeeperRequest &request, const SubmitJob &message,
@@ -315,9 +317,7 @@
 {
     KeptJob *job = this->table.find(message.key);
     if (!job || job->isFinished()) {
-        const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
-        KeeperReply::news(request.from, message.call, message.key, job ? job->answer() : unknown,
-                          out);
+        this->tell(request.from, message.call, message.key, job, out);
         return;
     }
     job->addRequester({.instance = request.from, .call = message.call});
@@ -337,13 +337,22 @@
         this->schedule(*job, message.key, now);
 }
 
+void ShardKeeper::tell(const std::string &to, CallId call, const std::string &key,
+                       const KeptJob *job, KeeperActions &out)
+{
+    const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
+    if (job)
+        KeeperReply::state(to, call, key, *job, out);
+    else
+        KeeperReply::news(to, call, key, unknown, out);
+}
+
 void ShardKeeper::query(const KeeperRequest &request, const QueryJob &message, KeeperActions &out)
 {
     KeptJob *job = this->table.find(message.key);
-    const JobAnswer unknown{.status = JobStatus::Unknown, .reason = "no such request"};
     if (job && !job->isFinished())
         job->addRequester({.instance = request.from, .call = message.call});
-    KeeperReply::news(request.from, message.call, message.key, job ? job->answer() : unknown, out);
+    this->tell(request.from, message.call, message.key, job, out);
 }
 
 void ShardKeeper::assign(const KeeperRequest &request, const AssignJob &message, TimePoint now,
@@ -360,9 +369,10 @@
             this->schedule(*job, message.key, now + this->settings.commitSpacing);
         return;
     }
-    // It has the job, so there is no need to submit it again, but a cancellation may be lost.
+    // It has the job now. It may forget it while this keeper is paused or cut off, under the same
+    // name and incarnation, so the job is offered again, rarely.
     if (!job->cancelled)
-        this->unschedule(*job, message.key);
+        this->schedule(*job, message.key, now + heldJobCheck);
     if (verdict == KeptJob::AssignVerdict::Repeat)
         KeeperReply::assignment(request.from, message, true, out);
     // Without room, as with one that is being recorded, the dispatcher asks again.
@@ -387,7 +397,7 @@
         return;
     const bool final = isFinal(message.answer.status) && !message.notOwner;
     if (job->isFinished()) {
-        KeeperReply::news(request.from, message.call, message.key, job->answer(), out);
+        KeeperReply::state(request.from, message.call, message.key, *job, out);
         return;
     }
     if (!final) {
@@ -397,7 +407,7 @@
     }
     if (!job->ending) {
         if (!job->believes(request.from, message.answer.status)) {
-            KeeperReply::news(request.from, message.call, message.key, job->answer(), out);
+            KeeperReply::state(request.from, message.call, message.key, *job, out);
             return;
         }
         // Without room the report is dropped; its sender repeats it until it is acknowledged.
@@ -414,20 +424,21 @@
                            TimePoint now, KeeperActions &out)
 {
     if (message.notOwner) {
-        if (!job.dueAt)
-            this->schedule(job, key, now + this->settings.storeTimeout);
+        const TimePoint soon = now + this->settings.storeTimeout;
+        if (!job.dueAt || *job.dueAt > soon)
+            this->schedule(job, key, soon);
         return;
     }
     job.tries = 0;
     // A cancellation may have been lost; it is repeated until the job ends.
     if (!job.cancelled)
-        this->unschedule(job, key);
+        this->schedule(job, key, now + heldJobCheck);
     const bool running = message.answer.status == JobStatus::Running;
     if (running == job.running)
         return;
     job.running = running;
     for (const JobRequester &requester : job.requesters)
-        KeeperReply::news(requester.instance, requester.call, key, job.answer(), out);
+        KeeperReply::state(requester.instance, requester.call, key, job, out);
 }
 
 void ShardKeeper::finish(KeptJob &job, const std::string &key, const JobAnswer &answer)
