Add the decision benchmark and two further baselines

Cause: the decisions were measured against hand-made floods only, with no baseline in the run. Change: FirstFitScheduler holds what FifoScheduler had, as lanes in the order of arrival; FifoScheduler, PriorityScheduler and FairShareScheduler say which lane goes first. TraceBenchmark plays seeded traces of both users' work against each and CellScheduler. A job that is queued again keeps its place by arrival; before, it went to the very front.

--- /dev/null
+++ b/PerformanceTests/TraceFigures.cpp
@@ -0,0 +1,198 @@
+#include "TraceFigures.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr std::uint64_t traceSeed = 20261204;
+constexpr TimePoint traceEnd = traceBegin + traceSpan + seconds(600);
+constexpr std::uint32_t guaranteedWorkers = 32; ///< Of the fleet, by the customers' parts.
+constexpr std::size_t workerLevel = static_cast<std::size_t>(CellLevel::Worker);
+
+constexpr std::uint32_t silentBorrowers = 3; ///< One of so many.
+constexpr std::uint16_t reclaimingCustomers = 3;
+constexpr std::uint32_t workersPerReclaimer = 16;
+constexpr Duration borrowersRun = seconds(1000);
+constexpr Duration longestReclaimBegin = seconds(100);
+
+double inSeconds(Duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+/// Each class keeps what the workloads usually ask for and about a quarter more.
+Preset benchmarkPreset()
+{
+    Preset preset{.name = "ordinary"};
+    preset.classes[static_cast<std::size_t>(UrgencyClass::Urgent)].keptShare = 0.10;
+    preset.classes[static_cast<std::size_t>(UrgencyClass::Standard)].keptShare = 0.40;
+    preset.classes[static_cast<std::size_t>(UrgencyClass::Background)].keptShare = 0.45;
+    for (ClassLimits &limits : preset.classes)
+        limits.queuedPerCustomer = 2000;
+    return preset;
+}
+
+std::vector<Scheduler::CustomerShape> shapesOf(const Workload &workload)
+{
+    std::vector<Scheduler::CustomerShape> shapes;
+    for (const double part : workload.customerParts) {
+        Scheduler::CustomerShape shape{.share = part};
+        shape.guarantee[workerLevel] = static_cast<std::uint32_t>(part * guaranteedWorkers);
+        shapes.push_back(shape);
+    }
+    return shapes;
+}
+
+Arrival reclaimArrival(std::uint64_t job, std::uint16_t customer, TimePoint when)
+{
+    Arrival arrival{.when = when, .runTime = borrowersRun};
+    arrival.spec.job = {job};
+    arrival.spec.customer = {customer};
+    arrival.spec.caller = {customer};
+    arrival.spec.kind = {customer};
+    arrival.spec.declaredRunTime = borrowersRun;
+    return arrival;
+}
+
+std::vector<Arrival> reclaimTrace(TimePoint claim, pcg64 &random)
+{
+    std::vector<Arrival> arrivals;
+    for (std::uint32_t used = 0; used < traceSlots;) {
+        Arrival arrival = reclaimArrival(arrivals.size() + 1, 0, traceBegin);
+        arrival.spec.urgency = UrgencyClass::Background;
+        arrival.spec.accelerators
+            = static_cast<std::uint16_t>(std::min(1U << random(4U), traceSlots - used));
+        used += arrival.spec.accelerators;
+        arrivals.push_back(arrival);
+    }
+    for (std::uint32_t index = 0; index < reclaimingCustomers * workersPerReclaimer; ++index) {
+        const auto customer = static_cast<std::uint16_t>(1 + index % reclaimingCustomers);
+        Arrival arrival = reclaimArrival(arrivals.size() + 1, customer, claim);
+        arrival.spec.accelerators = slotsPerWorker;
+        arrival.spec.adjacency = Adjacency::Worker;
+        arrivals.push_back(arrival);
+    }
+    return arrivals;
+}
+
+} // namespace
+
+TraceFigures::TraceFigures(const Strategy &strategy, const Workload &workload,
+                           std::optional<UrgencyClass> flood)
+    : arrivals(makeTrace(workload, flood, traceSeed))
+{
+    const auto scheduler = strategy.make();
+    scheduler->setCustomers(shapesOf(workload), traceBegin);
+    scheduler->setPreset(benchmarkPreset(), false, traceBegin);
+    FakeFleet fleet(*scheduler, this->arrivals);
+    fleet.addWorkers();
+    fleet.runUntil(traceEnd);
+    this->outcomes = fleet.results();
+    this->fragmentation = fleet.fragmentation();
+    this->preemptions = fleet.preemptions();
+}
+
+bool TraceFigures::matches(const Arrival &arrival, const Filter &filter)
+{
+    const QueuedJob &spec = arrival.spec;
+    return arrival.isFlood == filter.isFlood && (!filter.isGang || spec.accelerators > 1)
+        && (!filter.urgency || spec.urgency == *filter.urgency)
+        && (!filter.customer || spec.customer.value == *filter.customer)
+        && (!filter.notCustomer || spec.customer.value != *filter.notCustomer)
+        && (!filter.isLargeCaller || arrival.isLargeCaller == *filter.isLargeCaller);
+}
+
+std::size_t TraceFigures::count(const Filter &filter,
+                                const std::function<bool(const Outcome &)> &counts) const
+{
+    std::size_t sum = 0;
+    for (std::size_t job = 0; job < this->arrivals.size(); ++job)
+        sum += matches(this->arrivals[job], filter) && counts(this->outcomes[job]);
+    return sum;
+}
+
+std::size_t TraceFigures::submitted(const Filter &filter) const
+{
+    return this->count(filter, [](const Outcome &) { return true; });
+}
+
+std::size_t TraceFigures::finished(const Filter &filter) const
+{
+    return this->count(filter, [](const Outcome &outcome) { return outcome.finished.has_value(); });
+}
+
+std::size_t TraceFigures::refused(const Filter &filter) const
+{
+    return this->count(filter, [](const Outcome &outcome) {
+        return !outcome.answer.accepted() || outcome.isExpired;
+    });
+}
+
+double TraceFigures::value(std::size_t job, Measure measure) const
+{
+    const Arrival &arrival = this->arrivals[job];
+    const Outcome &outcome = this->outcomes[job];
+    const auto &reached = measure == Measure::Wait ? outcome.started : outcome.finished;
+    const double taken = inSeconds(reached.value_or(traceEnd) - arrival.when);
+    return measure == Measure::Slowdown ? taken / inSeconds(arrival.runTime) : taken;
+}
+
+double TraceFigures::quantileOf(const Filter &filter, Measure measure, double quantile) const
+{
+    std::vector<double> values;
+    for (std::size_t job = 0; job < this->arrivals.size(); ++job) {
+        if (matches(this->arrivals[job], filter) && this->outcomes[job].answer.accepted())
+            values.push_back(this->value(job, measure));
+    }
+    if (values.empty())
+        return std::nan("");
+    const auto place
+        = values.begin() + static_cast<std::ptrdiff_t>(quantile * double(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+double TraceFigures::completion(const Filter &filter, double quantile) const
+{
+    return this->quantileOf(filter, Measure::Completion, quantile);
+}
+
+double TraceFigures::wait(const Filter &filter, double quantile) const
+{
+    return this->quantileOf(filter, Measure::Wait, quantile);
+}
+
+double TraceFigures::medianSlowdown(const Filter &filter) const
+{
+    return this->quantileOf(filter, Measure::Slowdown, 0.5);
+}
+
+double timeToReclaim(const Strategy &strategy, std::uint64_t seed)
+{
+    pcg64 random(seed);
+    const TimePoint claim
+        = traceBegin + seconds(1) + milliseconds(random(longestReclaimBegin / milliseconds(1)));
+    const std::vector<Arrival> arrivals = reclaimTrace(claim, random);
+    std::vector<Scheduler::CustomerShape> shapes(1 + reclaimingCustomers);
+    for (std::uint16_t customer = 1; customer <= reclaimingCustomers; ++customer)
+        shapes[customer].guarantee[workerLevel] = workersPerReclaimer;
+    const auto scheduler = strategy.make();
+    scheduler->setCustomers(shapes, traceBegin);
+    scheduler->setPreset(Preset{.name = "ordinary"}, false, traceBegin);
+    FakeFleet fleet(*scheduler, arrivals, silentBorrowers);
+    fleet.addWorkers();
+    const TimePoint end = claim + borrowersRun * 2;
+    fleet.runUntil(end);
+    double longest = 0;
+    for (std::size_t job = 0; job < arrivals.size(); ++job) {
+        if (arrivals[job].spec.customer.value != 0)
+            longest
+                = std::max(longest, inSeconds(fleet.results()[job].started.value_or(end) - claim));
+    }
+    return longest;
+}
+
+} // namespace Hibiscus
--- a/Policy/FifoScheduler.cpp
+++ b/Policy/FirstFitScheduler.cpp
@@ -1,4 +1,4 @@
-#include <Policy/FifoScheduler.h>
+#include <Policy/FirstFitScheduler.h>
 
 #include <algorithm>
 #include <bit>
@@ -27,17 +27,17 @@
 
 } // namespace
 
-void FifoScheduler::setCustomers(std::span<const CustomerShape> customers, TimePoint)
+void FirstFitScheduler::setCustomers(std::span<const CustomerShape> customers, TimePoint)
 {
     this->customers = customers.size();
 }
 
-void FifoScheduler::setPreset(const Preset &, bool dataCenterClosed, TimePoint)
+void FirstFitScheduler::setPreset(const Preset &, bool dataCenterClosed, TimePoint)
 {
     this->serving = !dataCenterClosed;
 }
 
-void FifoScheduler::workerUp(WorkerId worker, const WorkerDescription &description, TimePoint)
+void FirstFitScheduler::workerUp(WorkerId worker, const WorkerDescription &description, TimePoint)
 {
     Worker &entry = this->workers[worker];
     const SlotMask taken = allSlots(entry.slots) & ~entry.free;
@@ -47,17 +47,17 @@
     entry.free = allSlots(entry.slots) & ~taken;
 }
 
-void FifoScheduler::workerLeaving(WorkerId worker, TimePoint)
+void FirstFitScheduler::workerLeaving(WorkerId worker, TimePoint)
 {
     this->workers[worker].usable = false;
 }
 
-void FifoScheduler::workerDown(WorkerId worker, TimePoint)
+void FirstFitScheduler::workerDown(WorkerId worker, TimePoint)
 {
     this->workers[worker].usable = false;
 }
 
-Admission FifoScheduler::submit(const QueuedJob &job, TimePoint)
+Admission FirstFitScheduler::submit(const QueuedJob &job, TimePoint)
 {
     if (job.customer.value >= this->customers)
         return {RefusalReason::UnknownCustomer, std::nullopt};
@@ -66,12 +66,15 @@
     // A fleet that is not known yet says nothing about what could ever fit.
     if (!this->workers.empty() && this->find(job, true).empty())
         return {RefusalReason::NeverFits, std::nullopt};
-    this->jobs[job.job].spec = job;
-    this->waiting.push_back(job.job);
+    Job &entry = this->jobs[job.job];
+    entry.spec = job;
+    entry.sequence = ++this->lastSequence;
+    this->enqueue(entry);
     return {};
 }
 
-bool FifoScheduler::adopt(const QueuedJob &job, std::span<const Placement> placements, TimePoint)
+bool FirstFitScheduler::adopt(const QueuedJob &job, std::span<const Placement> placements,
+                              TimePoint)
 {
     for (const Placement &placement : placements) {
         if ((this->workers[placement.worker].free & placement.slots) != placement.slots)
@@ -79,35 +82,37 @@
     }
     Job &entry = this->jobs[job.job];
     entry.spec = job;
+    entry.sequence = ++this->lastSequence;
     entry.placements.assign(placements.begin(), placements.end());
     this->take(entry.placements);
     return true;
 }
 
-bool FifoScheduler::cancel(JobId job, TimePoint)
+bool FirstFitScheduler::cancel(JobId job, TimePoint)
 {
     const auto it = this->jobs.find(job);
     if (it == this->jobs.end() || !it->second.placements.empty())
         return false;
+    this->dequeue(it->second);
     this->jobs.erase(it);
     return true;
 }
 
-void FifoScheduler::started(JobId, TimePoint) {}
+void FirstFitScheduler::started(JobId, TimePoint) {}
 
-void FifoScheduler::ended(JobId job, EndKind, std::optional<WorkerId>, bool requeue, TimePoint)
+void FirstFitScheduler::ended(JobId job, EndKind, std::optional<WorkerId>, bool requeue, TimePoint)
 {
     const auto it = this->jobs.find(job);
     assert(it != this->jobs.end());
     this->give(it->second.placements);
     it->second.placements.clear();
     if (requeue)
-        this->waiting.push_front(job);
+        this->enqueue(it->second);
     else
         this->jobs.erase(it);
 }
 
-std::vector<Placement> FifoScheduler::find(const QueuedJob &job, bool whenAllFree) const
+std::vector<Placement> FirstFitScheduler::find(const QueuedJob &job, bool whenAllFree) const
 {
     const std::uint16_t wanted = std::max<std::uint16_t>(job.accelerators, 1);
     std::vector<Placement> found;
@@ -134,37 +139,63 @@
     return {};
 }
 
-void FifoScheduler::take(std::span<const Placement> placements)
+void FirstFitScheduler::take(std::span<const Placement> placements)
 {
     for (const Placement &placement : placements)
         this->workers[placement.worker].free &= ~placement.slots;
 }
 
-void FifoScheduler::give(std::span<const Placement> placements)
+void FirstFitScheduler::give(std::span<const Placement> placements)
 {
     for (const Placement &placement : placements)
         this->workers[placement.worker].free |= placement.slots;
 }
 
-void FifoScheduler::decide(TimePoint, std::vector<Decision> &decisions)
+void FirstFitScheduler::enqueue(const Job &job)
 {
-    while (this->serving && !this->waiting.empty()) {
-        const auto it = this->jobs.find(this->waiting.front());
-        if (it == this->jobs.end()) {
-            this->waiting.pop_front();
-            continue;
-        }
-        Job &job = it->second;
+    auto &lane = this->lanes[this->laneOf(job.spec)];
+    if (lane.empty())
+        this->laneFilled(this->laneOf(job.spec));
+    lane.emplace(job.sequence, job.spec.job);
+}
+
+void FirstFitScheduler::dequeue(const Job &job)
+{
+    const auto lane = this->lanes.find(this->laneOf(job.spec));
+    lane->second.erase(job.sequence);
+    if (lane->second.empty())
+        this->lanes.erase(lane);
+}
+
+bool FirstFitScheduler::startOne(std::vector<Decision> &decisions)
+{
+    std::vector<std::uint32_t> order;
+    for (const auto &[lane, waiting] : this->lanes)
+        order.push_back(lane);
+    std::stable_sort(order.begin(), order.end(), [this](std::uint32_t left, std::uint32_t right) {
+        return this->rank(left) < this->rank(right);
+    });
+    for (const std::uint32_t lane : order) {
+        Job &job = this->jobs.at(this->lanes.at(lane).begin()->second);
         job.placements = this->find(job.spec, false);
         if (job.placements.empty())
-            return;
+            continue;
         this->take(job.placements);
-        this->waiting.pop_front();
-        decisions.push_back({DecisionKind::Start, it->first, job.placements, RefusalReason::None});
+        this->dequeue(job);
+        this->charge(job.spec);
+        decisions.push_back(
+            {DecisionKind::Start, job.spec.job, job.placements, RefusalReason::None});
+        return true;
     }
+    return false;
+}
+
+void FirstFitScheduler::decide(TimePoint, std::vector<Decision> &decisions)
+{
+    while (this->serving && this->startOne(decisions)) {}
 }
 
-SchedulerGauges FifoScheduler::gauges() const
+SchedulerGauges FirstFitScheduler::gauges() const
 {
     SchedulerGauges gauges;
     for (const auto &[id, worker] : this->workers) {
--- /dev/null
+++ b/Policy/PriorityScheduler.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <Policy/FirstFitScheduler.h>
+
+namespace Hibiscus {
+
+/// Baseline: strict priority of urgency classes, in each the order of arrival. Use it to compare
+/// against.
+class PriorityScheduler : public FirstFitScheduler
+{
+protected:
+    std::uint32_t laneOf(const QueuedJob &job) const override
+    {
+        return static_cast<std::uint32_t>(job.urgency);
+    }
+    double rank(std::uint32_t lane) const override { return lane; }
+};
+
+} // namespace Hibiscus
