Load the traces until gangs wait, and let checkpoints keep progress

Cause: at two thirds of the fleet no gang waited under any scheduler; and a checkpointed job began anew, which no checkpoint does. Change: an hour of submissions at 84 to 86 % of the fleet; fake workers go on from a checkpoint; the kept shares are arguments; a bound against a baseline at zero gives no figure.

--- a/PerformanceTests/FakeFleet.cpp
+++ b/PerformanceTests/FakeFleet.cpp
@@ -140,11 +140,21 @@
     else if (decision.kind == DecisionKind::Expire)
         this->outcomes[job].isExpired = true;
     else if (decision.kind == DecisionKind::Checkpoint && !isSilent)
-        this->plan(job, checkpointTime, EndKind::Preempted);
+        this->checkpoint(job);
     else if (decision.kind == DecisionKind::Stop)
         this->plan(job, stopTime, EndKind::Preempted);
 }
 
+void FakeFleet::checkpoint(std::size_t job)
+{
+    Run &run = this->runs[job];
+    if (run.isCheckpointing)
+        return;
+    run.isCheckpointing = true;
+    run.saved += this->now - run.since;
+    this->plan(job, checkpointTime, EndKind::Preempted);
+}
+
 void FakeFleet::start(std::size_t job, std::span<const Placement> placements)
 {
     Run &run = this->runs[job];
@@ -159,10 +169,12 @@
     require(slots == this->arrivals[job].spec.accelerators, "not all of its accelerators");
     run.placements.assign(placements.begin(), placements.end());
     ++run.starts;
+    run.since = this->now;
+    run.isCheckpointing = false;
     Outcome &outcome = this->outcomes[job];
     outcome.started = outcome.started.value_or(this->now);
     this->scheduler.started(this->arrivals[job].spec.job, this->now);
-    this->plan(job, this->arrivals[job].runTime, EndKind::Finished);
+    this->plan(job, this->arrivals[job].runTime - run.saved, EndKind::Finished);
 }
 
 void FakeFleet::plan(std::size_t job, Duration after, EndKind kind)
--- a/PerformanceTests/FakeFleet.h
+++ b/PerformanceTests/FakeFleet.h
@@ -26,7 +26,7 @@
 };
 
 /// Plays a trace against a scheduler: a plain event queue over fake workers. A job runs as long as
-/// its trace says, again from its start after a checkpoint.
+/// its trace says; after a checkpoint it goes on from there, after a stop from its start.
 class FakeFleet
 {
 public:
@@ -60,6 +60,9 @@
     {
         std::vector<Placement> placements; ///< Empty while it doesn't run.
         std::uint32_t starts = 0;
+        TimePoint since; ///< Last start.
+        Duration saved{}; ///< Run time that checkpoints have kept.
+        bool isCheckpointing = false;
     };
 
     TimePoint nextTime() const;
@@ -68,6 +71,7 @@
     void decide();
     void follow(const Decision &decision);
     void start(std::size_t job, std::span<const Placement> placements);
+    void checkpoint(std::size_t job);
     void plan(std::size_t job, Duration after, EndKind kind);
     void weigh(TimePoint until);
     std::uint16_t nextGang();
--- a/PerformanceTests/Trace.cpp
+++ b/PerformanceTests/Trace.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t memoryPerJobMiB = 500;
 constexpr std::uint32_t floodFactor = 10;
 constexpr Duration floodRunTime = seconds(120);
-constexpr Duration floodBegin = seconds(300);
+constexpr Duration floodBegin = seconds(600);
 // All of it arrives while its first job runs: ten times the fleet is asked for at once.
 constexpr Duration floodSpan = floodRunTime;
 
@@ -128,7 +128,7 @@
              {"soil sample", UrgencyClass::Standard, 2, seconds(30), seconds(90), {1}},
              {"nightly planning",
               UrgencyClass::Background,
-              0.03,
+              0.045,
               seconds(150),
               seconds(450),
               {4, 8, 16, 32}}}};
@@ -136,13 +136,14 @@
 
 Workload cerclinfoWorkload()
 {
-    return {"Cerclinfo",
-            {0.5, 0.35, 0.1, 0.05},
-            {{"caption", UrgencyClass::Urgent, 30, milliseconds(200), milliseconds(600), {1}},
-             {"notice", UrgencyClass::Standard, 2, seconds(10), seconds(50), {1}},
-             {"minutes", UrgencyClass::Standard, 0.8, seconds(60), seconds(120), {1}},
-             {"photo page", UrgencyClass::Background, 0.4, seconds(60), seconds(180), {1, 2}},
-             {"bulletin", UrgencyClass::Background, 0.02, seconds(150), seconds(450), {4, 8, 16}}}};
+    return {
+        "Cerclinfo",
+        {0.5, 0.35, 0.1, 0.05},
+        {{"caption", UrgencyClass::Urgent, 30, milliseconds(200), milliseconds(600), {1}},
+         {"notice", UrgencyClass::Standard, 2, seconds(10), seconds(50), {1}},
+         {"minutes", UrgencyClass::Standard, 0.8, seconds(60), seconds(120), {1}},
+         {"photo page", UrgencyClass::Background, 0.5, seconds(60), seconds(180), {1, 2}},
+         {"bulletin", UrgencyClass::Background, 0.035, seconds(150), seconds(450), {4, 8, 16}}}};
 }
 
 std::vector<Arrival> makeTrace(const Workload &workload, std::optional<UrgencyClass> flood,
--- a/PerformanceTests/Trace.h
+++ b/PerformanceTests/Trace.h
@@ -44,7 +44,7 @@
 Workload cerclinfoWorkload();
 
 inline constexpr TimePoint traceBegin{seconds(1000)};
-inline constexpr Duration traceSpan = seconds(1200); ///< Of the submissions.
+inline constexpr Duration traceSpan = seconds(3600); ///< Of the submissions.
 inline constexpr std::uint32_t traceWorkers = 50;
 inline constexpr std::uint16_t slotsPerWorker = 8;
 inline constexpr std::uint32_t workersPerRack = 6;
--- a/PerformanceTests/TraceBenchmark.cpp
+++ b/PerformanceTests/TraceBenchmark.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 
 namespace Hibiscus {
 
@@ -23,6 +24,7 @@
 constexpr double leaseTerm = 10; ///< Seconds.
 
 constexpr std::uint64_t reclaimSeeds = 20;
+constexpr KeptShares usualKeptShares{0.08, 0.34, 0.45};
 constexpr std::array allClasses{UrgencyClass::Urgent, UrgencyClass::Standard,
                                 UrgencyClass::Background};
 
@@ -63,6 +65,13 @@
                 ratio, small, large, largestCallerRatio, met(ratio <= largestCallerRatio));
 }
 
+void printUrgentWait(const char *whose, const TraceFigures &figures, const Filter &filter)
+{
+    const double wait = figures.wait(filter, 0.99);
+    std::printf("    urgent p99 queueing, %s: %.3f s, bound %.2f: %s\n", whose, wait,
+                longestUrgentWait, met(wait < longestUrgentWait));
+}
+
 void printUsual(const Workload &workload, const TraceFigures &figures)
 {
     for (const UrgencyClass urgency : allClasses) {
@@ -72,9 +81,7 @@
                                 + std::to_string(customer),
                             figures, {.urgency = urgency, .customer = customer});
     }
-    const double wait = figures.wait({.urgency = UrgencyClass::Urgent}, 0.99);
-    std::printf("  urgent p99 queueing %.3f s, bound %.2f: %s\n", wait, longestUrgentWait,
-                met(wait < longestUrgentWait));
+    printUrgentWait("all customers", figures, {.urgency = UrgencyClass::Urgent});
     std::printf("  gang p95 wait %.1f s; unusable share of free accelerators %.3f, largest free "
                 "cell %.2f (time averages); %u preemptions\n",
                 figures.wait({.isGang = true}, 0.95), figures.fragmentation.unusableShare,
@@ -95,10 +102,10 @@
                 isBound ? ": " : "", isBound ? met(isMet) : " (no bound)");
 }
 
-void printFlood(const Strategy &strategy, const Workload &workload, const TraceFigures &usual,
-                UrgencyClass flood)
+void printFlood(const Strategy &strategy, const Workload &workload, const KeptShares &kept,
+                const TraceFigures &usual, UrgencyClass flood)
 {
-    const TraceFigures flooded(strategy, workload, flood);
+    const TraceFigures flooded(strategy, workload, kept, flood);
     std::printf("  flood of %s (bounds: finished x %.2f, p99 x %.2f):\n", toString(flood),
                 leastKept, largestFloodSlowdown);
     for (const UrgencyClass urgency : allClasses) {
@@ -108,9 +115,9 @@
     const auto flooder = static_cast<std::uint16_t>(workload.customerParts.size() - 1);
     printKept("the flooded class, other customers", usual, flooded,
               {.urgency = flood, .notCustomer = flooder}, false);
-    const double wait = flooded.wait({.urgency = UrgencyClass::Urgent}, 0.99);
-    std::printf("    urgent p99 queueing %.3f s, bound %.2f: %s\n", wait, longestUrgentWait,
-                met(wait < longestUrgentWait));
+    printUrgentWait("all customers", flooded, {.urgency = UrgencyClass::Urgent});
+    printUrgentWait("all but the flooding one", flooded,
+                    {.urgency = UrgencyClass::Urgent, .notCustomer = flooder});
     printCallers("usual ones of the flooding customer",
                  flooded.medianSlowdown({.urgency = flood, .customer = flooder}),
                  flooded.medianSlowdown({.urgency = flood, .customer = flooder, .isFlood = true}));
@@ -119,23 +126,25 @@
 void printAgainst(const char *what, double own, std::span<const double> baselines)
 {
     const double least = *std::min_element(baselines.begin(), baselines.end());
+    // Nothing is better than zero: such a trace says nothing about the second bound.
+    const char *better = baselines[0] > 0 ? met(own <= largestPartOfFifo * baselines[0])
+                                          : "no figure, fifo is at zero";
     std::printf("  %s: %.3f; best baseline %.3f, no worse: %s; fifo %.3f, better by 30 %%: %s\n",
-                what, own, least, met(own <= least), baselines[0],
-                met(own <= largestPartOfFifo * baselines[0]));
+                what, own, least, met(own <= least), baselines[0], better);
 }
 
-void runWorkload(const Workload &workload)
+void runWorkload(const Workload &workload, const KeptShares &kept)
 {
     std::vector<double> gangWaits;
     std::vector<double> unusableShares;
     for (const Strategy &strategy : strategies()) {
         std::printf("%s, %s\n", workload.name.c_str(), strategy.name.c_str());
-        const TraceFigures usual(strategy, workload, std::nullopt);
+        const TraceFigures usual(strategy, workload, kept, std::nullopt);
         printUsual(workload, usual);
         gangWaits.push_back(usual.wait({.isGang = true}, 0.95));
         unusableShares.push_back(usual.fragmentation.unusableShare);
         for (const UrgencyClass flood : allClasses)
-            printFlood(strategy, workload, usual, flood);
+            printFlood(strategy, workload, kept, usual, flood);
         std::fflush(stdout);
     }
     std::printf("%s, cell against the baselines\n", workload.name.c_str());
@@ -159,10 +168,17 @@
 
 } // namespace Hibiscus
 
-int main()
+/// `TraceBenchmark [URGENT STANDARD BACKGROUND]`: the share of all slots that each class keeps.
+int main(int count, char **arguments)
 {
-    Hibiscus::runWorkload(Hibiscus::htnsWorkload());
-    Hibiscus::runWorkload(Hibiscus::cerclinfoWorkload());
+    Hibiscus::KeptShares kept = Hibiscus::usualKeptShares;
+    if (count == 1 + int(kept.size()))
+        std::transform(arguments + 1, arguments + count, kept.begin(),
+                       [](const char *text) { return std::strtod(text, nullptr); });
+    std::printf("kept shares: urgent %.2f, standard %.2f, background %.2f\n", kept[0], kept[1],
+                kept[2]);
+    Hibiscus::runWorkload(Hibiscus::htnsWorkload(), kept);
+    Hibiscus::runWorkload(Hibiscus::cerclinfoWorkload(), kept);
     Hibiscus::runReclaim();
     return 0;
 }
--- a/PerformanceTests/TraceFigures.cpp
+++ b/PerformanceTests/TraceFigures.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t guaranteedWorkers = 32; ///< Of the fleet, by the customers' parts.
 constexpr std::size_t workerLevel = static_cast<std::size_t>(CellLevel::Worker);
 
+constexpr std::uint32_t queuedPerCustomer = 2000;
+
 constexpr std::uint32_t silentBorrowers = 3; ///< One of so many.
 constexpr std::uint16_t reclaimingCustomers = 3;
 constexpr std::uint32_t workersPerReclaimer = 16;
@@ -23,15 +25,13 @@
     return std::chrono::duration<double>(value).count();
 }
 
-/// Each class keeps what the workloads usually ask for and about a quarter more.
-Preset benchmarkPreset()
+Preset presetOf(const KeptShares &kept)
 {
     Preset preset{.name = "ordinary"};
-    preset.classes[static_cast<std::size_t>(UrgencyClass::Urgent)].keptShare = 0.10;
-    preset.classes[static_cast<std::size_t>(UrgencyClass::Standard)].keptShare = 0.40;
-    preset.classes[static_cast<std::size_t>(UrgencyClass::Background)].keptShare = 0.45;
-    for (ClassLimits &limits : preset.classes)
-        limits.queuedPerCustomer = 2000;
+    for (std::size_t index = 0; index < urgencyClassCount; ++index) {
+        preset.classes[index].keptShare = kept[index];
+        preset.classes[index].queuedPerCustomer = queuedPerCustomer;
+    }
     return preset;
 }
 
@@ -81,12 +81,12 @@
 } // namespace
 
 TraceFigures::TraceFigures(const Strategy &strategy, const Workload &workload,
-                           std::optional<UrgencyClass> flood)
+                           const KeptShares &kept, std::optional<UrgencyClass> flood)
     : arrivals(makeTrace(workload, flood, traceSeed))
 {
     const auto scheduler = strategy.make();
     scheduler->setCustomers(shapesOf(workload), traceBegin);
-    scheduler->setPreset(benchmarkPreset(), false, traceBegin);
+    scheduler->setPreset(presetOf(kept), false, traceBegin);
     FakeFleet fleet(*scheduler, this->arrivals);
     fleet.addWorkers();
     fleet.runUntil(traceEnd);
--- a/PerformanceTests/TraceFigures.h
+++ b/PerformanceTests/TraceFigures.h
@@ -14,13 +14,16 @@
     std::function<std::unique_ptr<Scheduler>()> make;
 };
 
+/// The share of all slots that each class keeps.
+using KeptShares = std::array<double, urgencyClassCount>;
+
 /// The figures of one trace played against one fresh scheduler. Work of the flood itself is left
 /// out but where it is named. Accepted work that didn't end counts as if it had ended, or
 /// started, when the run was over; refused work is unfinished.
 class TraceFigures
 {
 public:
-    TraceFigures(const Strategy &strategy, const Workload &workload,
+    TraceFigures(const Strategy &strategy, const Workload &workload, const KeptShares &kept,
                  std::optional<UrgencyClass> flood);
 
     struct Filter
