--- a/PerformanceTests/TraceBenchmark.cpp
+++ b/PerformanceTests/TraceBenchmark.cpp
@@ -76,7 +76,8 @@
 {
     for (const UrgencyClass urgency : allClasses) {
         printCompletion(toString(urgency), figures, {.urgency = urgency});
-        for (std::uint16_t customer = 0; customer < workload.customerParts.size(); ++customer)
+        const auto customers = static_cast<std::uint16_t>(workload.customerParts.size());
+        for (std::uint16_t customer = 0; customer < customers; ++customer)
             printCompletion(std::string(toString(urgency)) + " customer "
                                 + std::to_string(customer),
                             figures, {.urgency = urgency, .customer = customer});
