--- a/PerformanceTests/TraceBenchmark.cpp
+++ b/PerformanceTests/TraceBenchmark.cpp
@@ -29,12 +29,15 @@
 constexpr std::array allClasses{UrgencyClass::Urgent, UrgencyClass::Standard,
                                 UrgencyClass::Background};
 
+constexpr const char *shippedName = "cell";
+
 /// Bounds that were missed in this run; with --check they decide the exit status.
 unsigned missedBounds = 0;
+bool countsBounds = true; ///< Off while baselines are shown: they are there to be missed by.
 
 const char *met(bool isMet)
 {
-    missedBounds += isMet ? 0 : 1;
+    missedBounds += isMet || !countsBounds ? 0 : 1;
     return isMet ? "met" : "NOT MET";
 }
 
@@ -47,10 +50,11 @@
 /// The one that ships first; then the baselines, FIFO first of them.
 std::vector<Strategy> strategies()
 {
-    return {{"cell", [] { return std::make_unique<CellScheduler>(CellScheduler::Settings{}); }},
-            strategy<FifoScheduler>("fifo"),
-            strategy<PriorityScheduler>("priority"),
-            strategy<FairShareScheduler>("fair-share")};
+    return {
+        {shippedName, [] { return std::make_unique<CellScheduler>(CellScheduler::Settings{}); }},
+        strategy<FifoScheduler>("fifo"),
+        strategy<PriorityScheduler>("priority"),
+        strategy<FairShareScheduler>("fair-share")};
 }
 
 void printCompletion(const std::string &row, const TraceFigures &figures, const Filter &filter)
@@ -145,6 +149,7 @@
     std::vector<double> unusableShares;
     for (const Strategy &strategy : strategies()) {
         std::printf("%s, %s\n", workload.name.c_str(), strategy.name.c_str());
+        countsBounds = strategy.name == shippedName;
         const TraceFigures usual(strategy, workload, kept, std::nullopt);
         printUsual(workload, usual);
         gangWaits.push_back(usual.wait({.isGang = true}, 0.95));
@@ -153,6 +158,7 @@
             printFlood(strategy, workload, kept, usual, flood);
         std::fflush(stdout);
     }
+    countsBounds = true;
     std::printf("%s, cell against the baselines\n", workload.name.c_str());
     printAgainst("gang p95 wait, s", gangWaits[0], std::span(gangWaits).subspan(1));
     printAgainst("unusable share", unusableShares[0], std::span(unusableShares).subspan(1));
@@ -162,6 +168,7 @@
 {
     std::printf("time to reclaim 48 of 50 workers, the longest of %d cases\n", int(reclaimSeeds));
     for (const Strategy &strategy : strategies()) {
+        countsBounds = strategy.name == shippedName;
         double longest = 0;
         for (std::uint64_t seed = 1; seed <= reclaimSeeds; ++seed)
             longest = std::max(longest, timeToReclaim(strategy, seed));
--- a/Sessions/GoldenTest.cpp
+++ b/Sessions/GoldenTest.cpp
@@ -79,7 +79,7 @@
     /// The instance that dispatches for a data centre.
     std::string dispatcher(const std::string &dataCenter)
     {
-        for (const std::string name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
+        for (const char *name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
             if (!this->world.isAlive(name))
                 continue;
             for (const auto &each :
@@ -95,7 +95,7 @@
     std::string keeper(const std::string &key)
     {
         const std::uint32_t shard = JobKeeper::shardOf(key, 2);
-        for (const std::string name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
+        for (const char *name : {"entry-a0", "entry-a1", "entry-b0", "entry-b1"}) {
             const auto shards = this->world.machine(name)->status(this->world.now()).shards;
             if (std::find(shards.begin(), shards.end(), shard) != shards.end())
                 return name;
