--- a/PerformanceTests/EntryBenchmark.cpp
+++ b/PerformanceTests/EntryBenchmark.cpp
@@ -66,7 +66,8 @@
 
 double encodedSize(std::size_t plain)
 {
-    return double((plain + 2) / 3 * 4);
+    const std::size_t groups = (plain + 2) / 3;
+    return double(groups * 4);
 }
 
 /// Entry instances of one data centre with stand-ins around them, on one time line.
@@ -151,7 +152,7 @@
 
     std::string notDispatcher()
     {
-        const std::string busy = this->dispatcher();
+        std::string busy = this->dispatcher();
         for (const InstanceDescription &instance : this->list.instances) {
             if (instance.name != busy)
                 return instance.name;
--- a/Sessions/World.cpp
+++ b/Sessions/World.cpp
@@ -1,3 +1,4 @@
+#include <Sessions/Describe.h>
 #include <Sessions/World.h>
 
 #include <Policy/CellScheduler.h>
@@ -18,78 +19,6 @@
 constexpr Duration watchEvery = milliseconds(20);
 constexpr Duration callTimeout = seconds(2);
 
-std::string describe(const WorkerRequest &request)
-{
-    constexpr std::array verbs{"acquire", "renew",      "release",  "reserve",     "start",
-                               "stop",    "checkpoint", "throttle", "acknowledge", "collect"};
-    std::string text = verbs.at(static_cast<std::size_t>(request.verb));
-    text += " epoch " + std::to_string(request.epoch);
-    if (!request.task.empty())
-        text += " task " + request.task;
-    if (request.slots != 0)
-        text += " slots " + std::to_string(request.slots);
-    return text;
-}
-
-std::string describe(const StoreRequest &request)
-{
-    constexpr std::array verbs{"get",        "list",      "swap",       "remove",
-                               "grantLease", "keepLease", "revokeLease"};
-    std::string text = verbs.at(static_cast<std::size_t>(request.verb));
-    text += ' ' + request.key;
-    if (request.verb == StoreVerb::Swap)
-        text += " if " + std::to_string(request.revision) + ": " + request.value;
-    return text;
-}
-
-/// Job messages between instances; nothing for the rest, which would only fill a trace.
-struct PeerDescription
-{
-    std::string operator()(const SubmitJob &message) const
-    {
-        std::string text = "submit " + jobKey(message.spec.customer, message.spec.requestId);
-        text += message.role == JobRole::Keeper ? " to keeper" : " to dispatcher";
-        text += " attempt " + std::to_string(message.attempt);
-        for (const TaskPlace &place : message.places)
-            text += " at " + place.worker;
-        return text;
-    }
-    std::string operator()(const AdmitJob &message) const
-    {
-        return "admit? " + jobKey(message.spec.customer, message.spec.requestId);
-    }
-    std::string operator()(const CancelJob &message) const { return "cancel " + message.key; }
-    std::string operator()(const QueryJob &message) const { return "query " + message.key; }
-    std::string operator()(const JobUpdate &message) const
-    {
-        std::string text = "update " + message.key + ' ' + toString(message.answer.status);
-        if (!message.answer.reason.empty())
-            text += " (" + message.answer.reason + ')';
-        text += message.recorded ? " recorded" : "";
-        text += message.admission ? " admission" : "";
-        text += message.notOwner ? " not owner" : "";
-        return text;
-    }
-    std::string operator()(const AssignJob &message) const
-    {
-        std::string text = message.places.empty() ? "give up " : "assign ";
-        text += message.key + " attempt " + std::to_string(message.attempt);
-        for (const TaskPlace &place : message.places)
-            text += " at " + place.worker;
-        return text;
-    }
-    std::string operator()(const AssignReply &message) const
-    {
-        return std::string(message.accepted ? "accepts" : "refuses") + " assignment of "
-            + message.key + " attempt " + std::to_string(message.attempt);
-    }
-    template <class Other>
-    std::string operator()(const Other &) const
-    {
-        return {};
-    }
-};
-
 } // namespace
 
 struct World::Instance
@@ -263,7 +192,7 @@
     for (const WorkerCall &call : actions.workerCalls)
         this->callWorker(name, run, call);
     for (const PeerSend &send : actions.sends) {
-        const std::string text = std::visit(PeerDescription(), send.message);
+        const std::string text = describe(send.message);
         if (!text.empty())
             this->note(name, send.instance, text);
         this->at(this->time + peerLatency, [this, name, send] {
