--- a/Config/ConfigKeeper.h
+++ b/Config/ConfigKeeper.h
@@ -3,7 +3,7 @@
 #include <Config/Configuration.h>
 #include <Core/Findings.h>
 #include <Core/Ids.h>
-#include <Platform/Store.h>
+#include <Gateway/Store.h>
 
 #include <cstdint>
 #include <memory>
--- a/Config/ConfigReader.h
+++ b/Config/ConfigReader.h
@@ -2,7 +2,7 @@
 
 #include <Config/ConfigKeys.h>
 #include <Config/ConfigState.h>
-#include <Platform/Store.h>
+#include <Gateway/Store.h>
 
 #include <cstdint>
 #include <optional>
--- a/Config/StoreLane.h
+++ b/Config/StoreLane.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Platform/Store.h>
+#include <Gateway/Store.h>
 
 #include <cstdint>
 #include <optional>
--- /dev/null
+++ b/Coordination/JobFront.cpp
@@ -0,0 +1,468 @@
+#include <Coordination/JobFront.h>
+#include <Coordination/StoreKeys.h>
+#include <Tasks/JobRecord.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus::Coordination {
+
+using Runtime::LogFields;
+using Runtime::LogKind;
+using Tasks::Customer;
+using Tasks::Directory;
+using Tasks::Job;
+using Tasks::Queue;
+using Tasks::StoreAnswer;
+using Tasks::StoredItem;
+using Tasks::StoreOutcome;
+using Tasks::SystemConfiguration;
+
+namespace {
+
+/// Sendings of a submission that the store left unanswered before the client is told to ask again;
+/// another instance may have a way to the store.
+constexpr int mostUnanswered = 2;
+/// Sendings that the store turned away.
+constexpr int mostRefused = 2;
+/// Of the time until a revoked key must not be served, how old the configuration may grow.
+constexpr double freshShare = 0.6;
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+const StoredItem *itemOf(const StoreAnswer &answer, std::string_view key)
+{
+    for (const StoredItem &item : answer.items) {
+        if (item.key == key && item.revision != 0)
+            return &item;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+/// A submission on its way into the store.
+struct JobFront::Submission
+{
+    ClientCall call;
+    ReplyHandler reply;
+    Job job;
+    bool open = false; ///< The queue needs no key.
+    TimePoint receivedAt{};
+    int unanswered = 0;
+    int refused = 0;
+};
+
+/// A call that reads the store.
+struct JobFront::Lookup
+{
+    ClientCall call;
+    ReplyHandler reply;
+    std::string job;
+    std::string queue;
+    std::string customer; ///< Empty: the queue needs no key.
+    TimePoint receivedAt{};
+    int failures = 0;
+};
+
+JobFront::JobFront(Tasks::MetadataStore &store, TimerService &timers, const WallClock &wallClock,
+                   Journal &journal, const Settings &settings, Decoders decoders)
+    : store(store)
+    , timers(timers)
+    , wallClock(wallClock)
+    , journal(journal)
+    , settings(settings)
+    , decoders(std::move(decoders))
+    , watch(store, timers, {.prefix = settings.configurationKey},
+            {[this](const StoredItem &item, TimePoint now) { this->configurationRead(item, now); },
+             [](TimePoint) {},
+             [this](bool reachable, TimePoint now) {
+                 this->journal.tell(LogKind::Dependency,
+                                    reachable ? "store answers again" : "store does not answer", {},
+                                    now);
+             }})
+{}
+
+void JobFront::start(TimePoint now)
+{
+    this->watch.start(now);
+}
+
+void JobFront::configurationRead(const StoredItem &item, TimePoint now)
+{
+    if (item.key != this->settings.configurationKey || item.removed)
+        return;
+    if (this->current && this->current->configuration().revision >= item.revision)
+        return;
+    tl::expected<SystemConfiguration, std::string> decoded
+        = this->decoders.configuration(item.value);
+    if (!decoded) {
+        this->journal.tell(LogKind::Fault, "configuration can't be used",
+                           {{"revision", item.revision}, {"error", decoded.error()}}, now);
+        return;
+    }
+    decoded->revision = item.revision;
+    this->journal.tell(LogKind::Dependency, "configuration in force",
+                       {{"version", decoded->version},
+                        {"revision", item.revision},
+                        {"queues", decoded->queues.size()},
+                        {"customers", decoded->customers.size()}},
+                       now);
+    this->current = std::make_shared<const Directory>(std::move(*decoded));
+    if (this->configurationChanged)
+        this->configurationChanged(this->current->configuration());
+}
+
+bool JobFront::isFresh(TimePoint now) const
+{
+    const auto bound = static_cast<Duration::rep>(
+        freshShare * static_cast<double>(this->settings.revocationBound.count()));
+    const std::optional<TimePoint> fresh = this->watch.freshAt();
+    return fresh && now - *fresh < Duration(bound);
+}
+
+bool JobFront::isReady(TimePoint now) const
+{
+    return this->current && this->isFresh(now);
+}
+
+ClientReply JobFront::unavailable(const char *error) const
+{
+    ClientReply reply;
+    reply.kind = ReplyKind::Unavailable;
+    reply.retryAfter = this->settings.retryAfter;
+    reply.error = error;
+    return reply;
+}
+
+Duration JobFront::timeLeft(TimePoint deadline, TimePoint now) const
+{
+    return deadline - this->settings.answerReserve - now;
+}
+
+void JobFront::handle(ClientCall call, ReplyHandler reply, TimePoint now)
+{
+    if (!this->current) {
+        reply(this->unavailable("no configuration was read yet"));
+        return;
+    }
+    if (this->isFresh(now)) {
+        this->decide(call, reply, now);
+        return;
+    }
+    this->refreshThen(std::move(call), std::move(reply), now);
+}
+
+/// The watch has been silent for too long: a key may have been revoked since.
+void JobFront::refreshThen(ClientCall call, ReplyHandler reply, TimePoint now)
+{
+    const Duration timeout
+        = std::min(this->settings.storeTimeout, this->timeLeft(call.deadline, now));
+    if (timeout <= Duration{}) {
+        reply(this->unavailable("the configuration could not be confirmed in time"));
+        return;
+    }
+    const auto answered = [this, call = std::move(call),
+                           reply = std::move(reply)](const StoreAnswer &answer, TimePoint at) {
+        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
+            reply(this->unavailable("the store does not answer"));
+            return;
+        }
+        this->configurationRead(answer.items.front(), at);
+        this->decide(call, reply, at);
+    };
+    this->store.read(this->settings.configurationKey, timeout, answered);
+}
+
+void JobFront::decide(const ClientCall &call, const ReplyHandler &reply, TimePoint now)
+{
+    const Directory::Match match = this->current->find(call.host, call.path);
+    if (!match.queue) {
+        reply({.kind = ReplyKind::NoSuchQueue});
+        return;
+    }
+    const Queue &queue = *match.queue;
+    const Customer *customer = this->current->customerOf(call.key);
+    if (!queue.open && !customer) {
+        reply({.kind = ReplyKind::UnknownKey});
+        return;
+    }
+    const bool namesJob = this->decoders.isJobId(match.jobId);
+    if (call.verb == CallVerb::Submit) {
+        tl::expected<Job, std::string> job = this->decoders.submission(call.body);
+        if (!namesJob || !job) {
+            const std::string error = namesJob ? job.error() : "the path names no job";
+            this->journal.tell(LogKind::Request, "job refused",
+                               {{"request", match.jobId}, {"error", error}}, now);
+            reply({.kind = ReplyKind::Malformed, .error = error});
+            return;
+        }
+        const auto submission = std::make_shared<Submission>();
+        submission->call = call;
+        submission->reply = reply;
+        submission->receivedAt = now;
+        submission->open = queue.open;
+        submission->job = std::move(*job);
+        Job &accepted = submission->job;
+        accepted.id = match.jobId;
+        accepted.queue = queue.name;
+        accepted.service = queue.service;
+        accepted.customer = customer ? customer->name : std::string();
+        accepted.priority = queue.priority;
+        accepted.maxAttempts = std::max(1, queue.maxAttempts);
+        accepted.stretch = queue.stretch;
+        accepted.targetLatency = queue.targetLatency;
+        accepted.acceptedAt = this->wallClock.nowMs();
+        this->submit(submission, now);
+        return;
+    }
+    const auto lookup = std::make_shared<Lookup>();
+    lookup->call = call;
+    lookup->reply = reply;
+    lookup->job = match.jobId;
+    lookup->queue = queue.name;
+    lookup->customer = queue.open || !customer ? std::string() : customer->name;
+    lookup->receivedAt = now;
+    if (!namesJob) {
+        if (match.jobId.empty() && call.verb == CallVerb::Status)
+            this->countPending(lookup, now);
+        else
+            reply({.kind = ReplyKind::NoSuchJob});
+        return;
+    }
+    if (call.verb == CallVerb::Cancel)
+        this->cancel(lookup, now);
+    else
+        this->readState(lookup, now);
+}
+
+void JobFront::submit(const std::shared_ptr<Submission> &submission, TimePoint now)
+{
+    const Duration timeout
+        = std::min(this->settings.storeTimeout, this->timeLeft(submission->call.deadline, now));
+    if (timeout <= Duration{}) {
+        this->submitAgain(submission, now);
+        return;
+    }
+    const std::string key = StoreKeys::job(submission->job.id);
+    Tasks::StoreCommit commit;
+    commit.checks.push_back({key, 0});
+    // Under this condition no job enters with a key or through a queue that is gone.
+    commit.checks.push_back(
+        {this->settings.configurationKey, this->current->configuration().revision});
+    commit.writes.push_back({key, Tasks::encodeJob(submission->job), 0});
+    this->store.commit(commit, timeout,
+                       [this, submission](const StoreAnswer &answer, TimePoint at) {
+                           this->submitAnswered(submission, answer, at);
+                       });
+}
+
+void JobFront::submitAnswered(const std::shared_ptr<Submission> &submission,
+                              const StoreAnswer &answer, TimePoint now)
+{
+    switch (answer.outcome) {
+    case StoreOutcome::Done:
+        this->finishSubmit(submission, {.kind = ReplyKind::Accepted}, now);
+        return;
+    case StoreOutcome::Conflict:
+        this->submitConflicted(submission, answer, now);
+        return;
+    case StoreOutcome::Unknown:
+        submission->unanswered++;
+        break;
+    default:
+        submission->refused++;
+        break;
+    }
+    this->submitAgain(submission, now);
+}
+
+void JobFront::submitConflicted(const std::shared_ptr<Submission> &submission,
+                                const StoreAnswer &answer, TimePoint now)
+{
+    if (const StoredItem *stored = itemOf(answer, StoreKeys::job(submission->job.id))) {
+        const tl::expected<Job, std::string> known = Tasks::decodeJob(stored->value);
+        const bool sameCustomer = known && known->customer == submission->job.customer;
+        this->finishSubmit(
+            submission, {.kind = sameCustomer ? ReplyKind::Accepted : ReplyKind::ForeignJob}, now);
+        return;
+    }
+    if (const StoredItem *item = itemOf(answer, this->settings.configurationKey))
+        this->configurationRead(*item, now);
+    // No earlier sending can be done any more, since each needs the older configuration.
+    // The call is decided anew under the newer configuration.
+    this->decide(submission->call, submission->reply, now);
+}
+
+void JobFront::submitAgain(const std::shared_ptr<Submission> &submission, TimePoint now)
+{
+    const bool timeIsUp = this->timeLeft(submission->call.deadline, now) <= this->settings.retry;
+    const bool giveUp = timeIsUp || submission->unanswered >= mostUnanswered
+        || submission->refused >= mostRefused;
+    if (!giveUp) {
+        this->timers.after(this->settings.retry,
+                           [this, submission](TimePoint at) { this->submit(submission, at); });
+        return;
+    }
+    if (submission->unanswered > 0) {
+        this->finishSubmit(submission,
+                           {.kind = ReplyKind::Undecided,
+                            .error = "the store did not answer; ask again under the same id"},
+                           now);
+        return;
+    }
+    ClientReply reply;
+    reply.kind = ReplyKind::NotRun;
+    reply.retryAfter = this->settings.retryAfter;
+    reply.error = "the store takes no jobs from this instance";
+    this->finishSubmit(submission, reply, now);
+}
+
+void JobFront::finishSubmit(const std::shared_ptr<Submission> &submission, const ClientReply &reply,
+                            TimePoint now)
+{
+    static constexpr const char *outcomes[]
+        = {"accepted",    "state",       "cancelled", "pending", "no such queue", "no such job",
+           "unknown key", "foreign job", "malformed", "not run", "unavailable",   "undecided"};
+    this->journal.tell(
+        LogKind::Request, "job submitted",
+        {{"request", submission->job.id},
+         {"queue", submission->job.queue},
+         {"customer", submission->job.customer},
+         {"outcome", outcomes[static_cast<std::size_t>(reply.kind)]},
+         {"configuration", this->current->configuration().version},
+         {"configurationAgeMs",
+          this->watch.freshAt() ? toMs(now - *this->watch.freshAt()) : std::int64_t{-1}},
+         {"unanswered", submission->unanswered},
+         {"refused", submission->refused},
+         {"tookMs", toMs(now - submission->receivedAt)}},
+        now);
+    submission->reply(reply);
+}
+
+void JobFront::lookAgain(const std::shared_ptr<Lookup> &lookup,
+                         void (JobFront::*step)(const std::shared_ptr<Lookup> &, TimePoint),
+                         TimePoint now)
+{
+    lookup->failures++;
+    const bool timeIsUp = this->timeLeft(lookup->call.deadline, now) <= this->settings.retry;
+    if (timeIsUp || lookup->failures > mostUnanswered) {
+        this->journal.tell(LogKind::Request, "state not read",
+                           {{"request", lookup->job},
+                            {"failures", lookup->failures},
+                            {"tookMs", toMs(now - lookup->receivedAt)}},
+                           now);
+        lookup->reply(this->unavailable("the store does not answer"));
+        return;
+    }
+    this->timers.after(this->settings.retry,
+                       [this, lookup, step](TimePoint at) { (this->*step)(lookup, at); });
+}
+
+void JobFront::readState(const std::shared_ptr<Lookup> &lookup, TimePoint)
+{
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
+        if (answer.outcome == StoreOutcome::Absent) {
+            this->readJob(lookup, now);
+            return;
+        }
+        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
+            this->lookAgain(lookup, &JobFront::readState, now);
+            return;
+        }
+        const tl::expected<Tasks::JobState, std::string> state
+            = Tasks::decodeProgressState(answer.items.front().value);
+        if (!state) {
+            this->journal.tell(LogKind::Fault, "progress record can't be read",
+                               {{"request", lookup->job}, {"error", state.error()}}, now);
+            lookup->reply(this->unavailable("the job's record can't be read"));
+            return;
+        }
+        lookup->reply({.kind = ReplyKind::State, .state = *state});
+    };
+    this->store.read(StoreKeys::progressOf(lookup->job), this->settings.storeTimeout, answered);
+}
+
+void JobFront::readJob(const std::shared_ptr<Lookup> &lookup, TimePoint)
+{
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
+        if (answer.outcome == StoreOutcome::Absent)
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+        else if (answer.outcome == StoreOutcome::Done)
+            lookup->reply({.kind = ReplyKind::State});
+        else
+            this->lookAgain(lookup, &JobFront::readState, now);
+    };
+    this->store.read(StoreKeys::job(lookup->job), this->settings.storeTimeout, answered);
+}
+
+void JobFront::cancel(const std::shared_ptr<Lookup> &lookup, TimePoint)
+{
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
+        if (answer.outcome == StoreOutcome::Absent) {
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+            return;
+        }
+        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
+            this->lookAgain(lookup, &JobFront::cancel, now);
+            return;
+        }
+        const tl::expected<Job, std::string> job = Tasks::decodeJob(answer.items.front().value);
+        if (job && !lookup->customer.empty() && job->customer != lookup->customer) {
+            lookup->reply({.kind = ReplyKind::ForeignJob});
+            return;
+        }
+        this->writeCancellation(lookup, now);
+    };
+    this->store.read(StoreKeys::job(lookup->job), this->settings.storeTimeout, answered);
+}
+
+void JobFront::writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint)
+{
+    Tasks::StoreCommit commit;
+    commit.writes.push_back({StoreKeys::cancellation(lookup->job), lookup->customer, 0});
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
+        if (answer.outcome != StoreOutcome::Done) {
+            this->lookAgain(lookup, &JobFront::writeCancellation, now);
+            return;
+        }
+        this->journal.tell(LogKind::Request, "cancellation stored",
+                           {{"request", lookup->job}, {"tookMs", toMs(now - lookup->receivedAt)}},
+                           now);
+        lookup->reply({.kind = ReplyKind::Cancelled});
+    };
+    this->store.commit(commit, this->settings.storeTimeout, answered);
+}
+
+void JobFront::countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const auto replyCount = [this, lookup] {
+        const nlohmann::json counts = nlohmann::json::parse(this->pendingCounts, nullptr, false);
+        ClientReply reply{.kind = ReplyKind::Pending};
+        if (counts.is_object())
+            reply.pending = counts.value(lookup->queue, std::int64_t{0});
+        lookup->reply(reply);
+    };
+    if (this->pendingKnown && now - this->pendingReadAt < this->settings.pendingValidity) {
+        replyCount();
+        return;
+    }
+    const auto answered = [this, lookup, replyCount](const StoreAnswer &answer, TimePoint at) {
+        const bool known = answer.outcome == StoreOutcome::Absent
+            || (answer.outcome == StoreOutcome::Done && !answer.items.empty());
+        if (!known) {
+            this->lookAgain(lookup, &JobFront::countPending, at);
+            return;
+        }
+        this->pendingCounts = answer.items.empty() ? "{}" : answer.items.front().value;
+        this->pendingReadAt = at;
+        this->pendingKnown = true;
+        replyCount();
+    };
+    this->store.read(StoreKeys::load, this->settings.storeTimeout, answered);
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/JobFront.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <Coordination/Journal.h>
+#include <Coordination/PrefixWatch.h>
+#include <Tasks/SystemConfiguration.h>
+#include <Tasks/TaskJob.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace Hibiscus::Coordination {
+
+enum class CallVerb : std::uint8_t {
+    Submit,
+    Status,
+    Cancel,
+    CountPending, ///< Of a queue.
+};
+
+/// One call of a client.
+struct ClientCall
+{
+    CallVerb verb = CallVerb::Status;
+    std::string host;
+    std::string path;
+    std::string key; ///< The customer's; empty: none was presented.
+    std::string body;
+    TimePoint deadline{}; ///< The client waits until then.
+};
+
+enum class ReplyKind : std::uint8_t {
+    Accepted, ///< Stored; it will run.
+    State,
+    Cancelled,
+    Pending,
+    NoSuchQueue,
+    NoSuchJob,
+    UnknownKey,
+    ForeignJob, ///< The key is another customer's.
+    Malformed,
+    NotRun, ///< Refused; the job does not and will not run.
+    Unavailable, ///< Could not be answered; nothing was done.
+    Undecided, ///< May have been done; the client should ask again under the same id.
+};
+
+struct ClientReply
+{
+    ReplyKind kind = ReplyKind::Unavailable;
+    Tasks::JobState state = Tasks::JobState::Queued;
+    std::int64_t pending = 0;
+    Duration retryAfter{}; ///< With NotRun and Unavailable.
+    std::string error; ///< For people.
+};
+
+using ReplyHandler = std::function<void(const ClientReply &)>;
+
+/// Serves callers: accepts jobs by one conditional write, reads their state from the store. Any
+/// instance can do so, whether or not a leader is there.
+class JobFront
+{
+public:
+    struct Settings
+    {
+        std::string configurationKey;
+        Duration revocationBound = seconds(5); ///< A revoked key must not be served after this.
+        Duration storeTimeout = milliseconds(700);
+        Duration answerReserve = milliseconds(150); ///< Left of a client's time for the answer.
+        Duration retry = milliseconds(60);
+        Duration pendingValidity = milliseconds(400); ///< Of a queue's count that was read.
+        Duration retryAfter = seconds(1);
+        Duration usualPatience = seconds(3); ///< Of a client that does not tell.
+    };
+
+    struct Decoders
+    {
+        std::function<tl::expected<Tasks::SystemConfiguration, std::string>(std::string_view)>
+            configuration;
+        std::function<tl::expected<Tasks::Job, std::string>(std::string_view)> submission;
+        std::function<bool(std::string_view)> isJobId;
+    };
+
+    JobFront(Tasks::MetadataStore &store, TimerService &timers, const WallClock &wallClock,
+             Journal &journal, const Settings &settings, Decoders decoders);
+
+    void start(TimePoint now);
+    void handle(ClientCall call, ReplyHandler reply, TimePoint now);
+
+    /// Whether this instance can serve: it has a configuration and the store answers.
+    bool isReady(TimePoint now) const;
+    const Tasks::Directory *directory() const { return this->current.get(); }
+    /// Called after each new configuration.
+    std::function<void(const Tasks::SystemConfiguration &)> configurationChanged;
+
+private:
+    struct Submission;
+    struct Lookup;
+
+    void configurationRead(const Tasks::StoredItem &item, TimePoint now);
+    bool isFresh(TimePoint now) const;
+    void refreshThen(ClientCall call, ReplyHandler reply, TimePoint now);
+    void decide(const ClientCall &call, const ReplyHandler &reply, TimePoint now);
+
+    void submit(const std::shared_ptr<Submission> &submission, TimePoint now);
+    void submitAnswered(const std::shared_ptr<Submission> &submission,
+                        const Tasks::StoreAnswer &answer, TimePoint now);
+    void submitConflicted(const std::shared_ptr<Submission> &submission,
+                          const Tasks::StoreAnswer &answer, TimePoint now);
+    void submitAgain(const std::shared_ptr<Submission> &submission, TimePoint now);
+    void finishSubmit(const std::shared_ptr<Submission> &submission, const ClientReply &reply,
+                      TimePoint now);
+
+    void readState(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void readJob(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void cancel(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void lookAgain(const std::shared_ptr<Lookup> &lookup,
+                   void (JobFront::*step)(const std::shared_ptr<Lookup> &, TimePoint),
+                   TimePoint now);
+    Duration timeLeft(TimePoint deadline, TimePoint now) const;
+    ClientReply unavailable(const char *error) const;
+
+    Tasks::MetadataStore &store;
+    TimerService &timers;
+    const WallClock &wallClock;
+    Journal &journal;
+    Settings settings;
+    Decoders decoders;
+    PrefixWatch watch;
+    std::shared_ptr<const Tasks::Directory> current;
+    std::string pendingCounts; ///< JSON object: queue to count.
+    TimePoint pendingReadAt{};
+    bool pendingKnown = false;
+};
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/JobTable.cpp
@@ -0,0 +1,177 @@
+#include <Coordination/JobTable.h>
+
+#include <algorithm>
+
+namespace Hibiscus::Coordination {
+
+using Tasks::EndCause;
+using Tasks::Job;
+using Tasks::JobProgress;
+using Tasks::JobState;
+using Tasks::RunRef;
+using Tasks::Step;
+using Tasks::TaskProgress;
+using Tasks::TaskRef;
+using Tasks::TaskState;
+using Tasks::UnixMs;
+
+std::vector<TaskRef> LiveJob::together(const TaskRef &ref) const
+{
+    const Step &step = this->stepOf(ref);
+    if (!step.gang)
+        return {ref};
+    std::vector<TaskRef> members;
+    members.reserve(static_cast<std::size_t>(step.count));
+    for (std::int32_t index = 0; index < step.count; index++)
+        members.push_back({ref.occurrence, ref.step, index});
+    return members;
+}
+
+LiveJob &JobTable::add(Job job, std::optional<JobProgress> progress, UnixMs now)
+{
+    const std::string id = job.id;
+    LiveJob live;
+    live.progress = progress ? std::move(*progress) : JobProgress(job);
+    live.job = std::move(job);
+    live.seenAt = now;
+    return this->jobs.insert_or_assign(id, std::move(live)).first->second;
+}
+
+void JobTable::remove(std::string_view id)
+{
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end())
+        this->jobs.erase(found);
+}
+
+LiveJob *JobTable::find(std::string_view id)
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+RunRef JobTable::assign(LiveJob &job, const TaskRef &ref, std::string_view worker,
+                        std::int64_t incarnation)
+{
+    // The members of a gang share one number, above all that any of them had.
+    std::int32_t run = 0;
+    for (const TaskRef &member : job.together(ref)) {
+        const TaskProgress &progress = job.progress.task(member);
+        const bool assignedNow = progress.isOnWorker();
+        run = std::max(run, assignedNow ? progress.run : progress.run + 1);
+    }
+    TaskProgress &task = job.progress.task(ref);
+    task.state = TaskState::Assigned;
+    task.run = run;
+    task.worker = worker;
+    task.incarnation = incarnation;
+    if (job.progress.state == JobState::Queued)
+        job.progress.state = JobState::Running;
+    return {job.job.id, ref, run};
+}
+
+EndEffect JobTable::ended(LiveJob &job, const RunRef &run, EndCause cause,
+                          std::string_view checkpoint, UnixMs now)
+{
+    EndEffect effect;
+    if (!job.progress.contains(run.task))
+        return effect;
+    const TaskProgress &task = job.progress.task(run.task);
+    if (!task.isOnWorker() || task.run != run.run)
+        return effect;
+    effect.changed = true;
+    const bool endless = job.stepOf(run.task).perpetual;
+    if (cause == EndCause::Done && !endless && !job.isOver()) {
+        taskDone(job, run, now, effect);
+        return effect;
+    }
+    release(job, run, checkpoint, effect);
+    if (cause == EndCause::Failed && !endless && !job.isOver())
+        taskFailed(job, run, now, effect);
+    return effect;
+}
+
+void JobTable::taskDone(LiveJob &job, const RunRef &run, UnixMs now, EndEffect &effect)
+{
+    for (const TaskRef &member : job.together(run.task))
+        job.progress.task(member).state = TaskState::Done;
+    if (job.progress.allDone())
+        finish(job, JobState::Completed, now, effect);
+}
+
+void JobTable::taskFailed(LiveJob &job, const RunRef &run, UnixMs now, EndEffect &effect)
+{
+    TaskProgress &counter = job.progress.task(job.together(run.task).front());
+    if (counter.lastFailedRun == run.run)
+        return;
+    counter.lastFailedRun = run.run;
+    counter.failures++;
+    if (counter.failures < job.job.maxAttempts)
+        return;
+    for (const TaskRef &member : job.together(run.task)) {
+        TaskProgress &task = job.progress.task(member);
+        if (!task.isOnWorker())
+            task.state = TaskState::Failed;
+    }
+    finish(job, JobState::Failed, now, effect);
+}
+
+/// The task waits again; the rest of its gang can do nothing without it.
+void JobTable::release(LiveJob &job, const RunRef &run, std::string_view checkpoint,
+                       EndEffect &effect)
+{
+    TaskProgress &task = job.progress.task(run.task);
+    task.state = TaskState::Waiting;
+    for (const TaskRef &member : job.together(run.task)) {
+        TaskProgress &other = job.progress.task(member);
+        if (!checkpoint.empty())
+            other.checkpoint = checkpoint;
+        if (other.isOnWorker())
+            effect.toStop.push_back({job.job.id, member, other.run});
+    }
+}
+
+EndEffect JobTable::cancel(LiveJob &job, UnixMs now)
+{
+    EndEffect effect;
+    if (!job.isOver())
+        finish(job, JobState::Cancelled, now, effect);
+    return effect;
+}
+
+void JobTable::finish(LiveJob &job, JobState state, UnixMs now, EndEffect &effect)
+{
+    job.progress.state = state;
+    job.progress.endedAt = now;
+    effect.changed = true;
+    effect.jobOver = true;
+    stopAll(job, effect);
+}
+
+void JobTable::stopAll(const LiveJob &job, EndEffect &effect)
+{
+    for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
+        const TaskProgress &task = job.progress.at(i);
+        if (task.isOnWorker())
+            effect.toStop.push_back({job.job.id, job.progress.refAt(i), task.run});
+    }
+}
+
+std::vector<std::int32_t> JobTable::startable(const LiveJob &job, std::int32_t occurrence,
+                                              std::int32_t number)
+{
+    const Step &step = job.job.steps[static_cast<std::size_t>(number)];
+    for (const std::int32_t earlier : step.after) {
+        if (!job.progress.stepDone(occurrence, earlier))
+            return {};
+    }
+    std::vector<std::int32_t> waiting;
+    for (std::int32_t index = 0; index < step.count; index++) {
+        if (job.progress.task({occurrence, number, index}).state == TaskState::Waiting)
+            waiting.push_back(index);
+    }
+    const bool whole = waiting.size() == static_cast<std::size_t>(step.count);
+    return step.gang && !whole ? std::vector<std::int32_t>{} : waiting;
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/PrefixWatch.cpp
@@ -0,0 +1,154 @@
+#include <Coordination/PrefixWatch.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Hibiscus::Coordination {
+
+using Tasks::StoreAnswer;
+using Tasks::StoredItem;
+using Tasks::StoreOutcome;
+
+PrefixWatch::PrefixWatch(Tasks::MetadataStore &store, TimerService &timers, Settings settings,
+                         Handlers handlers)
+    : store(store)
+    , timers(timers)
+    , settings(std::move(settings))
+    , handlers(std::move(handlers))
+    , retry(this->settings.firstRetry)
+{}
+
+void PrefixWatch::start(TimePoint now)
+{
+    this->generation++;
+    this->revisions.clear();
+    this->listedKeys.clear();
+    this->listRevision = 0;
+    this->fresh.reset();
+    this->listPage({}, now);
+}
+
+void PrefixWatch::stop()
+{
+    this->generation++;
+    this->fresh.reset();
+}
+
+void PrefixWatch::listPage(const std::string &after, TimePoint now)
+{
+    if (after.empty()) {
+        this->listedKeys.clear();
+        this->listRevision = 0;
+        this->listSentAt = now;
+    }
+    const auto answered = [this, generation = this->generation, now](const StoreAnswer &answer,
+                                                                     TimePoint answeredAt) {
+        if (generation == this->generation)
+            this->pageListed(answer, now, answeredAt);
+    };
+    this->store.list(this->settings.prefix, after, this->settings.listTimeout, answered);
+}
+
+void PrefixWatch::pageListed(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    (void)sentAt;
+    if (answer.outcome != StoreOutcome::Done) {
+        this->retryLater(now, true);
+        return;
+    }
+    if (this->listRevision == 0)
+        this->listRevision = answer.revision;
+    for (const StoredItem &item : answer.items) {
+        this->listedKeys.insert(item.key);
+        this->apply(item, now);
+    }
+    if (answer.truncated && !answer.items.empty())
+        this->listPage(answer.items.back().key, now);
+    else
+        this->finishList(now);
+}
+
+void PrefixWatch::finishList(TimePoint now)
+{
+    std::vector<std::string> gone;
+    for (const auto &[key, revision] : this->revisions) {
+        if (!this->listedKeys.contains(key))
+            gone.push_back(key);
+    }
+    for (const std::string &key : gone)
+        this->apply({.key = key, .revision = this->listRevision, .removed = true}, now);
+    // The pages are not one snapshot: the watch repeats what changed since the first.
+    this->revision = this->listRevision;
+    this->fresh = this->listSentAt;
+    this->succeeded(now);
+    this->handlers.listed(now);
+    this->watchNext(now);
+}
+
+void PrefixWatch::watchNext(TimePoint now)
+{
+    const auto answered = [this, generation = this->generation, now](const StoreAnswer &answer,
+                                                                     TimePoint answeredAt) {
+        if (generation == this->generation)
+            this->watched(answer, now, answeredAt);
+    };
+    this->store.watch(this->settings.prefix, this->revision, this->settings.wait, answered);
+}
+
+void PrefixWatch::watched(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    if (answer.outcome == StoreOutcome::HistoryGone) {
+        this->listPage({}, now);
+        return;
+    }
+    if (answer.outcome != StoreOutcome::Done) {
+        this->retryLater(now, false);
+        return;
+    }
+    for (const StoredItem &item : answer.items)
+        this->apply(item, now);
+    this->revision = std::max(this->revision, answer.revision);
+    this->fresh = sentAt;
+    this->succeeded(now);
+    this->watchNext(now);
+}
+
+void PrefixWatch::apply(const StoredItem &item, TimePoint now)
+{
+    const auto known = this->revisions.find(item.key);
+    if (known != this->revisions.end() && known->second >= item.revision)
+        return;
+    if (item.removed) {
+        if (known == this->revisions.end())
+            return;
+        this->revisions.erase(known);
+    } else {
+        this->revisions[item.key] = item.revision;
+    }
+    this->handlers.changed(item, now);
+}
+
+void PrefixWatch::retryLater(TimePoint now, bool listAgain)
+{
+    if (std::exchange(this->reachable, false))
+        this->handlers.reachability(false, now);
+    const auto again = [this, generation = this->generation, listAgain](TimePoint at) {
+        if (generation != this->generation)
+            return;
+        if (listAgain)
+            this->listPage({}, at);
+        else
+            this->watchNext(at);
+    };
+    this->timers.after(this->retry, again);
+    this->retry = std::min(this->retry * 2, this->settings.longestRetry);
+}
+
+void PrefixWatch::succeeded(TimePoint now)
+{
+    this->retry = this->settings.firstRetry;
+    if (!std::exchange(this->reachable, true))
+        this->handlers.reachability(true, now);
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/RecordWriter.cpp
@@ -0,0 +1,189 @@
+#include <Coordination/RecordWriter.h>
+#include <Coordination/StoreKeys.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Hibiscus::Coordination {
+
+using Tasks::StoreAnswer;
+using Tasks::StoredItem;
+using Tasks::StoreOutcome;
+
+namespace {
+
+/// Each job takes a check and a write, or a check and three removals.
+constexpr std::size_t mostJobsOfCommit = 7;
+
+} // namespace
+
+RecordWriter::RecordWriter(Tasks::MetadataStore &store, TimerService &timers,
+                           const Settings &settings, Handlers handlers)
+    : store(store)
+    , timers(timers)
+    , settings(settings)
+    , handlers(std::move(handlers))
+{}
+
+void RecordWriter::begin(std::int64_t leaderToken)
+{
+    this->stop();
+    this->active = true;
+    this->token = leaderToken;
+}
+
+void RecordWriter::stop()
+{
+    this->generation++;
+    this->active = false;
+    this->revisions.clear();
+    this->queue.clear();
+    this->effects.clear();
+    this->inFlight.clear();
+}
+
+void RecordWriter::setRevision(const std::string &job, std::int64_t revision)
+{
+    this->revisions[job] = revision;
+}
+
+void RecordWriter::record(const std::string &job, Effect effect, TimePoint now)
+{
+    if (!this->active)
+        return;
+    const auto [entry, added] = this->effects.try_emplace(job);
+    if (effect)
+        entry->second.push_back(std::move(effect));
+    if (added)
+        this->queue.push_back(job);
+    if (this->inFlight.empty())
+        this->timers.after(Duration{}, [this, generation = this->generation](TimePoint at) {
+            if (generation == this->generation)
+                this->flush(at);
+        });
+    (void)now;
+}
+
+void RecordWriter::flush(TimePoint now)
+{
+    if (!this->inFlight.empty() || this->queue.empty())
+        return;
+    this->commit = {};
+    this->commit.checks.push_back({StoreKeys::leader, this->token});
+    while (!this->queue.empty() && this->inFlight.size() < mostJobsOfCommit) {
+        this->append(this->queue.front());
+        this->queue.pop_front();
+    }
+    this->send(now);
+}
+
+void RecordWriter::append(const std::string &job)
+{
+    const std::string key = StoreKeys::progressOf(job);
+    std::string value = this->handlers.encode(job);
+    this->commit.checks.push_back({key, this->revisions[job]});
+    if (value.empty()) {
+        this->commit.removals.push_back(key);
+        this->commit.removals.push_back(StoreKeys::job(job));
+        this->commit.removals.push_back(StoreKeys::cancellation(job));
+    } else {
+        this->commit.writes.push_back({key, value, 0});
+    }
+    auto effects = this->effects.extract(job);
+    this->inFlight.push_back({job, std::move(value), std::move(effects.mapped())});
+}
+
+void RecordWriter::send(TimePoint)
+{
+    const auto handler
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+              if (generation == this->generation)
+                  this->answered(answer, now);
+          };
+    this->store.commit(this->commit, this->settings.commitTimeout, handler);
+}
+
+void RecordWriter::answered(const StoreAnswer &answer, TimePoint now)
+{
+    switch (answer.outcome) {
+    case StoreOutcome::Done:
+        this->setReachable(true, now);
+        this->committed(answer.revision, now);
+        return;
+    case StoreOutcome::Conflict:
+        this->setReachable(true, now);
+        this->conflicted(answer, now);
+        return;
+    default:
+        this->setReachable(false, now);
+        this->timers.after(this->settings.retry,
+                           [this, generation = this->generation](TimePoint at) {
+                               if (generation == this->generation)
+                                   this->send(at);
+                           });
+    }
+}
+
+void RecordWriter::setReachable(bool value, TimePoint now)
+{
+    if (std::exchange(this->reachable, value) != value)
+        this->handlers.reachability(value, now);
+}
+
+void RecordWriter::committed(std::int64_t revision, TimePoint now)
+{
+    const std::vector<Written> written = std::exchange(this->inFlight, {});
+    for (const Written &entry : written) {
+        if (entry.value.empty())
+            this->revisions.erase(entry.job);
+        else
+            this->revisions[entry.job] = revision;
+    }
+    const std::uint64_t before = this->generation;
+    for (const Written &entry : written) {
+        for (const Effect &effect : entry.effects)
+            effect(now);
+    }
+    if (before == this->generation)
+        this->flush(now);
+}
+
+/// An earlier sending of the same commit may have been done without its answer reaching us.
+void RecordWriter::conflicted(const StoreAnswer &answer, TimePoint now)
+{
+    std::map<std::string, const StoredItem *> present;
+    for (const StoredItem &item : answer.items)
+        present[item.key] = &item;
+    const auto leader = present.find(StoreKeys::leader);
+    if (leader == present.end() || leader->second->revision != this->token) {
+        this->handlers.fenced(now);
+        return;
+    }
+    bool allOurs = true;
+    std::int64_t doneAt = 0;
+    for (const Written &entry : this->inFlight) {
+        const auto found = present.find(StoreKeys::progressOf(entry.job));
+        const StoredItem *item = found == present.end() ? nullptr : found->second;
+        const bool exists = item && item->revision != 0;
+        const bool ours = entry.value.empty() ? !exists : exists && item->value == entry.value;
+        allOurs = allOurs && ours;
+        this->revisions[entry.job] = exists ? item->revision : 0;
+        if (exists)
+            doneAt = std::max(doneAt, item->revision);
+    }
+    if (allOurs) {
+        this->committed(doneAt, now);
+        return;
+    }
+    // Another state than any that we wrote: write ours over it, under the present revisions.
+    std::vector<Written> again = std::exchange(this->inFlight, {});
+    for (Written &entry : again) {
+        std::vector<Effect> &waiting = this->effects[entry.job];
+        waiting.insert(waiting.begin(), entry.effects.begin(), entry.effects.end());
+        if (std::find(this->queue.begin(), this->queue.end(), entry.job) == this->queue.end())
+            this->queue.push_front(entry.job);
+    }
+    this->flush(now);
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/TaskDispatcher.cpp
@@ -0,0 +1,693 @@
+#include <Coordination/StoreKeys.h>
+#include <Coordination/TaskDispatcher.h>
+#include <Tasks/JobRecord.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Hibiscus::Coordination {
+
+using Runtime::LogFields;
+using Runtime::LogKind;
+using Tasks::EndCause;
+using Tasks::Job;
+using Tasks::JobProgress;
+using Tasks::RunRef;
+using Tasks::StoreAnswer;
+using Tasks::StoredItem;
+using Tasks::StoreOutcome;
+using Tasks::TaskProgress;
+using Tasks::TaskRef;
+using Tasks::TaskState;
+
+namespace {
+
+std::string textOf(const TaskRef &ref)
+{
+    return std::to_string(ref.occurrence) + "." + std::to_string(ref.step) + "."
+        + std::to_string(ref.index);
+}
+
+const char *nameOf(EndCause cause)
+{
+    switch (cause) {
+    case EndCause::Done:
+        return "done";
+    case EndCause::Failed:
+        return "failed";
+    case EndCause::Stopped:
+        return "stopped";
+    case EndCause::LeaseLapsed:
+        return "lease lapsed";
+    case EndCause::GangBroken:
+        return "gang broken";
+    case EndCause::GangIncomplete:
+        return "gang incomplete";
+    }
+    return "unknown";
+}
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+} // namespace
+
+TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
+                               TimerService &timers, const WallClock &wallClock, Journal &journal,
+                               Leadership &leadership, const Settings &settings,
+                               EntryDecoder decoder)
+    : store(store)
+    , timers(timers)
+    , wallClock(wallClock)
+    , journal(journal)
+    , leadership(leadership)
+    , settings(settings)
+    , decoder(std::move(decoder))
+    , fleet(link, timers, journal, settings.fleet, *this)
+    , writer(store, timers, settings.writer,
+             {[this](const std::string &job) { return this->encodeRecord(job); },
+              [this](TimePoint now) { this->leadership.overtaken(now); },
+              [this](bool reachable, TimePoint now) {
+                  this->journal.tell(
+                      LogKind::Dependency,
+                      reachable ? "store takes records again" : "store takes no records", {}, now);
+              }})
+    , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
+               {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
+                [this](TimePoint now) {
+                    this->jobsListed = true;
+                    this->beginWhenLoaded(now);
+                },
+                [](bool, TimePoint) {}})
+    , workerWatch(
+          store, timers, {.prefix = settings.workerRegistry},
+          {[this](const StoredItem &item, TimePoint now) { this->workerKeyChanged(item, now); },
+           [this](TimePoint now) {
+               this->workersListed = true;
+               this->beginWhenLoaded(now);
+           },
+           [](bool, TimePoint) {}})
+    , planner(settings.planner)
+{}
+
+bool TaskDispatcher::leads(TimePoint now)
+{
+    const bool leading = this->phase == Phase::Leading && this->leadership.leads(now);
+    return leading;
+}
+
+void TaskDispatcher::elected(std::int64_t token, TimePoint now)
+{
+    this->generation++;
+    this->phase = Phase::Loading;
+    this->jobs.clear();
+    this->records.clear();
+    this->cancelledIds.clear();
+    this->jobsListed = false;
+    this->workersListed = false;
+    this->progressComplete = false;
+    this->planPending = false;
+    this->loadOutstanding = false;
+    this->writtenLoad.clear();
+    this->fleet.begin(token, now);
+    this->writer.begin(token);
+    this->jobWatch.start(now);
+    this->workerWatch.start(now);
+    this->listProgress({});
+}
+
+void TaskDispatcher::deposed(TimePoint now)
+{
+    this->generation++;
+    this->phase = Phase::Idle;
+    this->writer.stop();
+    this->jobWatch.stop();
+    this->workerWatch.stop();
+    this->fleet.setAuthority(false, now);
+}
+
+void TaskDispatcher::listProgress(const std::string &after)
+{
+    const auto answered
+        = [this, after, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+              if (generation != this->generation)
+                  return;
+              if (answer.outcome == StoreOutcome::Done) {
+                  this->progressListed(answer);
+                  this->beginWhenLoaded(now);
+                  return;
+              }
+              this->timers.after(this->settings.storeRetry, [this, after, generation](TimePoint) {
+                  if (generation == this->generation)
+                      this->listProgress(after);
+              });
+          };
+    this->store.list(StoreKeys::progress, after, this->settings.listTimeout, answered);
+}
+
+void TaskDispatcher::progressListed(const StoreAnswer &answer)
+{
+    const std::size_t prefix = std::string_view(StoreKeys::progress).size();
+    for (const StoredItem &item : answer.items)
+        this->records[item.key.substr(prefix)] = {item.value, item.revision};
+    if (answer.truncated && !answer.items.empty())
+        this->listProgress(answer.items.back().key);
+    else
+        this->progressComplete = true;
+}
+
+void TaskDispatcher::beginWhenLoaded(TimePoint now)
+{
+    const bool loaded = this->jobsListed && this->workersListed && this->progressComplete;
+    if (this->phase != Phase::Loading || !loaded)
+        return;
+    this->phase = Phase::Leading;
+    for (const auto &[id, record] : this->records)
+        this->writer.setRevision(id, record.revision);
+    std::vector<std::string> ids;
+    for (const auto &[id, job] : this->jobs.all())
+        ids.push_back(id);
+    for (const std::string &id : ids) {
+        const Job job = this->jobs.find(id)->job;
+        this->restoreJob(job, now);
+    }
+    for (const std::string &id : std::set<std::string>(this->cancelledIds))
+        this->jobCancelled(id, now);
+    this->records.clear();
+    this->fleet.openSessions(now);
+    this->journal.tell(LogKind::Leadership, "took over",
+                       {{"jobs", ids.size()}, {"workers", this->fleet.all().size()}}, now);
+    this->tickLater();
+    this->planSoon();
+}
+
+void TaskDispatcher::restoreJob(const Job &job, TimePoint now)
+{
+    const auto record = this->records.find(job.id);
+    if (record == this->records.end())
+        return;
+    tl::expected<JobProgress, std::string> progress
+        = Tasks::decodeProgress(record->second.value, job);
+    if (!progress) {
+        this->journal.tell(LogKind::Fault, "progress record can't be read",
+                           {{"request", job.id}, {"error", progress.error()}}, now);
+        return;
+    }
+    LiveJob &live = this->jobs.add(job, std::move(*progress), this->wallClock.nowMs());
+    this->adoptRuns(live, now);
+}
+
+void TaskDispatcher::adoptRuns(LiveJob &job, TimePoint now)
+{
+    std::vector<std::pair<RunEnd, bool>> gone;
+    for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
+        const TaskProgress &task = job.progress.at(i);
+        if (!task.isOnWorker())
+            continue;
+        const TaskRef ref = job.progress.refAt(i);
+        WorkerFleet::Run run;
+        run.ref = {job.job.id, ref, task.run};
+        run.need = job.stepOf(ref).need;
+        run.payload = job.job.payload;
+        run.checkpoint = task.checkpoint;
+        const RunEnd end{run.ref, task.worker, EndCause::LeaseLapsed, task.checkpoint, 0};
+        if (!this->fleet.adopt(task.worker, task.incarnation, std::move(run), now))
+            gone.push_back({end, true});
+    }
+    for (const auto &[end, reborn] : gone)
+        this->runLost(end, "the worker was started anew", now);
+}
+
+void TaskDispatcher::jobKeyChanged(const StoredItem &item, TimePoint now)
+{
+    const StoreKeys::JobKey key = StoreKeys::parseJobKey(item.key);
+    if (item.removed) {
+        if (!key.cancellation)
+            this->jobs.remove(key.id);
+        return;
+    }
+    if (!key.cancellation) {
+        this->jobArrived(item, key.id, now);
+        return;
+    }
+    if (this->phase == Phase::Leading)
+        this->jobCancelled(key.id, now);
+    else
+        this->cancelledIds.insert(key.id);
+}
+
+void TaskDispatcher::jobArrived(const StoredItem &item, const std::string &id, TimePoint now)
+{
+    if (this->jobs.find(id))
+        return;
+    tl::expected<Job, std::string> job = Tasks::decodeJob(item.value);
+    if (!job) {
+        this->journal.tell(LogKind::Fault, "job record can't be read",
+                           {{"request", id}, {"error", job.error()}}, now);
+        return;
+    }
+    const Tasks::UnixMs wall = this->wallClock.nowMs();
+    this->jobs.add(std::move(*job), std::nullopt, wall);
+    if (this->phase != Phase::Leading)
+        return;
+    this->journal.tell(LogKind::Request, "job taken on",
+                       {{"request", id},
+                        {"revision", item.revision},
+                        {"ageMs", wall - this->jobs.find(id)->job.acceptedAt}},
+                       now);
+    this->planSoon();
+}
+
+void TaskDispatcher::jobCancelled(const std::string &id, TimePoint now)
+{
+    LiveJob *job = this->jobs.find(id);
+    if (!job) {
+        this->cancelledIds.insert(id);
+        return;
+    }
+    const EndEffect effect = JobTable::cancel(*job, this->wallClock.nowMs());
+    if (!effect.changed)
+        return;
+    this->journal.tell(LogKind::Request, "job cancelled",
+                       {{"request", id}, {"runsToStop", effect.toStop.size()}}, now);
+    this->apply(*job, effect, nullptr, now);
+}
+
+void TaskDispatcher::workerKeyChanged(const StoredItem &item, TimePoint now)
+{
+    const std::string id = item.key.substr(this->settings.workerRegistry.size());
+    if (item.removed) {
+        this->fleet.workerUnlisted(id, now);
+        return;
+    }
+    const tl::expected<Tasks::WorkerEntry, std::string> entry = this->decoder(item.key, item.value);
+    if (entry) {
+        this->fleet.workerListed(*entry, now);
+        return;
+    }
+    this->journal.tell(LogKind::Fault, "worker entry can't be used",
+                       {{"worker", id}, {"error", entry.error()}}, now);
+    this->fleet.workerUnlisted(id, now);
+}
+
+void TaskDispatcher::runConfirmed(const RunRef &run, TimePoint now)
+{
+    LiveJob *job = this->jobs.find(run.job);
+    if (!job || !job->progress.contains(run.task))
+        return;
+    TaskProgress &task = job->progress.task(run.task);
+    if (task.run == run.run && task.state == TaskState::Assigned)
+        task.state = TaskState::Running;
+    if (job->isOver() && this->leads(now))
+        this->stopRuns({&run, 1}, now);
+}
+
+void TaskDispatcher::runEnded(const RunEnd &end, TimePoint now)
+{
+    if (this->phase != Phase::Leading)
+        return;
+    LiveJob *job = this->jobs.find(end.run.job);
+    EndEffect effect;
+    if (job)
+        effect = JobTable::ended(*job, end.run, end.cause, end.checkpoint, this->wallClock.nowMs());
+    this->journal.tell(LogKind::Task, "run ended",
+                       {{"request", end.run.job},
+                        {"task", textOf(end.run.task)},
+                        {"run", end.run.run},
+                        {"worker", end.worker},
+                        {"cause", nameOf(end.cause)},
+                        {"end", end.number},
+                        {"changed", effect.changed}},
+                       now);
+    if (end.cause == EndCause::Failed)
+        this->fleet.avoid(end.worker, now);
+    if (!effect.changed) {
+        this->fleet.endRecorded(end.worker, end.number, now);
+        return;
+    }
+    const auto recorded = [this, worker = end.worker, number = end.number](TimePoint at) {
+        this->fleet.endRecorded(worker, number, at);
+    };
+    this->apply(*job, effect, recorded, now);
+}
+
+void TaskDispatcher::runLost(const RunEnd &end, const char *reason, TimePoint now)
+{
+    if (this->phase != Phase::Leading)
+        return;
+    LiveJob *job = this->jobs.find(end.run.job);
+    this->journal.tell(LogKind::Task, "run lost",
+                       {{"request", end.run.job},
+                        {"task", textOf(end.run.task)},
+                        {"run", end.run.run},
+                        {"worker", end.worker},
+                        {"reason", reason}},
+                       now);
+    if (!job)
+        return;
+    const EndEffect effect = JobTable::ended(*job, end.run, EndCause::LeaseLapsed, end.checkpoint,
+                                             this->wallClock.nowMs());
+    if (effect.changed)
+        this->apply(*job, effect, nullptr, now);
+}
+
+void TaskDispatcher::fenced(TimePoint now)
+{
+    this->fleet.stop();
+    this->leadership.overtaken(now);
+}
+
+void TaskDispatcher::fleetChanged(TimePoint)
+{
+    this->planSoon();
+}
+
+void TaskDispatcher::apply(LiveJob &job, const EndEffect &effect, RecordWriter::Effect afterStored,
+                           TimePoint now)
+{
+    if (effect.jobOver)
+        this->journal.tell(LogKind::Request, "job over",
+                           {{"request", job.job.id},
+                            {"state", static_cast<int>(job.progress.state)},
+                            {"ageMs", this->wallClock.nowMs() - job.job.acceptedAt}},
+                           now);
+    this->writer.record(job.job.id, std::move(afterStored), now);
+    this->stopRuns(effect.toStop, now);
+    this->planSoon();
+}
+
+void TaskDispatcher::stopRuns(std::span<const RunRef> runs, TimePoint now)
+{
+    if (!this->leads(now))
+        return;
+    for (const RunRef &ref : runs) {
+        LiveJob *job = this->jobs.find(ref.job);
+        if (!job)
+            continue;
+        const std::string worker = job->progress.task(ref.task).worker;
+        const WorkerFleet::Run *run = this->fleet.find(worker, ref);
+        if (!run)
+            continue;
+        const bool neverSent = run->tries == 0 && !run->adopted && !run->confirmedAt;
+        if (!neverSent) {
+            this->fleet.requestStop(worker, ref, now);
+            continue;
+        }
+        this->fleet.withdraw(worker, ref, now);
+        job->progress.task(ref.task).state = TaskState::Waiting;
+        this->writer.record(ref.job, nullptr, now);
+    }
+}
+
+std::string TaskDispatcher::encodeRecord(const std::string &id)
+{
+    const LiveJob *job = this->jobs.find(id);
+    const bool expired = !job
+        || (job->isOver() && !job->progress.anyOnWorker()
+            && this->wallClock.nowMs() - job->progress.endedAt
+                > toMs(this->settings.statusRetention));
+    return expired ? std::string() : Tasks::encodeProgress(job->progress);
+}
+
+/// Jobs that have been over for long enough leave the store; the watch then removes them here.
+void TaskDispatcher::removeExpired(TimePoint now)
+{
+    const Tasks::UnixMs wall = this->wallClock.nowMs();
+    for (const auto &[id, job] : this->jobs.all()) {
+        const bool over = job.isOver() && !job.progress.anyOnWorker();
+        if (over && wall - job.progress.endedAt > toMs(this->settings.statusRetention))
+            this->writer.record(id, nullptr, now);
+    }
+}
+
+void TaskDispatcher::planSoon()
+{
+    if (this->planPending || this->phase != Phase::Leading)
+        return;
+    this->planPending = true;
+    this->timers.after(this->settings.planDelay,
+                       [this, generation = this->generation](TimePoint now) {
+                           if (generation != this->generation)
+                               return;
+                           this->planPending = false;
+                           this->plan(now);
+                       });
+}
+
+void TaskDispatcher::plan(TimePoint now)
+{
+    if (!this->leads(now))
+        return;
+    std::vector<Tasks::StartRequest> requests = this->collectRequests();
+    if (requests.empty())
+        return;
+    const std::vector<Tasks::WorkerView> workers = this->collectWorkers(now);
+    for (Tasks::StartRequest &request : requests)
+        this->findSiblings(request, workers);
+    const Tasks::StartPlan plan = this->planner.plan(requests, workers, this->wallClock.nowMs());
+    this->carryOut(plan, requests, workers, now);
+}
+
+std::vector<Tasks::StartRequest> TaskDispatcher::collectRequests()
+{
+    std::vector<Tasks::StartRequest> requests;
+    const Tasks::UnixMs wall = this->wallClock.nowMs();
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (job.isOver())
+            continue;
+        for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
+            const bool repeated = job.job.repetition.count > 0;
+            if (repeated && wall < job.job.dueAt(i))
+                break;
+            this->addRequests(job, i, requests);
+        }
+    }
+    return requests;
+}
+
+void TaskDispatcher::addRequests(const LiveJob &job, std::int32_t occurrence,
+                                 std::vector<Tasks::StartRequest> &requests)
+{
+    for (std::size_t i = 0; i < job.job.steps.size(); i++) {
+        const auto number = static_cast<std::int32_t>(i);
+        std::vector<std::int32_t> indexes = JobTable::startable(job, occurrence, number);
+        if (indexes.empty())
+            continue;
+        Tasks::StartRequest request;
+        request.job = job.job.id;
+        request.occurrence = occurrence;
+        request.stepNumber = number;
+        request.step = &job.job.steps[i];
+        request.service = job.job.service;
+        request.customer = job.job.customer;
+        request.priority = job.job.priority;
+        request.readySince = std::max(job.job.dueAt(occurrence), job.job.acceptedAt);
+        request.objectiveAt = job.job.objectiveAt(occurrence);
+        const Tasks::UnixMs span = request.objectiveAt - request.readySince;
+        constexpr int worthlessAfterObjectives = 3;
+        request.worthlessAt = request.readySince + worthlessAfterObjectives * span;
+        request.indexes = std::move(indexes);
+        requests.push_back(std::move(request));
+    }
+}
+
+std::vector<Tasks::WorkerView> TaskDispatcher::collectWorkers(TimePoint now)
+{
+    std::vector<Tasks::WorkerView> views;
+    views.reserve(this->fleet.all().size());
+    for (const auto &[id, worker] : this->fleet.all()) {
+        Tasks::WorkerView view;
+        view.id = id;
+        view.service = worker.entry.service;
+        view.labels = worker.entry.labels;
+        view.free = worker.entry.capacity;
+        view.free -= worker.used;
+        view.usable = worker.usable(now);
+        for (const auto &[key, run] : worker.runs)
+            view.occupants.push_back(this->viewOf(run, now));
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+/// Notes the workers that already have tasks of the request's step, where that is limited.
+void TaskDispatcher::findSiblings(Tasks::StartRequest &request,
+                                  std::span<const Tasks::WorkerView> workers)
+{
+    if (request.step->maxPerWorker == 0)
+        return;
+    const LiveJob &job = *this->jobs.find(request.job);
+    for (std::int32_t index = 0; index < request.step->count; index++) {
+        const TaskProgress &task
+            = job.progress.task({request.occurrence, request.stepNumber, index});
+        if (!task.isOnWorker())
+            continue;
+        const auto holds
+            = [&task](const Tasks::WorkerView &view) { return view.id == task.worker; };
+        const auto found = std::find_if(workers.begin(), workers.end(), holds);
+        if (found != workers.end())
+            request.besides.push_back(static_cast<std::size_t>(found - workers.begin()));
+    }
+}
+
+Tasks::OccupantView TaskDispatcher::viewOf(const WorkerFleet::Run &run, TimePoint now)
+{
+    Tasks::OccupantView view;
+    view.need = run.need;
+    view.stopping = run.stopWanted;
+    const LiveJob *job = this->jobs.find(run.ref.job);
+    if (!job)
+        return view;
+    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
+    const Duration left = job->stepOf(run.ref.task).estimate - elapsed;
+    view.expectedEnd = this->wallClock.nowMs() + std::max<std::int64_t>(0, toMs(left));
+    view.priority = job->job.priority;
+    view.lossIfStopped = this->lossOf(*job, run, now);
+    return view;
+}
+
+double TaskDispatcher::lossOf(const LiveJob &job, const WorkerFleet::Run &run, TimePoint now)
+{
+    const Tasks::Step &step = job.stepOf(run.ref.task);
+    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
+    double lost = std::chrono::duration<double>(elapsed).count();
+    if (step.checkpoints)
+        lost = std::min(lost, this->settings.checkpointLoss);
+    const double members = step.gang ? step.count : 1.0;
+    return lost * members * Tasks::weightOf(step.need);
+}
+
+void TaskDispatcher::carryOut(const Tasks::StartPlan &plan,
+                              std::span<const Tasks::StartRequest> requests,
+                              std::span<const Tasks::WorkerView> workers, TimePoint now)
+{
+    // Views refer to the fleet's tables, which change below.
+    std::vector<RunRef> victims;
+    for (const Tasks::ReclaimChoice &choice : plan.reclaims) {
+        const auto worker = this->fleet.all().find(workers[choice.worker].id);
+        auto run = worker->second.runs.begin();
+        std::advance(run, choice.occupant);
+        victims.push_back(run->second.ref);
+    }
+    for (const Tasks::StartChoice &choice : plan.starts)
+        this->assign(requests[choice.request], choice, std::string(workers[choice.worker].id), now);
+    for (const RunRef &victim : victims)
+        this->reclaim(victim, now);
+}
+
+void TaskDispatcher::assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
+                            const std::string &worker, TimePoint now)
+{
+    LiveJob &job = *this->jobs.find(request.job);
+    const TaskRef ref{request.occurrence, request.stepNumber, choice.index};
+    const std::int64_t incarnation = this->fleet.all().find(worker)->second.entry.incarnation;
+    WorkerFleet::Run run;
+    run.ref = JobTable::assign(job, ref, worker, incarnation);
+    run.need = request.step->need;
+    run.payload = job.job.payload;
+    run.checkpoint = job.progress.task(ref).checkpoint;
+    const RunRef runRef = run.ref;
+    this->journal.tell(LogKind::Task, "run assigned",
+                       {{"request", job.job.id},
+                        {"task", textOf(ref)},
+                        {"run", runRef.run},
+                        {"worker", worker},
+                        {"waitedMs", this->wallClock.nowMs() - request.readySince},
+                        {"rank", StartPlanner::rankOf(request, this->wallClock.nowMs())}},
+                       now);
+    this->fleet.assign(worker, std::move(run), now);
+    this->writer.record(
+        job.job.id,
+        [this, runRef, worker](TimePoint at) { this->startAssigned(runRef, worker, at); }, now);
+}
+
+void TaskDispatcher::startAssigned(const RunRef &run, const std::string &worker, TimePoint now)
+{
+    LiveJob *job = this->jobs.find(run.job);
+    if (!job || !this->leads(now))
+        return;
+    if (job->isOver()) {
+        this->stopRuns({&run, 1}, now);
+        return;
+    }
+    this->fleet.start(worker, run, now);
+}
+
+void TaskDispatcher::reclaim(const RunRef &run, TimePoint now)
+{
+    LiveJob *job = this->jobs.find(run.job);
+    if (!job)
+        return;
+    std::vector<RunRef> runs;
+    for (const TaskRef &member : job->together(run.task)) {
+        const TaskProgress &task = job->progress.task(member);
+        if (task.isOnWorker())
+            runs.push_back({run.job, member, task.run});
+    }
+    this->journal.tell(LogKind::Task, "run gives way to urgent work",
+                       {{"request", run.job},
+                        {"task", textOf(run.task)},
+                        {"run", run.run},
+                        {"runsToStop", runs.size()}},
+                       now);
+    this->stopRuns(runs, now);
+}
+
+void TaskDispatcher::tickLater()
+{
+    this->timers.after(this->settings.tick, [this, generation = this->generation](TimePoint now) {
+        if (generation != this->generation)
+            return;
+        this->tick(now);
+        this->tickLater();
+    });
+}
+
+void TaskDispatcher::tick(TimePoint now)
+{
+    if (!this->leads(now))
+        return;
+    this->removeExpired(now);
+    this->writeLoad(now);
+    this->plan(now);
+}
+
+/// "queue count" lines for the jobs of each queue that have not started.
+std::string TaskDispatcher::describeLoad() const
+{
+    std::map<std::string, std::int64_t> waiting;
+    for (const auto &[id, job] : this->jobs.all()) {
+        const bool counts
+            = !job.isOver() && job.job.repetition.count == 0 && !job.progress.anyStarted();
+        if (counts)
+            waiting[job.job.queue]++;
+    }
+    return nlohmann::json(waiting).dump();
+}
+
+void TaskDispatcher::writeLoad(TimePoint now)
+{
+    if (this->loadOutstanding || now < this->loadWrittenAt + this->settings.loadInterval)
+        return;
+    std::string load = this->describeLoad();
+    if (load == this->writtenLoad)
+        return;
+    Tasks::StoreCommit commit;
+    commit.checks.push_back({StoreKeys::leader, this->leadership.token()});
+    commit.writes.push_back({StoreKeys::load, load, 0});
+    this->loadOutstanding = true;
+    const auto answered
+        = [this, load, generation = this->generation](const StoreAnswer &answer, TimePoint at) {
+              if (generation != this->generation)
+                  return;
+              this->loadOutstanding = false;
+              this->loadWrittenAt = at;
+              if (answer.outcome == StoreOutcome::Done)
+                  this->writtenLoad = load;
+          };
+    this->store.commit(commit, this->settings.writer.commitTimeout, answered);
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/TaskDispatcher.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <Coordination/JobTable.h>
+#include <Coordination/Leadership.h>
+#include <Coordination/PrefixWatch.h>
+#include <Coordination/RecordWriter.h>
+#include <Coordination/WorkerFleet.h>
+#include <Tasks/StartPlanner.h>
+
+#include <optional>
+#include <tl/expected.hpp>
+
+namespace Hibiscus::Coordination {
+
+/// The leader's work: takes accepted jobs from the store, has their tasks run on workers, and
+/// writes their progress back. Does nothing while this instance does not lead.
+///
+/// An assignment is stored before its start is sent, and an end before the worker may forget it, so
+/// that a follower finds in the store every run that may exist.
+class TaskDispatcher final : private FleetListener
+{
+public:
+    struct Settings
+    {
+        std::string workerRegistry; ///< Prefix of the workers' entries in the store.
+        Duration statusRetention = seconds(120); ///< Of jobs that are over.
+        Duration earliestStart = milliseconds(250); ///< Before an occurrence is due.
+        Duration planDelay = milliseconds(4); ///< Gathers events that come together.
+        Duration tick = milliseconds(250);
+        Duration loadInterval = milliseconds(500); ///< Between two writes of the queues' load.
+        Duration listTimeout = milliseconds(1500);
+        Duration storeRetry = milliseconds(150);
+        double checkpointLoss = 0.5; ///< Seconds of work lost by a stop of a task that checkpoints.
+        Tasks::StartPlanner::Settings planner;
+        WorkerFleet::Settings fleet;
+        RecordWriter::Settings writer;
+    };
+
+    /// Turns a registry entry into a worker; an error text names what is wrong.
+    using EntryDecoder = std::function<tl::expected<Tasks::WorkerEntry, std::string>(
+        std::string_view key, std::string_view value)>;
+
+    TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link, TimerService &timers,
+                   const WallClock &wallClock, Journal &journal, Leadership &leadership,
+                   const Settings &settings, EntryDecoder decoder);
+
+    void elected(std::int64_t token, TimePoint now);
+    void deposed(TimePoint now);
+
+    const JobTable &jobTable() const { return this->jobs; }
+    const WorkerFleet &workerFleet() const { return this->fleet; }
+    bool isReady() const { return this->phase == Phase::Leading; }
+
+private:
+    using StartPlanner = Tasks::StartPlanner;
+
+    enum class Phase : std::uint8_t {
+        Idle,
+        Loading,
+        Leading,
+    };
+
+    /// A job's progress record as it was read at takeover.
+    struct LoadedRecord
+    {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+
+    void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
+    void runEnded(const RunEnd &end, TimePoint now) override;
+    void runLost(const RunEnd &end, const char *reason, TimePoint now) override;
+    void fenced(TimePoint now) override;
+    void fleetChanged(TimePoint now) override;
+
+    bool leads(TimePoint now);
+    void listProgress(const std::string &after);
+    void progressListed(const Tasks::StoreAnswer &answer);
+    void beginWhenLoaded(TimePoint now);
+    void restoreJob(const Tasks::Job &job, TimePoint now);
+    void adoptRuns(LiveJob &job, TimePoint now);
+
+    void jobKeyChanged(const Tasks::StoredItem &item, TimePoint now);
+    void jobArrived(const Tasks::StoredItem &item, const std::string &id, TimePoint now);
+    void jobCancelled(const std::string &id, TimePoint now);
+    void workerKeyChanged(const Tasks::StoredItem &item, TimePoint now);
+
+    void apply(LiveJob &job, const EndEffect &effect, RecordWriter::Effect afterStored,
+               TimePoint now);
+    void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
+    std::string encodeRecord(const std::string &job);
+    void removeExpired(TimePoint now);
+
+    void planSoon();
+    void plan(TimePoint now);
+    std::vector<Tasks::StartRequest> collectRequests();
+    void addRequests(const LiveJob &job, std::int32_t occurrence,
+                     std::vector<Tasks::StartRequest> &requests);
+    void findSiblings(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
+    std::vector<Tasks::WorkerView> collectWorkers(TimePoint now);
+    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, TimePoint now);
+    double lossOf(const LiveJob &job, const WorkerFleet::Run &run, TimePoint now);
+    void carryOut(const Tasks::StartPlan &plan, std::span<const Tasks::StartRequest> requests,
+                  std::span<const Tasks::WorkerView> workers, TimePoint now);
+    void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
+                const std::string &worker, TimePoint now);
+    void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
+    void reclaim(const Tasks::RunRef &run, TimePoint now);
+
+    void tickLater();
+    void tick(TimePoint now);
+    void writeLoad(TimePoint now);
+    std::string describeLoad() const;
+
+    Tasks::MetadataStore &store;
+    TimerService &timers;
+    const WallClock &wallClock;
+    Journal &journal;
+    Leadership &leadership;
+    Settings settings;
+    EntryDecoder decoder;
+    JobTable jobs;
+    WorkerFleet fleet;
+    RecordWriter writer;
+    PrefixWatch jobWatch;
+    PrefixWatch workerWatch;
+    StartPlanner planner;
+    Phase phase = Phase::Idle;
+    std::uint64_t generation = 0; ///< Answers and timers of an earlier one are ignored.
+    bool jobsListed = false;
+    bool workersListed = false;
+    bool progressComplete = false;
+    std::map<std::string, LoadedRecord> records; ///< While loading.
+    std::set<std::string> cancelledIds; ///< While loading.
+    bool planPending = false;
+    std::string writtenLoad;
+    TimePoint loadWrittenAt{};
+    bool loadOutstanding = false;
+};
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/WorkerFleet.cpp
@@ -0,0 +1,595 @@
+#include <Coordination/WorkerFleet.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Hibiscus::Coordination {
+
+using Runtime::LogFields;
+using Runtime::LogKind;
+using Tasks::EndedTask;
+using Tasks::RunningTask;
+using Tasks::RunRef;
+using Tasks::WorkerAnswer;
+using Tasks::WorkerEntry;
+using Tasks::WorkerOutcome;
+
+namespace {
+
+/// A worker's clock may be this much slower than ours.
+constexpr double slowestClock = 0.98;
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+std::string nameOf(const RunRef &run)
+{
+    return std::to_string(run.task.occurrence) + "." + std::to_string(run.task.step) + "."
+        + std::to_string(run.task.index) + "#" + std::to_string(run.run);
+}
+
+std::pair<std::string, Tasks::TaskRef> keyOf(const RunRef &ref)
+{
+    return {ref.job, ref.task};
+}
+
+} // namespace
+
+WorkerFleet::WorkerFleet(Tasks::WorkerLink &link, TimerService &timers, Journal &journal,
+                         const Settings &settings, FleetListener &listener)
+    : link(link)
+    , timers(timers)
+    , journal(journal)
+    , settings(settings)
+    , listener(listener)
+{}
+
+void WorkerFleet::begin(std::int64_t leaderToken, TimePoint now)
+{
+    this->stop();
+    this->token = leaderToken;
+    this->setAuthority(true, now);
+}
+
+void WorkerFleet::openSessions(TimePoint now)
+{
+    this->active = true;
+    std::vector<std::string> ids;
+    for (const auto &[id, worker] : this->workers)
+        ids.push_back(id);
+    for (const std::string &id : ids)
+        this->poll(id, now);
+}
+
+void WorkerFleet::stop()
+{
+    this->generation++;
+    this->active = false;
+    this->workers.clear();
+}
+
+void WorkerFleet::setAuthority(bool value, TimePoint now)
+{
+    if (this->authority && !value)
+        this->authorityLostAt = now;
+    this->authority = value;
+}
+
+bool WorkerFleet::mayRenew(TimePoint now) const
+{
+    return this->authority || now < this->authorityLostAt + this->settings.renewalGrace;
+}
+
+WorkerFleet::Worker *WorkerFleet::workerOf(std::string_view id)
+{
+    const auto found = this->workers.find(id);
+    return found == this->workers.end() ? nullptr : &found->second;
+}
+
+WorkerFleet::Run *WorkerFleet::runOf(Worker &worker, const RunRef &ref)
+{
+    const auto found = worker.runs.find(keyOf(ref));
+    if (found == worker.runs.end() || found->second.ref.run != ref.run)
+        return nullptr;
+    return &found->second;
+}
+
+const WorkerFleet::Run *WorkerFleet::find(std::string_view worker, const RunRef &ref) const
+{
+    const auto found = this->workers.find(worker);
+    if (found == this->workers.end())
+        return nullptr;
+    const auto run = found->second.runs.find(keyOf(ref));
+    return run == found->second.runs.end() || run->second.ref.run != ref.run ? nullptr
+                                                                             : &run->second;
+}
+
+void WorkerFleet::workerListed(const WorkerEntry &entry, TimePoint now)
+{
+    const auto [found, added] = this->workers.try_emplace(entry.id);
+    Worker &worker = found->second;
+    const bool otherLife = !added && entry.incarnation != worker.entry.incarnation;
+    const bool wasDraining = worker.entry.draining;
+    if (added)
+        worker.leaseOverAt = now;
+    if (otherLife && worker.entry.incarnation != 0)
+        this->reborn(worker, entry.incarnation, now);
+    worker.entry = entry;
+    worker.listed = true;
+    if (entry.draining && !wasDraining)
+        this->journal.tell(LogKind::Dependency, "worker leaves", {{"worker", entry.id}}, now);
+    if (!worker.greeted)
+        this->poll(entry.id, now);
+    this->listener.fleetChanged(now);
+}
+
+void WorkerFleet::workerUnlisted(const std::string &id, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    worker->listed = false;
+    this->journal.tell(LogKind::Dependency, "worker unlisted",
+                       {{"worker", id}, {"runs", worker->runs.size()}}, now);
+    if (worker->runs.empty() && !worker->polling)
+        this->workers.erase(id);
+    this->listener.fleetChanged(now);
+}
+
+void WorkerFleet::assign(const std::string &id, Run run, TimePoint)
+{
+    Worker *worker = this->workerOf(id);
+    assert(worker);
+    worker->used += run.need;
+    const RunKey key = keyOf(run.ref);
+    worker->runs.insert_or_assign(key, std::move(run));
+}
+
+bool WorkerFleet::adopt(const std::string &id, std::int64_t incarnation, Run run, TimePoint now)
+{
+    const auto [found, added] = this->workers.try_emplace(id);
+    Worker &worker = found->second;
+    if (added) {
+        worker.entry.id = id;
+        worker.entry.incarnation = incarnation;
+    }
+    if (worker.entry.incarnation != 0 && worker.entry.incarnation != incarnation)
+        return false;
+    run.adopted = true;
+    // A former leader may have renewed until its grace ran out, with the longest lease.
+    const Duration longest = this->longestLease();
+    worker.leaseOverAt = std::max(worker.leaseOverAt, now + this->settings.renewalGrace + longest);
+    this->assign(id, std::move(run), now);
+    this->timers.after(worker.leaseOverAt - now,
+                       [this, id, generation = this->generation](TimePoint at) {
+                           if (generation != this->generation)
+                               return;
+                           if (Worker *late = this->workerOf(id))
+                               this->checkLease(*late, at);
+                       });
+    return true;
+}
+
+void WorkerFleet::removeRun(Worker &worker, const RunKey &key, TimePoint now)
+{
+    const auto found = worker.runs.find(key);
+    assert(found != worker.runs.end());
+    worker.used -= found->second.need;
+    worker.runs.erase(found);
+    this->listener.fleetChanged(now);
+}
+
+void WorkerFleet::loseRun(Worker &worker, const RunKey &key, const char *reason, TimePoint now)
+{
+    const auto found = worker.runs.find(key);
+    assert(found != worker.runs.end());
+    const RunEnd end{found->second.ref, worker.entry.id, Tasks::EndCause::LeaseLapsed,
+                     found->second.checkpoint, 0};
+    this->removeRun(worker, key, now);
+    this->listener.runLost(end, reason, now);
+}
+
+void WorkerFleet::withdraw(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (worker && this->runOf(*worker, ref))
+        this->removeRun(*worker, keyOf(ref), now);
+}
+
+void WorkerFleet::endRecorded(const std::string &id, std::int64_t number, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    worker->unrecorded.erase(number);
+    this->pollIfNeeded(*worker, now);
+}
+
+void WorkerFleet::avoid(const std::string &id, TimePoint now)
+{
+    if (Worker *worker = this->workerOf(id))
+        this->strike(*worker, now);
+}
+
+void WorkerFleet::strike(Worker &worker, TimePoint now)
+{
+    constexpr std::int32_t mostDoublings = 5;
+    const Duration span
+        = this->settings.shortestAvoidance * (1 << std::min(worker.strikes, mostDoublings));
+    worker.strikes++;
+    worker.avoidUntil = now + std::min(span, this->settings.longestAvoidance);
+    this->timers.after(worker.avoidUntil - now,
+                       [this, generation = this->generation](TimePoint at) {
+                           if (generation == this->generation)
+                               this->listener.fleetChanged(at);
+                       });
+}
+
+/// By our clock, from an order to the surest end of the lease that it gives.
+Duration WorkerFleet::longestLease() const
+{
+    const double hold = static_cast<double>(this->settings.longestHold.count());
+    return Duration(static_cast<Duration::rep>(hold / slowestClock)) + this->settings.leaseSlack;
+}
+
+/// The end of a lease given now, on the worker's clock. Notes by when it is surely over.
+std::int64_t WorkerFleet::leaseUntil(Worker &worker, TimePoint now)
+{
+    const double passed = static_cast<double>(toMs(now - worker.clockAt)) * slowestClock;
+    const std::int64_t earliestClock = worker.clock + static_cast<std::int64_t>(passed);
+    worker.leaseOverAt = std::max(worker.leaseOverAt, now + this->longestLease());
+    return earliestClock + toMs(this->settings.longestHold);
+}
+
+bool WorkerFleet::needsPoll(const Worker &worker) const
+{
+    if (!worker.greeted)
+        return worker.listed || !worker.runs.empty();
+    if (worker.recordedUpTo() > worker.acknowledged)
+        return true;
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+        const Run &run = entry.second;
+        return run.adopted || run.settledAt.has_value();
+    });
+}
+
+void WorkerFleet::pollIfNeeded(Worker &worker, TimePoint now)
+{
+    if (!worker.polling && this->needsPoll(worker))
+        this->poll(worker.entry.id, now);
+}
+
+void WorkerFleet::poll(const std::string &id, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!this->active || !worker || worker->polling || worker->entry.address.empty())
+        return;
+    if (!this->mayRenew(now))
+        return;
+    Tasks::RenewOrder order;
+    order.fencingToken = this->token;
+    order.endsRecorded = worker->recordedUpTo();
+    const bool greeted = worker->greeted;
+    // A worker that does not answer gets no longer lease, so that its runs end some day.
+    const bool answering = worker->pollRetry == Duration{};
+    if (greeted && answering && !worker->runs.empty()) {
+        order.leaseUntil = this->leaseUntil(*worker, now);
+        order.wait = this->settings.pollWait;
+    }
+    worker->polling = true;
+    const Duration timeout = order.wait + this->settings.pollSlack;
+    const std::int64_t acknowledged = order.endsRecorded;
+    this->link.renew(worker->entry, order, timeout,
+                     [this, id, acknowledged, sentAt = now,
+                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                         if (generation != this->generation)
+                             return;
+                         Worker *sender = this->workerOf(id);
+                         if (sender && answer.outcome == WorkerOutcome::Done)
+                             sender->acknowledged = std::max(sender->acknowledged, acknowledged);
+                         this->polled(id, answer, sentAt, at);
+                     });
+}
+
+void WorkerFleet::polled(const std::string &id, const WorkerAnswer &answer, TimePoint sentAt,
+                         TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    worker->polling = false;
+    if (answer.outcome == WorkerOutcome::Fenced) {
+        this->listener.fenced(now);
+        return;
+    }
+    if (answer.outcome != WorkerOutcome::Done) {
+        if (worker->pollRetry == Duration{})
+            this->journal.tell(LogKind::Dependency, "worker does not answer",
+                               {{"worker", id}, {"runs", worker->runs.size()}}, now);
+        worker->avoidUntil = std::max(worker->avoidUntil, now + this->settings.longestRetry);
+        worker->pollRetry
+            = std::clamp(worker->pollRetry * 2, this->settings.retry, this->settings.longestRetry);
+        this->checkLease(*worker, now);
+        this->timers.after(worker->pollRetry,
+                           [this, id, generation = this->generation](TimePoint at) {
+                               if (generation != this->generation)
+                                   return;
+                               if (Worker *again = this->workerOf(id))
+                                   this->pollIfNeeded(*again, at);
+                           });
+        return;
+    }
+    if (std::exchange(worker->pollRetry, Duration{}) != Duration{})
+        this->journal.tell(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
+    this->answeredAtAll(*worker, answer, now);
+    const bool first = !std::exchange(worker->greeted, true);
+    this->takeEnds(*worker, answer, now);
+    this->takeRunning(*worker, answer, sentAt, now);
+    if (first)
+        this->listener.fleetChanged(now);
+    if (!worker->listed && worker->runs.empty()) {
+        this->workers.erase(id);
+        return;
+    }
+    this->pollIfNeeded(*worker, now);
+}
+
+void WorkerFleet::answeredAtAll(Worker &worker, const WorkerAnswer &answer, TimePoint now)
+{
+    worker.lastAnswerAt = now;
+    if (answer.clock != 0) {
+        worker.clock = answer.clock;
+        worker.clockAt = now;
+    }
+    const bool otherLife
+        = answer.incarnation != 0 && answer.incarnation != worker.entry.incarnation;
+    if (!otherLife)
+        return;
+    if (worker.entry.incarnation != 0)
+        this->reborn(worker, answer.incarnation, now);
+    worker.entry.incarnation = answer.incarnation;
+}
+
+/// The worker's process was started anew: it runs and knows nothing of before.
+void WorkerFleet::reborn(Worker &worker, std::int64_t incarnation, TimePoint now)
+{
+    this->journal.tell(LogKind::Dependency, "worker started anew",
+                       {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
+    worker.entry.incarnation = incarnation;
+    worker.lastEnd = 0;
+    worker.acknowledged = 0;
+    worker.unrecorded.clear();
+    worker.greeted = false;
+    worker.strikes = 0;
+    std::vector<RunKey> keys;
+    for (const auto &[key, run] : worker.runs)
+        keys.push_back(key);
+    for (const RunKey &key : keys)
+        this->loseRun(worker, key, "the worker was started anew", now);
+}
+
+void WorkerFleet::takeEnds(Worker &worker, const WorkerAnswer &answer, TimePoint now)
+{
+    for (const EndedTask &ended : answer.ended) {
+        if (ended.number <= worker.lastEnd)
+            continue;
+        worker.lastEnd = ended.number;
+        Run *run = this->runOf(worker, ended.run);
+        if (!run)
+            continue;
+        worker.unrecorded.insert(ended.number);
+        const RunEnd end{ended.run, worker.entry.id, ended.cause,
+                         ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint,
+                         ended.number};
+        this->removeRun(worker, keyOf(ended.run), now);
+        this->listener.runEnded(end, now);
+    }
+}
+
+void WorkerFleet::takeRunning(Worker &worker, const WorkerAnswer &answer, TimePoint sentAt,
+                              TimePoint now)
+{
+    std::set<RunRef> seen;
+    std::vector<RunRef> confirmed;
+    for (const RunningTask &running : answer.running) {
+        seen.insert(running.run);
+        Run *run = this->runOf(worker, running.run);
+        if (!run) {
+            this->stopStranger(worker, running.run);
+            continue;
+        }
+        if (!running.checkpoint.empty())
+            run->checkpoint = running.checkpoint;
+        run->percent = running.percent;
+        run->adopted = false;
+        if (!run->confirmedAt) {
+            run->confirmedAt = now;
+            run->settledAt = now;
+            confirmed.push_back(running.run);
+        }
+    }
+    for (const RunRef &run : confirmed)
+        this->listener.runConfirmed(run, now);
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : worker.runs) {
+        if (seen.contains(run.ref))
+            continue;
+        // The answer fences off a former leader's orders, so what it does not list will not come.
+        const bool settled = run.settledAt && *run.settledAt <= sentAt && !run.startOutstanding;
+        if (run.adopted || settled)
+            missing.push_back(key);
+    }
+    for (const RunKey &key : missing)
+        this->loseRun(worker, key, "the worker does not list it", now);
+}
+
+/// Something runs that no record speaks of, such as a start that was given up and came late.
+void WorkerFleet::stopStranger(Worker &worker, const RunRef &ref)
+{
+    if (!this->authority || worker.runs.contains(keyOf(ref)))
+        return;
+    this->link.stop(worker.entry, {ref, this->token}, this->settings.orderTimeout,
+                    [](const WorkerAnswer &, TimePoint) {});
+}
+
+void WorkerFleet::checkLease(Worker &worker, TimePoint now)
+{
+    if (now < worker.leaseOverAt || worker.runs.empty())
+        return;
+    std::vector<RunKey> keys;
+    for (const auto &[key, run] : worker.runs)
+        keys.push_back(key);
+    for (const RunKey &key : keys)
+        this->loseRun(worker, key, "its lease is over and the worker does not answer", now);
+    worker.greeted = false;
+}
+
+void WorkerFleet::start(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (run)
+        this->sendStart(*worker, *run, now);
+}
+
+void WorkerFleet::sendStart(Worker &worker, Run &run, TimePoint now)
+{
+    run.startOutstanding = true;
+    run.tries++;
+    Tasks::StartOrder order;
+    order.run = run.ref;
+    order.payload = run.payload;
+    order.checkpoint = run.checkpoint;
+    order.leaseUntil = this->leaseUntil(worker, now);
+    order.fencingToken = this->token;
+    this->link.start(worker.entry, order, this->settings.orderTimeout,
+                     [this, id = worker.entry.id, ref = run.ref,
+                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                         if (generation == this->generation)
+                             this->started(id, ref, answer, at);
+                     });
+}
+
+void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+                          TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    if (answer.outcome == WorkerOutcome::Fenced) {
+        this->listener.fenced(now);
+        return;
+    }
+    if (answer.outcome != WorkerOutcome::Unknown)
+        this->answeredAtAll(*worker, answer, now);
+    Run *run = this->runOf(*worker, ref);
+    if (!run)
+        return;
+    run->startOutstanding = false;
+    switch (answer.outcome) {
+    case WorkerOutcome::Done:
+        worker->strikes = 0;
+        run->settledAt = now;
+        if (!std::exchange(run->confirmedAt, now))
+            this->listener.runConfirmed(ref, now);
+        break;
+    case WorkerOutcome::Unknown:
+        this->startUnanswered(*worker, *run, now);
+        return;
+    default:
+        this->journal.tell(LogKind::Task, "start rejected",
+                           {{"request", ref.job},
+                            {"run", nameOf(ref)},
+                            {"worker", id},
+                            {"reason", static_cast<int>(answer.outcome)},
+                            {"try", run->tries}},
+                           now);
+        this->strike(*worker, now);
+        // An earlier sending of this start may have been carried out and have ended.
+        if (run->tries > 1) {
+            run->settledAt = now;
+            this->pollIfNeeded(*worker, now);
+            return;
+        }
+        this->loseRun(*worker, keyOf(ref), "the worker rejected its start", now);
+        return;
+    }
+    if (run->stopWanted && !run->stopOutstanding)
+        this->sendStop(*worker, *run, now);
+    this->pollIfNeeded(*worker, now);
+}
+
+void WorkerFleet::startUnanswered(Worker &worker, Run &run, TimePoint now)
+{
+    if (run.tries < this->settings.startTries && !run.stopWanted && this->authority) {
+        this->sendStart(worker, run, now);
+        return;
+    }
+    this->strike(worker, now);
+    run.stopWanted = true;
+    this->sendStop(worker, run, now);
+}
+
+void WorkerFleet::requestStop(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (!run || run->stopWanted)
+        return;
+    run->stopWanted = true;
+    if (!run->startOutstanding)
+        this->sendStop(*worker, *run, now);
+}
+
+void WorkerFleet::sendStop(Worker &worker, Run &run, TimePoint now)
+{
+    if (now >= worker.leaseOverAt) {
+        // Nothing runs there any more, nor will a late start be accepted.
+        this->loseRun(worker, keyOf(run.ref), "its lease is over", now);
+        return;
+    }
+    run.stopOutstanding = true;
+    this->link.stop(worker.entry, {run.ref, this->token}, this->settings.orderTimeout,
+                    [this, id = worker.entry.id, ref = run.ref,
+                     generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                        if (generation == this->generation)
+                            this->stopped(id, ref, answer, at);
+                    });
+}
+
+void WorkerFleet::stopped(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+                          TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    if (answer.outcome == WorkerOutcome::Fenced) {
+        this->listener.fenced(now);
+        return;
+    }
+    if (answer.outcome != WorkerOutcome::Unknown)
+        this->answeredAtAll(*worker, answer, now);
+    Run *run = this->runOf(*worker, ref);
+    if (!run)
+        return;
+    run->stopOutstanding = false;
+    if (answer.outcome == WorkerOutcome::Done || answer.outcome == WorkerOutcome::Superseded) {
+        run->settledAt = now;
+        this->pollIfNeeded(*worker, now);
+        return;
+    }
+    this->timers.after(this->settings.retry,
+                       [this, id, ref, generation = this->generation](TimePoint at) {
+                           if (generation != this->generation)
+                               return;
+                           Worker *again = this->workerOf(id);
+                           Run *waiting = again ? this->runOf(*again, ref) : nullptr;
+                           if (waiting && !waiting->stopOutstanding)
+                               this->sendStop(*again, *waiting, at);
+                       });
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/WorkerFleet.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <Coordination/Journal.h>
+#include <Coordination/TimerService.h>
+#include <Tasks/WorkerLink.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace Hibiscus::Coordination {
+
+/// Why a run is no longer on its worker.
+struct RunEnd
+{
+    Tasks::RunRef run;
+    std::string worker;
+    Tasks::EndCause cause = Tasks::EndCause::Failed;
+    std::string checkpoint; ///< Newest known; empty: none.
+    std::int64_t number = 0; ///< Of the end in the worker's list; 0: not listed.
+};
+
+/// What the fleet tells of the runs that it was given.
+class FleetListener
+{
+public:
+    virtual ~FleetListener() = default;
+    virtual void runConfirmed(const Tasks::RunRef &run, TimePoint now) = 0;
+    virtual void runEnded(const RunEnd &end, TimePoint now) = 0;
+    /// The run surely does not run and will not, and no end of it is known.
+    virtual void runLost(const RunEnd &end, const char *reason, TimePoint now) = 0;
+    /// A worker has seen a higher fencing token.
+    virtual void fenced(TimePoint now) = 0;
+    /// Room or the set of workers changed.
+    virtual void fleetChanged(TimePoint now) = 0;
+};
+
+/// Sessions with all workers while this instance leads: renews the leases of what runs, learns
+/// ends, carries out starts and stops and repeats them until their outcome is known.
+class WorkerFleet
+{
+public:
+    struct Settings
+    {
+        Duration longestHold = seconds(6); ///< Longest lease that workers grant.
+        Duration pollWait = seconds(2); ///< Workers answer at an end, or after this.
+        Duration pollSlack = milliseconds(500); ///< More than this without an answer: none comes.
+        Duration orderTimeout = milliseconds(400);
+        Duration retry = milliseconds(150);
+        Duration longestRetry = seconds(1);
+        Duration shortestAvoidance = milliseconds(500); ///< After a failed order.
+        Duration longestAvoidance = seconds(8);
+        std::int32_t startTries = 3; ///< Sendings of one start without an answer.
+        Duration leaseSlack = milliseconds(300); ///< Beyond the computed end of a lease.
+        /// How long a leader that lost the store goes on renewing leases.
+        Duration renewalGrace = seconds(5);
+    };
+
+    /// One run that this fleet has been given.
+    struct Run
+    {
+        Tasks::RunRef ref;
+        Tasks::Resources need;
+        std::string payload;
+        std::string checkpoint; ///< Newest known.
+        std::int32_t percent = 0;
+        bool adopted = false; ///< Taken over from a former leader and not yet seen.
+        bool startOutstanding = false;
+        bool stopOutstanding = false;
+        bool stopWanted = false;
+        std::int32_t tries = 0;
+        std::optional<TimePoint> confirmedAt; ///< Its start.
+        /// The worker's word on the last order; a list asked for later is complete about the run.
+        std::optional<TimePoint> settledAt;
+    };
+
+    struct Worker
+    {
+        Tasks::WorkerEntry entry;
+        bool listed = false; ///< In the platform's registry.
+        bool greeted = false; ///< Has answered under the present token.
+        Tasks::Resources used;
+        std::int64_t clock = 0; ///< The worker's, in ms, at `clockAt`.
+        TimePoint clockAt{};
+        TimePoint leaseOverAt{}; ///< From then on nothing runs that we ordered.
+        TimePoint lastAnswerAt{};
+        TimePoint avoidUntil{};
+        std::int32_t strikes = 0; ///< Failed orders in a row.
+        std::int64_t lastEnd = 0; ///< Highest end that was processed.
+        std::set<std::int64_t> unrecorded; ///< Ends that are not stored yet.
+        std::int64_t acknowledged = 0; ///< Highest end that the worker was told to forget.
+        bool polling = false;
+        Duration pollRetry{};
+        std::map<std::pair<std::string, Tasks::TaskRef>, Run> runs;
+
+        bool usable(TimePoint now) const
+        {
+            return this->listed && this->greeted && !this->entry.draining
+                && now >= this->avoidUntil;
+        }
+        std::int64_t recordedUpTo() const
+        {
+            return this->unrecorded.empty() ? this->lastEnd : *this->unrecorded.begin() - 1;
+        }
+    };
+
+    WorkerFleet(Tasks::WorkerLink &link, TimerService &timers, Journal &journal,
+                const Settings &settings, FleetListener &listener);
+
+    /// Takes workers and runs of former leaders in, but calls no worker yet: an end that is learned
+    /// before its run is known would be forgotten.
+    void begin(std::int64_t token, TimePoint now);
+    void openSessions(TimePoint now);
+    void stop();
+    /// While false, nothing is started or stopped; leases are renewed for the grace time.
+    void setAuthority(bool value, TimePoint now);
+
+    void workerListed(const Tasks::WorkerEntry &entry, TimePoint now);
+    void workerUnlisted(const std::string &id, TimePoint now);
+
+    /// Takes room for a run; `start` follows once the assignment is stored.
+    void assign(const std::string &worker, Run run, TimePoint now);
+    void start(const std::string &worker, const Tasks::RunRef &ref, TimePoint now);
+    /// Gives up an assignment that was never sent.
+    void withdraw(const std::string &worker, const Tasks::RunRef &ref, TimePoint now);
+    void requestStop(const std::string &worker, const Tasks::RunRef &ref, TimePoint now);
+    /// A run that the store says is on this worker, started by a former leader.
+    /// False: the worker's process was started anew since, so the run is gone.
+    bool adopt(const std::string &worker, std::int64_t incarnation, Run run, TimePoint now);
+    /// The end is stored: the worker may forget it.
+    void endRecorded(const std::string &worker, std::int64_t number, TimePoint now);
+    /// The worker failed what it was given: leave it alone for a while.
+    void avoid(const std::string &worker, TimePoint now);
+
+    const std::map<std::string, Worker, std::less<>> &all() const { return this->workers; }
+    const Run *find(std::string_view worker, const Tasks::RunRef &ref) const;
+
+private:
+    using RunKey = std::pair<std::string, Tasks::TaskRef>;
+
+    Worker *workerOf(std::string_view id);
+    Run *runOf(Worker &worker, const Tasks::RunRef &ref);
+    void removeRun(Worker &worker, const RunKey &key, TimePoint now);
+    void loseRun(Worker &worker, const RunKey &key, const char *reason, TimePoint now);
+
+    Duration longestLease() const;
+    std::int64_t leaseUntil(Worker &worker, TimePoint now);
+    void poll(const std::string &id, TimePoint now);
+    void polled(const std::string &id, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
+                TimePoint now);
+    bool needsPoll(const Worker &worker) const;
+    void pollIfNeeded(Worker &worker, TimePoint now);
+    void answeredAtAll(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    void reborn(Worker &worker, std::int64_t incarnation, TimePoint now);
+    void takeEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    void takeRunning(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
+                     TimePoint now);
+    void stopStranger(Worker &worker, const Tasks::RunRef &ref);
+    void checkLease(Worker &worker, TimePoint now);
+
+    void sendStart(Worker &worker, Run &run, TimePoint now);
+    void started(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
+                 TimePoint now);
+    void startUnanswered(Worker &worker, Run &run, TimePoint now);
+    void sendStop(Worker &worker, Run &run, TimePoint now);
+    void stopped(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
+                 TimePoint now);
+    void strike(Worker &worker, TimePoint now);
+    bool mayRenew(TimePoint now) const;
+
+    Tasks::WorkerLink &link;
+    TimerService &timers;
+    Journal &journal;
+    Settings settings;
+    FleetListener &listener;
+    std::uint64_t generation = 0; ///< Answers to calls of an earlier one are ignored.
+    bool active = false;
+    bool authority = false;
+    TimePoint authorityLostAt{};
+    std::int64_t token = 0;
+    std::map<std::string, Worker, std::less<>> workers;
+};
+
+} // namespace Hibiscus::Coordination
--- a/Platform/Base64.cpp
+++ b/Core/Base64.cpp
@@ -1,4 +1,4 @@
-#include <Platform/Base64.h>
+#include <Core/Base64.h>
 
 #include <algorithm>
 #include <openssl/evp.h>
--- a/Endpoint/WorkerClient.cpp
+++ b/Endpoint/WorkerClient.cpp
@@ -1,5 +1,5 @@
 #include <Endpoint/WorkerClient.h>
-#include <Platform/HttpConnection.h>
+#include <Gateway/HttpConnection.h>
 
 namespace Hibiscus {
 
--- a/Endpoint/WorkerJson.cpp
+++ b/Endpoint/WorkerJson.cpp
@@ -1,5 +1,5 @@
 #include <Endpoint/WorkerClient.h>
-#include <Platform/JsonFields.h>
+#include <Gateway/JsonFields.h>
 
 #include <array>
 
--- a/Entry/EntryActions.h
+++ b/Entry/EntryActions.h
@@ -5,7 +5,7 @@
 #include <Core/Ids.h>
 #include <Core/Job.h>
 #include <Endpoint/WorkerMessage.h>
-#include <Platform/Store.h>
+#include <Gateway/Store.h>
 #include <Wire/PeerMessage.h>
 
 #include <optional>
--- a/Entry/EntryMachine.h
+++ b/Entry/EntryMachine.h
@@ -6,8 +6,8 @@
 #include <Entry/EntryActions.h>
 #include <Entry/Front.h>
 #include <Entry/Membership.h>
+#include <Gateway/LiveList.h>
 #include <Ledger/JobKeeper.h>
-#include <Platform/LiveList.h>
 
 #include <functional>
 #include <map>
--- a/Entry/Membership.h
+++ b/Entry/Membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Core/Time.h>
-#include <Platform/LiveList.h>
+#include <Gateway/LiveList.h>
 #include <Wire/PeerMessage.h>
 
 #include <cstdint>
--- a/Platform/HttpConnection.cpp
+++ b/Gateway/HttpConnection.cpp
@@ -1,4 +1,4 @@
-#include <Platform/HttpConnection.h>
+#include <Gateway/HttpConnection.h>
 
 #include <httplib.h>
 
--- a/Platform/LiveList.cpp
+++ b/Gateway/LiveList.cpp
@@ -1,6 +1,6 @@
-#include <Platform/HttpConnection.h>
-#include <Platform/JsonFields.h>
-#include <Platform/LiveList.h>
+#include <Gateway/HttpConnection.h>
+#include <Gateway/JsonFields.h>
+#include <Gateway/LiveList.h>
 
 #include <array>
 
--- a/Platform/StoreClient.cpp
+++ b/Gateway/StoreClient.cpp
@@ -1,6 +1,6 @@
-#include <Platform/HttpConnection.h>
-#include <Platform/StoreClient.h>
-#include <Platform/StoreGateway.h>
+#include <Gateway/HttpConnection.h>
+#include <Gateway/StoreClient.h>
+#include <Gateway/StoreGateway.h>
 
 #include <httplib.h>
 #include <netinet/tcp.h>
--- a/Platform/StoreGateway.cpp
+++ b/Gateway/StoreGateway.cpp
@@ -1,5 +1,5 @@
-#include <Platform/Base64.h>
-#include <Platform/StoreGateway.h>
+#include <Core/Base64.h>
+#include <Gateway/StoreGateway.h>
 
 #include <array>
 #include <charconv>
--- a/Hibiscusd/Lanes.h
+++ b/Hibiscusd/Lanes.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <Endpoint/WorkerClient.h>
-#include <Platform/LiveList.h>
-#include <Platform/StoreClient.h>
+#include <Gateway/LiveList.h>
+#include <Gateway/StoreClient.h>
 
 #include <caf/actor.hpp>
 #include <caf/actor_system.hpp>
--- a/Ledger/LedgerLoader.h
+++ b/Ledger/LedgerLoader.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <Gateway/Store.h>
 #include <Ledger/LedgerBatch.h>
-#include <Platform/Store.h>
 
 #include <cstdint>
 #include <optional>
--- /dev/null
+++ b/Node/LoopTimers.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <Coordination/TimerService.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace Hibiscus::Node {
+
+/// Timers of the process's event loop.
+class LoopTimers final : public Coordination::TimerService
+{
+public:
+    explicit LoopTimers(boost::asio::io_context &loop)
+        : loop(loop)
+    {}
+
+    void after(Duration delay, std::function<void(TimePoint now)> handler) override;
+
+private:
+    boost::asio::io_context &loop;
+};
+
+/// The machine's time of day.
+class SystemWallClock final : public Coordination::WallClock
+{
+public:
+    std::int64_t nowMs() const override;
+};
+
+} // namespace Hibiscus::Node
--- /dev/null
+++ b/Node/NodeProcess.cpp
@@ -0,0 +1,321 @@
+#include <Node/NodeProcess.h>
+#include <Runtime/Clock.h>
+#include <platform/CallerFormat.h>
+#include <platform/Formats.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace Hibiscus::Node {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Coordination::ClientCall;
+using Coordination::ClientReply;
+using Runtime::HttpRequest;
+using Runtime::HttpResponder;
+using Runtime::HttpResponse;
+using Runtime::LogKind;
+
+namespace {
+
+constexpr Duration usualPatience = seconds(3); ///< Of a client that does not tell.
+
+asio::ip::tcp::endpoint parseAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    const int port = std::stoi(address.substr(colon + 1));
+    return {asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(port)};
+}
+
+std::uint64_t seedOf(const std::string &name)
+{
+    return std::hash<std::string>()(name);
+}
+
+Coordination::JobFront::Settings frontSettings(const Tasks::SiteSettings &site)
+{
+    Coordination::JobFront::Settings settings;
+    settings.configurationKey = Platform::configurationKey;
+    settings.revocationBound = site.revocationBound;
+    return settings;
+}
+
+template <class Value>
+tl::expected<Value, std::string> withErrorText(tl::expected<Value, Findings> decoded)
+{
+    if (!decoded)
+        return tl::unexpected(decoded.error().toString());
+    return std::move(*decoded);
+}
+
+Coordination::JobFront::Decoders frontDecoders()
+{
+    Coordination::JobFront::Decoders decoders;
+    decoders.configuration
+        = [](std::string_view text) { return withErrorText(Platform::decodeConfiguration(text)); };
+    decoders.submission
+        = [](std::string_view text) { return withErrorText(Platform::decodeSubmission(text)); };
+    decoders.isJobId = Platform::isJobId;
+    return decoders;
+}
+
+Coordination::Leadership::Settings leadershipSettings(const Tasks::SiteSettings &site)
+{
+    Coordination::Leadership::Settings settings;
+    settings.instance = site.instance;
+    settings.seed = seedOf(site.instance);
+    settings.term = std::max(settings.term, site.shortestLease);
+    return settings;
+}
+
+Coordination::TaskDispatcher::Settings dispatcherSettings(const Tasks::SiteSettings &site)
+{
+    Coordination::TaskDispatcher::Settings settings;
+    settings.workerRegistry = Platform::workerRegistryPrefix;
+    settings.statusRetention = site.statusRetention;
+    settings.earliestStart = site.earliestStart;
+    settings.planner.remoteDataFactor = site.remoteDataFactor;
+    settings.fleet.longestHold = site.longestHold;
+    return settings;
+}
+
+std::string readText(const std::string &file)
+{
+    const std::ifstream stream(file, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+HttpResponse textResponse(http::status status, std::string text)
+{
+    HttpResponse response;
+    response.result(status);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = std::move(text);
+    return response;
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(const Settings &settings, const Tasks::SiteSettings &site)
+    : settings(settings)
+    , site(site)
+    , loop(1)
+    , signals(loop, SIGTERM, SIGHUP, SIGINT)
+    , timers(loop)
+    , journal({.instance = site.instance})
+    , store(loop, site.storeAddress, Runtime::monotonicNow)
+    , workers(loop, Runtime::monotonicNow)
+    , front(store, timers, wallClock, journal, frontSettings(site), frontDecoders())
+    , leadership(
+          store, timers, journal, leadershipSettings(site),
+          {[this](std::int64_t token, TimePoint now) { this->dispatcher.elected(token, now); },
+           [this](TimePoint now) { this->dispatcher.deposed(now); }})
+    , dispatcher(store, workers, timers, wallClock, journal, leadership, dispatcherSettings(site),
+                 [](std::string_view key, std::string_view value) {
+                     return withErrorText(Platform::decodeWorkerEntry(key, value));
+                 })
+    , settingsText(readText(settings.settingsFile))
+{
+    this->front.configurationChanged = [this](const Tasks::SystemConfiguration &configuration) {
+        this->applyLimits(configuration);
+    };
+}
+
+int NodeProcess::run()
+{
+    const TimePoint now = Runtime::monotonicNow();
+    this->journal.tell(LogKind::Process, "start",
+                       {{"dataCenter", this->site.dataCenter},
+                        {"callers", this->site.callersAddress},
+                        {"store", this->site.storeAddress}},
+                       now);
+    this->callers.emplace(
+        this->loop, parseAddress(this->site.callersAddress),
+        [this](HttpRequest request, const HttpResponder &responder) {
+            this->serveCaller(std::move(request), responder);
+        },
+        Runtime::HttpServer::Settings{});
+    this->readiness.emplace(
+        this->loop, parseAddress(this->site.readinessAddress),
+        [this](const HttpRequest &, const HttpResponder &responder) {
+            this->serveReadiness(responder);
+        },
+        Runtime::HttpServer::Settings{});
+    if (this->settings.metricsPort != 0) {
+        const asio::ip::tcp::endpoint address(asio::ip::make_address(this->site.ip),
+                                              this->settings.metricsPort);
+        this->metrics.emplace(
+            this->loop, address,
+            [this](const HttpRequest &, const HttpResponder &responder) {
+                this->serveMetrics(responder);
+            },
+            Runtime::HttpServer::Settings{});
+    }
+    this->awaitSignals();
+    this->front.start(now);
+    this->leadership.start(now);
+    this->timers.after(this->settings.settingsCheck,
+                       [this](TimePoint at) { this->checkSettings(at); });
+    this->loop.run();
+    return 0;
+}
+
+void NodeProcess::awaitSignals()
+{
+    this->signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        this->signalled(signal);
+        this->awaitSignals();
+    });
+}
+
+void NodeProcess::signalled(int signal)
+{
+    const TimePoint now = Runtime::monotonicNow();
+    if (signal == SIGHUP) {
+        this->reloadSettings("signal", now);
+        return;
+    }
+    this->drain(now);
+}
+
+/// Callers are sent elsewhere once the readiness check has failed twice; until then, and until what
+/// they sent is answered, this instance serves on.
+void NodeProcess::drain(TimePoint now)
+{
+    if (std::exchange(this->draining, true))
+        return;
+    this->journal.tell(LogKind::Process, "draining",
+                       {{"connections", this->callers->connectionCount()}}, now);
+    this->drainUntil = now + this->settings.drainTime;
+    this->endBy = now + this->site.graceTime - this->settings.drainReserve;
+    this->leadership.resign(now);
+    this->callers->closeAfterAnswers();
+    this->endWhenIdle(now);
+}
+
+void NodeProcess::endWhenIdle(TimePoint now)
+{
+    const bool served = now >= this->drainUntil && this->callers->requestsInProgress() == 0;
+    if (served)
+        this->callers->closeIdle();
+    if (now >= this->endBy || (served && this->callers->connectionCount() == 0)) {
+        this->journal.tell(LogKind::Process, "stop",
+                           {{"connections", this->callers->connectionCount()},
+                            {"requestsInProgress", this->callers->requestsInProgress()}},
+                           now);
+        this->loop.stop();
+        return;
+    }
+    constexpr Duration drainPoll = milliseconds(50);
+    this->timers.after(drainPoll, [this](TimePoint at) { this->endWhenIdle(at); });
+}
+
+void NodeProcess::checkSettings(TimePoint now)
+{
+    this->reloadSettings("change", now);
+    this->timers.after(this->settings.settingsCheck,
+                       [this](TimePoint at) { this->checkSettings(at); });
+}
+
+void NodeProcess::reloadSettings(const char *cause, TimePoint now)
+{
+    const std::string text = readText(this->settings.settingsFile);
+    const bool changed = !text.empty() && text != this->settingsText;
+    if (!changed)
+        return;
+    this->settingsText = text;
+    const tl::expected<Tasks::SiteSettings, Findings> read = Platform::decodeSettings(text);
+    if (!read) {
+        this->journal.tell(LogKind::Fault, "settings can't be used",
+                           {{"cause", cause}, {"findings", read.error().toString()}}, now);
+        return;
+    }
+    const bool sameValues = *read == this->site;
+    this->journal.tell(
+        LogKind::Process, "reload",
+        {{"cause", cause},
+         {"result",
+          sameValues ? "nothing that is used has changed" : "in force from the next start"}},
+        now);
+}
+
+void NodeProcess::serveCaller(HttpRequest request, const HttpResponder &responder)
+{
+    const TimePoint now = Runtime::monotonicNow();
+    std::optional<ClientCall> call = Platform::decodeCall(std::move(request), usualPatience, now);
+    if (!call) {
+        responder(HttpResponse(http::status::method_not_allowed, 11));
+        return;
+    }
+    const auto verb = static_cast<std::size_t>(call->verb);
+    this->front.handle(
+        std::move(*call),
+        [this, responder, now, verb](const ClientReply &reply) {
+            this->answerTimes[verb].add(Runtime::monotonicNow() - now);
+            responder(Platform::encodeReply(reply));
+        },
+        now);
+}
+
+void NodeProcess::serveReadiness(const HttpResponder &responder)
+{
+    const bool ready = !this->draining && this->front.isReady(Runtime::monotonicNow());
+    responder(textResponse(ready ? http::status::ok : http::status::service_unavailable,
+                           ready ? "ready\n" : "not ready\n"));
+}
+
+void NodeProcess::serveMetrics(const HttpResponder &responder)
+{
+    responder(textResponse(http::status::ok, this->describeMetrics()));
+}
+
+std::string NodeProcess::describeMetrics() const
+{
+    std::ostringstream text;
+    for (const auto &[event, count] : this->journal.counts())
+        text << "hibiscus_events_total{event=\"" << event << "\"} " << count << "\n";
+    text << "hibiscus_log_lines_dropped_total " << this->journal.droppedLines() << "\n";
+    text << "hibiscus_store_calls_total " << this->store.callsMade() << "\n";
+    text << "hibiscus_worker_calls_total " << this->workers.callsMade() << "\n";
+    text << "hibiscus_worker_connections_total " << this->workers.connectionsMade() << "\n";
+    text << "hibiscus_leading " << (this->dispatcher.isReady() ? 1 : 0) << "\n";
+    text << "hibiscus_jobs " << this->dispatcher.jobTable().all().size() << "\n";
+    text << "hibiscus_workers " << this->dispatcher.workerFleet().all().size() << "\n";
+    static constexpr const char *verbs[] = {"submit", "status", "cancel", "pending"};
+    for (std::size_t i = 0; i < this->answerTimes.size(); i++) {
+        const Histogram &histogram = this->answerTimes[i];
+        std::uint64_t below = 0;
+        for (std::size_t bucket = 0; bucket + 1 < Histogram::bucketCount; bucket++) {
+            below += histogram.bucket(bucket);
+            text << "hibiscus_answer_ms_bucket{call=\"" << verbs[i] << "\",le=\""
+                 << Histogram::upperBound(bucket).count() / 1000 << "\"} " << below << "\n";
+        }
+        text << "hibiscus_answer_ms_bucket{call=\"" << verbs[i] << "\",le=\"+Inf\"} "
+             << histogram.count() << "\n";
+        text << "hibiscus_answer_ms_sum{call=\"" << verbs[i] << "\"} "
+             << histogram.sum().count() / 1000 << "\n";
+        text << "hibiscus_answer_ms_count{call=\"" << verbs[i] << "\"} " << histogram.count()
+             << "\n";
+    }
+    return text.str();
+}
+
+void NodeProcess::applyLimits(const Tasks::SystemConfiguration &configuration)
+{
+    Runtime::HttpServer::Settings limits;
+    limits.headerLimitBytes = configuration.limits.headerBytes;
+    limits.bodyLimitBytes = configuration.limits.bodyBytes;
+    limits.idleTimeout = configuration.limits.idleTimeout;
+    limits.readTimeout = configuration.limits.headerTimeout;
+    if (this->callers)
+        this->callers->setLimits(limits);
+}
+
+} // namespace Hibiscus::Node
--- /dev/null
+++ b/Node/NodeProcess.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <Coordination/JobFront.h>
+#include <Coordination/Leadership.h>
+#include <Coordination/TaskDispatcher.h>
+#include <Core/Histogram.h>
+#include <Node/LoopTimers.h>
+#include <Node/ProcessJournal.h>
+#include <Runtime/HttpServer.h>
+#include <Tasks/SiteSettings.h>
+#include <platform/StoreAdapter.h>
+#include <platform/WorkerAdapter.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <optional>
+#include <string>
+
+namespace Hibiscus::Node {
+
+/// One instance of the system on the users' platform: serves callers, answers for its readiness,
+/// and leads when it is elected. Everything runs on one event loop.
+class NodeProcess
+{
+public:
+    struct Settings
+    {
+        std::string settingsFile; ///< Of the platform; read again when it changes.
+        unsigned short metricsPort = 0; ///< 0: no metrics are served.
+        Duration settingsCheck = seconds(1);
+        Duration drainTime = milliseconds(2600); ///< Callers are still sent here for this long.
+        Duration drainReserve = milliseconds(700); ///< Before the kill, by then the process ends.
+    };
+
+    NodeProcess(const Settings &settings, const Tasks::SiteSettings &site);
+
+    /// Serves until a signal to stop; returns the exit status.
+    int run();
+
+private:
+    void awaitSignals();
+    void signalled(int signal);
+    void drain(TimePoint now);
+    void endWhenIdle(TimePoint now);
+    void checkSettings(TimePoint now);
+    void reloadSettings(const char *cause, TimePoint now);
+
+    void serveCaller(Runtime::HttpRequest request, const Runtime::HttpResponder &responder);
+    void serveReadiness(const Runtime::HttpResponder &responder);
+    void serveMetrics(const Runtime::HttpResponder &responder);
+    std::string describeMetrics() const;
+    void applyLimits(const Tasks::SystemConfiguration &configuration);
+
+    Settings settings;
+    Tasks::SiteSettings site;
+    boost::asio::io_context loop;
+    boost::asio::signal_set signals;
+    LoopTimers timers;
+    SystemWallClock wallClock;
+    ProcessJournal journal;
+    Platform::StoreAdapter store;
+    Platform::WorkerAdapter workers;
+    Coordination::JobFront front;
+    Coordination::Leadership leadership;
+    Coordination::TaskDispatcher dispatcher;
+    std::optional<Runtime::HttpServer> callers;
+    std::optional<Runtime::HttpServer> readiness;
+    std::optional<Runtime::HttpServer> metrics;
+    std::string settingsText; ///< As last read.
+    bool draining = false;
+    TimePoint endBy{};
+    TimePoint drainUntil{};
+    std::array<Histogram, 4> answerTimes; ///< By CallVerb.
+};
+
+} // namespace Hibiscus::Node
--- /dev/null
+++ b/Runtime/HttpClient.cpp
@@ -0,0 +1,201 @@
+#include <Runtime/HttpClient.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+namespace Hibiscus::Runtime {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+asio::ip::tcp::endpoint parseAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    error_code error;
+    const asio::ip::address host = asio::ip::make_address(address.substr(0, colon), error);
+    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+    return {host, static_cast<unsigned short>(port)};
+}
+
+} // namespace
+
+struct HttpClient::Shared
+{
+    asio::io_context &loop;
+    std::string address;
+    asio::ip::tcp::endpoint endpoint;
+    Settings settings;
+    std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+    std::uint64_t calls = 0;
+    std::uint64_t connections = 0;
+};
+
+/// One call and its answer.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(std::shared_ptr<Shared> shared, HttpCall call, Duration timeout,
+             HttpResultHandler handler)
+        : shared(std::move(shared))
+        , handler(std::move(handler))
+        , deadline(std::chrono::steady_clock::now() + timeout)
+    {
+        this->request.method(call.verb);
+        this->request.target(call.target);
+        this->request.version(11);
+        this->request.set(http::field::host, this->shared->address);
+        for (const HttpHeader &header : call.headers)
+            this->request.set(header.name, header.value);
+        if (!call.body.empty()) {
+            this->request.set(http::field::content_type, "application/json");
+            this->request.body() = std::move(call.body);
+        }
+        this->request.prepare_payload();
+    }
+
+    void begin()
+    {
+        if (this->shared->idle.empty()) {
+            this->connect();
+            return;
+        }
+        this->stream = std::move(this->shared->idle.back());
+        this->shared->idle.pop_back();
+        this->reused = true;
+        this->send();
+    }
+
+private:
+    void connect()
+    {
+        this->reused = false;
+        this->shared->connections++;
+        this->stream = std::make_unique<beast::tcp_stream>(this->shared->loop);
+        const auto connectBy
+            = std::chrono::steady_clock::now() + this->shared->settings.connectTimeout;
+        this->stream->expires_at(std::min(this->deadline, connectBy));
+        this->stream->async_connect(
+            this->shared->endpoint,
+            [self = this->shared_from_this()](error_code error) { self->connected(error); });
+    }
+
+    void connected(error_code error)
+    {
+        if (error) {
+            this->finish({});
+            return;
+        }
+        error_code ignored;
+        this->stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        this->send();
+    }
+
+    void send()
+    {
+        this->stream->expires_at(this->deadline);
+        http::async_write(*this->stream, this->request,
+                          [self = this->shared_from_this()](error_code error, std::size_t) {
+                              if (error)
+                                  self->broken(error);
+                              else
+                                  self->receive();
+                          });
+    }
+
+    void receive()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(this->shared->settings.answerLimitBytes);
+        http::async_read(*this->stream, this->buffer, *this->parser,
+                         [self = this->shared_from_this()](error_code error, std::size_t) {
+                             if (error)
+                                 self->broken(error);
+                             else
+                                 self->received();
+                         });
+    }
+
+    void broken(error_code error)
+    {
+        // A peer that went silent on one kept connection may have done so on all.
+        if (error == beast::error::timeout)
+            this->shared->idle.clear();
+        const bool retry = this->reused && error != beast::error::timeout
+            && this->buffer.size() == 0 && !this->sawAnswer();
+        if (retry)
+            this->connect();
+        else
+            this->finish({});
+    }
+
+    bool sawAnswer() const { return this->parser && this->parser->is_header_done(); }
+
+    void received()
+    {
+        HttpResult result;
+        result.status = this->parser->get().result_int();
+        if (this->parser->get().keep_alive())
+            this->keepConnection();
+        result.body = std::move(this->parser->get().body());
+        this->finish(std::move(result));
+    }
+
+    void keepConnection()
+    {
+        if (this->shared->idle.size() >= this->shared->settings.mostIdle)
+            return;
+        this->stream->expires_never();
+        this->shared->idle.push_back(std::move(this->stream));
+    }
+
+    void finish(HttpResult result)
+    {
+        const HttpResultHandler answer = std::move(this->handler);
+        this->stream.reset();
+        answer(std::move(result));
+    }
+
+    std::shared_ptr<Shared> shared;
+    HttpResultHandler handler;
+    std::chrono::steady_clock::time_point deadline;
+    http::request<http::string_body> request;
+    std::unique_ptr<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool reused = false;
+};
+
+HttpClient::HttpClient(asio::io_context &loop, const std::string &address, const Settings &settings)
+    : shared(
+        std::make_shared<Shared>(Shared{loop, address, parseAddress(address), settings, {}, 0, 0}))
+{}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::call(HttpCall call, Duration timeout, HttpResultHandler handler)
+{
+    this->shared->calls++;
+    std::make_shared<Exchange>(this->shared, std::move(call), timeout, std::move(handler))->begin();
+}
+
+std::uint64_t HttpClient::callsMade() const
+{
+    return this->shared->calls;
+}
+
+std::uint64_t HttpClient::connectionsMade() const
+{
+    return this->shared->connections;
+}
+
+} // namespace Hibiscus::Runtime
--- /dev/null
+++ b/Runtime/HttpServer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <Core/Time.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Hibiscus::Runtime {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Answers one request; called once, at once or later. Does nothing if the caller is gone.
+using HttpResponder = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+/// Accepts HTTP/1.1 connections on one address and hands their requests to a handler, one at a
+/// time for each connection.
+class HttpServer
+{
+public:
+    struct Settings
+    {
+        std::uint32_t headerLimitBytes = 16 * 1024;
+        std::uint64_t bodyLimitBytes = std::uint64_t{256} * 1024;
+        Duration idleTimeout = seconds(15); ///< Between two requests of a connection.
+        Duration readTimeout = seconds(5); ///< From a request's first byte to its last.
+        Duration writeTimeout = seconds(5); ///< For an answer that the peer does not read.
+        std::size_t mostConnections = 3000; ///< Further ones are closed at once.
+    };
+
+    /// Throws boost::system::system_error if the address can't be bound.
+    HttpServer(boost::asio::io_context &loop, const boost::asio::ip::tcp::endpoint &address,
+               HttpHandler handler, const Settings &settings);
+    ~HttpServer();
+
+    void setLimits(const Settings &settings);
+    /// From now on each answer closes its connection.
+    void closeAfterAnswers();
+    /// Closes connections that wait for a request; later ones are still accepted.
+    void closeIdle();
+    void stopListening();
+
+    std::size_t connectionCount() const;
+    std::size_t requestsInProgress() const;
+
+private:
+    class Connection;
+    struct Shared;
+
+    void acceptNext();
+
+    std::shared_ptr<Shared> shared;
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace Hibiscus::Runtime
--- a/Sessions/Describe.h
+++ b/Sessions/Describe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Endpoint/WorkerMessage.h>
-#include <Platform/Store.h>
+#include <Gateway/Store.h>
 #include <Wire/PeerMessage.h>
 
 #include <string>
--- a/StandIns/GatewayServerCodec.cpp
+++ b/StandIns/GatewayServerCodec.cpp
@@ -1,5 +1,5 @@
-#include <Platform/Base64.h>
-#include <Platform/JsonFields.h>
+#include <Core/Base64.h>
+#include <Gateway/JsonFields.h>
 #include <StandIns/GatewayServerCodec.h>
 
 #include <algorithm>
--- a/StandIns/StandInLiveList.h
+++ b/StandIns/StandInLiveList.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Platform/LiveList.h>
+#include <Gateway/LiveList.h>
 
 #include <deque>
 #include <string_view>
--- a/StandIns/StandInWorker.cpp
+++ b/StandIns/StandInWorker.cpp
@@ -1,4 +1,4 @@
-#include <Platform/JsonFields.h>
+#include <Gateway/JsonFields.h>
 #include <StandIns/StandInWorker.h>
 
 #include <algorithm>
--- /dev/null
+++ b/Tasks/JobRecord.cpp
@@ -0,0 +1,178 @@
+#include <Tasks/JobRecord.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t recordVersion = 1;
+
+/// Columns of a task's row; a task that was never started is the number 0 instead.
+enum TaskColumn : std::uint8_t {
+    StateColumn,
+    RunColumn,
+    FailuresColumn,
+    WorkerColumn,
+    IncarnationColumn,
+    CheckpointColumn,
+    LastFailedRunColumn,
+};
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+json encodeStep(const Step &step)
+{
+    return {{"count", step.count},
+            {"need", {step.need.milliCores, step.need.memoryMiB, step.need.accelerators}},
+            {"estimate", toMs(step.estimate)},
+            {"follows", step.after},
+            {"gang", step.gang},
+            {"oneRack", step.sameRack},
+            {"checkpoints", step.checkpoints},
+            {"endless", step.perpetual},
+            {"filler", step.fills},
+            {"label", step.requiredLabel},
+            {"dataRack", step.dataRack},
+            {"mostOnWorker", step.maxPerWorker}};
+}
+
+Step decodeStep(const json &value)
+{
+    Step step;
+    step.count = value.at("count").get<std::int32_t>();
+    const json &need = value.at("need");
+    step.need = {need.at(0).get<std::int64_t>(), need.at(1).get<std::int64_t>(),
+                 need.at(2).get<std::int64_t>()};
+    step.estimate = milliseconds(value.at("estimate").get<std::int64_t>());
+    step.after = value.at("follows").get<std::vector<std::int32_t>>();
+    step.gang = value.at("gang").get<bool>();
+    step.sameRack = value.at("oneRack").get<bool>();
+    step.checkpoints = value.at("checkpoints").get<bool>();
+    step.perpetual = value.at("endless").get<bool>();
+    step.fills = value.at("filler").get<bool>();
+    step.requiredLabel = value.at("label").get<std::string>();
+    step.dataRack = value.at("dataRack").get<std::string>();
+    step.maxPerWorker = value.at("mostOnWorker").get<std::int32_t>();
+    return step;
+}
+
+json encodeTask(const TaskProgress &task)
+{
+    if (task == TaskProgress{})
+        return 0;
+    return json::array({static_cast<int>(task.state), task.run, task.failures, task.worker,
+                        task.incarnation, task.checkpoint, task.lastFailedRun});
+}
+
+TaskProgress decodeTask(const json &row)
+{
+    TaskProgress task;
+    if (!row.is_array())
+        return task;
+    task.state = static_cast<TaskState>(row.at(StateColumn).get<int>());
+    task.run = row.at(RunColumn).get<std::int32_t>();
+    task.failures = row.at(FailuresColumn).get<std::int32_t>();
+    task.worker = row.at(WorkerColumn).get<std::string>();
+    task.incarnation = row.at(IncarnationColumn).get<std::int64_t>();
+    task.checkpoint = row.at(CheckpointColumn).get<std::string>();
+    task.lastFailedRun = row.at(LastFailedRunColumn).get<std::int32_t>();
+    return task;
+}
+
+template <class Value, class Decode>
+tl::expected<Value, std::string> guarded(std::string_view text, Decode decode)
+{
+    try {
+        return decode(json::parse(text));
+    } catch (const json::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace
+
+std::string encodeJob(const Job &job)
+{
+    json steps = json::array();
+    for (const Step &step : job.steps)
+        steps.push_back(encodeStep(step));
+    const json record = {{"record", recordVersion},
+                         {"id", job.id},
+                         {"queue", job.queue},
+                         {"service", job.service},
+                         {"customer", job.customer},
+                         {"priority", job.priority},
+                         {"maxAttempts", job.maxAttempts},
+                         {"stretch", job.stretch},
+                         {"target", toMs(job.targetLatency)},
+                         {"acceptedAt", job.acceptedAt},
+                         {"payload", job.payload},
+                         {"steps", std::move(steps)},
+                         {"times", job.repetition.count},
+                         {"firstAt", job.repetition.first},
+                         {"every", toMs(job.repetition.interval)}};
+    return record.dump();
+}
+
+tl::expected<Job, std::string> decodeJob(std::string_view text)
+{
+    return guarded<Job>(text, [](const json &record) {
+        Job job;
+        job.id = record.at("id").get<std::string>();
+        job.queue = record.at("queue").get<std::string>();
+        job.service = record.at("service").get<std::string>();
+        job.customer = record.at("customer").get<std::string>();
+        job.priority = record.at("priority").get<std::int32_t>();
+        job.maxAttempts = record.at("maxAttempts").get<std::int32_t>();
+        job.stretch = record.at("stretch").get<double>();
+        job.targetLatency = milliseconds(record.at("target").get<std::int64_t>());
+        job.acceptedAt = record.at("acceptedAt").get<UnixMs>();
+        job.payload = record.at("payload").get<std::string>();
+        for (const json &step : record.at("steps"))
+            job.steps.push_back(decodeStep(step));
+        job.repetition.count = record.at("times").get<std::int32_t>();
+        job.repetition.first = record.at("firstAt").get<UnixMs>();
+        job.repetition.interval = milliseconds(record.at("every").get<std::int64_t>());
+        return job;
+    });
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    json tasks = json::array();
+    for (std::size_t i = 0; i < progress.taskCount(); i++)
+        tasks.push_back(encodeTask(progress.at(i)));
+    const json record = {{"record", recordVersion},
+                         {"state", static_cast<int>(progress.state)},
+                         {"endedAt", progress.endedAt},
+                         {"tasks", std::move(tasks)}};
+    return record.dump();
+}
+
+tl::expected<JobProgress, std::string> decodeProgress(std::string_view text, const Job &job)
+{
+    return guarded<JobProgress>(text, [&job](const json &record) {
+        JobProgress progress(job);
+        progress.state = static_cast<JobState>(record.at("state").get<int>());
+        progress.endedAt = record.at("endedAt").get<UnixMs>();
+        const json &tasks = record.at("tasks");
+        for (std::size_t i = 0; i < progress.taskCount(); i++)
+            progress.at(i) = decodeTask(tasks.at(i));
+        return progress;
+    });
+}
+
+tl::expected<JobState, std::string> decodeProgressState(std::string_view text)
+{
+    return guarded<JobState>(text, [](const json &record) {
+        return static_cast<JobState>(record.at("state").get<int>());
+    });
+}
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/SiteSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Core/Time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Hibiscus::Tasks {
+
+/// What an instance learns at its start about itself and its site.
+struct SiteSettings
+{
+    std::string instance;
+    std::string dataCenter;
+    std::string callersAddress; ///< IP:port where callers are served.
+    std::string readinessAddress; ///< IP:port where the platform asks for readiness.
+    std::string ip;
+    std::string storeAddress; ///< IP:port.
+    Duration shortestLease = seconds(1); ///< That the store grants.
+    Duration longestHold = seconds(6); ///< Longest lease that a worker grants to what runs.
+    Duration gangWait = seconds(3); ///< How long a worker keeps a gang's member waiting.
+    Duration stopTime = milliseconds(900); ///< A stop takes at most this long.
+    Duration graceTime = seconds(6); ///< Between the signal to stop and the kill.
+    Duration configurationBound = seconds(2); ///< A change must be in force after this.
+    Duration revocationBound = seconds(5); ///< A revoked key must not be served after this.
+    Duration statusRetention = seconds(120); ///< A job's state stays readable after its end.
+    Duration earliestStart = milliseconds(250); ///< Before a scheduled occurrence is due.
+    Duration restoreTime = milliseconds(100); ///< To resume from a checkpoint.
+    double remoteDataFactor = 3.0; ///< Run time off the data's rack, against on it.
+
+    bool operator==(const SiteSettings &) const = default;
+};
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/StartPlanner.cpp
@@ -0,0 +1,542 @@
+#include <Tasks/StartPlanner.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <optional>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+UnixMs toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+bool hasLabel(const WorkerView &worker, std::string_view label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+/// The rack is the label that tells workers of one kind apart; the kind comes first.
+std::string_view rackOf(const WorkerView &worker)
+{
+    return worker.labels.empty() ? std::string_view() : std::string_view(worker.labels.back());
+}
+
+/// Work of one plan: what is left of each worker while requests are served in order.
+class PlanPass
+{
+public:
+    PlanPass(const StartPlanner::Settings &settings, std::span<const StartRequest> requests,
+             std::span<const WorkerView> workers, UnixMs now)
+        : settings(settings)
+        , requests(requests)
+        , workers(workers)
+        , now(now)
+    {
+        this->stage.free.reserve(workers.size());
+        for (const WorkerView &worker : workers)
+            this->stage.free.push_back(worker.free);
+        this->stage.displaced.resize(workers.size());
+        this->groupWorkers();
+    }
+
+    StartPlan run();
+
+private:
+    using Chosen = std::vector<std::size_t>; ///< A worker for each task of a request.
+
+    void groupWorkers();
+    void serve(std::size_t request);
+    void serveGang(std::size_t request);
+    void serveSingly(std::size_t request);
+
+    bool eligible(const StartRequest &request, std::size_t worker) const;
+    bool hasRoom(const StartRequest &request, std::size_t worker) const;
+    bool belowMost(const StartRequest &request, std::size_t taken) const;
+    bool insistsOnRack(const StartRequest &request) const;
+    std::optional<std::size_t> bestWorker(const StartRequest &request,
+                                          std::span<const std::size_t> candidates,
+                                          const Chosen &taken) const;
+    double waste(const StartRequest &request, std::size_t worker) const;
+    std::optional<Chosen> placeAll(const StartRequest &request,
+                                   std::span<const std::size_t> candidates);
+    std::optional<Chosen> placeGang(const StartRequest &request);
+    bool fitsOneRackEmpty(const StartRequest &request) const;
+
+    /// What is left of each worker, and what was given up on it, at one point of the pass.
+    struct Stage
+    {
+        std::vector<Resources> free;
+        std::vector<std::vector<std::size_t>> displaced; ///< Occupants, by worker.
+    };
+
+    void keepRoom(const StartRequest &request, std::size_t tasks);
+    void keepRoomInOneRack(const StartRequest &request);
+    /// When the last of the tasks has room, if they take the workers in turn.
+    UnixMs keepRoomAmong(const StartRequest &request, std::size_t tasks,
+                         std::span<const std::size_t> candidates);
+    std::optional<std::size_t> soonestWorker(const StartRequest &request,
+                                             std::span<const std::size_t> candidates) const;
+    UnixMs roomAt(const StartRequest &request, std::size_t worker) const;
+
+    bool mayReclaim(const StartRequest &request) const;
+    std::size_t reclaimFor(const StartRequest &request, std::size_t tasks);
+    bool reclaimForGang(const StartRequest &request);
+    struct Displacement
+    {
+        std::size_t worker = 0;
+        std::vector<std::size_t> occupants;
+        double loss = std::numeric_limits<double>::infinity();
+    };
+    Displacement cheapestDisplacement(const StartRequest &request, std::size_t worker) const;
+    /// Makes room for tasks in `stage`. Returns how many are covered; adds what is lost.
+    std::size_t cover(const StartRequest &request, std::size_t tasks,
+                      std::span<const std::size_t> candidates, double &loss);
+    void displace(const Displacement &displacement);
+    void planDisplaced(const Stage &before);
+
+    const StartPlanner::Settings &settings;
+    std::span<const StartRequest> requests;
+    std::span<const WorkerView> workers;
+    UnixMs now;
+    Stage stage;
+    std::vector<std::size_t> everyWorker;
+    std::map<std::string_view, std::vector<std::size_t>> racks;
+    std::size_t reservations = 0;
+    StartPlan plan;
+};
+
+void PlanPass::groupWorkers()
+{
+    this->everyWorker.resize(this->workers.size());
+    std::iota(this->everyWorker.begin(), this->everyWorker.end(), std::size_t{0});
+    for (const std::size_t worker : this->everyWorker)
+        this->racks[rackOf(this->workers[worker])].push_back(worker);
+}
+
+StartPlan PlanPass::run()
+{
+    std::vector<std::size_t> order(this->requests.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    const auto goesBefore = [this](std::size_t left, std::size_t right) {
+        const StartRequest &a = this->requests[left];
+        const StartRequest &b = this->requests[right];
+        const int rankA = StartPlanner::rankOf(a, this->now);
+        const int rankB = StartPlanner::rankOf(b, this->now);
+        return rankA != rankB ? rankA < rankB : a.objectiveAt < b.objectiveAt;
+    };
+    std::stable_sort(order.begin(), order.end(), goesBefore);
+    for (const std::size_t request : order)
+        this->serve(request);
+    return std::move(this->plan);
+}
+
+void PlanPass::serve(std::size_t request)
+{
+    if (this->requests[request].step->gang)
+        this->serveGang(request);
+    else
+        this->serveSingly(request);
+}
+
+void PlanPass::serveGang(std::size_t number)
+{
+    const StartRequest &request = this->requests[number];
+    if (const std::optional<Chosen> chosen = this->placeGang(request)) {
+        for (std::size_t i = 0; i < chosen->size(); i++)
+            this->plan.starts.push_back({number, request.indexes[i], (*chosen)[i]});
+        return;
+    }
+    if (!this->reclaimForGang(request))
+        this->keepRoom(request, request.indexes.size());
+}
+
+void PlanPass::serveSingly(std::size_t number)
+{
+    const StartRequest &request = this->requests[number];
+    Chosen taken = request.besides;
+    std::size_t placed = 0;
+    for (const std::int32_t index : request.indexes) {
+        const std::optional<std::size_t> worker
+            = this->bestWorker(request, this->everyWorker, taken);
+        if (!worker)
+            break;
+        this->stage.free[*worker] -= request.step->need;
+        taken.push_back(*worker);
+        this->plan.starts.push_back({number, index, *worker});
+        placed++;
+    }
+    const std::size_t left = request.indexes.size() - placed;
+    const std::size_t covered = this->reclaimFor(request, left);
+    this->keepRoom(request, left - covered);
+}
+
+bool PlanPass::eligible(const StartRequest &request, std::size_t number) const
+{
+    const WorkerView &worker = this->workers[number];
+    if (!worker.usable || worker.service != request.service)
+        return false;
+    const std::string &label = request.step->requiredLabel;
+    return label.empty() || hasLabel(worker, label);
+}
+
+bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
+{
+    return this->eligible(request, worker) && request.step->need.fitsInto(this->stage.free[worker]);
+}
+
+bool PlanPass::belowMost(const StartRequest &request, std::size_t taken) const
+{
+    const std::int32_t most = request.step->maxPerWorker;
+    return most == 0 || taken < static_cast<std::size_t>(most);
+}
+
+/// Waiting for the data's rack pays while the wait is shorter than the time lost elsewhere.
+bool PlanPass::insistsOnRack(const StartRequest &request) const
+{
+    if (request.step->dataRack.empty())
+        return false;
+    const double lost
+        = static_cast<double>(toMs(request.step->estimate)) * (this->settings.remoteDataFactor - 1);
+    const double worthWaiting = lost / 2;
+    return static_cast<double>(this->now - request.readySince) < worthWaiting;
+}
+
+/// Room that the task leaves behind on the worker and that little else can use.
+double PlanPass::waste(const StartRequest &request, std::size_t worker) const
+{
+    Resources left = this->stage.free[worker];
+    left -= request.step->need;
+    const bool offRack = !request.step->dataRack.empty()
+        && !hasLabel(this->workers[worker], request.step->dataRack);
+    constexpr double offRackWaste = 1e6;
+    // Accelerators bind; among equals the fuller worker is chosen, which keeps others empty.
+    return static_cast<double>(left.accelerators) * coresPerAccelerator
+        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackWaste : 0.0);
+}
+
+std::optional<std::size_t> PlanPass::bestWorker(const StartRequest &request,
+                                                std::span<const std::size_t> candidates,
+                                                const Chosen &taken) const
+{
+    const bool onRackOnly = this->insistsOnRack(request);
+    std::optional<std::size_t> best;
+    double least = std::numeric_limits<double>::infinity();
+    for (const std::size_t worker : candidates) {
+        if (!this->hasRoom(request, worker))
+            continue;
+        if (onRackOnly && !hasLabel(this->workers[worker], request.step->dataRack))
+            continue;
+        if (request.step->maxPerWorker > 0) {
+            const auto there = std::count(taken.begin(), taken.end(), worker);
+            if (!this->belowMost(request, static_cast<std::size_t>(there)))
+                continue;
+        }
+        const double waste = this->waste(request, worker);
+        if (waste < least) {
+            least = waste;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+std::optional<PlanPass::Chosen> PlanPass::placeAll(const StartRequest &request,
+                                                   std::span<const std::size_t> candidates)
+{
+    const std::vector<Resources> before = this->stage.free;
+    Chosen chosen;
+    for (std::size_t i = 0; i < request.indexes.size(); i++) {
+        const std::optional<std::size_t> worker = this->bestWorker(request, candidates, chosen);
+        if (!worker) {
+            this->stage.free = before;
+            return std::nullopt;
+        }
+        this->stage.free[*worker] -= request.step->need;
+        chosen.push_back(*worker);
+    }
+    return chosen;
+}
+
+bool PlanPass::fitsOneRackEmpty(const StartRequest &request) const
+{
+    for (const auto &[rack, members] : this->racks) {
+        std::int64_t tasks = 0;
+        for (const std::size_t worker : members) {
+            if (!this->eligible(request, worker))
+                continue;
+            Resources room = this->workers[worker].free;
+            for (const OccupantView &occupant : this->workers[worker].occupants)
+                room += occupant.need;
+            std::int64_t here = 0;
+            while (request.step->need.fitsInto(room) && here < request.step->count) {
+                room -= request.step->need;
+                here++;
+            }
+            if (request.step->maxPerWorker > 0)
+                here = std::min<std::int64_t>(here, request.step->maxPerWorker);
+            tasks += here;
+        }
+        if (tasks >= static_cast<std::int64_t>(request.indexes.size()))
+            return true;
+    }
+    return false;
+}
+
+std::optional<PlanPass::Chosen> PlanPass::placeGang(const StartRequest &request)
+{
+    if (!request.step->sameRack)
+        return this->placeAll(request, this->everyWorker);
+    for (const auto &[rack, members] : this->racks) {
+        if (std::optional<Chosen> chosen = this->placeAll(request, members))
+            return chosen;
+    }
+    if (this->fitsOneRackEmpty(request))
+        return std::nullopt;
+    return this->placeAll(request, this->everyWorker);
+}
+
+UnixMs PlanPass::roomAt(const StartRequest &request, std::size_t number) const
+{
+    const WorkerView &worker = this->workers[number];
+    std::vector<const OccupantView *> byEnd;
+    for (const OccupantView &occupant : worker.occupants)
+        byEnd.push_back(&occupant);
+    std::sort(byEnd.begin(), byEnd.end(), [](const OccupantView *a, const OccupantView *b) {
+        return a->expectedEnd < b->expectedEnd;
+    });
+    Resources room = this->stage.free[number];
+    UnixMs at = this->now;
+    for (const OccupantView *occupant : byEnd) {
+        if (request.step->need.fitsInto(room))
+            return at;
+        room += occupant->need;
+        at = std::max(at, occupant->stopping ? this->now : occupant->expectedEnd);
+    }
+    return request.step->need.fitsInto(room) ? at : std::numeric_limits<UnixMs>::max();
+}
+
+std::optional<std::size_t> PlanPass::soonestWorker(const StartRequest &request,
+                                                   std::span<const std::size_t> candidates) const
+{
+    const bool onRackOnly = this->insistsOnRack(request);
+    std::optional<std::size_t> best;
+    UnixMs soonest = std::numeric_limits<UnixMs>::max();
+    for (const std::size_t worker : candidates) {
+        if (!this->eligible(request, worker))
+            continue;
+        if (onRackOnly && !hasLabel(this->workers[worker], request.step->dataRack))
+            continue;
+        const UnixMs at = this->roomAt(request, worker);
+        if (at < soonest) {
+            soonest = at;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+UnixMs PlanPass::keepRoomAmong(const StartRequest &request, std::size_t tasks,
+                               std::span<const std::size_t> candidates)
+{
+    constexpr UnixMs never = std::numeric_limits<UnixMs>::max();
+    UnixMs latest = this->now;
+    for (std::size_t i = 0; i < tasks; i++) {
+        const std::optional<std::size_t> worker = this->soonestWorker(request, candidates);
+        if (!worker)
+            return never;
+        latest = std::max(latest, this->roomAt(request, *worker));
+        this->stage.free[*worker] -= request.step->need;
+    }
+    return latest;
+}
+
+void PlanPass::keepRoomInOneRack(const StartRequest &request)
+{
+    const Stage before = this->stage;
+    Stage best = before;
+    UnixMs soonest = std::numeric_limits<UnixMs>::max();
+    for (const auto &[rack, members] : this->racks) {
+        const UnixMs at = this->keepRoomAmong(request, request.indexes.size(), members);
+        if (at < soonest) {
+            soonest = at;
+            best = this->stage;
+        }
+        this->stage = before;
+    }
+    this->stage = best;
+}
+
+/// Takes the room that comes free first away from what ranks lower, so that a stream of small
+/// tasks does not keep a large one waiting for ever.
+void PlanPass::keepRoom(const StartRequest &request, std::size_t tasks)
+{
+    constexpr int firstRankWithoutReservation = 3;
+    const bool reserves = StartPlanner::rankOf(request, this->now) < firstRankWithoutReservation;
+    const std::size_t left = this->settings.mostReservations - this->reservations;
+    if (!reserves || left == 0)
+        return;
+    const std::size_t kept = std::min(tasks, left);
+    this->reservations += kept;
+    if (request.step->gang && request.step->sameRack)
+        this->keepRoomInOneRack(request);
+    else
+        this->keepRoomAmong(request, kept, this->everyWorker);
+}
+
+PlanPass::Displacement PlanPass::cheapestDisplacement(const StartRequest &request,
+                                                      std::size_t number) const
+{
+    const WorkerView &worker = this->workers[number];
+    const std::vector<std::size_t> &gone = this->stage.displaced[number];
+    std::vector<std::size_t> victims;
+    for (std::size_t i = 0; i < worker.occupants.size(); i++) {
+        const OccupantView &occupant = worker.occupants[i];
+        const bool alreadyGone = std::find(gone.begin(), gone.end(), i) != gone.end();
+        if (!occupant.stopping && !alreadyGone && occupant.priority > request.priority)
+            victims.push_back(i);
+    }
+    const auto cheaper = [&worker](std::size_t left, std::size_t right) {
+        const OccupantView &a = worker.occupants[left];
+        const OccupantView &b = worker.occupants[right];
+        return a.priority != b.priority ? a.priority > b.priority
+                                        : a.lossIfStopped < b.lossIfStopped;
+    };
+    std::sort(victims.begin(), victims.end(), cheaper);
+    Displacement result;
+    result.worker = number;
+    Resources room = this->stage.free[number];
+    double loss = 0.0;
+    for (const OccupantView &occupant : worker.occupants) {
+        if (occupant.stopping)
+            room += occupant.need;
+    }
+    for (const std::size_t victim : victims) {
+        if (request.step->need.fitsInto(room))
+            break;
+        room += worker.occupants[victim].need;
+        loss += worker.occupants[victim].lossIfStopped;
+        result.occupants.push_back(victim);
+    }
+    if (request.step->need.fitsInto(room))
+        result.loss = loss;
+    return result;
+}
+
+void PlanPass::displace(const Displacement &displacement)
+{
+    for (const std::size_t occupant : displacement.occupants) {
+        this->stage.displaced[displacement.worker].push_back(occupant);
+        this->stage.free[displacement.worker]
+            += this->workers[displacement.worker].occupants[occupant].need;
+    }
+}
+
+void PlanPass::planDisplaced(const Stage &before)
+{
+    for (std::size_t worker = 0; worker < this->workers.size(); worker++) {
+        const std::vector<std::size_t> &occupants = this->stage.displaced[worker];
+        for (std::size_t i = before.displaced[worker].size(); i < occupants.size(); i++)
+            this->plan.reclaims.push_back({worker, occupants[i]});
+    }
+}
+
+bool PlanPass::mayReclaim(const StartRequest &request) const
+{
+    return request.priority <= this->settings.mostReclaimPriority
+        && this->now < request.worthlessAt;
+}
+
+std::size_t PlanPass::cover(const StartRequest &request, std::size_t tasks,
+                            std::span<const std::size_t> candidates, double &loss)
+{
+    Chosen taken = request.besides;
+    std::size_t covered = 0;
+    while (covered < tasks) {
+        Displacement best;
+        for (const std::size_t worker : candidates) {
+            const auto there = std::count(taken.begin(), taken.end(), worker);
+            if (!this->eligible(request, worker)
+                || !this->belowMost(request, static_cast<std::size_t>(there)))
+                continue;
+            Displacement option = this->cheapestDisplacement(request, worker);
+            if (option.loss < best.loss)
+                best = std::move(option);
+        }
+        if (best.loss == std::numeric_limits<double>::infinity())
+            return covered;
+        this->displace(best);
+        this->stage.free[best.worker] -= request.step->need;
+        taken.push_back(best.worker);
+        loss += best.loss;
+        covered++;
+    }
+    return covered;
+}
+
+/// Covers tasks by room that is coming free or can be made free. Returns how many are covered;
+/// their room is taken, so that nothing else is placed into it.
+std::size_t PlanPass::reclaimFor(const StartRequest &request, std::size_t tasks)
+{
+    if (!this->mayReclaim(request))
+        return 0;
+    const Stage before = this->stage;
+    double loss = 0.0;
+    const std::size_t covered = this->cover(request, tasks, this->everyWorker, loss);
+    this->planDisplaced(before);
+    return covered;
+}
+
+/// Room for a part of a gang is of no use; a gang bound to one rack needs all of it there.
+bool PlanPass::reclaimForGang(const StartRequest &request)
+{
+    if (!this->mayReclaim(request))
+        return false;
+    const std::size_t tasks = request.indexes.size();
+    const Stage before = this->stage;
+    Stage best = before;
+    double least = std::numeric_limits<double>::infinity();
+    const auto consider = [&](std::span<const std::size_t> candidates) {
+        double loss = 0.0;
+        if (this->cover(request, tasks, candidates, loss) == tasks && loss < least) {
+            least = loss;
+            best = this->stage;
+        }
+        this->stage = before;
+    };
+    if (request.step->sameRack && this->fitsOneRackEmpty(request)) {
+        for (const auto &[rack, members] : this->racks)
+            consider(members);
+    } else {
+        consider(this->everyWorker);
+    }
+    this->stage = best;
+    this->planDisplaced(before);
+    return least != std::numeric_limits<double>::infinity();
+}
+
+} // namespace
+
+int StartPlanner::rankOf(const StartRequest &request, UnixMs now)
+{
+    constexpr int worthlessRank = 6;
+    constexpr int ranksOfPriority[3][2] = {{0, 1}, {2, 4}, {3, 5}};
+    if (now >= request.worthlessAt)
+        return worthlessRank;
+    const UnixMs endsAt = now + toMs(request.step->estimate);
+    const bool late = endsAt > request.objectiveAt;
+    const int priority = std::clamp(request.priority, 0, 2);
+    return ranksOfPriority[priority][late ? 1 : 0];
+}
+
+StartPlan StartPlanner::plan(std::span<const StartRequest> requests,
+                             std::span<const WorkerView> workers, UnixMs now) const
+{
+    return PlanPass(this->settings, requests, workers, now).run();
+}
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/StartPlanner.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <Tasks/TaskJob.h>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Hibiscus::Tasks {
+
+/// Something that occupies a worker, as the planner sees it.
+struct OccupantView
+{
+    Resources need;
+    std::int32_t priority = 0;
+    UnixMs expectedEnd = 0; ///< By the estimate; may lie in the past.
+    double lossIfStopped = 0.0; ///< Core-seconds that a stop throws away, its gang's included.
+    bool stopping = false; ///< Asked to stop: its room is coming free.
+    std::size_t group = 0; ///< Occupants of one gang share a group; they stop together.
+};
+
+/// One worker as the planner sees it.
+struct WorkerView
+{
+    std::string_view id;
+    std::string_view service;
+    std::span<const std::string> labels;
+    Resources free;
+    bool usable = false; ///< May be given new work.
+    std::vector<OccupantView> occupants;
+};
+
+/// One step of one occurrence of a job whose tasks may start now.
+struct StartRequest
+{
+    std::string_view job;
+    std::int32_t occurrence = 0;
+    std::int32_t stepNumber = 0;
+    const Step *step = nullptr;
+    std::string_view service;
+    std::string_view customer;
+    std::int32_t priority = 0;
+    UnixMs readySince = 0;
+    UnixMs objectiveAt = 0; ///< In time until then.
+    UnixMs worthlessAt = 0; ///< Nobody is served by an end after this.
+    std::vector<std::int32_t> indexes; ///< Tasks that wait; a gang's are all of its tasks.
+    std::vector<std::size_t> besides; ///< Workers, one entry a task of the step that they have.
+};
+
+/// Start task `index` of request `request` on worker `worker`; numbers are places in the inputs.
+struct StartChoice
+{
+    std::size_t request = 0;
+    std::int32_t index = 0;
+    std::size_t worker = 0;
+
+    bool operator==(const StartChoice &) const = default;
+};
+
+/// Stop occupant `occupant` of worker `worker` in favour of more urgent work.
+struct ReclaimChoice
+{
+    std::size_t worker = 0;
+    std::size_t occupant = 0;
+
+    bool operator==(const ReclaimChoice &) const = default;
+};
+
+struct StartPlan
+{
+    std::vector<StartChoice> starts;
+    std::vector<ReclaimChoice> reclaims;
+};
+
+/// Chooses what starts where and what has to make room. Looks at one moment only and keeps nothing
+/// between calls; the same inputs give the same plan.
+class StartPlanner
+{
+public:
+    struct Settings
+    {
+        double remoteDataFactor = 3.0; ///< Run time off the data's rack, against on it.
+        std::int32_t mostReclaimPriority = 0; ///< Requests up to this may displace others.
+        std::size_t mostReservations = 24; ///< Tasks for which room is kept as it comes free.
+    };
+
+    explicit StartPlanner(const Settings &settings)
+        : settings(settings)
+    {}
+
+    StartPlan plan(std::span<const StartRequest> requests, std::span<const WorkerView> workers,
+                   UnixMs now) const;
+
+    /// Lower goes first.
+    static int rankOf(const StartRequest &request, UnixMs now);
+
+private:
+    Settings settings;
+};
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/SystemConfiguration.cpp
@@ -0,0 +1,74 @@
+#include <Tasks/SystemConfiguration.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+std::string hostKey(std::string_view host)
+{
+    std::string key(host.substr(0, host.find(':')));
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return key;
+}
+
+bool longerPrefix(const Queue *left, const Queue *right)
+{
+    return left->prefix.size() > right->prefix.size();
+}
+
+} // namespace
+
+Directory::Directory(SystemConfiguration configuration)
+    : values(std::move(configuration))
+{
+    for (const Queue &queue : this->values.queues)
+        this->queuesByHost[hostKey(queue.host)].push_back(&queue);
+    for (auto &[host, queues] : this->queuesByHost)
+        std::stable_sort(queues.begin(), queues.end(), longerPrefix);
+    for (const Customer &customer : this->values.customers) {
+        for (const std::string &key : customer.keys)
+            this->customersByKey.emplace(key, &customer);
+    }
+}
+
+Directory::Match Directory::find(std::string_view host, std::string_view path) const
+{
+    const auto found = this->queuesByHost.find(hostKey(host));
+    if (found == this->queuesByHost.end())
+        return {};
+    for (const Queue *queue : found->second) {
+        if (path.starts_with(queue->prefix))
+            return {queue, path.substr(queue->prefix.size())};
+    }
+    return {};
+}
+
+const Queue *Directory::queueNamed(std::string_view name) const
+{
+    for (const Queue &queue : this->values.queues) {
+        if (queue.name == name)
+            return &queue;
+    }
+    return nullptr;
+}
+
+const Customer *Directory::customerOf(const std::string &key) const
+{
+    const auto found = this->customersByKey.find(key);
+    return found == this->customersByKey.end() ? nullptr : found->second;
+}
+
+const Customer *Directory::customerNamed(std::string_view name) const
+{
+    for (const Customer &customer : this->values.customers) {
+        if (customer.name == name)
+            return &customer;
+    }
+    return nullptr;
+}
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/TaskJob.cpp
@@ -0,0 +1,87 @@
+#include <Tasks/TaskJob.h>
+
+#include <algorithm>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+constexpr double milliCoresPerCore = 1000.0;
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+} // namespace
+
+bool Resources::fitsInto(const Resources &room) const
+{
+    return this->milliCores <= room.milliCores && this->memoryMiB <= room.memoryMiB
+        && this->accelerators <= room.accelerators;
+}
+
+Resources &Resources::operator+=(const Resources &other)
+{
+    this->milliCores += other.milliCores;
+    this->memoryMiB += other.memoryMiB;
+    this->accelerators += other.accelerators;
+    return *this;
+}
+
+Resources &Resources::operator-=(const Resources &other)
+{
+    this->milliCores -= other.milliCores;
+    this->memoryMiB -= other.memoryMiB;
+    this->accelerators -= other.accelerators;
+    return *this;
+}
+
+Resources Resources::operator*(std::int64_t factor) const
+{
+    return {this->milliCores * factor, this->memoryMiB * factor, this->accelerators * factor};
+}
+
+double weightOf(const Resources &resources)
+{
+    const double cores = static_cast<double>(resources.milliCores) / milliCoresPerCore;
+    return cores + coresPerAccelerator * static_cast<double>(resources.accelerators);
+}
+
+UnixMs Job::dueAt(std::int32_t occurrence) const
+{
+    if (this->repetition.count == 0)
+        return this->acceptedAt;
+    return this->repetition.first + occurrence * toMs(this->repetition.interval);
+}
+
+Duration Job::longestChain() const
+{
+    std::vector<Duration> ends(this->steps.size());
+    for (std::size_t i = 0; i < this->steps.size(); i++) {
+        Duration begin{};
+        for (const std::int32_t earlier : this->steps[i].after)
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends[i] = begin + this->steps[i].estimate;
+    }
+    return ends.empty() ? Duration{} : *std::max_element(ends.begin(), ends.end());
+}
+
+UnixMs Job::objectiveAt(std::int32_t occurrence) const
+{
+    const double chain = static_cast<double>(toMs(this->longestChain()));
+    const UnixMs begin = std::max(this->dueAt(occurrence), this->acceptedAt);
+    return begin + static_cast<UnixMs>(this->stretch * chain) + toMs(this->targetLatency);
+}
+
+double Job::work() const
+{
+    double sum = 0.0;
+    for (const Step &step : this->steps) {
+        const double runTime = std::chrono::duration<double>(step.estimate).count();
+        sum += weightOf(step.need) * static_cast<double>(step.count) * runTime;
+    }
+    return sum;
+}
+
+} // namespace Hibiscus::Tasks
--- a/UnitTests/Platform/LiveListTest.cpp
+++ b/UnitTests/Gateway/LiveListTest.cpp
@@ -1,4 +1,4 @@
-#include <Platform/LiveList.h>
+#include <Gateway/LiveList.h>
 
 #include <algorithm>
 #include <gtest/gtest.h>
--- a/UnitTests/StandIns/StandInPlatformServerTest.cpp
+++ b/UnitTests/StandIns/StandInPlatformServerTest.cpp
@@ -1,5 +1,5 @@
-#include <Platform/LiveList.h>
-#include <Platform/StoreClient.h>
+#include <Gateway/LiveList.h>
+#include <Gateway/StoreClient.h>
 #include <StandIns/StandInPlatformServer.h>
 
 #include <condition_variable>
--- a/UnitTests/StandIns/StandInWorkerServerTest.cpp
+++ b/UnitTests/StandIns/StandInWorkerServerTest.cpp
@@ -1,5 +1,5 @@
 #include <Endpoint/WorkerClient.h>
-#include <Platform/StoreClient.h>
+#include <Gateway/StoreClient.h>
 #include <StandIns/StandInWorkerServer.h>
 
 #include <cstdio>
