--- /dev/null
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -0,0 +1,263 @@
+#include "Cluster.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus::Coordination::Test {
+
+using nlohmann::json;
+using Tasks::SystemConfiguration;
+
+namespace {
+
+constexpr const char *configurationKey = "operator/configuration";
+constexpr const char *registry = "registry/";
+constexpr Duration patience = seconds(3);
+
+// The texts of operator and registry are the tests' own; the platform's formats have tests of
+// their own.
+tl::expected<SystemConfiguration, std::string> decodeConfiguration(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return tl::unexpected(std::string("can't be read"));
+    SystemConfiguration configuration;
+    configuration.version = value.at("version").get<std::int64_t>();
+    for (std::int32_t priority = 0; priority < 3; priority++) {
+        Tasks::Queue queue;
+        queue.name = "queue-" + std::to_string(priority);
+        queue.host = "jobs.example";
+        queue.prefix = "/p" + std::to_string(priority) + "/";
+        queue.service = "blend";
+        queue.priority = priority;
+        queue.maxAttempts = 2;
+        queue.stretch = 3.0;
+        queue.targetLatency = seconds(1);
+        configuration.queues.push_back(queue);
+    }
+    configuration.customers.push_back(
+        {"parks", value.at("keys").get<std::vector<std::string>>(), 16});
+    return configuration;
+}
+
+tl::expected<Tasks::Job, std::string> decodeSubmission(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return tl::unexpected(std::string("can't be read"));
+    Tasks::Job job;
+    job.payload = value.at("payload").get<std::string>();
+    Tasks::Step step;
+    step.count = value.at("tasks").get<std::int32_t>();
+    step.need = {1000, 1000, value.at("accelerators").get<std::int64_t>()};
+    step.estimate = parseScript(job.payload).runTime;
+    step.gang = value.at("gang").get<bool>();
+    job.steps.push_back(step);
+    return job;
+}
+
+std::string encodeEntry(const Tasks::WorkerEntry &entry)
+{
+    return json{
+        {"incarnation", entry.incarnation}, {"labels", entry.labels}, {"draining", entry.draining}}
+        .dump();
+}
+
+tl::expected<Tasks::WorkerEntry, std::string> decodeEntry(std::string_view key,
+                                                          std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return tl::unexpected(std::string("can't be read"));
+    Tasks::WorkerEntry entry;
+    entry.id = key.substr(std::string_view(registry).size());
+    entry.address = entry.id + ":1";
+    entry.service = "blend";
+    entry.labels = value.at("labels").get<std::vector<std::string>>();
+    entry.capacity = {32000, 65536, 8};
+    entry.draining = value.at("draining").get<bool>();
+    entry.incarnation = value.at("incarnation").get<std::int64_t>();
+    return entry;
+}
+
+} // namespace
+
+std::size_t KeptJournal::count(std::string_view event) const
+{
+    std::size_t sum = 0;
+    for (const std::string &line : this->events)
+        sum += line.starts_with(event) ? 1 : 0;
+    return sum;
+}
+
+class Instance::Timers final : public TimerService
+{
+public:
+    Timers(SimClock &clock, std::shared_ptr<const bool> alive,
+           std::shared_ptr<const std::optional<TimePoint>> suspendedUntil)
+        : clock(clock)
+        , alive(std::move(alive))
+        , suspendedUntil(std::move(suspendedUntil))
+    {}
+
+    void after(Duration delay, std::function<void(TimePoint now)> handler) override
+    {
+        this->clock.in(delay, [this, handler = std::move(handler), alive = this->alive] {
+            if (*alive)
+                this->fire(handler);
+        });
+    }
+
+private:
+    void fire(const std::function<void(TimePoint now)> &handler)
+    {
+        const std::optional<TimePoint> until = *this->suspendedUntil;
+        if (!until || this->clock.now() >= *until) {
+            handler(this->clock.now());
+            return;
+        }
+        this->clock.at(*until, [this, handler, alive = this->alive] {
+            if (*alive)
+                this->fire(handler);
+        });
+    }
+
+    SimClock &clock;
+    std::shared_ptr<const bool> alive;
+    std::shared_ptr<const std::optional<TimePoint>> suspendedUntil;
+};
+
+Instance::Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers, const std::string &name)
+    : alive(std::make_shared<bool>(true))
+    , suspendedUntil(std::make_shared<std::optional<TimePoint>>())
+    , timers(std::make_unique<Timers>(clock, this->alive, this->suspendedUntil))
+    , store(std::make_unique<FakeStore::View>(store, name, this->alive))
+    , link(std::make_unique<FakeWorkers::View>(workers, name, this->alive))
+{
+    JobFront::Settings frontSettings;
+    frontSettings.configurationKey = configurationKey;
+    this->jobs = std::make_unique<JobFront>(
+        *this->store, *this->timers, clock, this->journal, frontSettings,
+        JobFront::Decoders{decodeConfiguration, decodeSubmission,
+                           [](std::string_view id) { return id.size() == 16; }});
+    Leadership::Settings leadershipSettings;
+    leadershipSettings.instance = name;
+    leadershipSettings.seed = std::hash<std::string>()(name);
+    this->leadership = std::make_unique<Leadership>(
+        *this->store, *this->timers, this->journal, leadershipSettings,
+        Leadership::Handlers{
+            [this](std::int64_t token, TimePoint now) { this->dispatcher->elected(token, now); },
+            [this](TimePoint now) { this->dispatcher->deposed(now); }});
+    TaskDispatcher::Settings dispatcherSettings;
+    dispatcherSettings.workerRegistry = registry;
+    this->dispatcher = std::make_unique<TaskDispatcher>(*this->store, *this->link, *this->timers,
+                                                        clock, this->journal, *this->leadership,
+                                                        dispatcherSettings, decodeEntry);
+    this->jobs->start(clock.now());
+    this->leadership->start(clock.now());
+}
+
+Cluster::Cluster(std::size_t instanceCount, std::size_t workerCount)
+    : store(this->clock)
+    , workers(this->clock)
+{
+    constexpr std::size_t rackSize = 4;
+    this->setKeys({"key-1"});
+    for (std::size_t i = 0; i < workerCount; i++)
+        this->putWorker(this->workers.add("worker-" + std::to_string(i),
+                                          "rack-" + std::to_string(i / rackSize)));
+    for (std::size_t i = 0; i < instanceCount; i++)
+        this->startInstance("entry-" + std::to_string(i));
+    this->run(seconds(1));
+}
+
+void Cluster::startInstance(const std::string &name)
+{
+    this->instances[name]
+        = std::make_unique<Instance>(this->clock, this->store, this->workers, name);
+}
+
+void Cluster::killInstance(const std::string &name)
+{
+    this->instances.erase(name);
+}
+
+void Cluster::putWorker(const Tasks::WorkerEntry &entry)
+{
+    this->store.put(registry + entry.id, encodeEntry(entry));
+}
+
+void Cluster::setKeys(const std::vector<std::string> &keys)
+{
+    this->configurationVersion++;
+    this->store.put(configurationKey,
+                    json{{"version", this->configurationVersion}, {"keys", keys}}.dump());
+}
+
+std::optional<ClientReply> Cluster::call(const std::string &instance, ClientCall call)
+{
+    const auto reply = std::make_shared<std::optional<ClientReply>>();
+    call.host = "jobs.example";
+    call.deadline = this->clock.now() + patience;
+    const TimePoint deadline = call.deadline;
+    this->instances.at(instance)->jobs->handle(
+        std::move(call), [reply](const ClientReply &answer) { *reply = answer; },
+        this->clock.now());
+    while (!*reply && this->clock.now() < deadline)
+        this->run(milliseconds(1));
+    return *reply;
+}
+
+std::optional<ClientReply> Cluster::submit(const std::string &instance, const std::string &id,
+                                           const std::string &body)
+{
+    // Two digits of the body's text tell nothing of the queue: urgent work has the prefix p0.
+    const json value = json::parse(body);
+    const std::string prefix = "/p" + std::to_string(value.value("priority", 1)) + "/";
+    return this->call(
+        instance, {.verb = CallVerb::Submit, .path = prefix + id, .key = "key-1", .body = body});
+}
+
+std::optional<ClientReply> Cluster::state(const std::string &instance, const std::string &id)
+{
+    return this->call(instance, {.verb = CallVerb::Status, .path = "/p1/" + id, .key = "key-1"});
+}
+
+std::optional<ClientReply> Cluster::cancel(const std::string &instance, const std::string &id)
+{
+    std::optional<ClientReply> reply
+        = this->call(instance, {.verb = CallVerb::Cancel, .path = "/p1/" + id, .key = "key-1"});
+    if (reply && reply->kind == ReplyKind::Cancelled)
+        this->workers.cancelled.emplace(id, this->clock.now());
+    return reply;
+}
+
+bool Cluster::isCompleted(const std::string &id)
+{
+    const std::optional<ClientReply> reply = this->state(this->instances.begin()->first, id);
+    return reply && reply->kind == ReplyKind::State && reply->state == Tasks::JobState::Completed;
+}
+
+std::string Cluster::leader() const
+{
+    for (const auto &[name, instance] : this->instances) {
+        if (instance->leadership->leads(this->clock.now()))
+            return name;
+    }
+    return {};
+}
+
+std::string jobId(std::uint32_t number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+std::string jobBody(const std::string &payload, std::int32_t tasks, std::int32_t accelerators,
+                    bool gang)
+{
+    return json{
+        {"payload", payload}, {"tasks", tasks}, {"accelerators", accelerators}, {"gang", gang}}
+        .dump();
+}
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -0,0 +1,196 @@
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+using Tasks::JobState;
+
+class Failover : public testing::Test
+{
+protected:
+    void TearDown() override
+    {
+        for (const std::string &violation : this->cluster.workers.violations)
+            ADD_FAILURE() << violation;
+    }
+
+    void accept(std::uint32_t number, const std::string &body)
+    {
+        const std::optional<ClientReply> reply
+            = this->cluster.submit(this->cluster.instances.begin()->first, jobId(number), body);
+        ASSERT_TRUE(reply);
+        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
+    }
+
+    Cluster cluster{3, 8};
+};
+
+TEST_F(Failover, AcceptedJobRunsToItsEnd)
+{
+    this->accept(1, jobBody("1000", 4, 2));
+    this->cluster.run(milliseconds(500));
+    const std::optional<ClientReply> running = this->cluster.state("entry-1", jobId(1));
+    ASSERT_TRUE(running);
+    EXPECT_EQ(running->state, JobState::Running);
+    this->cluster.run(seconds(2));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(Failover, SubmissionRepeatedAtAnotherInstanceStaysOneJob)
+{
+    this->accept(1, jobBody("500", 1, 1));
+    const std::optional<ClientReply> again
+        = this->cluster.submit("entry-2", jobId(1), jobBody("500", 1, 1));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->kind, ReplyKind::Accepted);
+    this->cluster.run(seconds(2));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
+TEST_F(Failover, EndsListedBeforeTheNextLeaderKnowsTheirRunsAreNotForgotten)
+{
+    // The runs end while no leader is there: the next one meets their ends in its first answers.
+    this->accept(1, jobBody("1500", 4, 2));
+    this->cluster.run(milliseconds(600));
+    for (const std::string name : {"entry-0", "entry-1", "entry-2"})
+        this->cluster.killInstance(name);
+    this->cluster.run(seconds(2));
+    this->cluster.startInstance("entry-9");
+    this->cluster.run(seconds(6));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(Failover, RunsGoOnWhileTheLeaderChanges)
+{
+    this->accept(1, jobBody("8000", 6, 2));
+    this->cluster.run(seconds(1));
+    this->cluster.killInstance(this->cluster.leader());
+    this->cluster.run(seconds(9));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 6U);
+}
+
+TEST_F(Failover, JobAcceptedRightBeforeAllInstancesDieIsDone)
+{
+    this->accept(1, jobBody("500", 2, 1));
+    for (const std::string name : {"entry-0", "entry-1", "entry-2"})
+        this->cluster.killInstance(name);
+    this->cluster.run(milliseconds(800));
+    this->cluster.startInstance("entry-7");
+    this->cluster.run(seconds(6));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, LeaderTurnedAwayByTheStoreIsReplacedAndOrdersNoMore)
+{
+    const std::string former = this->cluster.leader();
+    this->accept(1, jobBody("6000", 4, 2));
+    this->cluster.run(seconds(1));
+    this->cluster.store.paths[former] = StorePath::Refusing;
+    this->cluster.run(seconds(4));
+    EXPECT_NE(this->cluster.leader(), former);
+    EXPECT_NE(this->cluster.leader(), "");
+    this->cluster.run(seconds(4));
+    this->cluster.store.paths.clear();
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, SuspendedLeaderFindsItselfReplaced)
+{
+    const std::string former = this->cluster.leader();
+    this->accept(1, jobBody("1000", 2, 2));
+    Instance &suspended = *this->cluster.instances.at(former);
+    *suspended.suspendedUntil = this->cluster.clock.now() + seconds(5);
+    this->cluster.store.paths[former] = StorePath::Silent;
+    this->cluster.run(seconds(5));
+    this->cluster.store.paths.clear();
+    EXPECT_FALSE(suspended.leadership->leads(this->cluster.clock.now()));
+    this->cluster.run(seconds(3));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, RunsOutliveAnOutageOfTheStore)
+{
+    this->accept(1, jobBody("9000", 4, 2));
+    this->cluster.run(seconds(1));
+    this->cluster.store.everyPath = StorePath::Silent;
+    this->cluster.run(seconds(6));
+    this->cluster.store.everyPath = StorePath::Open;
+    this->cluster.run(seconds(8));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(Failover, LostAnswersOfTheStoreDoubleNothing)
+{
+    this->cluster.store.everyPath = StorePath::LosesAnswers;
+    const std::optional<ClientReply> reply
+        = this->cluster.submit("entry-0", jobId(1), jobBody("500", 2, 1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::Undecided);
+    this->cluster.store.everyPath = StorePath::Open;
+    this->cluster.run(seconds(5));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
+TEST_F(Failover, RefusalThatSaysNotRunIsTrue)
+{
+    this->cluster.store.paths["entry-0"] = StorePath::Refusing;
+    const std::optional<ClientReply> reply
+        = this->cluster.submit("entry-0", jobId(1), jobBody("500", 1, 1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::NotRun);
+    EXPECT_GT(reply->retryAfter, Duration{});
+    this->cluster.store.paths.clear();
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 0U);
+}
+
+TEST_F(Failover, CommitCarriedOutLateNeverFollowsARefusal)
+{
+    this->cluster.store.paths["entry-0"] = StorePath::CarriesOutLate;
+    const std::optional<ClientReply> reply
+        = this->cluster.submit("entry-0", jobId(1), jobBody("500", 1, 1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::Undecided);
+    this->cluster.store.paths.clear();
+    this->cluster.run(seconds(6));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
+TEST_F(Failover, ForgottenHistoryLosesNoJob)
+{
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.paths[leader] = StorePath::Silent;
+    this->cluster.store.forgetHistory();
+    this->cluster.store.paths.clear();
+    this->accept(1, jobBody("500", 2, 1));
+    this->cluster.store.forgetHistory();
+    this->cluster.run(seconds(6));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, ResignedLeaderIsFollowedWithoutDelay)
+{
+    const std::string former = this->cluster.leader();
+    this->accept(1, jobBody("3000", 2, 2));
+    this->cluster.run(seconds(1));
+    this->cluster.instances.at(former)->leadership->resign(this->cluster.clock.now());
+    this->cluster.run(milliseconds(400));
+    EXPECT_NE(this->cluster.leader(), "");
+    this->cluster.run(seconds(4));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/FakeStore.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "SimClock.h"
+
+#include <Tasks/MetadataStore.h>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Hibiscus::Coordination::Test {
+
+/// How the store treats the calls of one instance.
+enum class StorePath : std::uint8_t {
+    Open,
+    Silent, ///< No call arrives.
+    Refusing, ///< Each call is turned away.
+    LosesAnswers, ///< Calls are carried out and not answered.
+    CarriesOutLate, ///< Commits are carried out two seconds later and not answered.
+};
+
+/// The platform's store: transactions, leases and watches on one revision counter.
+class FakeStore
+{
+public:
+    explicit FakeStore(SimClock &clock)
+        : clock(clock)
+    {}
+
+    /// What the operator and the workers write.
+    void put(const std::string &key, const std::string &value) { this->write(key, value, 0); }
+    void remove(const std::string &key);
+    const Tasks::StoredItem *find(const std::string &key) const;
+    std::map<std::string, Tasks::StoredItem> below(const std::string &prefix) const;
+    /// Watches from earlier revisions are answered with "history gone".
+    void forgetHistory();
+
+    std::map<std::string, StorePath> paths; ///< By instance; Open if absent.
+    StorePath everyPath = StorePath::Open;
+    Duration latency = milliseconds(2); ///< One way.
+    std::uint64_t commits = 0; ///< That were asked for.
+
+    /// The store as one instance sees it. Answers to an instance that is gone are dropped.
+    class View;
+
+private:
+    struct Lease
+    {
+        Duration term{};
+        TimePoint endsAt{};
+        std::set<std::string> keys;
+    };
+    struct Watch
+    {
+        std::string prefix;
+        std::int64_t after = 0;
+        std::function<void(Tasks::StoreAnswer)> answer;
+        bool open = true;
+    };
+
+    void write(const std::string &key, const std::string &value, std::int64_t lease);
+    void note(const Tasks::StoredItem &event);
+    void expire(std::int64_t lease);
+    Tasks::StoreAnswer commit(const Tasks::StoreCommit &commit);
+    Tasks::StoreAnswer eventsAfter(const std::string &prefix, std::int64_t after) const;
+    StorePath pathOf(const std::string &instance) const;
+
+    SimClock &clock;
+    std::int64_t revision = 1;
+    std::map<std::string, Tasks::StoredItem> items;
+    std::deque<Tasks::StoredItem> history;
+    std::int64_t historyFloor = 0;
+    std::map<std::int64_t, Lease> leases;
+    std::int64_t nextLease = 100;
+    std::list<std::shared_ptr<Watch>> watches;
+};
+
+class FakeStore::View final : public Tasks::MetadataStore
+{
+public:
+    View(FakeStore &store, std::string instance, std::shared_ptr<const bool> alive)
+        : store(store)
+        , instance(std::move(instance))
+        , alive(std::move(alive))
+    {}
+
+    void read(const std::string &key, Duration timeout, Tasks::StoreHandler handler) override;
+    void list(const std::string &prefix, const std::string &after, Duration timeout,
+              Tasks::StoreHandler handler) override;
+    void watch(const std::string &prefix, std::int64_t revision, Duration wait,
+               Tasks::StoreHandler handler) override;
+    void commit(const Tasks::StoreCommit &commit, Duration timeout,
+                Tasks::StoreHandler handler) override;
+    void grantLease(Duration term, Duration timeout, Tasks::StoreHandler handler) override;
+    void renewLease(std::int64_t lease, Duration timeout, Tasks::StoreHandler handler) override;
+    void endLease(std::int64_t lease, Duration timeout, Tasks::StoreHandler handler) override;
+
+private:
+    using Action = std::function<Tasks::StoreAnswer()>;
+
+    void call(Duration timeout, const Tasks::StoreHandler &handler, const Action &action);
+    void answer(const Tasks::StoreHandler &handler, Tasks::StoreAnswer answer, Duration delay);
+
+    FakeStore &store;
+    std::string instance;
+    std::shared_ptr<const bool> alive;
+};
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -0,0 +1,407 @@
+#include "FakeWorkers.h"
+
+#include <algorithm>
+
+namespace Hibiscus::Coordination::Test {
+
+using Tasks::EndCause;
+using Tasks::RunRef;
+using Tasks::TaskRef;
+using Tasks::WorkerAnswer;
+using Tasks::WorkerEntry;
+using Tasks::WorkerHandler;
+using Tasks::WorkerOutcome;
+
+namespace {
+
+/// Every second worker's clock is this much slower.
+constexpr double slowClock = 0.98;
+constexpr Duration cancellationBound = seconds(3);
+
+std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+std::string describe(const RunRef &run)
+{
+    return run.job + "." + std::to_string(run.task.step) + "." + std::to_string(run.task.index)
+        + "#" + std::to_string(run.run);
+}
+
+} // namespace
+
+TaskScript parseScript(const std::string &payload)
+{
+    TaskScript script;
+    script.runTime = milliseconds(std::atoi(payload.c_str()));
+    script.fails = payload.find(",fail") != std::string::npos;
+    const std::size_t gang = payload.find(",gang=");
+    if (gang != std::string::npos)
+        script.gang = std::atoi(payload.c_str() + gang + 6);
+    return script;
+}
+
+WorkerEntry FakeWorkers::add(const std::string &id, const std::string &rack)
+{
+    Machine machine;
+    machine.bornAt = this->clock.now() - seconds(60);
+    machine.entry.id = id;
+    machine.entry.address = id + ":1";
+    machine.entry.service = "blend";
+    machine.entry.labels = {"kind-a", rack};
+    machine.entry.capacity = {32000, 65536, 8};
+    machine.entry.incarnation = 1000;
+    const WorkerEntry entry = machine.entry;
+    this->machines[id] = std::move(machine);
+    return entry;
+}
+
+WorkerEntry FakeWorkers::startAnew(const std::string &id)
+{
+    Machine &machine = this->machines[id];
+    Machine fresh;
+    fresh.entry = machine.entry;
+    fresh.entry.incarnation = machine.entry.incarnation + 1000;
+    fresh.bornAt = this->clock.now();
+    machine = std::move(fresh);
+    return machine.entry;
+}
+
+void FakeWorkers::kill(const std::string &id)
+{
+    Machine &machine = this->machines[id];
+    machine.alive = false;
+    machine.running.clear();
+    machine.waiting.clear();
+}
+
+std::size_t FakeWorkers::running(const std::string &id) const
+{
+    return this->machines.at(id).running.size();
+}
+
+std::size_t FakeWorkers::runningTasks() const
+{
+    std::size_t sum = 0;
+    for (const auto &[id, machine] : this->machines)
+        sum += machine.running.size();
+    return sum;
+}
+
+std::size_t FakeWorkers::startsOf(const std::string &job) const
+{
+    const auto found = this->starts.find(job);
+    return found == this->starts.end() ? 0 : found->second;
+}
+
+std::int64_t FakeWorkers::clockOf(const Machine &machine) const
+{
+    const bool slow = std::hash<std::string>()(machine.entry.id) % 2 == 0;
+    const double passed = static_cast<double>(toMs(this->clock.now() - machine.bornAt));
+    return static_cast<std::int64_t>(slow ? passed * slowClock : passed) + 1;
+}
+
+bool FakeWorkers::fences(Machine &machine, std::int64_t token, WorkerAnswer &answer)
+{
+    answer.clock = this->clockOf(machine);
+    answer.incarnation = machine.entry.incarnation;
+    if (token < machine.token) {
+        answer.outcome = WorkerOutcome::Fenced;
+        return true;
+    }
+    machine.token = token;
+    answer.outcome = WorkerOutcome::Done;
+    return false;
+}
+
+void FakeWorkers::extendLease(const std::string &id, std::int64_t until)
+{
+    Machine &machine = this->machines[id];
+    const std::int64_t limit = this->clockOf(machine) + toMs(machine.leaseLimit);
+    machine.leaseUntil = std::max(machine.leaseUntil, std::min(until, limit));
+    const std::int64_t left = machine.leaseUntil - this->clockOf(machine);
+    const auto span = static_cast<std::int64_t>(static_cast<double>(left) / slowClock) + 2;
+    this->clock.in(milliseconds(span), [this, id] { this->checkLease(id); });
+}
+
+void FakeWorkers::checkLease(const std::string &id)
+{
+    Machine &machine = this->machines[id];
+    if (this->clockOf(machine) < machine.leaseUntil)
+        return;
+    while (!machine.running.empty())
+        this->end(id, machine.running.begin()->first, EndCause::LeaseLapsed);
+}
+
+void FakeWorkers::checkStart(const std::string &id, const RunRef &run)
+{
+    const TaskName name{run.job, run.task};
+    for (const auto &[other, machine] : this->machines) {
+        if (machine.alive && machine.running.contains(name))
+            this->violations.push_back(describe(run) + " starts on " + id + " while it runs on "
+                                       + other);
+    }
+    if (this->acknowledgedDone.contains(name))
+        this->violations.push_back(describe(run) + " starts after its end was acknowledged");
+    const auto cancel = this->cancelled.find(run.job);
+    if (cancel != this->cancelled.end() && this->clock.now() > cancel->second + cancellationBound)
+        this->violations.push_back(describe(run) + " starts after its job was cancelled");
+}
+
+WorkerAnswer FakeWorkers::start(const std::string &id, const Tasks::StartOrder &order)
+{
+    Machine &machine = this->machines[id];
+    WorkerAnswer answer;
+    if (!machine.alive || this->fences(machine, order.fencingToken, answer))
+        return answer;
+    const TaskName name{order.run.job, order.run.task};
+    const auto present = machine.running.find(name);
+    if (present != machine.running.end() && present->second.run.run == order.run.run)
+        return answer;
+    if (machine.endedRuns.contains(name) && order.run.run <= machine.endedRuns[name]) {
+        answer.outcome = WorkerOutcome::Superseded;
+        return answer;
+    }
+    if (order.leaseUntil <= this->clockOf(machine)) {
+        answer.outcome = WorkerOutcome::LeaseOver;
+        return answer;
+    }
+    this->checkStart(id, order.run);
+    this->starts[order.run.job]++;
+    Task task;
+    task.run = order.run;
+    task.script = parseScript(order.payload);
+    task.left = task.script.runTime;
+    task.serial = this->nextSerial++;
+    const std::uint64_t serial = task.serial;
+    const std::int32_t gang = task.script.gang;
+    machine.running[name] = std::move(task);
+    this->extendLease(id, order.leaseUntil);
+    if (gang == 0) {
+        this->begin(id, machine.running[name]);
+        return answer;
+    }
+    this->beginGangIfWhole(order.run, gang);
+    this->clock.in(this->gangWait, [this, id, name, serial] {
+        Machine &late = this->machines[id];
+        const auto waiting = late.running.find(name);
+        if (waiting != late.running.end() && waiting->second.serial == serial
+            && !waiting->second.working)
+            this->end(id, name, EndCause::GangIncomplete);
+    });
+    return answer;
+}
+
+void FakeWorkers::begin(const std::string &id, Task &task)
+{
+    task.working = true;
+    task.resumedAt = this->clock.now();
+    const TaskName name{task.run.job, task.run.task};
+    const std::uint64_t serial = task.serial;
+    const bool fails = task.script.fails;
+    this->clock.in(task.left, [this, id, name, serial, fails] {
+        Machine &machine = this->machines[id];
+        const auto running = machine.running.find(name);
+        if (!machine.alive || running == machine.running.end() || running->second.serial != serial)
+            return;
+        const RunRef run = running->second.run;
+        const bool gang = running->second.script.gang != 0;
+        this->end(id, name, fails ? EndCause::Failed : EndCause::Done);
+        if (gang)
+            this->breakGang(run, fails ? EndCause::GangBroken : EndCause::Done);
+    });
+}
+
+void FakeWorkers::beginGangIfWhole(const RunRef &run, std::int32_t members)
+{
+    std::vector<std::pair<std::string, Task *>> present;
+    for (auto &[id, machine] : this->machines) {
+        for (auto &[name, task] : machine.running) {
+            const bool sameGang = task.run.job == run.job && task.run.run == run.run
+                && task.run.task.step == run.task.step
+                && task.run.task.occurrence == run.task.occurrence;
+            if (machine.alive && sameGang)
+                present.emplace_back(id, &task);
+        }
+    }
+    if (present.size() < static_cast<std::size_t>(members))
+        return;
+    for (auto &[id, task] : present)
+        this->begin(id, *task);
+}
+
+void FakeWorkers::breakGang(const RunRef &run, EndCause cause)
+{
+    std::vector<std::pair<std::string, TaskName>> members;
+    for (auto &[id, machine] : this->machines) {
+        for (auto &[name, task] : machine.running) {
+            if (task.run.job == run.job && task.run.run == run.run
+                && task.run.task.step == run.task.step
+                && task.run.task.occurrence == run.task.occurrence)
+                members.emplace_back(id, name);
+        }
+    }
+    for (const auto &[id, name] : members)
+        this->end(id, name, cause);
+}
+
+void FakeWorkers::end(const std::string &id, const TaskName &name, EndCause cause)
+{
+    Machine &machine = this->machines[id];
+    const auto running = machine.running.find(name);
+    if (running == machine.running.end())
+        return;
+    const RunRef run = running->second.run;
+    const bool gang = running->second.script.gang != 0 && running->second.working;
+    machine.running.erase(running);
+    machine.endedRuns[name] = std::max(machine.endedRuns[name], run.run);
+    machine.ended.push_back({++machine.lastEnd, run, cause, ""});
+    const auto waiting = std::exchange(machine.waiting, {});
+    for (const auto &answer : waiting)
+        answer();
+    const bool breaksOthers = gang && cause != EndCause::Done && cause != EndCause::GangBroken;
+    if (breaksOthers)
+        this->breakGang(run, EndCause::GangBroken);
+}
+
+WorkerAnswer FakeWorkers::stop(const std::string &id, const Tasks::StopOrder &order)
+{
+    Machine &machine = this->machines[id];
+    WorkerAnswer answer;
+    if (this->fences(machine, order.fencingToken, answer))
+        return answer;
+    const TaskName name{order.run.job, order.run.task};
+    std::int32_t &barred = machine.endedRuns[name];
+    barred = std::max(barred, order.run.run);
+    const auto running = machine.running.find(name);
+    if (running == machine.running.end() || running->second.run.run != order.run.run)
+        return answer;
+    const std::uint64_t serial = running->second.serial;
+    this->clock.in(this->stopTime, [this, id, name, serial] {
+        Machine &later = this->machines[id];
+        const auto still = later.running.find(name);
+        if (still != later.running.end() && still->second.serial == serial)
+            this->end(id, name, EndCause::Stopped);
+    });
+    return answer;
+}
+
+WorkerAnswer FakeWorkers::renew(const std::string &id, const Tasks::RenewOrder &order)
+{
+    Machine &machine = this->machines[id];
+    WorkerAnswer answer;
+    if (this->fences(machine, order.fencingToken, answer))
+        return answer;
+    if (order.leaseUntil != 0)
+        this->extendLease(id, order.leaseUntil);
+    for (const Tasks::EndedTask &ended : machine.ended) {
+        if (ended.number <= order.endsRecorded && ended.cause == EndCause::Done)
+            this->acknowledgedDone.insert({ended.run.job, ended.run.task});
+    }
+    std::erase_if(machine.ended, [&order](const Tasks::EndedTask &ended) {
+        return ended.number <= order.endsRecorded;
+    });
+    return this->report(machine);
+}
+
+WorkerAnswer FakeWorkers::report(const Machine &machine) const
+{
+    WorkerAnswer answer;
+    answer.outcome = WorkerOutcome::Done;
+    answer.clock = this->clockOf(machine);
+    answer.incarnation = machine.entry.incarnation;
+    for (const auto &[name, task] : machine.running)
+        answer.running.push_back({task.run, "", 0});
+    answer.ended = machine.ended;
+    return answer;
+}
+
+bool FakeWorkers::View::reaches(const std::string &id) const
+{
+    const auto machine = this->workers.machines.find(id);
+    if (machine == this->workers.machines.end() || !machine->second.alive)
+        return false;
+    const auto cut = this->workers.cutFrom.find(this->instance);
+    return cut == this->workers.cutFrom.end() || !cut->second.contains(id);
+}
+
+void FakeWorkers::View::answer(const WorkerHandler &handler, WorkerAnswer answer, Duration delay)
+{
+    SimClock &clock = this->workers.clock;
+    clock.in(delay, [handler, answer = std::move(answer), alive = this->alive, &clock] {
+        if (*alive)
+            handler(answer, clock.now());
+    });
+}
+
+void FakeWorkers::View::order(const std::string &id, Duration timeout, const WorkerHandler &handler,
+                              const Action &action)
+{
+    FakeWorkers &target = this->workers;
+    const bool reached = this->reaches(id);
+    const bool late = target.slowToObey.contains(id);
+    if (reached && late)
+        target.clock.in(target.lateness, [action] { action(); });
+    if (!reached || late) {
+        this->answer(handler, {}, timeout);
+        return;
+    }
+    target.clock.in(target.latency, [this, &target, action, handler, alive = this->alive] {
+        WorkerAnswer result = action();
+        if (*alive)
+            this->answer(handler, std::move(result), target.latency);
+    });
+}
+
+void FakeWorkers::View::start(const WorkerEntry &worker, const Tasks::StartOrder &order,
+                              Duration timeout, WorkerHandler handler)
+{
+    this->order(worker.id, timeout, handler, [&target = this->workers, id = worker.id, order] {
+        return target.start(id, order);
+    });
+}
+
+void FakeWorkers::View::stop(const WorkerEntry &worker, const Tasks::StopOrder &order,
+                             Duration timeout, WorkerHandler handler)
+{
+    this->order(worker.id, timeout, handler, [&target = this->workers, id = worker.id, order] {
+        return target.stop(id, order);
+    });
+}
+
+void FakeWorkers::View::renew(const WorkerEntry &worker, const Tasks::RenewOrder &order,
+                              Duration timeout, WorkerHandler handler)
+{
+    FakeWorkers &target = this->workers;
+    const std::string id = worker.id;
+    if (!this->reaches(id)) {
+        this->answer(handler, {}, timeout);
+        return;
+    }
+    target.clock.in(target.latency, [this, &target, id, order, handler, alive = this->alive] {
+        WorkerAnswer first = target.renew(id, order);
+        const bool waits
+            = first.outcome == WorkerOutcome::Done && first.ended.empty() && order.wait.count() > 0;
+        if (!waits) {
+            if (*alive)
+                this->answer(handler, std::move(first), target.latency);
+            return;
+        }
+        const auto done = std::make_shared<bool>(false);
+        const auto reply = [this, &target, id, handler, alive, done] {
+            if (!*alive || !this->reaches(id) || std::exchange(*done, true))
+                return;
+            this->answer(handler, target.report(target.machines[id]), target.latency);
+        };
+        target.machines[id].waiting.push_back(reply);
+        target.clock.in(order.wait, reply);
+        // An answer that does not come in time is no answer.
+        target.clock.in(order.wait + milliseconds(500), [this, handler, alive, done] {
+            if (!std::exchange(*done, true) && *alive)
+                this->answer(handler, {}, Duration{});
+        });
+    });
+}
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/SimClock.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <Coordination/TimerService.h>
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace Hibiscus::Coordination::Test {
+
+/// The time of a simulated site: events run in order of their time, equal ones in order of entry.
+class SimClock final : public WallClock
+{
+public:
+    TimePoint now() const { return this->time; }
+    std::int64_t nowMs() const override
+    {
+        return wallStart
+            + std::chrono::duration_cast<milliseconds>(this->time - TimePoint{}).count();
+    }
+
+    void at(TimePoint when, std::function<void()> event)
+    {
+        this->events.emplace(std::max(when, this->time), std::move(event));
+    }
+    void in(Duration delay, std::function<void()> event)
+    {
+        this->at(this->time + delay, std::move(event));
+    }
+
+    void run(Duration span)
+    {
+        const TimePoint until = this->time + span;
+        while (!this->events.empty() && this->events.begin()->first <= until) {
+            auto next = this->events.extract(this->events.begin());
+            this->time = next.key();
+            next.mapped()();
+        }
+        this->time = until;
+    }
+
+private:
+    static constexpr std::int64_t wallStart = 1'700'000'000'000; ///< Milliseconds since 1970.
+
+    TimePoint time{seconds(1000)};
+    std::multimap<TimePoint, std::function<void()>> events;
+};
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -0,0 +1,179 @@
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+using Tasks::JobState;
+
+class WorkerFault : public testing::Test
+{
+protected:
+    void TearDown() override
+    {
+        for (const std::string &violation : this->cluster.workers.violations)
+            ADD_FAILURE() << violation;
+        if (!HasFailure())
+            return;
+        for (const std::string &event : this->cluster.instances.at("entry-0")->journal.events)
+            std::cout << event << "\n";
+    }
+
+    void accept(std::uint32_t number, const std::string &body)
+    {
+        const std::optional<ClientReply> reply
+            = this->cluster.submit("entry-0", jobId(number), body);
+        ASSERT_TRUE(reply);
+        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
+    }
+
+    std::string busyWorker() const
+    {
+        for (int i = 0; i < 4; i++) {
+            const std::string id = "worker-" + std::to_string(i);
+            if (this->cluster.workers.running(id) > 0)
+                return id;
+        }
+        return {};
+    }
+
+    Cluster cluster{1, 4};
+};
+
+TEST_F(WorkerFault, TasksOfAWorkerStartedAnewRunElsewhereAtOnce)
+{
+    this->accept(1, jobBody("2000", 2, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string id = this->busyWorker();
+    this->cluster.putWorker(this->cluster.workers.startAnew(id));
+    this->cluster.run(seconds(3));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
+}
+
+TEST_F(WorkerFault, TasksOfADeadWorkerWaitForTheirLeaseAndRunElsewhere)
+{
+    this->accept(1, jobBody("2000", 2, 8));
+    this->cluster.run(milliseconds(500));
+    this->cluster.workers.kill(this->busyWorker());
+    this->cluster.run(seconds(12));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, WorkerCutOffRunsOnAndNothingRunsTwice)
+{
+    this->accept(1, jobBody("20000", 2, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string id = this->busyWorker();
+    this->cluster.workers.cutFrom["entry-0"] = {id};
+    this->cluster.run(seconds(9));
+    this->cluster.workers.cutFrom.clear();
+    this->cluster.run(seconds(25));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, LateStartsOfAnUnansweredWorkerDoNotRunBesideTheirReplacement)
+{
+    this->cluster.workers.slowToObey = {"worker-0"};
+    this->accept(1, jobBody("1000", 4, 8));
+    this->cluster.run(seconds(15));
+    this->cluster.workers.slowToObey.clear();
+    this->cluster.run(seconds(5));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, GangStartsWholeAndEndsTogether)
+{
+    this->accept(1, jobBody("1000,gang=3", 3, 8, true));
+    this->cluster.run(seconds(3));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
+}
+
+TEST_F(WorkerFault, GangThatLosesAMemberStartsAnewAsAWhole)
+{
+    this->accept(1, jobBody("3000,gang=2", 2, 8, true));
+    this->cluster.run(milliseconds(500));
+    const std::string id = this->busyWorker();
+    this->cluster.putWorker(this->cluster.workers.startAnew(id));
+    this->cluster.run(seconds(6));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(WorkerFault, JobFailsAfterItsAttemptsAndNotBefore)
+{
+    this->accept(1, jobBody("300,fail", 1, 1));
+    this->cluster.run(seconds(8));
+    const std::optional<ClientReply> reply = this->cluster.state("entry-0", jobId(1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->state, JobState::Failed);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
+TEST_F(WorkerFault, FailedGangCountsOneAttemptForAllItsMembers)
+{
+    this->accept(1, jobBody("300,fail,gang=2", 2, 8, true));
+    this->cluster.run(seconds(10));
+    const std::optional<ClientReply> reply = this->cluster.state("entry-0", jobId(1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->state, JobState::Failed);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(WorkerFault, CancelledJobStopsAndIsShownSo)
+{
+    this->accept(1, jobBody("20000", 6, 4));
+    this->cluster.run(milliseconds(500));
+    EXPECT_GT(this->cluster.workers.runningTasks(), 0U);
+    const std::optional<ClientReply> reply = this->cluster.cancel("entry-0", jobId(1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::Cancelled);
+    this->cluster.run(seconds(1));
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 0U);
+    EXPECT_EQ(this->cluster.state("entry-0", jobId(1))->state, JobState::Cancelled);
+}
+
+TEST_F(WorkerFault, DrainingWorkerIsGivenNothing)
+{
+    for (int i = 0; i < 3; i++) {
+        Tasks::WorkerEntry entry = this->cluster.workers.add("worker-" + std::to_string(i), "r-0");
+        entry.draining = true;
+        this->cluster.putWorker(entry);
+    }
+    this->cluster.run(milliseconds(100));
+    this->accept(1, jobBody("500", 6, 2));
+    this->cluster.run(milliseconds(300));
+    EXPECT_EQ(this->cluster.workers.running("worker-3"), 4U);
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 4U);
+}
+
+TEST_F(WorkerFault, RevokedKeyIsRefusedByTheStoresOwnCondition)
+{
+    // The change reaches the store while the instance's watch is deaf to it.
+    this->cluster.setKeys({"key-2"});
+    const std::optional<ClientReply> reply
+        = this->cluster.submit("entry-0", jobId(1), jobBody("500", 1, 1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::UnknownKey);
+    this->cluster.run(seconds(2));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 0U);
+}
+
+TEST_F(WorkerFault, ReadsWithARevokedKeyAreRefusedByAnInstanceCutFromTheStore)
+{
+    this->accept(1, jobBody("500", 1, 1));
+    this->cluster.store.paths["entry-0"] = StorePath::Silent;
+    this->cluster.setKeys({"key-2"});
+    this->cluster.run(seconds(5));
+    const std::optional<ClientReply> reply = this->cluster.state("entry-0", jobId(1));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::Unavailable);
+    EXPECT_FALSE(this->cluster.instances.at("entry-0")->jobs->isReady(this->cluster.clock.now()));
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
