Give a run up once when its loss gives up others of its worker

Cause: a gang's member that is lost has the others stopped; their lease is over too, so that they were given up inside the loop that then looked them up again.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -184,8 +184,10 @@
 
 void WorkerFleet::loseRun(Worker &worker, const RunKey &key, const char *reason, TimePoint now)
 {
+    // What the listener does about one lost run may already have given up another.
     const auto found = worker.runs.find(key);
-    assert(found != worker.runs.end());
+    if (found == worker.runs.end())
+        return;
     const RunEnd end{found->second.ref, worker.entry.id, Tasks::EndCause::LeaseLapsed,
                      found->second.checkpoint, 0};
     this->removeRun(worker, key, now);
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -103,6 +103,19 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
 }
 
+TEST_F(WorkerFault, GangOnOneDeadWorkerIsLostOnceAsAWhole)
+{
+    // Each lost member has the others stopped, whose lease is over as well.
+    this->accept(1, jobBody("3000,gang=4", 4, 2, true));
+    this->cluster.run(milliseconds(500));
+    const std::string id = this->busyWorker();
+    ASSERT_EQ(this->cluster.workers.running(id), 4U);
+    this->cluster.workers.kill(id);
+    this->cluster.run(seconds(14));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 8U);
+}
+
 TEST_F(WorkerFault, JobFailsAfterItsAttemptsAndNotBefore)
 {
     this->accept(1, jobBody("300,fail", 1, 1));
