--- a/Coordination/Leadership.cpp
+++ b/Coordination/Leadership.cpp
@@ -86,7 +86,7 @@
 void Leadership::campaignSoon()
 {
     const auto most = static_cast<std::uint32_t>(this->settings.largestCampaignDelay.count());
-    this->later(Duration(this->random(most)), &Leadership::campaign);
+    this->later(this->settings.handicap + Duration(this->random(most)), &Leadership::campaign);
 }
 
 void Leadership::campaign(TimePoint now)
--- a/Coordination/Leadership.h
+++ b/Coordination/Leadership.h
@@ -26,6 +26,7 @@
         Duration watchWait = seconds(2);
         Duration retry = milliseconds(200);
         Duration largestCampaignDelay = milliseconds(120); ///< Random, to avoid collisions.
+        Duration handicap{}; ///< Waited before each campaign, so that stronger machines come first.
     };
 
     struct Handlers
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -52,6 +52,21 @@
     return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
+/// All that a run takes from its job; its number is left open.
+WorkerFleet::Run describeRun(const LiveJob &job, const TaskRef &ref)
+{
+    const Tasks::Step &step = job.stepOf(ref);
+    WorkerFleet::Run run;
+    run.need = step.need;
+    run.priority = job.job.priority;
+    run.estimate = step.estimate;
+    run.members = step.gang ? step.count : 1;
+    run.checkpoints = step.checkpoints;
+    run.payload = job.job.payload;
+    run.checkpoint = job.progress.task(ref).checkpoint;
+    return run;
+}
+
 } // namespace
 
 TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
@@ -207,11 +222,8 @@
         if (!task.isOnWorker())
             continue;
         const TaskRef ref = job.progress.refAt(i);
-        WorkerFleet::Run run;
+        WorkerFleet::Run run = describeRun(job, ref);
         run.ref = {job.job.id, ref, task.run};
-        run.need = job.stepOf(ref).need;
-        run.payload = job.job.payload;
-        run.checkpoint = task.checkpoint;
         const RunEnd end{run.ref, task.worker, EndCause::LeaseLapsed, task.checkpoint, 0};
         if (!this->fleet.adopt(task.worker, task.incarnation, std::move(run), now))
             gone.push_back({end, true});
@@ -427,13 +439,14 @@
     if (this->planPending || this->phase != Phase::Leading)
         return;
     this->planPending = true;
-    this->timers.after(this->settings.planDelay,
-                       [this, generation = this->generation](TimePoint now) {
-                           if (generation != this->generation)
-                               return;
-                           this->planPending = false;
-                           this->plan(now);
-                       });
+    const auto workers = static_cast<Duration::rep>(this->fleet.all().size());
+    const Duration delay = this->settings.planDelay + this->settings.planDelayPerWorker * workers;
+    this->timers.after(delay, [this, generation = this->generation](TimePoint now) {
+        if (generation != this->generation)
+            return;
+        this->planPending = false;
+        this->plan(now);
+    });
 }
 
 void TaskDispatcher::plan(TimePoint now)
@@ -497,6 +510,7 @@
 {
     std::vector<Tasks::WorkerView> views;
     views.reserve(this->fleet.all().size());
+    const Tasks::UnixMs wall = this->wallClock.nowMs();
     for (const auto &[id, worker] : this->fleet.all()) {
         Tasks::WorkerView view;
         view.id = id;
@@ -505,8 +519,9 @@
         view.free = worker.entry.capacity;
         view.free -= worker.used;
         view.usable = worker.usable(now);
+        view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
-            view.occupants.push_back(this->viewOf(run, now));
+            view.occupants.push_back(this->viewOf(run, wall, now));
         views.push_back(std::move(view));
     }
     return views;
@@ -532,31 +547,20 @@
     }
 }
 
-Tasks::OccupantView TaskDispatcher::viewOf(const WorkerFleet::Run &run, TimePoint now)
+Tasks::OccupantView TaskDispatcher::viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
+                                           TimePoint now) const
 {
+    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
     Tasks::OccupantView view;
     view.need = run.need;
     view.stopping = run.stopWanted;
-    const LiveJob *job = this->jobs.find(run.ref.job);
-    if (!job)
-        return view;
-    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
-    const Duration left = job->stepOf(run.ref.task).estimate - elapsed;
-    view.expectedEnd = this->wallClock.nowMs() + std::max<std::int64_t>(0, toMs(left));
-    view.priority = job->job.priority;
-    view.lossIfStopped = this->lossOf(*job, run, now);
-    return view;
-}
-
-double TaskDispatcher::lossOf(const LiveJob &job, const WorkerFleet::Run &run, TimePoint now)
-{
-    const Tasks::Step &step = job.stepOf(run.ref.task);
-    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
+    view.priority = run.priority;
+    view.expectedEnd = wall + std::max<std::int64_t>(0, toMs(run.estimate - elapsed));
     double lost = std::chrono::duration<double>(elapsed).count();
-    if (step.checkpoints)
+    if (run.checkpoints)
         lost = std::min(lost, this->settings.checkpointLoss);
-    const double members = step.gang ? step.count : 1.0;
-    return lost * members * Tasks::weightOf(step.need);
+    view.lossIfStopped = lost * run.members * Tasks::weightOf(run.need);
+    return view;
 }
 
 void TaskDispatcher::carryOut(const Tasks::StartPlan &plan,
@@ -583,11 +587,8 @@
     LiveJob &job = *this->jobs.find(request.job);
     const TaskRef ref{request.occurrence, request.stepNumber, choice.index};
     const std::int64_t incarnation = this->fleet.all().find(worker)->second.entry.incarnation;
-    WorkerFleet::Run run;
+    WorkerFleet::Run run = describeRun(job, ref);
     run.ref = JobTable::assign(job, ref, worker, incarnation);
-    run.need = request.step->need;
-    run.payload = job.job.payload;
-    run.checkpoint = job.progress.task(ref).checkpoint;
     const RunRef runRef = run.ref;
     this->journal.tell(LogKind::Task, "run assigned",
                        {{"request", job.job.id},
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -26,6 +26,7 @@
         Duration statusRetention = seconds(120); ///< Of jobs that are over.
         Duration earliestStart = milliseconds(250); ///< Before an occurrence is due.
         Duration planDelay = milliseconds(4); ///< Gathers events that come together.
+        Duration planDelayPerWorker{70}; ///< A pass over many workers takes longer.
         Duration tick = milliseconds(250);
         Duration loadInterval = milliseconds(500); ///< Between two writes of the queues' load.
         Duration listTimeout = milliseconds(1500);
@@ -98,8 +99,8 @@
                      std::vector<Tasks::StartRequest> &requests);
     void findSiblings(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
     std::vector<Tasks::WorkerView> collectWorkers(TimePoint now);
-    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, TimePoint now);
-    double lossOf(const LiveJob &job, const WorkerFleet::Run &run, TimePoint now);
+    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
+                               TimePoint now) const;
     void carryOut(const Tasks::StartPlan &plan, std::span<const Tasks::StartRequest> requests,
                   std::span<const Tasks::WorkerView> workers, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -260,10 +260,31 @@
 
 void WorkerFleet::pollIfNeeded(Worker &worker, TimePoint now)
 {
-    if (!worker.polling && this->needsPoll(worker))
+    if (worker.polling || !this->needsPoll(worker))
+        return;
+    const bool pauses = worker.greeted && !worker.unrecorded.empty()
+        && now < worker.polledAt + this->settings.longestPollPause;
+    if (pauses)
+        this->pollAfterPause(worker, now);
+    else
         this->poll(worker.entry.id, now);
 }
 
+void WorkerFleet::pollAfterPause(Worker &worker, TimePoint now)
+{
+    if (std::exchange(worker.pauseTimed, true))
+        return;
+    const Duration left = worker.polledAt + this->settings.longestPollPause - now;
+    this->timers.after(
+        left, [this, id = worker.entry.id, generation = this->generation](TimePoint at) {
+            Worker *paused = generation == this->generation ? this->workerOf(id) : nullptr;
+            if (!paused)
+                return;
+            paused->pauseTimed = false;
+            this->pollIfNeeded(*paused, at);
+        });
+}
+
 void WorkerFleet::poll(const std::string &id, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
@@ -282,6 +303,7 @@
         order.wait = this->settings.pollWait;
     }
     worker->polling = true;
+    worker->polledAt = now;
     const Duration timeout = order.wait + this->settings.pollSlack;
     const std::int64_t acknowledged = order.endsRecorded;
     this->link.renew(worker->entry, order, timeout,
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -48,6 +48,9 @@
         Duration longestHold = seconds(6); ///< Longest lease that workers grant.
         Duration pollWait = seconds(2); ///< Workers answer at an end, or after this.
         Duration pollSlack = milliseconds(500); ///< More than this without an answer: none comes.
+        /// A worker answers at once while it lists an end, so it is asked again when the end is
+        /// stored, or after this, for the sake of its leases.
+        Duration longestPollPause = milliseconds(1500);
         Duration orderTimeout = milliseconds(400);
         Duration retry = milliseconds(150);
         Duration longestRetry = seconds(1);
@@ -64,6 +67,10 @@
     {
         Tasks::RunRef ref;
         Tasks::Resources need;
+        std::int32_t priority = 0;
+        Duration estimate{}; ///< Of its run time.
+        std::int32_t members = 1; ///< Of its gang.
+        bool checkpoints = false;
         std::string payload;
         std::string checkpoint; ///< Newest known.
         std::int32_t percent = 0;
@@ -93,6 +100,8 @@
         std::set<std::int64_t> unrecorded; ///< Ends that are not stored yet.
         std::int64_t acknowledged = 0; ///< Highest end that the worker was told to forget.
         bool polling = false;
+        bool pauseTimed = false; ///< A timer ends the pause between two polls.
+        TimePoint polledAt{}; ///< Start of the last poll.
         Duration pollRetry{};
         std::map<std::pair<std::string, Tasks::TaskRef>, Run> runs;
 
@@ -153,6 +162,7 @@
                 TimePoint now);
     bool needsPoll(const Worker &worker) const;
     void pollIfNeeded(Worker &worker, TimePoint now);
+    void pollAfterPause(Worker &worker, TimePoint now);
     void answeredAtAll(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
     void reborn(Worker &worker, std::int64_t incarnation, TimePoint now);
     void takeEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -62,12 +62,28 @@
     return decoders;
 }
 
+/// The leader's work grows with the whole fleet, so machines with little processor time or a slow
+/// link let others go first.
+Duration campaignHandicap(const Tasks::SiteSettings &site)
+{
+    constexpr double amplyCores = 0.25;
+    constexpr double amplyMbps = 100.0;
+    const Duration each = milliseconds(300);
+    Duration handicap{};
+    if (site.cores < amplyCores)
+        handicap += each;
+    if (site.linkMbps < amplyMbps)
+        handicap += each;
+    return handicap;
+}
+
 Coordination::Leadership::Settings leadershipSettings(const Tasks::SiteSettings &site)
 {
     Coordination::Leadership::Settings settings;
     settings.instance = site.instance;
     settings.seed = seedOf(site.instance);
     settings.term = std::max(settings.term, site.shortestLease);
+    settings.handicap = campaignHandicap(site);
     return settings;
 }
 
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -16,6 +16,8 @@
     std::string readinessAddress; ///< IP:port where the platform asks for readiness.
     std::string ip;
     std::string storeAddress; ///< IP:port.
+    double cores = 0.25; ///< That this machine gives to the process.
+    double linkMbps = 1000.0;
     Duration shortestLease = seconds(1); ///< That the store grants.
     Duration longestHold = seconds(6); ///< Longest lease that a worker grants to what runs.
     Duration gangWait = seconds(3); ///< How long a worker keeps a gang's member waiting.
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -41,6 +41,7 @@
         for (const WorkerView &worker : workers)
             this->stage.free.push_back(worker.free);
         this->stage.displaced.resize(workers.size());
+        this->orders.resize(workers.size());
         this->groupWorkers();
     }
 
@@ -49,7 +50,16 @@
 private:
     using Chosen = std::vector<std::size_t>; ///< A worker for each task of a request.
 
+    /// Orders of a worker's occupants, made when they are first needed.
+    struct OccupantOrders
+    {
+        bool made = false;
+        std::vector<std::size_t> byEnd; ///< First to end first.
+        std::vector<std::size_t> byLoss; ///< Least urgent first, then the cheapest to stop.
+    };
+
     void groupWorkers();
+    const OccupantOrders &ordersOf(std::size_t worker) const;
     void serve(std::size_t request);
     void serveGang(std::size_t request);
     void serveSingly(std::size_t request);
@@ -58,6 +68,8 @@
     bool hasRoom(const StartRequest &request, std::size_t worker) const;
     bool belowMost(const StartRequest &request, std::size_t taken) const;
     bool insistsOnRack(const StartRequest &request) const;
+    bool surelyHasNoRoom(const StartRequest &request) const;
+    void noteUnplaced(const StartRequest &request);
     std::optional<std::size_t> bestWorker(const StartRequest &request,
                                           std::span<const std::size_t> candidates,
                                           const Chosen &taken) const;
@@ -104,6 +116,8 @@
     std::span<const WorkerView> workers;
     UnixMs now;
     Stage stage;
+    mutable std::vector<OccupantOrders> orders;
+    std::vector<const StartRequest *> unplaced; ///< No worker has room for a task of these.
     std::vector<std::size_t> everyWorker;
     std::map<std::string_view, std::vector<std::size_t>> racks;
     std::size_t reservations = 0;
@@ -163,8 +177,10 @@
     for (const std::int32_t index : request.indexes) {
         const std::optional<std::size_t> worker
             = this->bestWorker(request, this->everyWorker, taken);
-        if (!worker)
+        if (!worker) {
+            this->noteUnplaced(request);
             break;
+        }
         this->stage.free[*worker] -= request.step->need;
         taken.push_back(*worker);
         this->plan.starts.push_back({number, index, *worker});
@@ -206,6 +222,25 @@
     return static_cast<double>(this->now - request.readySince) < worthWaiting;
 }
 
+/// Room shrinks while a pass goes on: where a task found none, one that needs as much and may run
+/// nowhere else finds none either.
+bool PlanPass::surelyHasNoRoom(const StartRequest &request) const
+{
+    const auto impliesNone = [&request](const StartRequest *failed) {
+        return failed->service == request.service
+            && failed->step->requiredLabel == request.step->requiredLabel
+            && failed->step->need.fitsInto(request.step->need);
+    };
+    return std::any_of(this->unplaced.begin(), this->unplaced.end(), impliesNone);
+}
+
+void PlanPass::noteUnplaced(const StartRequest &request)
+{
+    const bool byRoomAlone = request.step->maxPerWorker == 0 && !this->insistsOnRack(request);
+    if (byRoomAlone && !this->surelyHasNoRoom(request))
+        this->unplaced.push_back(&request);
+}
+
 /// Room that the task leaves behind on the worker and that little else can use.
 double PlanPass::waste(const StartRequest &request, std::size_t worker) const
 {
@@ -223,6 +258,8 @@
                                                 std::span<const std::size_t> candidates,
                                                 const Chosen &taken) const
 {
+    if (this->surelyHasNoRoom(request))
+        return std::nullopt;
     const bool onRackOnly = this->insistsOnRack(request);
     std::optional<std::size_t> best;
     double least = std::numeric_limits<double>::infinity();
@@ -300,22 +337,41 @@
     return this->placeAll(request, this->everyWorker);
 }
 
+const PlanPass::OccupantOrders &PlanPass::ordersOf(std::size_t number) const
+{
+    OccupantOrders &known = this->orders[number];
+    if (known.made)
+        return known;
+    known.made = true;
+    const std::vector<OccupantView> &occupants = this->workers[number].occupants;
+    known.byEnd.resize(occupants.size());
+    std::iota(known.byEnd.begin(), known.byEnd.end(), std::size_t{0});
+    known.byLoss = known.byEnd;
+    const auto endsFirst = [&occupants](std::size_t left, std::size_t right) {
+        return occupants[left].expectedEnd < occupants[right].expectedEnd;
+    };
+    const auto cheaper = [&occupants](std::size_t left, std::size_t right) {
+        const OccupantView &a = occupants[left];
+        const OccupantView &b = occupants[right];
+        return a.priority != b.priority ? a.priority > b.priority
+                                        : a.lossIfStopped < b.lossIfStopped;
+    };
+    std::stable_sort(known.byEnd.begin(), known.byEnd.end(), endsFirst);
+    std::stable_sort(known.byLoss.begin(), known.byLoss.end(), cheaper);
+    return known;
+}
+
 UnixMs PlanPass::roomAt(const StartRequest &request, std::size_t number) const
 {
     const WorkerView &worker = this->workers[number];
-    std::vector<const OccupantView *> byEnd;
-    for (const OccupantView &occupant : worker.occupants)
-        byEnd.push_back(&occupant);
-    std::sort(byEnd.begin(), byEnd.end(), [](const OccupantView *a, const OccupantView *b) {
-        return a->expectedEnd < b->expectedEnd;
-    });
     Resources room = this->stage.free[number];
     UnixMs at = this->now;
-    for (const OccupantView *occupant : byEnd) {
+    for (const std::size_t place : this->ordersOf(number).byEnd) {
         if (request.step->need.fitsInto(room))
             return at;
-        room += occupant->need;
-        at = std::max(at, occupant->stopping ? this->now : occupant->expectedEnd);
+        const OccupantView &occupant = worker.occupants[place];
+        room += occupant.need;
+        at = std::max(at, occupant.stopping ? this->now : occupant.expectedEnd);
     }
     return request.step->need.fitsInto(room) ? at : std::numeric_limits<UnixMs>::max();
 }
@@ -393,20 +449,6 @@
 {
     const WorkerView &worker = this->workers[number];
     const std::vector<std::size_t> &gone = this->stage.displaced[number];
-    std::vector<std::size_t> victims;
-    for (std::size_t i = 0; i < worker.occupants.size(); i++) {
-        const OccupantView &occupant = worker.occupants[i];
-        const bool alreadyGone = std::find(gone.begin(), gone.end(), i) != gone.end();
-        if (!occupant.stopping && !alreadyGone && occupant.priority > request.priority)
-            victims.push_back(i);
-    }
-    const auto cheaper = [&worker](std::size_t left, std::size_t right) {
-        const OccupantView &a = worker.occupants[left];
-        const OccupantView &b = worker.occupants[right];
-        return a.priority != b.priority ? a.priority > b.priority
-                                        : a.lossIfStopped < b.lossIfStopped;
-    };
-    std::sort(victims.begin(), victims.end(), cheaper);
     Displacement result;
     result.worker = number;
     Resources room = this->stage.free[number];
@@ -415,12 +457,18 @@
         if (occupant.stopping)
             room += occupant.need;
     }
-    for (const std::size_t victim : victims) {
+    for (const std::size_t place : this->ordersOf(number).byLoss) {
         if (request.step->need.fitsInto(room))
             break;
-        room += worker.occupants[victim].need;
-        loss += worker.occupants[victim].lossIfStopped;
-        result.occupants.push_back(victim);
+        const OccupantView &occupant = worker.occupants[place];
+        if (occupant.priority <= request.priority)
+            break;
+        const bool alreadyGone = std::find(gone.begin(), gone.end(), place) != gone.end();
+        if (occupant.stopping || alreadyGone)
+            continue;
+        room += occupant.need;
+        loss += occupant.lossIfStopped;
+        result.occupants.push_back(place);
     }
     if (request.step->need.fitsInto(room))
         result.loss = loss;
