--- /dev/null
+++ b/UnitTests/Coordination/LeadershipTest.cpp
@@ -0,0 +1,64 @@
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+TEST(Leadership, OneOfManyLeads)
+{
+    Cluster cluster(6, 2);
+    std::size_t leaders = 0;
+    for (const auto &[name, instance] : cluster.instances)
+        leaders += instance->leadership->leads(cluster.clock.now()) ? 1 : 0;
+    EXPECT_EQ(leaders, 1U);
+}
+
+TEST(Leadership, TokensRiseFromLeaderToLeader)
+{
+    Cluster cluster(3, 2);
+    std::int64_t last = 0;
+    for (int round = 0; round < 4; round++) {
+        const std::string leader = cluster.leader();
+        ASSERT_NE(leader, "");
+        const std::int64_t token = cluster.instances.at(leader)->leadership->token();
+        EXPECT_GT(token, last);
+        last = token;
+        cluster.killInstance(leader);
+        cluster.startInstance(leader);
+        cluster.run(seconds(4));
+    }
+}
+
+TEST(Leadership, LeaderStopsByItsOwnClockBeforeAnotherFollows)
+{
+    Cluster cluster(3, 2);
+    const std::string former = cluster.leader();
+    cluster.store.paths[former] = StorePath::Silent;
+    for (int step = 0; step < 500; step++) {
+        cluster.run(milliseconds(10));
+        std::size_t leaders = 0;
+        for (const auto &[name, instance] : cluster.instances)
+            leaders += instance->leadership->leads(cluster.clock.now()) ? 1 : 0;
+        ASSERT_LE(leaders, 1U);
+    }
+    EXPECT_NE(cluster.leader(), former);
+}
+
+TEST(Leadership, LostAnswerToTheWinningCampaignIsFoundOut)
+{
+    Cluster cluster(1, 2);
+    cluster.killInstance("entry-0");
+    cluster.run(seconds(4));
+    cluster.startInstance("entry-0");
+    cluster.store.everyPath = StorePath::LosesAnswers;
+    cluster.run(milliseconds(300));
+    cluster.store.everyPath = StorePath::Open;
+    cluster.run(seconds(6));
+    EXPECT_EQ(cluster.leader(), "entry-0");
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Tasks/JobRecordTest.cpp
@@ -0,0 +1,101 @@
+#include <Tasks/JobRecord.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+Job sampleJob()
+{
+    Job job;
+    job.id = "00000000000000ab";
+    job.queue = "urgent";
+    job.service = "blend";
+    job.customer = "parks";
+    job.maxAttempts = 3;
+    job.stretch = 1.5;
+    job.targetLatency = milliseconds(250);
+    job.acceptedAt = 1'700'000'000'000;
+    job.payload = "text with \"quotes\" and \xc3\xa9";
+    Step first;
+    first.count = 2;
+    first.need = {500, 256, 4};
+    first.estimate = milliseconds(900);
+    first.gang = true;
+    first.sameRack = true;
+    first.dataRack = "r1-3";
+    Step second;
+    second.count = 3;
+    second.after = {0};
+    second.checkpoints = true;
+    second.estimate = seconds(2);
+    second.maxPerWorker = 1;
+    second.requiredLabel = "kind-a";
+    job.steps = {first, second};
+    job.repetition = {2, 1'700'000'005'000, milliseconds(4500)};
+    return job;
+}
+
+TEST(JobRecord, JobSurvivesItsRecord)
+{
+    const Job job = sampleJob();
+    const tl::expected<Job, std::string> read = decodeJob(encodeJob(job));
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_EQ(encodeJob(*read), encodeJob(job));
+    EXPECT_EQ(read->payload, job.payload);
+    EXPECT_EQ(read->steps[1].after, job.steps[1].after);
+    EXPECT_EQ(read->occurrences(), 2);
+}
+
+TEST(JobRecord, ProgressSurvivesItsRecord)
+{
+    const Job job = sampleJob();
+    JobProgress progress(job);
+    progress.state = JobState::Running;
+    TaskProgress &task = progress.task({1, 1, 2});
+    task.state = TaskState::Assigned;
+    task.run = 3;
+    task.failures = 1;
+    task.lastFailedRun = 2;
+    task.worker = "i-1";
+    task.incarnation = 77;
+    task.checkpoint = "0a";
+    const tl::expected<JobProgress, std::string> read
+        = decodeProgress(encodeProgress(progress), job);
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_EQ(*read, progress);
+    EXPECT_EQ(decodeProgressState(encodeProgress(progress)).value(), JobState::Running);
+}
+
+TEST(JobRecord, BrokenTextIsAnErrorInWords)
+{
+    EXPECT_FALSE(decodeJob("{"));
+    EXPECT_FALSE(decodeJob("{\"id\":1}"));
+    EXPECT_FALSE(decodeProgress("[]", sampleJob()));
+    EXPECT_FALSE(decodeProgressState("null"));
+}
+
+TEST(JobProgress, NamesOfTasksThatDoNotExistAreRefused)
+{
+    const JobProgress progress(sampleJob());
+    EXPECT_TRUE(progress.contains({1, 1, 2}));
+    EXPECT_FALSE(progress.contains({2, 0, 0}));
+    EXPECT_FALSE(progress.contains({0, 2, 0}));
+    EXPECT_FALSE(progress.contains({0, 0, 2}));
+    EXPECT_FALSE(progress.contains({0, 0, -1}));
+    for (std::size_t i = 0; i < progress.taskCount(); i++)
+        EXPECT_TRUE(progress.contains(progress.refAt(i)));
+}
+
+TEST(Job, ObjectiveCountsTheLongestChainFromTheDueTime)
+{
+    const Job job = sampleJob();
+    EXPECT_EQ(job.longestChain(), milliseconds(2900));
+    EXPECT_EQ(job.objectiveAt(0), job.repetition.first + 4350 + 250);
+    EXPECT_EQ(job.dueAt(1), job.repetition.first + 4500);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -0,0 +1,252 @@
+#include <Tasks/StartPlanner.h>
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+constexpr UnixMs now = 1'700'000'000'000;
+constexpr Resources wholeWorker{32000, 65536, 8};
+
+/// Workers in racks of two and the requests of one moment.
+class StartPlannerTest : public testing::Test
+{
+protected:
+    void addWorkers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; i++) {
+            const std::size_t number = this->views.size();
+            this->ids.push_back("worker-" + std::to_string(number));
+            this->labels.push_back({"kind-a", "rack-" + std::to_string(number / 2)});
+            WorkerView view;
+            view.id = this->ids.back();
+            view.service = "blend";
+            view.labels = this->labels.back();
+            view.free = wholeWorker;
+            view.usable = true;
+            this->views.push_back(view);
+        }
+    }
+
+    void occupy(std::size_t worker, Resources need, std::int32_t priority, UnixMs endsIn,
+                double loss)
+    {
+        this->views[worker].free -= need;
+        this->views[worker].occupants.push_back({need, priority, now + endsIn, loss});
+    }
+
+    /// A request for alike tasks that was ready 100 ms ago and is in time.
+    StartRequest &request(std::int32_t priority, std::int32_t tasks, std::int64_t accelerators)
+    {
+        Step step;
+        step.count = tasks;
+        step.need = {1000 * accelerators, 1000, accelerators};
+        step.estimate = seconds(2);
+        this->steps.push_back(step);
+        StartRequest request;
+        request.job = "job";
+        request.step = &this->steps.back();
+        request.service = "blend";
+        request.priority = priority;
+        request.readySince = now - 100;
+        request.objectiveAt = now + 10'000;
+        request.worthlessAt = now + 30'000;
+        for (std::int32_t i = 0; i < tasks; i++)
+            request.indexes.push_back(i);
+        this->requests.push_back(request);
+        return this->requests.back();
+    }
+
+    Step &stepOf(std::size_t request) { return this->steps[request]; }
+
+    StartPlan plan() const
+    {
+        return StartPlanner(StartPlanner::Settings{}).plan(this->requests, this->views, now);
+    }
+
+    static std::size_t startsOf(const StartPlan &plan, std::size_t request)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(plan.starts.begin(), plan.starts.end(),
+                          [request](const StartChoice &start) { return start.request == request; }));
+    }
+
+    std::deque<std::string> ids;
+    std::deque<std::vector<std::string>> labels;
+    std::deque<Step> steps;
+    std::vector<WorkerView> views;
+    std::vector<StartRequest> requests;
+};
+
+TEST_F(StartPlannerTest, UrgentWorkGoesFirstWhenBatchWorkFloodsIn)
+{
+    this->addWorkers(2);
+    for (int i = 0; i < 20; i++)
+        this->request(2, 16, 1);
+    this->request(0, 4, 4);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(startsOf(plan, 20), 4U);
+}
+
+TEST_F(StartPlannerTest, SmallTasksArePackedSoThatWholeWorkersStayFree)
+{
+    this->addWorkers(4);
+    this->request(1, 8, 1);
+    const StartPlan plan = this->plan();
+    std::set<std::size_t> used;
+    for (const StartChoice &start : plan.starts)
+        used.insert(start.worker);
+    EXPECT_EQ(used.size(), 1U);
+}
+
+TEST_F(StartPlannerTest, RoomIsKeptForALargeTaskAgainstAStreamOfSmallOnes)
+{
+    this->addWorkers(2);
+    this->occupy(0, {1000, 1000, 4}, 2, 500, 10.0);
+    this->occupy(1, {1000, 1000, 4}, 2, 9000, 10.0);
+    this->request(1, 1, 8);
+    this->request(2, 16, 1);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(startsOf(plan, 0), 0U);
+    // The worker that is free first is kept; the other takes the small ones.
+    for (const StartChoice &start : plan.starts)
+        EXPECT_EQ(start.worker, 1U);
+    EXPECT_EQ(startsOf(plan, 1), 4U);
+}
+
+TEST_F(StartPlannerTest, GuaranteeIsReclaimedFromTheCheapestWork)
+{
+    this->addWorkers(2);
+    this->occupy(0, {8000, 1000, 8}, 1, 4000, 900.0);
+    this->occupy(1, {8000, 1000, 8}, 2, 4000, 300.0);
+    this->request(0, 1, 8);
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.reclaims.size(), 1U);
+    EXPECT_EQ(plan.reclaims.front(), (ReclaimChoice{1, 0}));
+}
+
+TEST_F(StartPlannerTest, RoomThatIsComingFreeIsNotReclaimedTwice)
+{
+    this->addWorkers(2);
+    this->occupy(0, {8000, 1000, 8}, 2, 4000, 300.0);
+    this->views[0].occupants[0].stopping = true;
+    this->occupy(1, {8000, 1000, 8}, 2, 4000, 300.0);
+    this->request(0, 1, 8);
+    EXPECT_TRUE(this->plan().reclaims.empty());
+}
+
+TEST_F(StartPlannerTest, RoomComingFreeForUrgentWorkIsNotGivenAway)
+{
+    this->addWorkers(1);
+    this->occupy(0, {8000, 1000, 4}, 2, 4000, 300.0);
+    this->views[0].occupants[0].stopping = true;
+    this->request(0, 1, 8);
+    this->request(2, 4, 1);
+    const StartPlan plan = this->plan();
+    EXPECT_TRUE(plan.starts.empty());
+}
+
+TEST_F(StartPlannerTest, GangBoundToOneRackIsGivenRoomInOneRack)
+{
+    // The cheapest victims stand in different racks; only rack 1 can be cleared as a whole.
+    this->addWorkers(4);
+    this->occupy(0, {8000, 1000, 8}, 2, 4000, 10.0);
+    this->occupy(1, {8000, 1000, 8}, 0, 4000, 10.0);
+    this->occupy(2, {8000, 1000, 8}, 2, 4000, 500.0);
+    this->occupy(3, {8000, 1000, 8}, 2, 4000, 500.0);
+    this->request(0, 2, 8);
+    this->stepOf(0).gang = true;
+    this->stepOf(0).sameRack = true;
+    const StartPlan plan = this->plan();
+    const std::vector<ReclaimChoice> wanted{{2, 0}, {3, 0}};
+    EXPECT_EQ(plan.reclaims, wanted);
+}
+
+TEST_F(StartPlannerTest, GangStartsAsAWholeOrNotAtAll)
+{
+    this->addWorkers(2);
+    this->occupy(0, {8000, 1000, 8}, 0, 4000, 10.0);
+    this->request(0, 2, 8);
+    this->stepOf(0).gang = true;
+    const StartPlan plan = this->plan();
+    EXPECT_TRUE(plan.starts.empty());
+    EXPECT_TRUE(plan.reclaims.empty());
+}
+
+TEST_F(StartPlannerTest, LimitForOneWorkerCountsTasksThatRunAlready)
+{
+    this->addWorkers(3);
+    StartRequest &request = this->request(0, 3, 1);
+    this->stepOf(0).maxPerWorker = 1;
+    request.indexes = {1, 2};
+    request.besides = {0};
+    const StartPlan plan = this->plan();
+    std::set<std::size_t> used;
+    for (const StartChoice &start : plan.starts)
+        used.insert(start.worker);
+    EXPECT_EQ(used, (std::set<std::size_t>{1, 2}));
+}
+
+TEST_F(StartPlannerTest, LimitForOneWorkerHoldsForReclaimedRoom)
+{
+    this->addWorkers(2);
+    for (std::size_t worker : {0U, 1U}) {
+        this->occupy(worker, {4000, 1000, 4}, 2, 4000, worker == 0 ? 1.0 : 50.0);
+        this->occupy(worker, {4000, 1000, 4}, 2, 4000, worker == 0 ? 1.0 : 50.0);
+    }
+    this->request(0, 2, 4);
+    this->stepOf(0).maxPerWorker = 1;
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.reclaims.size(), 2U);
+    EXPECT_NE(plan.reclaims[0].worker, plan.reclaims[1].worker);
+}
+
+TEST_F(StartPlannerTest, TaskWaitsForTheRackOfItsDataWhileThatPays)
+{
+    this->addWorkers(4);
+    this->occupy(2, {8000, 1000, 8}, 0, 400, 10.0);
+    this->occupy(3, {8000, 1000, 8}, 0, 400, 10.0);
+    StartRequest &request = this->request(1, 1, 8);
+    this->stepOf(0).dataRack = "rack-1";
+    EXPECT_TRUE(this->plan().starts.empty());
+    request.readySince = now - 60'000;
+    EXPECT_EQ(this->plan().starts.size(), 1U);
+}
+
+TEST_F(StartPlannerTest, RequiredLabelIsNeverPassedOver)
+{
+    this->addWorkers(2);
+    this->request(0, 1, 1);
+    this->stepOf(0).requiredLabel = "kind-b";
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
+TEST_F(StartPlannerTest, WorkThatCanStillBeInTimePrecedesWorkThatIsLate)
+{
+    this->addWorkers(1);
+    StartRequest &late = this->request(1, 1, 8);
+    late.objectiveAt = now - 1000;
+    this->request(1, 1, 8);
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts.front().request, 1U);
+}
+
+TEST_F(StartPlannerTest, SamePlanForSameInputs)
+{
+    this->addWorkers(8);
+    for (int i = 0; i < 12; i++)
+        this->request(i % 3, 1 + i % 5, 1 + i % 8);
+    const StartPlan first = this->plan();
+    const StartPlan second = this->plan();
+    EXPECT_EQ(first.starts, second.starts);
+    EXPECT_EQ(first.reclaims, second.reclaims);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Tasks
