Let an urgent gang give up its data's rack in time to be started

Reclaiming now looks at the same workers as placing, and an urgent request waits for its rack 1.2 s at most.

--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -68,6 +68,8 @@
     bool hasRoom(const StartRequest &request, std::size_t worker) const;
     bool belowMost(const StartRequest &request, std::size_t taken) const;
     bool insistsOnRack(const StartRequest &request) const;
+    /// Eligible, and on the data's rack while the request insists on that.
+    bool allowed(const StartRequest &request, std::size_t worker) const;
     bool surelyHasNoRoom(const StartRequest &request) const;
     void noteUnplaced(const StartRequest &request);
     std::optional<std::size_t> bestWorker(const StartRequest &request,
@@ -202,7 +204,7 @@
 
 bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
 {
-    return this->eligible(request, worker) && request.step->need.fitsInto(this->stage.free[worker]);
+    return request.step->need.fitsInto(this->stage.free[worker]) && this->allowed(request, worker);
 }
 
 bool PlanPass::belowMost(const StartRequest &request, std::size_t taken) const
@@ -218,10 +220,20 @@
         return false;
     const double lost
         = static_cast<double>(toMs(request.step->estimate)) * (this->settings.remoteDataFactor - 1);
-    const double worthWaiting = lost / 2;
+    double worthWaiting = lost / 2;
+    if (request.priority <= this->settings.mostReclaimPriority)
+        worthWaiting = std::min(worthWaiting,
+                                static_cast<double>(toMs(this->settings.longestUrgentRackWait)));
     return static_cast<double>(this->now - request.readySince) < worthWaiting;
 }
 
+bool PlanPass::allowed(const StartRequest &request, std::size_t worker) const
+{
+    return this->eligible(request, worker)
+        && (!this->insistsOnRack(request)
+            || hasLabel(this->workers[worker], request.step->dataRack));
+}
+
 /// Room shrinks while a pass goes on: where a task found none, one that needs as much and may run
 /// nowhere else finds none either.
 bool PlanPass::surelyHasNoRoom(const StartRequest &request) const
@@ -260,14 +272,11 @@
 {
     if (this->surelyHasNoRoom(request))
         return std::nullopt;
-    const bool onRackOnly = this->insistsOnRack(request);
     std::optional<std::size_t> best;
     double least = std::numeric_limits<double>::infinity();
     for (const std::size_t worker : candidates) {
         if (!this->hasRoom(request, worker))
             continue;
-        if (onRackOnly && !hasLabel(this->workers[worker], request.step->dataRack))
-            continue;
         if (request.step->maxPerWorker > 0) {
             const auto there = std::count(taken.begin(), taken.end(), worker);
             if (!this->belowMost(request, static_cast<std::size_t>(there)))
@@ -379,13 +388,10 @@
 std::optional<std::size_t> PlanPass::soonestWorker(const StartRequest &request,
                                                    std::span<const std::size_t> candidates) const
 {
-    const bool onRackOnly = this->insistsOnRack(request);
     std::optional<std::size_t> best;
     UnixMs soonest = std::numeric_limits<UnixMs>::max();
     for (const std::size_t worker : candidates) {
-        if (!this->eligible(request, worker))
-            continue;
-        if (onRackOnly && !hasLabel(this->workers[worker], request.step->dataRack))
+        if (!this->allowed(request, worker))
             continue;
         const UnixMs at = this->roomAt(request, worker);
         if (at < soonest) {
@@ -508,7 +514,7 @@
         Displacement best;
         for (const std::size_t worker : candidates) {
             const auto there = std::count(taken.begin(), taken.end(), worker);
-            if (!this->eligible(request, worker)
+            if (!this->allowed(request, worker)
                 || !this->belowMost(request, static_cast<std::size_t>(there)))
                 continue;
             Displacement option = this->cheapestDisplacement(request, worker);
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -81,6 +81,9 @@
     {
         double remoteDataFactor = 3.0; ///< Run time off the data's rack, against on it.
         std::int32_t mostReclaimPriority = 0; ///< Requests up to this may displace others.
+        /// How long a request that may displace others waits for its data's rack; it is owed a
+        /// start within a bound that the platform sets.
+        Duration longestUrgentRackWait = milliseconds(1200);
         std::size_t mostReservations = 24; ///< Tasks for which room is kept as it comes free.
     };
 
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -70,9 +70,9 @@
 
     static std::size_t startsOf(const StartPlan &plan, std::size_t request)
     {
-        return static_cast<std::size_t>(
-            std::count_if(plan.starts.begin(), plan.starts.end(),
-                          [request](const StartChoice &start) { return start.request == request; }));
+        return static_cast<std::size_t>(std::count_if(
+            plan.starts.begin(), plan.starts.end(),
+            [request](const StartChoice &start) { return start.request == request; }));
     }
 
     std::deque<std::string> ids;
@@ -217,6 +217,25 @@
     EXPECT_EQ(this->plan().starts.size(), 1U);
 }
 
+TEST_F(StartPlannerTest, UrgentGangGivesUpItsDatasRackWhenThatIsFullOfUrgentWork)
+{
+    // Room reclaimed in another rack is of no use while the gang insists on its own.
+    this->addWorkers(4);
+    this->occupy(0, {8000, 1000, 8}, 0, 9000, 10.0);
+    this->occupy(1, {8000, 1000, 8}, 0, 9000, 10.0);
+    this->occupy(2, {8000, 1000, 8}, 2, 9000, 10.0);
+    this->occupy(3, {8000, 1000, 8}, 2, 9000, 10.0);
+    StartRequest &request = this->request(0, 2, 8);
+    this->stepOf(0).gang = true;
+    this->stepOf(0).sameRack = true;
+    this->stepOf(0).dataRack = "rack-0";
+    this->stepOf(0).estimate = seconds(12);
+    request.objectiveAt = now + 20'000;
+    EXPECT_TRUE(this->plan().reclaims.empty());
+    request.readySince = now - 1300;
+    EXPECT_EQ(this->plan().reclaims.size(), 2U);
+}
+
 TEST_F(StartPlannerTest, RequiredLabelIsNeverPassedOver)
 {
     this->addWorkers(2);
