Keep room that is being made for the request it is made for, guaranteed work first

Claims now come back with their request; room of a victim counts as coming, not as free; jobs within their customer's guarantee rank first; urgent work that is late displaces only the least urgent. Each has a test that fails before.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -72,7 +72,7 @@
 TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
                                TimerService &timers, const WallClock &wallClock, Journal &journal,
                                Leadership &leadership, const Settings &settings,
-                               EntryDecoder decoder)
+                               EntryDecoder decoder, GuaranteeLookup guarantees)
     : store(store)
     , timers(timers)
     , wallClock(wallClock)
@@ -80,6 +80,7 @@
     , leadership(leadership)
     , settings(settings)
     , decoder(std::move(decoder))
+    , guarantees(std::move(guarantees))
     , fleet(link, timers, journal, settings.fleet, *this)
     , writer(store, timers, settings.writer,
              {[this](const std::string &job) { return this->encodeRecord(job); },
@@ -124,6 +125,7 @@
     this->workersListed = false;
     this->progressComplete = false;
     this->planPending = false;
+    this->claims.clear();
     this->loadOutstanding = false;
     this->writtenLoad.clear();
     this->fleet.begin(token, now);
@@ -457,12 +459,71 @@
     if (requests.empty())
         return;
     const std::vector<Tasks::WorkerView> workers = this->collectWorkers(now);
-    for (Tasks::StartRequest &request : requests)
+    this->markGuaranteed(requests);
+    for (Tasks::StartRequest &request : requests) {
         this->findSiblings(request, workers);
+        this->restoreClaims(request, workers);
+    }
     const Tasks::StartPlan plan = this->planner.plan(requests, workers, this->wallClock.nowMs());
+    this->keepClaims(plan, requests, workers);
     this->carryOut(plan, requests, workers, now);
 }
 
+/// A customer's urgent jobs are owed their start as long as all of them, in the order of their
+/// acceptance, need no more than it is guaranteed.
+void TaskDispatcher::markGuaranteed(std::span<Tasks::StartRequest> requests)
+{
+    std::map<std::string_view, std::vector<const LiveJob *>> urgent;
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (!job.isOver() && job.job.priority == 0)
+            urgent[job.job.customer].push_back(&job);
+    }
+    std::set<std::string_view> guaranteed;
+    for (auto &[customer, customerJobs] : urgent) {
+        std::stable_sort(customerJobs.begin(), customerJobs.end(),
+                         [](const LiveJob *left, const LiveJob *right) {
+                             return left->job.acceptedAt < right->job.acceptedAt;
+                         });
+        std::int64_t left = this->guarantees(customer);
+        for (const LiveJob *job : customerJobs) {
+            left -= job->job.widestStep();
+            if (left < 0)
+                break;
+            guaranteed.insert(job->job.id);
+        }
+    }
+    for (Tasks::StartRequest &request : requests)
+        request.guaranteed = guaranteed.contains(request.job);
+}
+
+void TaskDispatcher::restoreClaims(Tasks::StartRequest &request,
+                                   std::span<const Tasks::WorkerView> workers)
+{
+    const auto kept = this->claims.find(
+        {std::string(request.job), {request.occurrence, request.stepNumber, 0}});
+    if (kept == this->claims.end())
+        return;
+    for (const std::string &id : kept->second) {
+        const auto found = std::lower_bound(
+            workers.begin(), workers.end(), id,
+            [](const Tasks::WorkerView &view, const std::string &name) { return view.id < name; });
+        if (found != workers.end() && found->id == id)
+            request.claims.push_back(static_cast<std::size_t>(found - workers.begin()));
+    }
+}
+
+void TaskDispatcher::keepClaims(const Tasks::StartPlan &plan,
+                                std::span<const Tasks::StartRequest> requests,
+                                std::span<const Tasks::WorkerView> workers)
+{
+    this->claims.clear();
+    for (const Tasks::ClaimChoice &claim : plan.claims) {
+        const Tasks::StartRequest &request = requests[claim.request];
+        this->claims[{std::string(request.job), {request.occurrence, request.stepNumber, 0}}]
+            .emplace_back(workers[claim.worker].id);
+    }
+}
+
 std::vector<Tasks::StartRequest> TaskDispatcher::collectRequests()
 {
     std::vector<Tasks::StartRequest> requests;
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -41,9 +41,12 @@
     using EntryDecoder = std::function<tl::expected<Tasks::WorkerEntry, std::string>(
         std::string_view key, std::string_view value)>;
 
+    /// Accelerators that a customer is guaranteed for its urgent jobs.
+    using GuaranteeLookup = std::function<std::int64_t(std::string_view customer)>;
+
     TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link, TimerService &timers,
                    const WallClock &wallClock, Journal &journal, Leadership &leadership,
-                   const Settings &settings, EntryDecoder decoder);
+                   const Settings &settings, EntryDecoder decoder, GuaranteeLookup guarantees);
 
     void elected(std::int64_t token, TimePoint now);
     void deposed(TimePoint now);
@@ -97,6 +100,11 @@
     std::vector<Tasks::StartRequest> collectRequests();
     void addRequests(const LiveJob &job, std::int32_t occurrence,
                      std::vector<Tasks::StartRequest> &requests);
+    /// Sets which requests are within their customers' guarantees.
+    void markGuaranteed(std::span<Tasks::StartRequest> requests);
+    void restoreClaims(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
+    void keepClaims(const Tasks::StartPlan &plan, std::span<const Tasks::StartRequest> requests,
+                    std::span<const Tasks::WorkerView> workers);
     void findSiblings(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
     std::vector<Tasks::WorkerView> collectWorkers(TimePoint now);
     Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
@@ -120,6 +128,7 @@
     Leadership &leadership;
     Settings settings;
     EntryDecoder decoder;
+    GuaranteeLookup guarantees;
     JobTable jobs;
     WorkerFleet fleet;
     RecordWriter writer;
@@ -134,6 +143,8 @@
     std::map<std::string, LoadedRecord> records; ///< While loading.
     std::set<std::string> cancelledIds; ///< While loading.
     bool planPending = false;
+    /// Workers on which room is being made for steps, by job and place of the step.
+    std::map<std::pair<std::string, Tasks::TaskRef>, std::vector<std::string>> claims;
     std::string writtenLoad;
     TimePoint loadWrittenAt{};
     bool loadOutstanding = false;
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -131,10 +131,12 @@
           store, timers, journal, leadershipSettings(site),
           {[this](std::int64_t token, TimePoint now) { this->dispatcher.elected(token, now); },
            [this](TimePoint now) { this->dispatcher.deposed(now); }})
-    , dispatcher(store, workers, timers, wallClock, journal, leadership, dispatcherSettings(site),
-                 [](std::string_view key, std::string_view value) {
-                     return withErrorText(Platform::decodeWorkerEntry(key, value));
-                 })
+    , dispatcher(
+          store, workers, timers, wallClock, journal, leadership, dispatcherSettings(site),
+          [](std::string_view key, std::string_view value) {
+              return withErrorText(Platform::decodeWorkerEntry(key, value));
+          },
+          [this](std::string_view customer) { return this->guaranteeOf(customer); })
     , settingsText(readText(settings.settingsFile))
 {
     this->front.configurationChanged = [this](const Tasks::SystemConfiguration &configuration) {
@@ -142,6 +144,13 @@
     };
 }
 
+std::int64_t NodeProcess::guaranteeOf(std::string_view customer) const
+{
+    const Tasks::Directory *directory = this->front.directory();
+    const Tasks::Customer *found = directory ? directory->customerNamed(customer) : nullptr;
+    return found ? found->guaranteedAccelerators : 0;
+}
+
 int NodeProcess::run()
 {
     const TimePoint now = Runtime::monotonicNow();
--- a/Node/NodeProcess.h
+++ b/Node/NodeProcess.h
@@ -39,6 +39,7 @@
     int run();
 
 private:
+    std::int64_t guaranteeOf(std::string_view customer) const;
     void awaitSignals();
     void signalled(int signal);
     void drain(TimePoint now);
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -26,6 +26,23 @@
     return worker.labels.empty() ? std::string_view() : std::string_view(worker.labels.back());
 }
 
+/// Whether the request's tasks can't end in time any more, by their estimate.
+bool isLate(const StartRequest &request, UnixMs now)
+{
+    return now + toMs(request.step->estimate) > request.objectiveAt;
+}
+
+/// Room that what is stopping on the worker still holds.
+Resources comingFree(const WorkerView &worker)
+{
+    Resources room;
+    for (const OccupantView &occupant : worker.occupants) {
+        if (occupant.stopping)
+            room += occupant.need;
+    }
+    return room;
+}
+
 /// Work of one plan: what is left of each worker while requests are served in order.
 class PlanPass
 {
@@ -38,8 +55,10 @@
         , now(now)
     {
         this->stage.free.reserve(workers.size());
-        for (const WorkerView &worker : workers)
+        for (const WorkerView &worker : workers) {
             this->stage.free.push_back(worker.free);
+            this->stage.coming.push_back(comingFree(worker));
+        }
         this->stage.displaced.resize(workers.size());
         this->orders.resize(workers.size());
         this->groupWorkers();
@@ -84,7 +103,8 @@
     /// What is left of each worker, and what was given up on it, at one point of the pass.
     struct Stage
     {
-        std::vector<Resources> free;
+        std::vector<Resources> free; ///< Now, less what is kept for requests; may be negative.
+        std::vector<Resources> coming; ///< Held by what is stopping.
         std::vector<std::vector<std::size_t>> displaced; ///< Occupants, by worker.
     };
 
@@ -98,8 +118,13 @@
     UnixMs roomAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayReclaim(const StartRequest &request) const;
-    std::size_t reclaimFor(const StartRequest &request, std::size_t tasks);
-    bool reclaimForGang(const StartRequest &request);
+    std::int32_t leastVictimPriority(const StartRequest &request) const;
+    std::size_t reclaimFor(std::size_t request, std::size_t tasks);
+    bool reclaimForGang(std::size_t request);
+    void claim(std::size_t request, std::span<const std::size_t> taken);
+    void holdClaims(const StartRequest &request);
+    void releaseClaims(const StartRequest &request);
+    Chosen renewClaims(const StartRequest &request, std::size_t most);
     struct Displacement
     {
         std::size_t worker = 0;
@@ -107,9 +132,9 @@
         double loss = std::numeric_limits<double>::infinity();
     };
     Displacement cheapestDisplacement(const StartRequest &request, std::size_t worker) const;
-    /// Makes room for tasks in `stage`. Returns how many are covered; adds what is lost.
-    std::size_t cover(const StartRequest &request, std::size_t tasks,
-                      std::span<const std::size_t> candidates, double &loss);
+    /// Makes room for tasks in `stage`. Returns the workers of those covered; adds what is lost.
+    Chosen cover(const StartRequest &request, std::size_t tasks,
+                 std::span<const std::size_t> candidates, double &loss);
     void displace(const Displacement &displacement);
     void planDisplaced(const Stage &before);
 
@@ -146,8 +171,12 @@
         return rankA != rankB ? rankA < rankB : a.objectiveAt < b.objectiveAt;
     };
     std::stable_sort(order.begin(), order.end(), goesBefore);
-    for (const std::size_t request : order)
+    for (const StartRequest &request : this->requests)
+        this->holdClaims(request);
+    for (const std::size_t request : order) {
+        this->releaseClaims(this->requests[request]);
         this->serve(request);
+    }
     return std::move(this->plan);
 }
 
@@ -162,13 +191,24 @@
 void PlanPass::serveGang(std::size_t number)
 {
     const StartRequest &request = this->requests[number];
-    if (const std::optional<Chosen> chosen = this->placeGang(request)) {
+    const std::size_t tasks = request.indexes.size();
+    std::optional<Chosen> chosen = this->placeAll(request, request.claims);
+    if (!chosen)
+        chosen = this->placeGang(request);
+    if (chosen) {
         for (std::size_t i = 0; i < chosen->size(); i++)
             this->plan.starts.push_back({number, request.indexes[i], (*chosen)[i]});
         return;
     }
-    if (!this->reclaimForGang(request))
-        this->keepRoom(request, request.indexes.size());
+    const Stage before = this->stage;
+    const Chosen kept = this->renewClaims(request, tasks);
+    if (kept.size() == tasks) {
+        this->claim(number, kept);
+        return;
+    }
+    this->stage = before;
+    if (!this->reclaimForGang(number))
+        this->keepRoom(request, tasks);
 }
 
 void PlanPass::serveSingly(std::size_t number)
@@ -188,9 +228,12 @@
         this->plan.starts.push_back({number, index, *worker});
         placed++;
     }
-    const std::size_t left = request.indexes.size() - placed;
-    const std::size_t covered = this->reclaimFor(request, left);
-    this->keepRoom(request, left - covered);
+    std::size_t left = request.indexes.size() - placed;
+    const Chosen kept = this->renewClaims(request, left);
+    this->claim(number, kept);
+    left -= kept.size();
+    left -= this->reclaimFor(number, left);
+    this->keepRoom(request, left);
 }
 
 bool PlanPass::eligible(const StartRequest &request, std::size_t number) const
@@ -437,7 +480,7 @@
 /// tasks does not keep a large one waiting for ever.
 void PlanPass::keepRoom(const StartRequest &request, std::size_t tasks)
 {
-    constexpr int firstRankWithoutReservation = 3;
+    constexpr int firstRankWithoutReservation = 4;
     const bool reserves = StartPlanner::rankOf(request, this->now) < firstRankWithoutReservation;
     const std::size_t left = this->settings.mostReservations - this->reservations;
     if (!reserves || left == 0)
@@ -458,16 +501,13 @@
     Displacement result;
     result.worker = number;
     Resources room = this->stage.free[number];
+    room += this->stage.coming[number];
     double loss = 0.0;
-    for (const OccupantView &occupant : worker.occupants) {
-        if (occupant.stopping)
-            room += occupant.need;
-    }
     for (const std::size_t place : this->ordersOf(number).byLoss) {
         if (request.step->need.fitsInto(room))
             break;
         const OccupantView &occupant = worker.occupants[place];
-        if (occupant.priority <= request.priority)
+        if (occupant.priority < this->leastVictimPriority(request))
             break;
         const bool alreadyGone = std::find(gone.begin(), gone.end(), place) != gone.end();
         if (occupant.stopping || alreadyGone)
@@ -485,7 +525,7 @@
 {
     for (const std::size_t occupant : displacement.occupants) {
         this->stage.displaced[displacement.worker].push_back(occupant);
-        this->stage.free[displacement.worker]
+        this->stage.coming[displacement.worker]
             += this->workers[displacement.worker].occupants[occupant].need;
     }
 }
@@ -505,12 +545,19 @@
         && this->now < request.worthlessAt;
 }
 
-std::size_t PlanPass::cover(const StartRequest &request, std::size_t tasks,
-                            std::span<const std::size_t> candidates, double &loss)
+/// What is late already and not owed displaces only what is worth least.
+std::int32_t PlanPass::leastVictimPriority(const StartRequest &request) const
+{
+    const bool owed = request.guaranteed || !isLate(request, this->now);
+    return request.priority + (owed ? 1 : 2);
+}
+
+PlanPass::Chosen PlanPass::cover(const StartRequest &request, std::size_t tasks,
+                                 std::span<const std::size_t> candidates, double &loss)
 {
     Chosen taken = request.besides;
-    std::size_t covered = 0;
-    while (covered < tasks) {
+    Chosen covered;
+    while (covered.size() < tasks) {
         Displacement best;
         for (const std::size_t worker : candidates) {
             const auto there = std::count(taken.begin(), taken.end(), worker);
@@ -527,38 +574,44 @@
         this->stage.free[best.worker] -= request.step->need;
         taken.push_back(best.worker);
         loss += best.loss;
-        covered++;
+        covered.push_back(best.worker);
     }
     return covered;
 }
 
 /// Covers tasks by room that is coming free or can be made free. Returns how many are covered;
-/// their room is taken, so that nothing else is placed into it.
-std::size_t PlanPass::reclaimFor(const StartRequest &request, std::size_t tasks)
+/// their room is claimed, so that nothing else is placed into it.
+std::size_t PlanPass::reclaimFor(std::size_t number, std::size_t tasks)
 {
+    const StartRequest &request = this->requests[number];
     if (!this->mayReclaim(request))
         return 0;
     const Stage before = this->stage;
     double loss = 0.0;
-    const std::size_t covered = this->cover(request, tasks, this->everyWorker, loss);
+    const Chosen covered = this->cover(request, tasks, this->everyWorker, loss);
     this->planDisplaced(before);
-    return covered;
+    this->claim(number, covered);
+    return covered.size();
 }
 
 /// Room for a part of a gang is of no use; a gang bound to one rack needs all of it there.
-bool PlanPass::reclaimForGang(const StartRequest &request)
+bool PlanPass::reclaimForGang(std::size_t number)
 {
+    const StartRequest &request = this->requests[number];
     if (!this->mayReclaim(request))
         return false;
     const std::size_t tasks = request.indexes.size();
     const Stage before = this->stage;
     Stage best = before;
+    Chosen chosen;
     double least = std::numeric_limits<double>::infinity();
     const auto consider = [&](std::span<const std::size_t> candidates) {
         double loss = 0.0;
-        if (this->cover(request, tasks, candidates, loss) == tasks && loss < least) {
+        const Chosen covered = this->cover(request, tasks, candidates, loss);
+        if (covered.size() == tasks && loss < least) {
             least = loss;
             best = this->stage;
+            chosen = covered;
         }
         this->stage = before;
     };
@@ -570,21 +623,58 @@
     }
     this->stage = best;
     this->planDisplaced(before);
-    return least != std::numeric_limits<double>::infinity();
+    this->claim(number, chosen);
+    return !chosen.empty();
+}
+
+void PlanPass::claim(std::size_t request, std::span<const std::size_t> taken)
+{
+    for (const std::size_t worker : taken)
+        this->plan.claims.push_back({request, worker});
+}
+
+/// What was claimed in an earlier plan is kept from all requests but its own.
+void PlanPass::holdClaims(const StartRequest &request)
+{
+    for (const std::size_t worker : request.claims)
+        this->stage.free[worker] -= request.step->need;
+}
+
+void PlanPass::releaseClaims(const StartRequest &request)
+{
+    for (const std::size_t worker : request.claims)
+        this->stage.free[worker] += request.step->need;
+}
+
+/// Keeps the claims whose room is still there or coming. Returns their workers, `most` at most.
+PlanPass::Chosen PlanPass::renewClaims(const StartRequest &request, std::size_t most)
+{
+    Chosen kept;
+    for (const std::size_t worker : request.claims) {
+        Resources room = this->stage.free[worker];
+        room += this->stage.coming[worker];
+        const bool holds = kept.size() < most && this->eligible(request, worker)
+            && request.step->need.fitsInto(room);
+        if (!holds)
+            continue;
+        this->stage.free[worker] -= request.step->need;
+        kept.push_back(worker);
+    }
+    return kept;
 }
 
 } // namespace
 
 int StartPlanner::rankOf(const StartRequest &request, UnixMs now)
 {
-    constexpr int worthlessRank = 6;
-    constexpr int ranksOfPriority[3][2] = {{0, 1}, {2, 4}, {3, 5}};
+    constexpr int worthlessRank = 7;
+    constexpr int ranksOfPriority[3][2] = {{1, 2}, {3, 5}, {4, 6}};
+    if (request.guaranteed)
+        return 0;
     if (now >= request.worthlessAt)
         return worthlessRank;
-    const UnixMs endsAt = now + toMs(request.step->estimate);
-    const bool late = endsAt > request.objectiveAt;
     const int priority = std::clamp(request.priority, 0, 2);
-    return ranksOfPriority[priority][late ? 1 : 0];
+    return ranksOfPriority[priority][isLate(request, now) ? 1 : 0];
 }
 
 StartPlan StartPlanner::plan(std::span<const StartRequest> requests,
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -43,8 +43,10 @@
     UnixMs readySince = 0;
     UnixMs objectiveAt = 0; ///< In time until then.
     UnixMs worthlessAt = 0; ///< Nobody is served by an end after this.
+    bool guaranteed = false; ///< Within what its customer is promised, so owed a prompt start.
     std::vector<std::int32_t> indexes; ///< Tasks that wait; a gang's are all of its tasks.
     std::vector<std::size_t> besides; ///< Workers, one entry a task of the step that they have.
+    std::vector<std::size_t> claims; ///< Workers of earlier claims, one entry a task.
 };
 
 /// Start task `index` of request `request` on worker `worker`; numbers are places in the inputs.
@@ -66,10 +68,21 @@
     bool operator==(const ReclaimChoice &) const = default;
 };
 
+/// Room for one task of a request that is being made on a worker. It has to come back with the
+/// request in the next plan, or others may take the room.
+struct ClaimChoice
+{
+    std::size_t request = 0;
+    std::size_t worker = 0;
+
+    bool operator==(const ClaimChoice &) const = default;
+};
+
 struct StartPlan
 {
     std::vector<StartChoice> starts;
     std::vector<ReclaimChoice> reclaims;
+    std::vector<ClaimChoice> claims;
 };
 
 /// Chooses what starts where and what has to make room. Looks at one moment only and keeps nothing
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -74,6 +74,14 @@
     return begin + static_cast<UnixMs>(this->stretch * chain) + toMs(this->targetLatency);
 }
 
+std::int64_t Job::widestStep() const
+{
+    std::int64_t most = 0;
+    for (const Step &step : this->steps)
+        most = std::max(most, step.need.accelerators * step.count);
+    return most;
+}
+
 double Job::work() const
 {
     double sum = 0.0;
--- a/Tasks/TaskJob.h
+++ b/Tasks/TaskJob.h
@@ -84,6 +84,8 @@
     Duration longestChain() const;
     /// By when an occurrence should end.
     UnixMs objectiveAt(std::int32_t occurrence) const;
+    /// Accelerators of the step that needs most.
+    std::int64_t widestStep() const;
     /// Core-seconds of one occurrence by the caller's estimates, accelerators included.
     double work() const;
 };
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -149,9 +149,13 @@
             [this](TimePoint now) { this->dispatcher->deposed(now); }});
     TaskDispatcher::Settings dispatcherSettings;
     dispatcherSettings.workerRegistry = registry;
-    this->dispatcher = std::make_unique<TaskDispatcher>(*this->store, *this->link, *this->timers,
-                                                        clock, this->journal, *this->leadership,
-                                                        dispatcherSettings, decodeEntry);
+    this->dispatcher = std::make_unique<TaskDispatcher>(
+        *this->store, *this->link, *this->timers, clock, this->journal, *this->leadership,
+        dispatcherSettings, decodeEntry, [this](std::string_view customer) {
+            const Tasks::Directory *directory = this->jobs->directory();
+            const Tasks::Customer *found = directory ? directory->customerNamed(customer) : nullptr;
+            return found ? found->guaranteedAccelerators : 0;
+        });
     this->jobs->start(clock.now());
     this->leadership->start(clock.now());
 }
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -236,6 +236,64 @@
     EXPECT_EQ(this->plan().reclaims.size(), 2U);
 }
 
+TEST_F(StartPlannerTest, RoomMadeForOneRequestIsNotTakenByOthersThatKeepComing)
+{
+    this->addWorkers(4);
+    for (std::size_t worker = 0; worker < 4; worker++)
+        this->occupy(worker, {8000, 1000, 8}, 2, 9000, 10.0);
+    this->request(0, 4, 8);
+    this->stepOf(0).gang = true;
+    const StartPlan first = this->plan();
+    ASSERT_EQ(first.claims.size(), 4U);
+    // Two of the four are free already when shorter urgent work arrives.
+    for (const ClaimChoice &claim : first.claims)
+        this->requests[0].claims.push_back(claim.worker);
+    for (std::size_t worker = 0; worker < 4; worker++)
+        this->views[worker].occupants[0].stopping = true;
+    for (std::size_t worker = 0; worker < 2; worker++) {
+        this->views[worker].free = wholeWorker;
+        this->views[worker].occupants.clear();
+    }
+    StartRequest &intruder = this->request(0, 2, 8);
+    intruder.objectiveAt = now + 3000;
+    const StartPlan second = this->plan();
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(second.claims.size(), 4U);
+    EXPECT_TRUE(second.reclaims.empty());
+}
+
+TEST_F(StartPlannerTest, RoomOfAVictimIsNotGivenAwayBeforeItIsFree)
+{
+    this->addWorkers(1);
+    this->occupy(0, {8000, 1000, 8}, 2, 9000, 10.0);
+    this->request(0, 1, 2);
+    this->request(2, 4, 1);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(plan.reclaims.size(), 1U);
+    EXPECT_TRUE(plan.starts.empty());
+}
+
+TEST_F(StartPlannerTest, GuaranteedWorkPrecedesOtherUrgentWork)
+{
+    this->addWorkers(1);
+    this->request(0, 1, 8).objectiveAt = now + 3000;
+    this->request(0, 1, 8).guaranteed = true;
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts.front().request, 1U);
+}
+
+TEST_F(StartPlannerTest, UrgentWorkThatIsLateDisplacesOnlyTheLeastUrgent)
+{
+    this->addWorkers(2);
+    this->occupy(0, {8000, 1000, 8}, 1, 9000, 1.0);
+    this->occupy(1, {8000, 1000, 8}, 2, 9000, 900.0);
+    this->request(0, 2, 8).objectiveAt = now + 500;
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.reclaims.size(), 1U);
+    EXPECT_EQ(plan.reclaims.front().worker, 1U);
+}
+
 TEST_F(StartPlannerTest, RequiredLabelIsNeverPassedOver)
 {
     this->addWorkers(2);
