--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -337,6 +337,8 @@
                        now);
     if (end.cause == EndCause::Failed)
         this->fleet.avoid(end.worker, now);
+    if (end.cause == EndCause::Done)
+        this->fleet.trust(end.worker);
     if (!effect.changed) {
         this->fleet.endRecorded(end.worker, end.number, now);
         return;
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -210,6 +210,12 @@
     this->pollIfNeeded(*worker, now);
 }
 
+void WorkerFleet::trust(const std::string &id)
+{
+    if (Worker *worker = this->workerOf(id))
+        worker->strikes = 0;
+}
+
 void WorkerFleet::avoid(const std::string &id, TimePoint now)
 {
     if (Worker *worker = this->workerOf(id))
@@ -515,7 +521,6 @@
     run->startOutstanding = false;
     switch (answer.outcome) {
     case WorkerOutcome::Done:
-        worker->strikes = 0;
         run->settledAt = now;
         if (!std::exchange(run->confirmedAt, now))
             this->listener.runConfirmed(ref, now);
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -95,7 +95,7 @@
         TimePoint leaseOverAt{}; ///< From then on nothing runs that we ordered.
         TimePoint lastAnswerAt{};
         TimePoint avoidUntil{};
-        std::int32_t strikes = 0; ///< Failed orders in a row.
+        std::int32_t strikes = 0; ///< Failed orders and runs since the last run that was done.
         std::int64_t lastEnd = 0; ///< Highest end that was processed.
         std::set<std::int64_t> unrecorded; ///< Ends that are not stored yet.
         std::int64_t acknowledged = 0; ///< Highest end that the worker was told to forget.
@@ -141,7 +141,9 @@
     bool adopt(const std::string &worker, std::int64_t incarnation, Run run, TimePoint now);
     /// The end is stored: the worker may forget it.
     void endRecorded(const std::string &worker, std::int64_t number, TimePoint now);
-    /// The worker failed what it was given: leave it alone for a while.
+    /// The worker did what it was given.
+    void trust(const std::string &worker);
+    /// The worker failed what it was given: leave it alone, twice as long each time in a row.
     void avoid(const std::string &worker, TimePoint now);
 
     const std::map<std::string, Worker, std::less<>> &all() const { return this->workers; }
