Keep some workers empty for urgent work that comes without notice

Cause: with the fleet full, urgent jobs wait for others to stop, which takes as long as the slack of a short job.

--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -62,6 +62,7 @@
         this->stage.displaced.resize(workers.size());
         this->orders.resize(workers.size());
         this->groupWorkers();
+        this->countEmptyWorkers();
     }
 
     StartPlan run();
@@ -78,6 +79,10 @@
     };
 
     void groupWorkers();
+    void countEmptyWorkers();
+    bool isEmpty(std::size_t worker) const;
+    bool mayTakeEmpty(const StartRequest &request) const;
+    void take(const StartRequest &request, std::size_t worker);
     const OccupantOrders &ordersOf(std::size_t worker) const;
     void serve(std::size_t request);
     void serveGang(std::size_t request);
@@ -146,6 +151,8 @@
     mutable std::vector<OccupantOrders> orders;
     std::vector<const StartRequest *> unplaced; ///< No worker has room for a task of these.
     std::vector<std::size_t> everyWorker;
+    std::map<std::string_view, std::size_t> emptyWorkers; ///< Usable ones that hold nothing.
+    std::map<std::string_view, std::size_t> keptEmpty; ///< How many are left to urgent work.
     std::map<std::string_view, std::vector<std::size_t>> racks;
     std::size_t reservations = 0;
     StartPlan plan;
@@ -159,6 +166,44 @@
         this->racks[rackOf(this->workers[worker])].push_back(worker);
 }
 
+void PlanPass::countEmptyWorkers()
+{
+    std::map<std::string_view, std::size_t> usable;
+    for (const std::size_t worker : this->everyWorker) {
+        const WorkerView &view = this->workers[worker];
+        if (!view.usable)
+            continue;
+        usable[view.service]++;
+        if (this->isEmpty(worker))
+            this->emptyWorkers[view.service]++;
+    }
+    for (const auto &[service, count] : usable)
+        this->keptEmpty[service] = static_cast<std::size_t>(this->settings.emptyShareForUrgent
+                                                            * static_cast<double>(count));
+}
+
+bool PlanPass::isEmpty(std::size_t worker) const
+{
+    const WorkerView &view = this->workers[worker];
+    return view.occupants.empty() && this->stage.free[worker] == view.free;
+}
+
+bool PlanPass::mayTakeEmpty(const StartRequest &request) const
+{
+    if (request.priority <= this->settings.mostReclaimPriority)
+        return true;
+    const auto empty = this->emptyWorkers.find(request.service);
+    const auto kept = this->keptEmpty.find(request.service);
+    return empty != this->emptyWorkers.end() && empty->second > kept->second;
+}
+
+void PlanPass::take(const StartRequest &request, std::size_t worker)
+{
+    if (this->isEmpty(worker))
+        this->emptyWorkers[request.service]--;
+    this->stage.free[worker] -= request.step->need;
+}
+
 StartPlan PlanPass::run()
 {
     std::vector<std::size_t> order(this->requests.size());
@@ -223,7 +268,7 @@
             this->noteUnplaced(request);
             break;
         }
-        this->stage.free[*worker] -= request.step->need;
+        this->take(request, *worker);
         taken.push_back(*worker);
         this->plan.starts.push_back({number, index, *worker});
         placed++;
@@ -317,8 +362,9 @@
         return std::nullopt;
     std::optional<std::size_t> best;
     double least = std::numeric_limits<double>::infinity();
+    const bool emptyToo = this->mayTakeEmpty(request);
     for (const std::size_t worker : candidates) {
-        if (!this->hasRoom(request, worker))
+        if (!this->hasRoom(request, worker) || (!emptyToo && this->isEmpty(worker)))
             continue;
         if (request.step->maxPerWorker > 0) {
             const auto there = std::count(taken.begin(), taken.end(), worker);
@@ -338,14 +384,16 @@
                                                    std::span<const std::size_t> candidates)
 {
     const std::vector<Resources> before = this->stage.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     Chosen chosen;
     for (std::size_t i = 0; i < request.indexes.size(); i++) {
         const std::optional<std::size_t> worker = this->bestWorker(request, candidates, chosen);
         if (!worker) {
             this->stage.free = before;
+            this->emptyWorkers = emptyBefore;
             return std::nullopt;
         }
-        this->stage.free[*worker] -= request.step->need;
+        this->take(request, *worker);
         chosen.push_back(*worker);
     }
     return chosen;
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -97,6 +97,9 @@
         /// How long a request that may displace others waits for its data's rack; it is owed a
         /// start within a bound that the platform sets.
         Duration longestUrgentRackWait = milliseconds(1200);
+        /// Share of a service's workers that only urgent work may take while they are empty: urgent
+        /// work that has to wait for others to stop is late already.
+        double emptyShareForUrgent = 0.06;
         std::size_t mostReservations = 24; ///< Tasks for which room is kept as it comes free.
     };
 
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -294,6 +294,16 @@
     EXPECT_EQ(plan.reclaims.front().worker, 1U);
 }
 
+TEST_F(StartPlannerTest, SomeWorkersStayEmptyForUrgentWorkThatComesWithoutNotice)
+{
+    this->addWorkers(50);
+    this->request(2, 400, 1);
+    const StartPlan before = this->plan();
+    EXPECT_EQ(before.starts.size(), 47U * 8U);
+    this->request(0, 3, 8);
+    EXPECT_EQ(startsOf(this->plan(), 1), 3U);
+}
+
 TEST_F(StartPlannerTest, RequiredLabelIsNeverPassedOver)
 {
     this->addWorkers(2);
