Refuse at once a job that could only be started too late, and bar its late sendings

The leader forecasts, by queue, how long new work waits behind what is as urgent or more, and publishes waits of five seconds and more. An instance refuses a job that would still wait when nobody is served by its end, with the time by which it could be served. The refusal is stored under the job's key, so that an earlier sending which is still on its way can't enter after 'not run' was said; a later submission replaces it. Tests replay such a flood.

--- a/Coordination/JobFront.cpp
+++ b/Coordination/JobFront.cpp
@@ -1,6 +1,7 @@
 #include <Coordination/JobFront.h>
 #include <Coordination/StoreKeys.h>
 #include <Tasks/JobRecord.h>
+#include <Tasks/WaitForecast.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -50,7 +51,8 @@
     ClientCall call;
     ReplyHandler reply;
     Job job;
-    bool open = false; ///< The queue needs no key.
+    Tasks::AdmissionVerdict verdict;
+    std::int64_t refusedAt = 0; ///< Revision of an earlier refusal under the job's key; 0: none.
     TimePoint receivedAt{};
     int unanswered = 0;
     int refused = 0;
@@ -84,11 +86,48 @@
                                     reachable ? "store answers again" : "store does not answer", {},
                                     now);
              }})
+    , waitsWatch(store, timers, {.prefix = StoreKeys::waits, .wait = settings.waitsWatch},
+                 {[this](const StoredItem &item, TimePoint now) { this->waitsRead(item, now); },
+                  [](TimePoint) {}, [](bool, TimePoint) {}})
 {}
 
 void JobFront::start(TimePoint now)
 {
     this->watch.start(now);
+    this->waitsWatch.start(now);
+}
+
+void JobFront::waitsRead(const StoredItem &item, TimePoint now)
+{
+    const nlohmann::json values = nlohmann::json::parse(item.value, nullptr, false);
+    this->waits.clear();
+    this->waitsReadAt = now;
+    if (item.removed || !values.is_object())
+        return;
+    for (const auto &[queue, wait] : values.items()) {
+        if (wait.is_number_integer())
+            this->waits[queue] = milliseconds(wait.get<std::int64_t>());
+    }
+}
+
+/// A job that could only be started too late is refused. The refusal is stored under the job's key,
+/// so that no earlier sending of the same job can enter after it.
+void JobFront::judge(Submission &submission, TimePoint now)
+{
+    submission.verdict = {};
+    const auto wait = this->waits.find(submission.job.queue);
+    if (wait == this->waits.end() || now > this->waitsReadAt + this->settings.waitsValidity)
+        return;
+    submission.verdict = Tasks::judgeAdmission(submission.job, wait->second);
+    if (submission.verdict.admitted)
+        return;
+    this->journal.tell(LogKind::Request, "job to be refused for load",
+                       {{"request", submission.job.id},
+                        {"queue", submission.job.queue},
+                        {"forecastWaitMs", toMs(wait->second)},
+                        {"forecastAgeMs", toMs(now - this->waitsReadAt)},
+                        {"retryAfterMs", toMs(submission.verdict.retryAfter)}},
+                       now);
 }
 
 void JobFront::configurationRead(const StoredItem &item, TimePoint now)
@@ -204,7 +243,6 @@
         submission->call = call;
         submission->reply = reply;
         submission->receivedAt = now;
-        submission->open = queue.open;
         submission->job = std::move(*job);
         Job &accepted = submission->job;
         accepted.id = match.jobId;
@@ -216,6 +254,7 @@
         accepted.stretch = queue.stretch;
         accepted.targetLatency = queue.targetLatency;
         accepted.acceptedAt = this->wallClock.nowMs();
+        this->judge(*submission, now);
         this->submit(submission, now);
         return;
     }
@@ -249,23 +288,37 @@
     }
     const std::string key = StoreKeys::job(submission->job.id);
     Tasks::StoreCommit commit;
-    commit.checks.push_back({key, 0});
+    commit.checks.push_back({key, submission->refusedAt});
     // Under this condition no job enters with a key or through a queue that is gone.
     commit.checks.push_back(
         {this->settings.configurationKey, this->current->configuration().revision});
-    commit.writes.push_back({key, Tasks::encodeJob(submission->job), 0});
+    const bool admitted = submission->verdict.admitted;
+    const std::string record
+        = admitted ? Tasks::encodeJob(submission->job) : Tasks::encodeRefusal();
+    commit.writes.push_back({key, record, 0});
     this->store.commit(commit, timeout,
                        [this, submission](const StoreAnswer &answer, TimePoint at) {
                            this->submitAnswered(submission, answer, at);
                        });
 }
 
+ClientReply JobFront::storedReply(const Submission &submission) const
+{
+    if (submission.verdict.admitted)
+        return {.kind = ReplyKind::Accepted};
+    ClientReply reply;
+    reply.kind = ReplyKind::NotRun;
+    reply.retryAfter = submission.verdict.retryAfter;
+    reply.error = "too much work waits for the job to be served in time";
+    return reply;
+}
+
 void JobFront::submitAnswered(const std::shared_ptr<Submission> &submission,
                               const StoreAnswer &answer, TimePoint now)
 {
     switch (answer.outcome) {
     case StoreOutcome::Done:
-        this->finishSubmit(submission, {.kind = ReplyKind::Accepted}, now);
+        this->finishSubmit(submission, this->storedReply(*submission), now);
         return;
     case StoreOutcome::Conflict:
         this->submitConflicted(submission, answer, now);
@@ -283,7 +336,17 @@
 void JobFront::submitConflicted(const std::shared_ptr<Submission> &submission,
                                 const StoreAnswer &answer, TimePoint now)
 {
-    if (const StoredItem *stored = itemOf(answer, StoreKeys::job(submission->job.id))) {
+    const StoredItem *stored = itemOf(answer, StoreKeys::job(submission->job.id));
+    if (stored && Tasks::isRefusal(stored->value)) {
+        const bool ours = submission->unanswered > 0 && !submission->verdict.admitted;
+        submission->refusedAt = stored->revision;
+        if (ours)
+            this->finishSubmit(submission, this->storedReply(*submission), now);
+        else
+            this->submit(submission, now);
+        return;
+    }
+    if (stored) {
         const tl::expected<Job, std::string> known = Tasks::decodeJob(stored->value);
         const bool sameCustomer = known && known->customer == submission->job.customer;
         this->finishSubmit(
@@ -389,7 +452,9 @@
 void JobFront::readJob(const std::shared_ptr<Lookup> &lookup, TimePoint)
 {
     const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
-        if (answer.outcome == StoreOutcome::Absent)
+        const bool refused = answer.outcome == StoreOutcome::Done && !answer.items.empty()
+            && Tasks::isRefusal(answer.items.front().value);
+        if (answer.outcome == StoreOutcome::Absent || refused)
             lookup->reply({.kind = ReplyKind::NoSuchJob});
         else if (answer.outcome == StoreOutcome::Done)
             lookup->reply({.kind = ReplyKind::State});
@@ -410,6 +475,10 @@
             this->lookAgain(lookup, &JobFront::cancel, now);
             return;
         }
+        if (Tasks::isRefusal(answer.items.front().value)) {
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+            return;
+        }
         const tl::expected<Job, std::string> job = Tasks::decodeJob(answer.items.front().value);
         if (job && !lookup->customer.empty() && job->customer != lookup->customer) {
             lookup->reply({.kind = ReplyKind::ForeignJob});
--- a/Coordination/JobFront.h
+++ b/Coordination/JobFront.h
@@ -70,6 +70,8 @@
         Duration answerReserve = milliseconds(150); ///< Left of a client's time for the answer.
         Duration retry = milliseconds(60);
         Duration pendingValidity = milliseconds(400); ///< Of a queue's count that was read.
+        Duration waitsWatch = seconds(5); ///< Forecasts are advice, so their watch may be slow.
+        Duration waitsValidity = seconds(15); ///< An older forecast refuses nothing.
         Duration retryAfter = seconds(1);
         Duration usualPatience = seconds(3); ///< Of a client that does not tell.
     };
@@ -98,6 +100,10 @@
     struct Submission;
     struct Lookup;
 
+    void waitsRead(const Tasks::StoredItem &item, TimePoint now);
+    void judge(Submission &submission, TimePoint now);
+    /// What the client is told once the submission's record is stored.
+    ClientReply storedReply(const Submission &submission) const;
     void configurationRead(const Tasks::StoredItem &item, TimePoint now);
     bool isFresh(TimePoint now) const;
     void refreshThen(ClientCall call, ReplyHandler reply, TimePoint now);
@@ -130,6 +136,9 @@
     Settings settings;
     Decoders decoders;
     PrefixWatch watch;
+    PrefixWatch waitsWatch;
+    std::map<std::string, Duration, std::less<>> waits; ///< Forecast by queue; absent: short.
+    TimePoint waitsReadAt{};
     std::shared_ptr<const Tasks::Directory> current;
     std::string pendingCounts; ///< JSON object: queue to count.
     TimePoint pendingReadAt{};
--- a/Coordination/JobTable.cpp
+++ b/Coordination/JobTable.cpp
@@ -27,6 +27,19 @@
     return members;
 }
 
+double LiveJob::waitingWork() const
+{
+    double sum = 0.0;
+    for (std::size_t i = 0; i < this->progress.taskCount(); i++) {
+        if (this->progress.at(i).state != TaskState::Waiting)
+            continue;
+        const Step &step = this->stepOf(this->progress.refAt(i));
+        const std::chrono::duration<double> runTime = step.estimate;
+        sum += runTime.count() * static_cast<double>(step.need.accelerators);
+    }
+    return sum;
+}
+
 LiveJob &JobTable::add(Job job, std::optional<JobProgress> progress, UnixMs now)
 {
     const std::string id = job.id;
--- a/Coordination/JobTable.h
+++ b/Coordination/JobTable.h
@@ -30,6 +30,8 @@
     {
         return this->job.steps[static_cast<std::size_t>(ref.step)];
     }
+    /// Accelerator-seconds of the tasks that wait, by the caller's estimates.
+    double waitingWork() const;
     /// The tasks that start and end together with this one; just itself unless it is a gang's.
     std::vector<Tasks::TaskRef> together(const Tasks::TaskRef &ref) const;
 };
--- a/Coordination/StoreKeys.h
+++ b/Coordination/StoreKeys.h
@@ -10,8 +10,10 @@
 /// Accepted jobs and their cancellations, in one prefix so that one watch tells of both.
 inline constexpr const char *jobs = "hibiscus/job/";
 inline constexpr const char *progress = "hibiscus/progress/";
-/// What the leader tells all instances about the queues.
+/// How many jobs wait, by queue. Read on demand.
 inline constexpr const char *load = "hibiscus/load";
+/// How long new jobs would wait, by queue, where that is long. Watched by all instances.
+inline constexpr const char *waits = "hibiscus/waits";
 
 std::string job(std::string_view id);
 std::string cancellation(std::string_view id);
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -106,6 +106,7 @@
            },
            [](bool, TimePoint) {}})
     , planner(settings.planner)
+    , forecast(settings.forecast)
 {}
 
 bool TaskDispatcher::leads(TimePoint now)
@@ -126,8 +127,9 @@
     this->progressComplete = false;
     this->planPending = false;
     this->claims.clear();
-    this->loadOutstanding = false;
-    this->writtenLoad.clear();
+    this->refusals.clear();
+    this->published.clear();
+    this->publishing.clear();
     this->fleet.begin(token, now);
     this->writer.begin(token);
     this->jobWatch.start(now);
@@ -238,8 +240,10 @@
 {
     const StoreKeys::JobKey key = StoreKeys::parseJobKey(item.key);
     if (item.removed) {
-        if (!key.cancellation)
+        if (!key.cancellation) {
             this->jobs.remove(key.id);
+            this->refusals.erase(key.id);
+        }
         return;
     }
     if (!key.cancellation) {
@@ -256,6 +260,11 @@
 {
     if (this->jobs.find(id))
         return;
+    if (Tasks::isRefusal(item.value)) {
+        this->refusals[id] = {item.revision, now};
+        return;
+    }
+    this->refusals.erase(id);
     tl::expected<Job, std::string> job = Tasks::decodeJob(item.value);
     if (!job) {
         this->journal.tell(LogKind::Fault, "job record can't be read",
@@ -438,6 +447,22 @@
     }
 }
 
+/// A refusal bars late sendings of its job; after the retention none is under way.
+void TaskDispatcher::removeOldRefusals(TimePoint now)
+{
+    for (auto &[id, refusal] : this->refusals) {
+        if (now < refusal.seenAt + this->settings.statusRetention)
+            continue;
+        Tasks::StoreCommit commit;
+        commit.checks.push_back({StoreKeys::leader, this->leadership.token()});
+        commit.checks.push_back({StoreKeys::job(id), refusal.revision});
+        commit.removals.push_back(StoreKeys::job(id));
+        refusal.seenAt = now;
+        this->store.commit(commit, this->settings.writer.commitTimeout,
+                           [](const StoreAnswer &, TimePoint) {});
+    }
+}
+
 void TaskDispatcher::planSoon()
 {
     if (this->planPending || this->phase != Phase::Leading)
@@ -714,6 +739,7 @@
     if (!this->leads(now))
         return;
     this->removeExpired(now);
+    this->removeOldRefusals(now);
     this->writeLoad(now);
     this->plan(now);
 }
@@ -731,25 +757,75 @@
     return nlohmann::json(waiting).dump();
 }
 
+/// Only jobs of known queues are told of, so the text stays small.
+Tasks::ServiceLoad TaskDispatcher::loadOf(std::string_view service, TimePoint now) const
+{
+    const auto placeOf = [](std::int32_t priority) {
+        constexpr auto last = static_cast<std::int32_t>(Tasks::ServiceLoad::priorities) - 1;
+        return static_cast<std::size_t>(std::clamp(priority, 0, last));
+    };
+    Tasks::ServiceLoad load;
+    for (const auto &[id, worker] : this->fleet.all()) {
+        if (worker.entry.service != service || !worker.listed || worker.entry.draining)
+            continue;
+        load.accelerators += static_cast<double>(worker.entry.capacity.accelerators);
+        for (const auto &[key, run] : worker.runs) {
+            const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
+            const std::chrono::duration<double> left = std::max(Duration{}, run.estimate - elapsed);
+            load.running[placeOf(run.priority)]
+                += left.count() * static_cast<double>(run.need.accelerators);
+        }
+    }
+    for (const auto &[id, job] : this->jobs.all()) {
+        const bool counts
+            = !job.isOver() && job.job.service == service && job.job.repetition.count == 0;
+        if (counts)
+            load.waiting[placeOf(job.job.priority)] += job.waitingWork();
+    }
+    return load;
+}
+
+std::string TaskDispatcher::describeWaits(TimePoint now) const
+{
+    std::map<std::string, std::int64_t> waits;
+    std::map<std::string, Tasks::ServiceLoad> loads;
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (job.isOver() || waits.contains(job.job.queue))
+            continue;
+        const auto [load, added] = loads.try_emplace(job.job.service);
+        if (added)
+            load->second = this->loadOf(job.job.service, now);
+        waits[job.job.queue] = toMs(this->forecast.waitFor(load->second, job.job.priority));
+    }
+    std::erase_if(waits, [](const auto &wait) { return wait.second == 0; });
+    return nlohmann::json(waits).dump();
+}
+
 void TaskDispatcher::writeLoad(TimePoint now)
 {
-    if (this->loadOutstanding || now < this->loadWrittenAt + this->settings.loadInterval)
+    if (now < this->loadWrittenAt + this->settings.loadInterval)
         return;
-    std::string load = this->describeLoad();
-    if (load == this->writtenLoad)
+    this->loadWrittenAt = now;
+    this->publish(StoreKeys::load, this->describeLoad());
+    this->publish(StoreKeys::waits, this->describeWaits(now));
+}
+
+void TaskDispatcher::publish(const char *key, std::string text)
+{
+    const auto known = this->published.find(key);
+    const bool unchanged = known != this->published.end() && known->second == text;
+    if (unchanged || !this->publishing.insert(key).second)
         return;
     Tasks::StoreCommit commit;
     commit.checks.push_back({StoreKeys::leader, this->leadership.token()});
-    commit.writes.push_back({StoreKeys::load, load, 0});
-    this->loadOutstanding = true;
+    commit.writes.push_back({key, text, 0});
     const auto answered
-        = [this, load, generation = this->generation](const StoreAnswer &answer, TimePoint at) {
+        = [this, key, text, generation = this->generation](const StoreAnswer &answer, TimePoint) {
               if (generation != this->generation)
                   return;
-              this->loadOutstanding = false;
-              this->loadWrittenAt = at;
+              this->publishing.erase(key);
               if (answer.outcome == StoreOutcome::Done)
-                  this->writtenLoad = load;
+                  this->published[key] = text;
           };
     this->store.commit(commit, this->settings.writer.commitTimeout, answered);
 }
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -6,6 +6,7 @@
 #include <Coordination/RecordWriter.h>
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/StartPlanner.h>
+#include <Tasks/WaitForecast.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -33,6 +34,7 @@
         Duration storeRetry = milliseconds(150);
         double checkpointLoss = 0.5; ///< Seconds of work lost by a stop of a task that checkpoints.
         Tasks::StartPlanner::Settings planner;
+        Tasks::WaitForecast::Settings forecast;
         WorkerFleet::Settings fleet;
         RecordWriter::Settings writer;
     };
@@ -71,6 +73,13 @@
         std::int64_t revision = 0;
     };
 
+    /// A job that was refused and whose key says so.
+    struct Refusal
+    {
+        std::int64_t revision = 0;
+        TimePoint seenAt{};
+    };
+
     void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
     void runEnded(const RunEnd &end, TimePoint now) override;
     void runLost(const RunEnd &end, const char *reason, TimePoint now) override;
@@ -94,6 +103,7 @@
     void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
     std::string encodeRecord(const std::string &job);
     void removeExpired(TimePoint now);
+    void removeOldRefusals(TimePoint now);
 
     void planSoon();
     void plan(TimePoint now);
@@ -116,9 +126,13 @@
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
     void reclaim(const Tasks::RunRef &run, TimePoint now);
 
+    Tasks::ServiceLoad loadOf(std::string_view service, TimePoint now) const;
+    std::string describeWaits(TimePoint now) const;
     void tickLater();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
+    /// Writes a text that all instances may read, if it has changed.
+    void publish(const char *key, std::string text);
     std::string describeLoad() const;
 
     Tasks::MetadataStore &store;
@@ -135,6 +149,7 @@
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     StartPlanner planner;
+    Tasks::WaitForecast forecast;
     Phase phase = Phase::Idle;
     std::uint64_t generation = 0; ///< Answers and timers of an earlier one are ignored.
     bool jobsListed = false;
@@ -142,12 +157,13 @@
     bool progressComplete = false;
     std::map<std::string, LoadedRecord> records; ///< While loading.
     std::set<std::string> cancelledIds; ///< While loading.
+    std::map<std::string, Refusal> refusals; ///< By job; stored in place of jobs.
     bool planPending = false;
     /// Workers on which room is being made for steps, by job and place of the step.
     std::map<std::pair<std::string, Tasks::TaskRef>, std::vector<std::string>> claims;
-    std::string writtenLoad;
+    std::map<std::string, std::string> published; ///< Newest stored text, by key.
+    std::set<std::string> publishing; ///< Keys whose write is under way.
     TimePoint loadWrittenAt{};
-    bool loadOutstanding = false;
 };
 
 } // namespace Hibiscus::Coordination
--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t recordVersion = 1;
+constexpr std::string_view refusalText = R"({"record":1,"refused":true})";
 
 /// Columns of a task's row; a task that was never started is the number 0 instead.
 enum TaskColumn : std::uint8_t {
@@ -143,6 +144,16 @@
     });
 }
 
+std::string encodeRefusal()
+{
+    return std::string(refusalText);
+}
+
+bool isRefusal(std::string_view text)
+{
+    return text == refusalText;
+}
+
 std::string encodeProgress(const JobProgress &progress)
 {
     json tasks = json::array();
--- a/Tasks/JobRecord.h
+++ b/Tasks/JobRecord.h
@@ -12,6 +12,11 @@
 std::string encodeJob(const Job &job);
 tl::expected<Job, std::string> decodeJob(std::string_view text);
 
+/// Stands under a job's key in place of the job: it was refused, and an earlier sending of it that
+/// is still on its way can't enter any more. A later submission may replace it.
+std::string encodeRefusal();
+bool isRefusal(std::string_view text);
+
 std::string encodeProgress(const JobProgress &progress);
 /// The record must have been made for `job`.
 tl::expected<JobProgress, std::string> decodeProgress(std::string_view text, const Job &job);
--- /dev/null
+++ b/Tasks/WaitForecast.cpp
@@ -0,0 +1,49 @@
+#include <Tasks/WaitForecast.h>
+
+#include <algorithm>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+/// An end after this many times the objective serves nobody.
+constexpr int worthlessAfterObjectives = 3;
+constexpr Duration longestRetryAfter = seconds(30);
+
+} // namespace
+
+Duration WaitForecast::waitFor(const ServiceLoad &load, std::int32_t priority) const
+{
+    if (load.accelerators <= 0.0)
+        return {};
+    constexpr auto last = static_cast<std::int32_t>(ServiceLoad::priorities) - 1;
+    const auto own = static_cast<std::size_t>(std::clamp(priority, 0, last));
+    double ahead = 0.0;
+    for (std::size_t i = 0; i <= own; i++)
+        ahead += load.waiting[i] + load.running[i];
+    const std::chrono::duration<double> wait(ahead / load.accelerators);
+    const auto told = std::chrono::duration_cast<Duration>(wait);
+    if (told < this->settings.shortestTold)
+        return {};
+    return told / this->settings.unit * this->settings.unit;
+}
+
+AdmissionVerdict judgeAdmission(const Job &job, Duration forecastWait)
+{
+    const bool scheduled = job.repetition.count > 0;
+    const bool endless = std::any_of(job.steps.begin(), job.steps.end(),
+                                     [](const Step &step) { return step.perpetual; });
+    if (scheduled || endless || forecastWait == Duration{})
+        return {};
+    const Duration chain = job.longestChain();
+    const auto stretched = std::chrono::duration_cast<Duration>(job.stretch * chain);
+    const Duration objective = stretched + job.targetLatency;
+    const Duration bearable = worthlessAfterObjectives * objective - chain;
+    if (forecastWait <= bearable)
+        return {};
+    // What waits longer by then than the job can bear has been worked off.
+    const Duration excess = forecastWait - std::max(Duration{}, objective - chain);
+    return {false, std::clamp<Duration>(excess, seconds(1), longestRetryAfter)};
+}
+
+} // namespace Hibiscus::Tasks
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -191,6 +191,55 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(Failover, FloodThatCanNotBeServedIsRefusedAtOnceAndComesBackLater)
+{
+    // 64 accelerators; each job takes all of them for ten seconds and bears to wait 80 s.
+    std::uint32_t accepted = 0;
+    std::optional<ClientReply> last;
+    for (std::uint32_t i = 0; i < 20; i++) {
+        last = this->cluster.submit("entry-0", jobId(i), jobBody("10000", 8, 8));
+        ASSERT_TRUE(last);
+        if (last->kind == ReplyKind::Accepted)
+            accepted = i + 1;
+        this->cluster.run(milliseconds(600));
+    }
+    EXPECT_GE(accepted, 7U);
+    EXPECT_LE(accepted, 12U);
+    ASSERT_EQ(last->kind, ReplyKind::NotRun);
+    EXPECT_GE(last->retryAfter, seconds(20));
+    const std::optional<ClientReply> state = this->cluster.state("entry-1", jobId(19));
+    EXPECT_EQ(state->kind, ReplyKind::NoSuchJob);
+    this->cluster.run(seconds(60));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(19)), 0U);
+    const std::optional<ClientReply> again
+        = this->cluster.submit("entry-1", jobId(19), jobBody("10000", 8, 8));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->kind, ReplyKind::Accepted);
+    this->cluster.run(seconds(60));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(19)));
+}
+
+TEST_F(Failover, RefusalBarsAnEarlierSendingThatIsStillOnItsWay)
+{
+    // One instance hears of no flood, and what it sends is carried out two seconds late.
+    const std::string leader = this->cluster.leader();
+    const std::string deaf = leader == "entry-2" ? "entry-1" : "entry-2";
+    this->cluster.store.paths[deaf] = StorePath::CarriesOutLate;
+    for (std::uint32_t i = 0; i < 16; i++)
+        this->cluster.submit(leader, jobId(i), jobBody("10000", 8, 8));
+    const std::optional<ClientReply> first
+        = this->cluster.submit(deaf, jobId(77), jobBody("10000", 8, 8));
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->kind, ReplyKind::Undecided);
+    const std::optional<ClientReply> second
+        = this->cluster.submit(leader, jobId(77), jobBody("10000", 8, 8));
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->kind, ReplyKind::NotRun);
+    this->cluster.store.paths.clear();
+    this->cluster.run(seconds(250));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(77)), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Tasks/WaitForecastTest.cpp
@@ -0,0 +1,80 @@
+#include <Tasks/WaitForecast.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Tasks {
+
+namespace {
+
+Job jobOf(Duration estimate, double stretch, Duration target)
+{
+    Job job;
+    job.stretch = stretch;
+    job.targetLatency = target;
+    Step step;
+    step.estimate = estimate;
+    job.steps.push_back(step);
+    return job;
+}
+
+TEST(WaitForecast, FloodOfBatchWorkHoldsUpNoUrgentWork)
+{
+    ServiceLoad load;
+    load.accelerators = 100;
+    load.waiting = {50, 0, 100'000};
+    const WaitForecast forecast(WaitForecast::Settings{});
+    EXPECT_EQ(forecast.waitFor(load, 0), Duration{});
+    EXPECT_EQ(forecast.waitFor(load, 2), seconds(1000));
+}
+
+TEST(WaitForecast, LowUrgenciesWaitBehindAllThatIsMoreUrgent)
+{
+    ServiceLoad load;
+    load.accelerators = 10;
+    load.waiting = {100, 100, 100};
+    load.running = {0, 50, 50};
+    const WaitForecast forecast(WaitForecast::Settings{});
+    EXPECT_EQ(forecast.waitFor(load, 1), seconds(25));
+    EXPECT_EQ(forecast.waitFor(load, 7), seconds(40));
+}
+
+TEST(WaitForecast, NothingIsToldWithoutWorkersOrBelowTheThreshold)
+{
+    ServiceLoad load;
+    load.waiting = {100, 100, 100};
+    const WaitForecast forecast(WaitForecast::Settings{});
+    EXPECT_EQ(forecast.waitFor(load, 2), Duration{});
+    load.accelerators = 100;
+    EXPECT_EQ(forecast.waitFor(load, 2), Duration{});
+}
+
+TEST(Admission, JobThatCouldOnlyStartTooLateIsRefusedWithTheTimeToComeBack)
+{
+    // Objective 7 s; of no use after 21 s; so it bears to wait 19 s.
+    const Job job = jobOf(seconds(2), 3.0, seconds(1));
+    EXPECT_TRUE(judgeAdmission(job, seconds(19)).admitted);
+    const AdmissionVerdict verdict = judgeAdmission(job, seconds(20));
+    EXPECT_FALSE(verdict.admitted);
+    EXPECT_EQ(verdict.retryAfter, seconds(15));
+    EXPECT_EQ(judgeAdmission(job, seconds(500)).retryAfter, seconds(30));
+}
+
+TEST(Admission, LongJobsBearLongerWaits)
+{
+    EXPECT_TRUE(judgeAdmission(jobOf(seconds(10), 3.0, seconds(1)), seconds(60)).admitted);
+    EXPECT_FALSE(judgeAdmission(jobOf(seconds(2), 1.5, seconds(0)), seconds(60)).admitted);
+}
+
+TEST(Admission, ScheduledAndEndlessJobsAreNotTurnedAwayByTodaysFlood)
+{
+    Job scheduled = jobOf(seconds(2), 1.5, seconds(0));
+    scheduled.repetition.count = 3;
+    EXPECT_TRUE(judgeAdmission(scheduled, seconds(900)).admitted);
+    Job endless = jobOf(seconds(2), 1.5, seconds(0));
+    endless.steps[0].perpetual = true;
+    EXPECT_TRUE(judgeAdmission(endless, seconds(900)).admitted);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Tasks
