--- a/Coordination/Leadership.h
+++ b/Coordination/Leadership.h
@@ -20,9 +20,9 @@
     {
         std::string instance;
         std::uint64_t seed = 0;
-        Duration term = milliseconds(2500); ///< Of the lease.
-        Duration renewEvery = milliseconds(700);
-        Duration callTimeout = milliseconds(600);
+        Duration term = milliseconds(1800); ///< Of the lease.
+        Duration renewEvery = milliseconds(450);
+        Duration callTimeout = milliseconds(500);
         Duration watchWait = seconds(2);
         Duration retry = milliseconds(200);
         Duration largestCampaignDelay = milliseconds(120); ///< Random, to avoid collisions.
--- a/Hibiscusctl/ApiRequest.cpp
+++ b/Hibiscusctl/ApiRequest.cpp
@@ -80,6 +80,7 @@
     case CommandKind::Help:
     case CommandKind::Version:
     case CommandKind::Key:
+    case CommandKind::Explain:
         break;
     }
     Findings findings;
--- a/Hibiscusctl/Command.h
+++ b/Hibiscusctl/Command.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Hibiscus {
 
@@ -26,6 +27,7 @@
     Show,
     Drain,
     Key,
+    Explain,
 };
 
 /// What `hibiscusctl` ends with; part of its interface.
@@ -43,6 +45,7 @@
 {
     CommandKind kind = CommandKind::Help;
     std::string argument; ///< A request id, a file or a name, by kind.
+    std::vector<std::string> logFiles; ///< With Explain.
     std::string host;
     std::uint16_t port = 0;
     std::string key; ///< "name.secret"
--- a/Hibiscusctl/CommandLine.cpp
+++ b/Hibiscusctl/CommandLine.cpp
@@ -28,6 +28,7 @@
   drain                Make an instance finish its work and take no more
 Commands that call nobody:
   key NAME             Print a fresh secret and its stored form
+  explain ID FILE...   Tell one request's way from instances' log files
 )";
 
 constexpr std::string_view exitCodes = R"(
@@ -63,6 +64,7 @@
     CommandWords{"show", "", CommandKind::Show, false},
     CommandWords{"drain", "", CommandKind::Drain, false},
     CommandWords{"key", "", CommandKind::Key, true},
+    CommandWords{"explain", "", CommandKind::Explain, true},
 };
 
 using Words = std::vector<std::string>;
@@ -175,6 +177,17 @@
     return nullptr;
 }
 
+void readExplain(const Words &words, Command &command, Findings &findings)
+{
+    constexpr std::size_t fewestWords = 3;
+    if (words.size() < fewestWords) {
+        findings.add("explain", "needs an id and log files; see --help");
+        return;
+    }
+    command.argument = words[1];
+    command.logFiles.assign(words.begin() + 2, words.end());
+}
+
 void readWords(const Words &words, Command &command, Findings &findings)
 {
     const CommandWords *entry = findCommand(words);
@@ -183,6 +196,10 @@
         return;
     }
     command.kind = entry->kind;
+    if (entry->kind == CommandKind::Explain) {
+        readExplain(words, command, findings);
+        return;
+    }
     const std::size_t named = entry->second.empty() ? 1 : 2;
     const std::size_t expected = named + (entry->takesArgument ? 1 : 0);
     if (words.size() > expected)
@@ -275,7 +292,7 @@
         readSubmit(reader, command);
     if (command.kind == CommandKind::Key)
         readRole(reader, command);
-    else
+    else if (command.kind != CommandKind::Explain)
         readConnection(reader, environmentKey, command);
     readChange(reader, command);
     if (!reader.findings.isEmpty())
--- /dev/null
+++ b/Hibiscusctl/Explain.cpp
@@ -0,0 +1,108 @@
+#include <Hibiscusctl/Explain.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <istream>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+/// Events after which a request's outcome does not change.
+constexpr std::array<std::string_view, 2> settlingEvents{"job over", "job refused"};
+/// Kinds of lines that tell of the system rather than of one request.
+constexpr std::array<std::string_view, 3> contextKinds{"leadership", "process", "fault"};
+
+bool isContext(std::string_view kind, std::string_view event)
+{
+    const bool store = event.starts_with("store ");
+    return store || std::find(contextKinds.begin(), contextKinds.end(), kind) != contextKinds.end();
+}
+
+std::string describe(const ordered_json &line)
+{
+    std::string details;
+    for (const auto &[name, value] : line.items()) {
+        if (name == "time" || name == "instance" || name == "kind" || name == "event"
+            || name == "request")
+            continue;
+        const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+        details += (details.empty() ? "" : " ") + name + "=" + text;
+    }
+    return details;
+}
+
+std::string textOf(const ordered_json &line, const char *name)
+{
+    const auto found = line.find(name);
+    return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+} // namespace
+
+RequestStory::RequestStory(std::string request)
+    : request(std::move(request))
+{}
+
+void RequestStory::read(std::istream &log)
+{
+    std::string text;
+    while (std::getline(log, text))
+        this->readLine(text);
+}
+
+void RequestStory::readLine(std::string_view text)
+{
+    const std::size_t begin = text.find('{');
+    if (begin == std::string_view::npos)
+        return;
+    const ordered_json line = ordered_json::parse(text.substr(begin), nullptr, false);
+    if (!line.is_object() || !line.contains("time") || !line["time"].is_number_integer())
+        return;
+    const std::string event = textOf(line, "event");
+    const bool ofRequest = textOf(line, "request") == this->request;
+    if (!ofRequest && !isContext(textOf(line, "kind"), event))
+        return;
+    const bool settles = ofRequest
+        && std::find(settlingEvents.begin(), settlingEvents.end(), event) != settlingEvents.end();
+    LogLine entry{line["time"].get<std::int64_t>(), textOf(line, "instance"), event, describe(line),
+                  settles};
+    this->entries.push_back({std::move(entry), ofRequest});
+}
+
+std::vector<LogLine> RequestStory::lines() const
+{
+    std::vector<Entry> sorted = this->entries;
+    std::stable_sort(sorted.begin(), sorted.end(), [](const Entry &left, const Entry &right) {
+        return left.line.time < right.line.time;
+    });
+    const auto isOfRequest = [](const Entry &entry) { return entry.ofRequest; };
+    const auto first = std::find_if(sorted.begin(), sorted.end(), isOfRequest);
+    const auto last = std::find_if(sorted.rbegin(), sorted.rend(), isOfRequest).base();
+    std::vector<LogLine> lines;
+    for (auto entry = first; entry < last; ++entry)
+        lines.push_back(entry->line);
+    return lines;
+}
+
+std::string renderStory(std::span<const LogLine> lines)
+{
+    const auto settles = [](const LogLine &line) { return line.settles; };
+    const auto decisive = std::find_if(lines.rbegin(), lines.rend(), settles);
+    std::string text;
+    for (const LogLine &line : lines) {
+        std::array<char, 32> offset{};
+        std::snprintf(offset.data(), offset.size(), "%+10.3f s",
+                      static_cast<double>(line.time - lines.front().time) / 1000.0);
+        const bool isDecisive = decisive != lines.rend() && &*decisive == &line;
+        text += std::string(isDecisive ? "=> " : "   ") + offset.data() + "  " + line.instance
+            + "  " + line.event + "  " + line.details + "\n";
+    }
+    return text;
+}
+
+} // namespace Hibiscus
--- a/Hibiscusctl/main.cpp
+++ b/Hibiscusctl/main.cpp
@@ -2,6 +2,7 @@
 #include <Hibiscusctl/ApiClient.h>
 #include <Hibiscusctl/ApiRequest.h>
 #include <Hibiscusctl/CommandLine.h>
+#include <Hibiscusctl/Explain.h>
 #include <Hibiscusctl/Outcome.h>
 #include <Hibiscusctl/Tables.h>
 
@@ -85,6 +86,27 @@
     return code;
 }
 
+ExitCode explain(const Command &command)
+{
+    RequestStory story(command.argument);
+    for (const std::string &name : command.logFiles) {
+        std::ifstream file(name, std::ios::binary);
+        if (!file) {
+            Findings findings;
+            findings.add(name, "can't be read");
+            return complain(findings);
+        }
+        story.read(file);
+    }
+    const std::vector<LogLine> lines = story.lines();
+    if (lines.empty()) {
+        std::cerr << command.argument << ": no log file speaks of it\n";
+        return ExitCode::Unavailable;
+    }
+    std::cout << renderStory(lines);
+    return ExitCode::Success;
+}
+
 ExitCode run(const Command &command)
 {
     switch (command.kind) {
@@ -96,6 +118,8 @@
         return ExitCode::Success;
     case CommandKind::Key:
         return printKey(command);
+    case CommandKind::Explain:
+        return explain(command);
     default:
         return callInstance(command);
     }
--- a/UnitTests/Coordination/LeadershipTest.cpp
+++ b/UnitTests/Coordination/LeadershipTest.cpp
@@ -59,6 +59,25 @@
     EXPECT_EQ(cluster.leader(), "entry-0");
 }
 
+TEST(Leadership, LeaderThatTheStoreTurnsAwayIsFollowedWithinTwoSeconds)
+{
+    Cluster cluster(3, 2);
+    const std::string former = cluster.leader();
+    cluster.store.paths[former] = StorePath::Refusing;
+    cluster.run(seconds(2));
+    EXPECT_NE(cluster.leader(), "");
+    EXPECT_NE(cluster.leader(), former);
+}
+
+TEST(Leadership, SlowStoreUnseatsNobody)
+{
+    Cluster cluster(3, 2);
+    const std::string leader = cluster.leader();
+    cluster.store.latency = milliseconds(150);
+    cluster.run(seconds(10));
+    EXPECT_EQ(cluster.leader(), leader);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Hibiscusctl/CommandLineTest.cpp
+++ b/UnitTests/Hibiscusctl/CommandLineTest.cpp
@@ -131,5 +131,15 @@
         EXPECT_NE(help.find(text), std::string::npos) << text;
 }
 
+TEST(CommandLine, ExplainTakesAnIdAndLogFilesAndNoConnection)
+{
+    const auto command = parse({"explain", "ab", "one.log", "two.log"}, false);
+    ASSERT_TRUE(command) << command.error().toString();
+    EXPECT_EQ(command->kind, CommandKind::Explain);
+    EXPECT_EQ(command->argument, "ab");
+    EXPECT_EQ(command->logFiles, (std::vector<std::string>{"one.log", "two.log"}));
+    EXPECT_EQ(places(parse({"explain", "ab"}, false)), (std::vector<std::string>{"explain"}));
+}
+
 } // namespace
 } // namespace Hibiscus
--- /dev/null
+++ b/UnitTests/Hibiscusctl/ExplainTest.cpp
@@ -0,0 +1,58 @@
+#include <Hibiscusctl/Explain.h>
+
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace Hibiscus {
+
+namespace {
+
+constexpr const char *entryLog
+    = R"({"time":1000,"instance":"entry-1","kind":"request","event":"job submitted","request":"ab","outcome":"accepted"}
+{"time":1001,"instance":"entry-1","kind":"request","event":"job submitted","request":"cd","outcome":"accepted"}
+no log line { at all
+{"time":"soon","event":"x"}
+)";
+constexpr const char *leaderLog
+    = R"(  0.5 entry-2 {"time":900,"instance":"entry-2","kind":"leadership","event":"elected","token":7}
+  0.6 entry-2 {"time":1004,"instance":"entry-2","kind":"task","event":"run assigned","request":"ab","worker":"i-1","waitedMs":4}
+  0.7 entry-2 {"time":1500,"instance":"entry-2","kind":"leadership","event":"deposed","reason":"the lease could not be renewed in time"}
+  0.8 entry-2 {"time":2250,"instance":"entry-2","kind":"request","event":"job over","request":"ab","state":3}
+)";
+
+std::vector<LogLine> story(const std::string &request)
+{
+    RequestStory told(request);
+    std::istringstream leader(leaderLog);
+    std::istringstream entry(entryLog);
+    told.read(leader);
+    told.read(entry);
+    return told.lines();
+}
+
+TEST(Explain, LinesOfSeveralInstancesStandInOrderOfTime)
+{
+    const std::vector<LogLine> lines = story("ab");
+    ASSERT_EQ(lines.size(), 4U);
+    EXPECT_EQ(lines[0].event, "job submitted");
+    EXPECT_EQ(lines[1].details, "worker=i-1 waitedMs=4");
+    EXPECT_EQ(lines[2].event, "deposed");
+    EXPECT_TRUE(lines[3].settles);
+}
+
+TEST(Explain, DecidingLineIsMarked)
+{
+    const std::string text = renderStory(story("ab"));
+    EXPECT_NE(text.find("=>     +1.250 s  entry-2  job over  state=3\n"), std::string::npos)
+        << text;
+}
+
+TEST(Explain, UnknownRequestHasNoLines)
+{
+    EXPECT_TRUE(story("ef").empty());
+    EXPECT_EQ(renderStory({}), "");
+}
+
+} // namespace
+
+} // namespace Hibiscus
