Keep the ends of a gang listed until its record is stored; refuse by the queue's typical chain

The next leader found the gang as running and most of its members on no list, and started it again. Ends now wait for their job's record in any case. Ruled out: the leader's shorter lease, which only made the outage unseat it each time.

Refusals for load judged a job by its own estimate, which may be a tenth of the truth (photo-pages that bear 50 s refused at a forecast of 9 s): the mean chain of the queue's jobs counts now, if it is longer. A retry with little time left is tried with less kept for the answer.

--- a/Coordination/JobFront.cpp
+++ b/Coordination/JobFront.cpp
@@ -105,8 +105,11 @@
     if (item.removed || !values.is_object())
         return;
     for (const auto &[queue, wait] : values.items()) {
-        if (wait.is_number_integer())
-            this->waits[queue] = milliseconds(wait.get<std::int64_t>());
+        const bool valid = wait.is_array() && wait.size() == 2 && wait[0].is_number_integer()
+            && wait[1].is_number_integer();
+        if (valid)
+            this->waits[queue] = {milliseconds(wait[0].get<std::int64_t>()),
+                                  milliseconds(wait[1].get<std::int64_t>())};
     }
 }
 
@@ -124,7 +127,8 @@
     this->journal.tell(LogKind::Request, "job to be refused for load",
                        {{"request", submission.job.id},
                         {"queue", submission.job.queue},
-                        {"forecastWaitMs", toMs(wait->second)},
+                        {"forecastWaitMs", toMs(wait->second.wait)},
+                        {"typicalChainMs", toMs(wait->second.typicalChain)},
                         {"forecastAgeMs", toMs(now - this->waitsReadAt)},
                         {"retryAfterMs", toMs(submission.verdict.retryAfter)}},
                        now);
--- a/Coordination/JobFront.h
+++ b/Coordination/JobFront.h
@@ -4,6 +4,7 @@
 #include <Coordination/PrefixWatch.h>
 #include <Tasks/SystemConfiguration.h>
 #include <Tasks/TaskJob.h>
+#include <Tasks/WaitForecast.h>
 
 #include <functional>
 #include <memory>
@@ -67,7 +68,7 @@
         std::string configurationKey;
         Duration revocationBound = seconds(5); ///< A revoked key must not be served after this.
         Duration storeTimeout = milliseconds(700);
-        Duration answerReserve = milliseconds(150); ///< Left of a client's time for the answer.
+        Duration answerReserve = milliseconds(40); ///< Left of a client's time for the answer.
         Duration retry = milliseconds(60);
         Duration pendingValidity = milliseconds(400); ///< Of a queue's count that was read.
         Duration waitsWatch = seconds(5); ///< Forecasts are advice, so their watch may be slow.
@@ -137,7 +138,7 @@
     Decoders decoders;
     PrefixWatch watch;
     PrefixWatch waitsWatch;
-    std::map<std::string, Duration, std::less<>> waits; ///< Forecast by queue; absent: short.
+    std::map<std::string, Tasks::QueueForecast, std::less<>> waits; ///< By queue; absent: short.
     TimePoint waitsReadAt{};
     std::shared_ptr<const Tasks::Directory> current;
     std::string pendingCounts; ///< JSON object: queue to count.
--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -64,6 +64,24 @@
     (void)now;
 }
 
+void RecordWriter::whenStored(const std::string &job, Effect effect, TimePoint now)
+{
+    if (!this->active)
+        return;
+    const auto queued = this->effects.find(job);
+    if (queued != this->effects.end()) {
+        queued->second.push_back(std::move(effect));
+        return;
+    }
+    for (Written &entry : this->inFlight) {
+        if (entry.job == job) {
+            entry.effects.push_back(std::move(effect));
+            return;
+        }
+    }
+    effect(now);
+}
+
 void RecordWriter::flush(TimePoint now)
 {
     if (!this->inFlight.empty() || this->queue.empty())
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -45,6 +45,9 @@
     /// Has the job's record written. `effect` runs once what is now known of the job is stored.
     void record(const std::string &job, Effect effect, TimePoint now);
 
+    /// Runs `effect` once all that was known of the job up to now is stored, at once if it is.
+    void whenStored(const std::string &job, Effect effect, TimePoint now);
+
     std::size_t waiting() const { return this->queue.size() + this->inFlight.size(); }
 
 private:
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -348,14 +348,14 @@
         this->fleet.avoid(end.worker, now);
     if (end.cause == EndCause::Done)
         this->fleet.trust(end.worker);
-    if (!effect.changed) {
-        this->fleet.endRecorded(end.worker, end.number, now);
-        return;
-    }
     const auto recorded = [this, worker = end.worker, number = end.number](TimePoint at) {
         this->fleet.endRecorded(worker, number, at);
     };
-    this->apply(*job, effect, recorded, now);
+    // An end that changes nothing may rest on a change that is not stored yet, as a gang's do.
+    if (effect.changed)
+        this->apply(*job, effect, recorded, now);
+    else
+        this->writer.whenStored(end.run.job, recorded, now);
 }
 
 void TaskDispatcher::runLost(const RunEnd &end, const char *reason, TimePoint now)
@@ -785,20 +785,40 @@
     return load;
 }
 
-std::string TaskDispatcher::describeWaits(TimePoint now) const
+std::map<std::string, Tasks::QueueForecast> TaskDispatcher::forecastQueues(TimePoint now) const
 {
-    std::map<std::string, std::int64_t> waits;
-    std::map<std::string, Tasks::ServiceLoad> loads;
+    std::map<std::string_view, Tasks::ServiceLoad> loads;
+    std::map<std::string, Tasks::QueueForecast> forecasts;
+    std::map<std::string, std::int64_t> jobCounts;
     for (const auto &[id, job] : this->jobs.all()) {
-        if (job.isOver() || waits.contains(job.job.queue))
+        Tasks::QueueForecast &queue = forecasts[job.job.queue];
+        queue.typicalChain += job.job.longestChain();
+        jobCounts[job.job.queue]++;
+        if (job.isOver() || queue.wait != Duration{})
             continue;
         const auto [load, added] = loads.try_emplace(job.job.service);
         if (added)
             load->second = this->loadOf(job.job.service, now);
-        waits[job.job.queue] = toMs(this->forecast.waitFor(load->second, job.job.priority));
+        queue.wait = this->forecast.waitFor(load->second, job.job.priority);
+    }
+    for (auto &[name, queue] : forecasts)
+        queue.typicalChain /= jobCounts[name];
+    return forecasts;
+}
+
+/// Queues that wait long, as "name": [wait, typical chain], both in ms. Chains are rounded, so that
+/// the text changes seldom.
+std::string TaskDispatcher::describeWaits(TimePoint now) const
+{
+    constexpr Duration chainUnit = seconds(1);
+    nlohmann::json waits = nlohmann::json::object();
+    for (const auto &[name, queue] : this->forecastQueues(now)) {
+        if (queue.wait == Duration{})
+            continue;
+        const Duration chain = (queue.typicalChain + chainUnit / 2) / chainUnit * chainUnit;
+        waits[name] = {toMs(queue.wait), toMs(chain)};
     }
-    std::erase_if(waits, [](const auto &wait) { return wait.second == 0; });
-    return nlohmann::json(waits).dump();
+    return waits.dump();
 }
 
 void TaskDispatcher::writeLoad(TimePoint now)
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -127,6 +127,7 @@
     void reclaim(const Tasks::RunRef &run, TimePoint now);
 
     Tasks::ServiceLoad loadOf(std::string_view service, TimePoint now) const;
+    std::map<std::string, Tasks::QueueForecast> forecastQueues(TimePoint now) const;
     std::string describeWaits(TimePoint now) const;
     void tickLater();
     void tick(TimePoint now);
--- a/Tasks/WaitForecast.cpp
+++ b/Tasks/WaitForecast.cpp
@@ -28,21 +28,21 @@
     return told / this->settings.unit * this->settings.unit;
 }
 
-AdmissionVerdict judgeAdmission(const Job &job, Duration forecastWait)
+AdmissionVerdict judgeAdmission(const Job &job, const QueueForecast &forecast)
 {
     const bool scheduled = job.repetition.count > 0;
     const bool endless = std::any_of(job.steps.begin(), job.steps.end(),
                                      [](const Step &step) { return step.perpetual; });
-    if (scheduled || endless || forecastWait == Duration{})
+    if (scheduled || endless || forecast.wait == Duration{})
         return {};
-    const Duration chain = job.longestChain();
+    const Duration chain = std::max(job.longestChain(), forecast.typicalChain);
     const auto stretched = std::chrono::duration_cast<Duration>(job.stretch * chain);
     const Duration objective = stretched + job.targetLatency;
     const Duration bearable = worthlessAfterObjectives * objective - chain;
-    if (forecastWait <= bearable)
+    if (forecast.wait <= bearable)
         return {};
     // What waits longer by then than the job can bear has been worked off.
-    const Duration excess = forecastWait - std::max(Duration{}, objective - chain);
+    const Duration excess = forecast.wait - std::max(Duration{}, objective - chain);
     return {false, std::clamp<Duration>(excess, seconds(1), longestRetryAfter)};
 }
 
--- a/Tasks/WaitForecast.h
+++ b/Tasks/WaitForecast.h
@@ -52,7 +52,18 @@
     Duration retryAfter{}; ///< If not admitted: by then the job could be served in time.
 };
 
+/// What is told of one queue.
+struct QueueForecast
+{
+    Duration wait{};
+    /// Mean of its jobs' longest chains: one job's estimate may be far too low, and would let it
+    /// seem to bear no wait.
+    Duration typicalChain{};
+
+    bool operator==(const QueueForecast &) const = default;
+};
+
 /// Refuses a job that would still wait when nobody is served by its end any more.
-AdmissionVerdict judgeAdmission(const Job &job, Duration forecastWait);
+AdmissionVerdict judgeAdmission(const Job &job, const QueueForecast &forecast);
 
 } // namespace Hibiscus::Tasks
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -240,6 +240,22 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(77)), 0U);
 }
 
+TEST_F(Failover, EndsOfAGangAreNotForgottenBeforeItsRecordIsStored)
+{
+    // The first member's end settles the gang; the ends of the others change nothing more, yet
+    // must be kept by their workers until the record is stored.
+    this->accept(1, jobBody("3000,gang=3", 3, 8, true));
+    this->cluster.run(milliseconds(2500));
+    this->cluster.store.everyPath = StorePath::Silent;
+    this->cluster.run(seconds(5));
+    // The worker whose end came first is gone; the other ends tell that the gang is done.
+    this->cluster.workers.kill("worker-0");
+    this->cluster.store.everyPath = StorePath::Open;
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Tasks/WaitForecastTest.cpp
+++ b/UnitTests/Tasks/WaitForecastTest.cpp
@@ -52,27 +52,36 @@
 {
     // Objective 7 s; of no use after 21 s; so it bears to wait 19 s.
     const Job job = jobOf(seconds(2), 3.0, seconds(1));
-    EXPECT_TRUE(judgeAdmission(job, seconds(19)).admitted);
-    const AdmissionVerdict verdict = judgeAdmission(job, seconds(20));
+    EXPECT_TRUE(judgeAdmission(job, {seconds(19), {}}).admitted);
+    const AdmissionVerdict verdict = judgeAdmission(job, {seconds(20), {}});
     EXPECT_FALSE(verdict.admitted);
     EXPECT_EQ(verdict.retryAfter, seconds(15));
-    EXPECT_EQ(judgeAdmission(job, seconds(500)).retryAfter, seconds(30));
+    EXPECT_EQ(judgeAdmission(job, {seconds(500), {}}).retryAfter, seconds(30));
 }
 
 TEST(Admission, LongJobsBearLongerWaits)
 {
-    EXPECT_TRUE(judgeAdmission(jobOf(seconds(10), 3.0, seconds(1)), seconds(60)).admitted);
-    EXPECT_FALSE(judgeAdmission(jobOf(seconds(2), 1.5, seconds(0)), seconds(60)).admitted);
+    EXPECT_TRUE(judgeAdmission(jobOf(seconds(10), 3.0, seconds(1)), {seconds(60), {}}).admitted);
+    EXPECT_FALSE(judgeAdmission(jobOf(seconds(2), 1.5, seconds(0)), {seconds(60), {}}).admitted);
 }
 
 TEST(Admission, ScheduledAndEndlessJobsAreNotTurnedAwayByTodaysFlood)
 {
     Job scheduled = jobOf(seconds(2), 1.5, seconds(0));
     scheduled.repetition.count = 3;
-    EXPECT_TRUE(judgeAdmission(scheduled, seconds(900)).admitted);
+    EXPECT_TRUE(judgeAdmission(scheduled, {seconds(900), {}}).admitted);
     Job endless = jobOf(seconds(2), 1.5, seconds(0));
     endless.steps[0].perpetual = true;
-    EXPECT_TRUE(judgeAdmission(endless, seconds(900)).admitted);
+    EXPECT_TRUE(judgeAdmission(endless, {seconds(900), {}}).admitted);
+}
+
+TEST(Admission, EstimateThatIsFarTooLowIsNoReasonToRefuse)
+{
+    // Alone it would bear 3 s; jobs of its queue take 7 s and bear 57 s.
+    const Job job = jobOf(milliseconds(200), 3.0, seconds(1));
+    EXPECT_FALSE(judgeAdmission(job, {seconds(9), {}}).admitted);
+    EXPECT_TRUE(judgeAdmission(job, {seconds(9), seconds(7)}).admitted);
+    EXPECT_FALSE(judgeAdmission(job, {seconds(90), seconds(7)}).admitted);
 }
 
 } // namespace
