Learn run times by queue, and let large late work wait no longer than batch work

Ranks, objectives and forecasts now use the ratio mean of estimate and what the queue's runs took; standard work that is late goes before batch work, and keeps reserving room.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -64,6 +64,7 @@
     run.checkpoints = step.checkpoints;
     run.payload = job.job.payload;
     run.checkpoint = job.progress.task(ref).checkpoint;
+    run.resumed = !run.checkpoint.empty();
     return run;
 }
 
@@ -128,6 +129,7 @@
     this->planPending = false;
     this->claims.clear();
     this->refusals.clear();
+    this->runTimes.clear();
     this->published.clear();
     this->publishing.clear();
     this->fleet.begin(token, now);
@@ -348,6 +350,8 @@
         this->fleet.avoid(end.worker, now);
     if (end.cause == EndCause::Done)
         this->fleet.trust(end.worker);
+    if (end.cause == EndCause::Done && job && end.ranFor > Duration{})
+        this->runTimes.note(job->job.queue, end.ranFor);
     const auto recorded = [this, worker = end.worker, number = end.number](TimePoint at) {
         this->fleet.endRecorded(worker, number, at);
     };
@@ -571,6 +575,7 @@
 void TaskDispatcher::addRequests(const LiveJob &job, std::int32_t occurrence,
                                  std::vector<Tasks::StartRequest> &requests)
 {
+    const Tasks::UnixMs span = toMs(job.job.objective(this->runTimes.expectedChain(job.job)));
     for (std::size_t i = 0; i < job.job.steps.size(); i++) {
         const auto number = static_cast<std::int32_t>(i);
         std::vector<std::int32_t> indexes = JobTable::startable(job, occurrence, number);
@@ -584,9 +589,9 @@
         request.service = job.job.service;
         request.customer = job.job.customer;
         request.priority = job.job.priority;
+        request.runTime = this->runTimes.expected(job.job.queue, job.job.steps[i].estimate);
         request.readySince = std::max(job.job.dueAt(occurrence), job.job.acceptedAt);
-        request.objectiveAt = job.job.objectiveAt(occurrence);
-        const Tasks::UnixMs span = request.objectiveAt - request.readySince;
+        request.objectiveAt = request.readySince + span;
         constexpr int worthlessAfterObjectives = 3;
         request.worthlessAt = request.readySince + worthlessAfterObjectives * span;
         request.indexes = std::move(indexes);
@@ -676,6 +681,7 @@
     const TaskRef ref{request.occurrence, request.stepNumber, choice.index};
     const std::int64_t incarnation = this->fleet.all().find(worker)->second.entry.incarnation;
     WorkerFleet::Run run = describeRun(job, ref);
+    run.estimate = request.runTime;
     run.ref = JobTable::assign(job, ref, worker, incarnation);
     const RunRef runRef = run.ref;
     this->journal.tell(LogKind::Task, "run assigned",
@@ -792,7 +798,7 @@
     std::map<std::string, std::int64_t> jobCounts;
     for (const auto &[id, job] : this->jobs.all()) {
         Tasks::QueueForecast &queue = forecasts[job.job.queue];
-        queue.typicalChain += job.job.longestChain();
+        queue.typicalChain += this->runTimes.expectedChain(job.job);
         jobCounts[job.job.queue]++;
         if (job.isOver() || queue.wait != Duration{})
             continue;
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -5,6 +5,7 @@
 #include <Coordination/PrefixWatch.h>
 #include <Coordination/RecordWriter.h>
 #include <Coordination/WorkerFleet.h>
+#include <Tasks/RunTimeBook.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
 
@@ -158,6 +159,7 @@
     bool progressComplete = false;
     std::map<std::string, LoadedRecord> records; ///< While loading.
     std::set<std::string> cancelledIds; ///< While loading.
+    Tasks::RunTimeBook runTimes;
     std::map<std::string, Refusal> refusals; ///< By job; stored in place of jobs.
     bool planPending = false;
     /// Workers on which room is being made for steps, by job and place of the step.
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -159,6 +159,7 @@
     if (worker.entry.incarnation != 0 && worker.entry.incarnation != incarnation)
         return false;
     run.adopted = true;
+    run.resumed = true;
     // A former leader may have renewed until its grace ran out, with the longest lease.
     const Duration longest = this->longestLease();
     worker.leaseOverAt = std::max(worker.leaseOverAt, now + this->settings.renewalGrace + longest);
@@ -411,9 +412,11 @@
         if (!run)
             continue;
         worker.unrecorded.insert(ended.number);
-        const RunEnd end{ended.run, worker.entry.id, ended.cause,
-                         ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint,
-                         ended.number};
+        const bool timed = run->confirmedAt && !run->resumed;
+        const RunEnd end{
+            ended.run,    worker.entry.id,
+            ended.cause,  ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint,
+            ended.number, timed ? now - *run->confirmedAt : Duration{}};
         this->removeRun(worker, keyOf(ended.run), now);
         this->listener.runEnded(end, now);
     }
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -21,6 +21,7 @@
     Tasks::EndCause cause = Tasks::EndCause::Failed;
     std::string checkpoint; ///< Newest known; empty: none.
     std::int64_t number = 0; ///< Of the end in the worker's list; 0: not listed.
+    Duration ranFor{}; ///< As far as this leader saw it; 0: not known, or it resumed.
 };
 
 /// What the fleet tells of the runs that it was given.
@@ -71,6 +72,7 @@
         Duration estimate{}; ///< Of its run time.
         std::int32_t members = 1; ///< Of its gang.
         bool checkpoints = false;
+        bool resumed = false; ///< From a checkpoint, or taken over: its start tells no run time.
         std::string payload;
         std::string checkpoint; ///< Newest known.
         std::int32_t percent = 0;
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -29,7 +29,7 @@
 /// Whether the request's tasks can't end in time any more, by their estimate.
 bool isLate(const StartRequest &request, UnixMs now)
 {
-    return now + toMs(request.step->estimate) > request.objectiveAt;
+    return now + toMs(request.runTime) > request.objectiveAt;
 }
 
 /// Room that what is stopping on the worker still holds.
@@ -307,7 +307,7 @@
     if (request.step->dataRack.empty())
         return false;
     const double lost
-        = static_cast<double>(toMs(request.step->estimate)) * (this->settings.remoteDataFactor - 1);
+        = static_cast<double>(toMs(request.runTime)) * (this->settings.remoteDataFactor - 1);
     double worthWaiting = lost / 2;
     if (request.priority <= this->settings.mostReclaimPriority)
         worthWaiting = std::min(worthWaiting,
@@ -528,7 +528,7 @@
 /// tasks does not keep a large one waiting for ever.
 void PlanPass::keepRoom(const StartRequest &request, std::size_t tasks)
 {
-    constexpr int firstRankWithoutReservation = 4;
+    constexpr int firstRankWithoutReservation = 5;
     const bool reserves = StartPlanner::rankOf(request, this->now) < firstRankWithoutReservation;
     const std::size_t left = this->settings.mostReservations - this->reservations;
     if (!reserves || left == 0)
@@ -716,7 +716,7 @@
 int StartPlanner::rankOf(const StartRequest &request, UnixMs now)
 {
     constexpr int worthlessRank = 7;
-    constexpr int ranksOfPriority[3][2] = {{1, 2}, {3, 5}, {4, 6}};
+    constexpr int ranksOfPriority[3][2] = {{1, 2}, {3, 4}, {5, 6}};
     if (request.guaranteed)
         return 0;
     if (now >= request.worthlessAt)
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -40,6 +40,7 @@
     std::string_view service;
     std::string_view customer;
     std::int32_t priority = 0;
+    Duration runTime{}; ///< Expected, of one task.
     UnixMs readySince = 0;
     UnixMs objectiveAt = 0; ///< In time until then.
     UnixMs worthlessAt = 0; ///< Nobody is served by an end after this.
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -56,22 +56,25 @@
 }
 
 Duration Job::longestChain() const
+{
+    return this->longestChain([](const Step &step) { return step.estimate; });
+}
+
+Duration Job::longestChain(const std::function<Duration(const Step &)> &timeOf) const
 {
     std::vector<Duration> ends(this->steps.size());
     for (std::size_t i = 0; i < this->steps.size(); i++) {
         Duration begin{};
         for (const std::int32_t earlier : this->steps[i].after)
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        ends[i] = begin + this->steps[i].estimate;
+        ends[i] = begin + timeOf(this->steps[i]);
     }
     return ends.empty() ? Duration{} : *std::max_element(ends.begin(), ends.end());
 }
 
-UnixMs Job::objectiveAt(std::int32_t occurrence) const
+Duration Job::objective(Duration chain) const
 {
-    const double chain = static_cast<double>(toMs(this->longestChain()));
-    const UnixMs begin = std::max(this->dueAt(occurrence), this->acceptedAt);
-    return begin + static_cast<UnixMs>(this->stretch * chain) + toMs(this->targetLatency);
+    return std::chrono::duration_cast<Duration>(this->stretch * chain) + this->targetLatency;
 }
 
 std::int64_t Job::widestStep() const
--- a/Tasks/TaskJob.h
+++ b/Tasks/TaskJob.h
@@ -3,6 +3,7 @@
 #include <Core/Time.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -82,8 +83,10 @@
     UnixMs dueAt(std::int32_t occurrence) const;
     /// Sum of the estimates along the longest chain of steps.
     Duration longestChain() const;
-    /// By when an occurrence should end.
-    UnixMs objectiveAt(std::int32_t occurrence) const;
+    /// The same with other times than the estimates.
+    Duration longestChain(const std::function<Duration(const Step &)> &timeOf) const;
+    /// From the start that is due to the end that is owed, if the longest chain takes so long.
+    Duration objective(Duration chain) const;
     /// Accelerators of the step that needs most.
     std::int64_t widestStep() const;
     /// Core-seconds of one occurrence by the caller's estimates, accelerators included.
--- a/Tasks/WaitForecast.cpp
+++ b/Tasks/WaitForecast.cpp
@@ -36,8 +36,7 @@
     if (scheduled || endless || forecast.wait == Duration{})
         return {};
     const Duration chain = std::max(job.longestChain(), forecast.typicalChain);
-    const auto stretched = std::chrono::duration_cast<Duration>(job.stretch * chain);
-    const Duration objective = stretched + job.targetLatency;
+    const Duration objective = job.objective(chain);
     const Duration bearable = worthlessAfterObjectives * objective - chain;
     if (forecast.wait <= bearable)
         return {};
--- a/UnitTests/Tasks/JobRecordTest.cpp
+++ b/UnitTests/Tasks/JobRecordTest.cpp
@@ -88,11 +88,11 @@
         EXPECT_TRUE(progress.contains(progress.refAt(i)));
 }
 
-TEST(Job, ObjectiveCountsTheLongestChainFromTheDueTime)
+TEST(Job, ObjectiveStretchesTheLongestChain)
 {
     const Job job = sampleJob();
     EXPECT_EQ(job.longestChain(), milliseconds(2900));
-    EXPECT_EQ(job.objectiveAt(0), job.repetition.first + 4350 + 250);
+    EXPECT_EQ(job.objective(job.longestChain()), milliseconds(4350 + 250));
     EXPECT_EQ(job.dueAt(1), job.repetition.first + 4500);
 }
 
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -51,6 +51,7 @@
         request.job = "job";
         request.step = &this->steps.back();
         request.service = "blend";
+        request.runTime = seconds(2);
         request.priority = priority;
         request.readySince = now - 100;
         request.objectiveAt = now + 10'000;
@@ -229,7 +230,7 @@
     this->stepOf(0).gang = true;
     this->stepOf(0).sameRack = true;
     this->stepOf(0).dataRack = "rack-0";
-    this->stepOf(0).estimate = seconds(12);
+    request.runTime = seconds(12);
     request.objectiveAt = now + 20'000;
     EXPECT_TRUE(this->plan().reclaims.empty());
     request.readySince = now - 1300;
@@ -304,6 +305,16 @@
     EXPECT_EQ(startsOf(this->plan(), 1), 3U);
 }
 
+TEST_F(StartPlannerTest, LargeWorkThatIsLateIsNotStarvedByBatchWork)
+{
+    this->addWorkers(1);
+    this->occupy(0, {1000, 1000, 2}, 2, 3000, 10.0);
+    StartRequest &late = this->request(1, 1, 8);
+    late.objectiveAt = now - 1000;
+    this->request(2, 6, 1);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
 TEST_F(StartPlannerTest, RequiredLabelIsNeverPassedOver)
 {
     this->addWorkers(2);
