--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -836,7 +836,7 @@
     this->publish(StoreKeys::waits, this->describeWaits(now));
 }
 
-void TaskDispatcher::publish(const char *key, std::string text)
+void TaskDispatcher::publish(const char *key, const std::string &text)
 {
     const auto known = this->published.find(key);
     const bool unchanged = known != this->published.end() && known->second == text;
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -134,7 +134,7 @@
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
     /// Writes a text that all instances may read, if it has changed.
-    void publish(const char *key, std::string text);
+    void publish(const char *key, const std::string &text);
     std::string describeLoad() const;
 
     Tasks::MetadataStore &store;
--- a/Hibiscusctl/Explain.cpp
+++ b/Hibiscusctl/Explain.cpp
@@ -31,7 +31,9 @@
             || name == "request")
             continue;
         const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
-        details += (details.empty() ? "" : " ") + name + "=" + text;
+        if (!details.empty())
+            details += ' ';
+        details.append(name).append("=").append(text);
     }
     return details;
 }
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -6,7 +6,6 @@
 
 using Tasks::EndCause;
 using Tasks::RunRef;
-using Tasks::TaskRef;
 using Tasks::WorkerAnswer;
 using Tasks::WorkerEntry;
 using Tasks::WorkerHandler;
@@ -52,7 +51,7 @@
     machine.entry.labels = {"kind-a", rack};
     machine.entry.capacity = {32000, 65536, 8};
     machine.entry.incarnation = 1000;
-    const WorkerEntry entry = machine.entry;
+    WorkerEntry entry = machine.entry;
     this->machines[id] = std::move(machine);
     return entry;
 }
@@ -139,8 +138,11 @@
     const TaskName name{run.job, run.task};
     for (const auto &[other, machine] : this->machines) {
         if (machine.alive && machine.running.contains(name))
-            this->violations.push_back(describe(run) + " starts on " + id + " while it runs on "
-                                       + other);
+            this->violations.push_back(describe(run)
+                                           .append(" starts on ")
+                                           .append(id)
+                                           .append(" while it runs on ")
+                                           .append(other));
     }
     if (this->acknowledgedDone.contains(name))
         this->violations.push_back(describe(run) + " starts after its end was acknowledged");
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -32,7 +32,7 @@
     std::string busyWorker() const
     {
         for (int i = 0; i < 4; i++) {
-            const std::string id = "worker-" + std::to_string(i);
+            std::string id = "worker-" + std::to_string(i);
             if (this->cluster.workers.running(id) > 0)
                 return id;
         }
