--- /dev/null
+++ b/UnitTests/Runtime/HttpTest.cpp
@@ -0,0 +1,140 @@
+#include <Runtime/HttpClient.h>
+#include <Runtime/HttpServer.h>
+
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace Hibiscus::Runtime {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// A server on a free port of the loopback address and a client to it, on one event loop.
+class HttpTest : public testing::Test
+{
+protected:
+    void serve(HttpHandler handler, const HttpServer::Settings &settings = {})
+    {
+        const unsigned short port = freePort();
+        this->address = "127.0.0.1:" + std::to_string(port);
+        this->server.emplace(this->loop,
+                             asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port),
+                             std::move(handler), settings);
+        this->client.emplace(this->loop, this->address, HttpClient::Settings{});
+    }
+
+    HttpResult call(HttpCall call, Duration timeout = seconds(20))
+    {
+        std::optional<HttpResult> result;
+        this->client->call(std::move(call), timeout,
+                           [&result](HttpResult answer) { result = std::move(answer); });
+        while (!result)
+            this->loop.run_one();
+        return *result;
+    }
+
+    unsigned short freePort()
+    {
+        const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+        return asio::ip::tcp::acceptor(this->loop, any).local_endpoint().port();
+    }
+
+    static HttpResponse plain(std::string body)
+    {
+        HttpResponse response(http::status::ok, 11);
+        response.body() = std::move(body);
+        return response;
+    }
+
+    asio::io_context loop;
+    std::string address;
+    std::optional<HttpServer> server;
+    std::optional<HttpClient> client;
+};
+
+TEST_F(HttpTest, CallAndAnswerGoOverOneKeptConnection)
+{
+    this->serve([](const HttpRequest &request, const HttpResponder &respond) {
+        respond(plain(request.body() + "!"));
+    });
+    for (int i = 0; i < 5; i++) {
+        const HttpResult result
+            = this->call({.verb = http::verb::post, .target = "/x", .body = "hello"});
+        EXPECT_EQ(result.status, 200U);
+        EXPECT_EQ(result.body, "hello!");
+    }
+    EXPECT_EQ(this->client->callsMade(), 5U);
+    EXPECT_EQ(this->client->connectionsMade(), 1U);
+}
+
+TEST_F(HttpTest, KeptConnectionThatTheServerClosedIsReplaced)
+{
+    this->serve([](const HttpRequest &, const HttpResponder &respond) { respond(plain("a")); });
+    EXPECT_EQ(this->call({.target = "/"}).status, 200U);
+    this->server->closeIdle();
+    EXPECT_EQ(this->call({.target = "/"}).status, 200U);
+    EXPECT_EQ(this->client->connectionsMade(), 2U);
+}
+
+TEST_F(HttpTest, SilentPeerIsNoAnswer)
+{
+    std::vector<HttpResponder> kept;
+    this->serve(
+        [&kept](const HttpRequest &, const HttpResponder &respond) { kept.push_back(respond); });
+    EXPECT_EQ(this->call({.target = "/"}, milliseconds(50)).status, 0U);
+    EXPECT_EQ(this->server->requestsInProgress(), 1U);
+    kept.clear();
+    this->loop.poll();
+    EXPECT_EQ(this->server->requestsInProgress(), 0U);
+}
+
+TEST_F(HttpTest, PortWithoutListenerIsNoAnswer)
+{
+    this->serve([](const HttpRequest &, const HttpResponder &) {});
+    this->client.emplace(this->loop, "127.0.0.1:" + std::to_string(this->freePort()),
+                         HttpClient::Settings{});
+    EXPECT_EQ(this->call({.target = "/"}).status, 0U);
+}
+
+TEST_F(HttpTest, BodyOverTheLimitIsRefusedAndNotHandled)
+{
+    bool handled = false;
+    HttpServer::Settings settings;
+    settings.bodyLimitBytes = 100;
+    this->serve([&handled](const HttpRequest &, const HttpResponder &) { handled = true; },
+                settings);
+    const HttpResult result
+        = this->call({.verb = http::verb::post, .target = "/", .body = std::string(200, 'x')});
+    EXPECT_EQ(result.status, 413U);
+    EXPECT_FALSE(handled);
+}
+
+TEST_F(HttpTest, DrainingServerAnswersAndCloses)
+{
+    this->serve([](const HttpRequest &, const HttpResponder &respond) { respond(plain("a")); });
+    this->server->closeAfterAnswers();
+    EXPECT_EQ(this->call({.target = "/"}).status, 200U);
+    EXPECT_EQ(this->call({.target = "/"}).status, 200U);
+    EXPECT_EQ(this->client->connectionsMade(), 2U);
+}
+
+TEST_F(HttpTest, ConnectionsBeyondTheLimitAreTurnedAway)
+{
+    std::vector<HttpResponder> kept;
+    HttpServer::Settings settings;
+    settings.mostConnections = 1;
+    this->serve(
+        [&kept](const HttpRequest &, const HttpResponder &respond) { kept.push_back(respond); },
+        settings);
+    this->client->call({.target = "/held"}, seconds(20), [](const HttpResult &) {});
+    while (kept.empty())
+        this->loop.run_one();
+    EXPECT_EQ(this->call({.target = "/second"}).status, 0U);
+    EXPECT_EQ(this->server->connectionCount(), 1U);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Runtime
