--- a/Coordination/Leadership.cpp
+++ b/Coordination/Leadership.cpp
@@ -66,7 +66,7 @@
 void Leadership::watchLeader(std::int64_t revision)
 {
     const auto answered
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint) {
               if (generation != this->generation)
                   return;
               const bool quiet = answer.outcome == StoreOutcome::Done && answer.items.empty();
@@ -78,7 +78,6 @@
                   this->watchLeader(answer.revision);
               else
                   this->later(this->settings.retry, &Leadership::follow);
-              (void)now;
           };
     this->store.watch(StoreKeys::leader, revision, this->settings.watchWait, answered);
 }
--- a/Coordination/PrefixWatch.cpp
+++ b/Coordination/PrefixWatch.cpp
@@ -41,17 +41,16 @@
         this->listRevision = 0;
         this->listSentAt = now;
     }
-    const auto answered = [this, generation = this->generation, now](const StoreAnswer &answer,
-                                                                     TimePoint answeredAt) {
-        if (generation == this->generation)
-            this->pageListed(answer, now, answeredAt);
-    };
+    const auto answered
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint answeredAt) {
+              if (generation == this->generation)
+                  this->pageListed(answer, answeredAt);
+          };
     this->store.list(this->settings.prefix, after, this->settings.listTimeout, answered);
 }
 
-void PrefixWatch::pageListed(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
+void PrefixWatch::pageListed(const StoreAnswer &answer, TimePoint now)
 {
-    (void)sentAt;
     if (answer.outcome != StoreOutcome::Done) {
         this->retryLater(now, true);
         return;
--- a/Coordination/PrefixWatch.h
+++ b/Coordination/PrefixWatch.h
@@ -43,7 +43,7 @@
 
 private:
     void listPage(const std::string &after, TimePoint now);
-    void pageListed(const Tasks::StoreAnswer &answer, TimePoint sentAt, TimePoint now);
+    void pageListed(const Tasks::StoreAnswer &answer, TimePoint now);
     void finishList(TimePoint now);
     void watchNext(TimePoint now);
     void watched(const Tasks::StoreAnswer &answer, TimePoint sentAt, TimePoint now);
--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -47,7 +47,7 @@
     this->revisions[job] = revision;
 }
 
-void RecordWriter::record(const std::string &job, Effect effect, TimePoint now)
+void RecordWriter::record(const std::string &job, Effect effect)
 {
     if (!this->active)
         return;
@@ -61,7 +61,6 @@
             if (generation == this->generation)
                 this->flush(at);
         });
-    (void)now;
 }
 
 void RecordWriter::whenStored(const std::string &job, Effect effect, TimePoint now)
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -43,7 +43,7 @@
     void setRevision(const std::string &job, std::int64_t revision);
 
     /// Has the job's record written. `effect` runs once what is now known of the job is stored.
-    void record(const std::string &job, Effect effect, TimePoint now);
+    void record(const std::string &job, Effect effect);
 
     /// Runs `effect` once all that was known of the job up to now is stored, at once if it is.
     void whenStored(const std::string &job, Effect effect, TimePoint now);
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -1,3 +1,4 @@
+#include <Coordination/QueueReport.h>
 #include <Coordination/StoreKeys.h>
 #include <Coordination/TaskDispatcher.h>
 #include <Tasks/JobRecord.h>
@@ -222,7 +223,7 @@
 
 void TaskDispatcher::adoptRuns(LiveJob &job, TimePoint now)
 {
-    std::vector<std::pair<RunEnd, bool>> gone;
+    std::vector<RunEnd> gone;
     for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
         const TaskProgress &task = job.progress.at(i);
         if (!task.isOnWorker())
@@ -232,9 +233,9 @@
         run.ref = {job.job.id, ref, task.run};
         const RunEnd end{run.ref, task.worker, EndCause::LeaseLapsed, task.checkpoint, 0};
         if (!this->fleet.adopt(task.worker, task.incarnation, std::move(run), now))
-            gone.push_back({end, true});
+            gone.push_back(end);
     }
-    for (const auto &[end, reborn] : gone)
+    for (const RunEnd &end : gone)
         this->runLost(end, "the worker was started anew", now);
 }
 
@@ -402,7 +403,7 @@
                             {"state", static_cast<int>(job.progress.state)},
                             {"ageMs", this->wallClock.nowMs() - job.job.acceptedAt}},
                            now);
-    this->writer.record(job.job.id, std::move(afterStored), now);
+    this->writer.record(job.job.id, std::move(afterStored));
     this->stopRuns(effect.toStop, now);
     this->planSoon();
 }
@@ -426,7 +427,7 @@
         }
         this->fleet.withdraw(worker, ref, now);
         job->progress.task(ref.task).state = TaskState::Waiting;
-        this->writer.record(ref.job, nullptr, now);
+        this->writer.record(ref.job, nullptr);
     }
 }
 
@@ -441,13 +442,13 @@
 }
 
 /// Jobs that have been over for long enough leave the store; the watch then removes them here.
-void TaskDispatcher::removeExpired(TimePoint now)
+void TaskDispatcher::removeExpired()
 {
     const Tasks::UnixMs wall = this->wallClock.nowMs();
     for (const auto &[id, job] : this->jobs.all()) {
         const bool over = job.isOver() && !job.progress.anyOnWorker();
         if (over && wall - job.progress.endedAt > toMs(this->settings.statusRetention))
-            this->writer.record(id, nullptr, now);
+            this->writer.record(id, nullptr);
     }
 }
 
@@ -693,9 +694,9 @@
                         {"rank", StartPlanner::rankOf(request, this->wallClock.nowMs())}},
                        now);
     this->fleet.assign(worker, std::move(run), now);
-    this->writer.record(
-        job.job.id,
-        [this, runRef, worker](TimePoint at) { this->startAssigned(runRef, worker, at); }, now);
+    this->writer.record(job.job.id, [this, runRef, worker](TimePoint at) {
+        this->startAssigned(runRef, worker, at);
+    });
 }
 
 void TaskDispatcher::startAssigned(const RunRef &run, const std::string &worker, TimePoint now)
@@ -744,96 +745,20 @@
 {
     if (!this->leads(now))
         return;
-    this->removeExpired(now);
+    this->removeExpired();
     this->removeOldRefusals(now);
     this->writeLoad(now);
     this->plan(now);
 }
 
-/// "queue count" lines for the jobs of each queue that have not started.
-std::string TaskDispatcher::describeLoad() const
-{
-    std::map<std::string, std::int64_t> waiting;
-    for (const auto &[id, job] : this->jobs.all()) {
-        const bool counts
-            = !job.isOver() && job.job.repetition.count == 0 && !job.progress.anyStarted();
-        if (counts)
-            waiting[job.job.queue]++;
-    }
-    return nlohmann::json(waiting).dump();
-}
-
-/// Only jobs of known queues are told of, so the text stays small.
-Tasks::ServiceLoad TaskDispatcher::loadOf(std::string_view service, TimePoint now) const
-{
-    const auto placeOf = [](std::int32_t priority) {
-        constexpr auto last = static_cast<std::int32_t>(Tasks::ServiceLoad::priorities) - 1;
-        return static_cast<std::size_t>(std::clamp(priority, 0, last));
-    };
-    Tasks::ServiceLoad load;
-    for (const auto &[id, worker] : this->fleet.all()) {
-        if (worker.entry.service != service || !worker.listed || worker.entry.draining)
-            continue;
-        load.accelerators += static_cast<double>(worker.entry.capacity.accelerators);
-        for (const auto &[key, run] : worker.runs) {
-            const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
-            const std::chrono::duration<double> left = std::max(Duration{}, run.estimate - elapsed);
-            load.running[placeOf(run.priority)]
-                += left.count() * static_cast<double>(run.need.accelerators);
-        }
-    }
-    for (const auto &[id, job] : this->jobs.all()) {
-        const bool counts
-            = !job.isOver() && job.job.service == service && job.job.repetition.count == 0;
-        if (counts)
-            load.waiting[placeOf(job.job.priority)] += job.waitingWork();
-    }
-    return load;
-}
-
-std::map<std::string, Tasks::QueueForecast> TaskDispatcher::forecastQueues(TimePoint now) const
-{
-    std::map<std::string_view, Tasks::ServiceLoad> loads;
-    std::map<std::string, Tasks::QueueForecast> forecasts;
-    std::map<std::string, std::int64_t> jobCounts;
-    for (const auto &[id, job] : this->jobs.all()) {
-        Tasks::QueueForecast &queue = forecasts[job.job.queue];
-        queue.typicalChain += this->runTimes.expectedChain(job.job);
-        jobCounts[job.job.queue]++;
-        if (job.isOver() || queue.wait != Duration{})
-            continue;
-        const auto [load, added] = loads.try_emplace(job.job.service);
-        if (added)
-            load->second = this->loadOf(job.job.service, now);
-        queue.wait = this->forecast.waitFor(load->second, job.job.priority);
-    }
-    for (auto &[name, queue] : forecasts)
-        queue.typicalChain /= jobCounts[name];
-    return forecasts;
-}
-
-/// Queues that wait long, as "name": [wait, typical chain], both in ms. Chains are rounded, so that
-/// the text changes seldom.
-std::string TaskDispatcher::describeWaits(TimePoint now) const
-{
-    constexpr Duration chainUnit = seconds(1);
-    nlohmann::json waits = nlohmann::json::object();
-    for (const auto &[name, queue] : this->forecastQueues(now)) {
-        if (queue.wait == Duration{})
-            continue;
-        const Duration chain = (queue.typicalChain + chainUnit / 2) / chainUnit * chainUnit;
-        waits[name] = {toMs(queue.wait), toMs(chain)};
-    }
-    return waits.dump();
-}
-
 void TaskDispatcher::writeLoad(TimePoint now)
 {
     if (now < this->loadWrittenAt + this->settings.loadInterval)
         return;
     this->loadWrittenAt = now;
-    this->publish(StoreKeys::load, this->describeLoad());
-    this->publish(StoreKeys::waits, this->describeWaits(now));
+    const QueueReport report(this->jobs, this->fleet, this->runTimes, this->forecast);
+    this->publish(StoreKeys::load, report.describeWaitingJobs());
+    this->publish(StoreKeys::waits, report.describeWaits(now));
 }
 
 void TaskDispatcher::publish(const char *key, const std::string &text)
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -26,7 +26,6 @@
     {
         std::string workerRegistry; ///< Prefix of the workers' entries in the store.
         Duration statusRetention = seconds(120); ///< Of jobs that are over.
-        Duration earliestStart = milliseconds(250); ///< Before an occurrence is due.
         Duration planDelay = milliseconds(4); ///< Gathers events that come together.
         Duration planDelayPerWorker{70}; ///< A pass over many workers takes longer.
         Duration tick = milliseconds(250);
@@ -103,7 +102,7 @@
                TimePoint now);
     void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
     std::string encodeRecord(const std::string &job);
-    void removeExpired(TimePoint now);
+    void removeExpired();
     void removeOldRefusals(TimePoint now);
 
     void planSoon();
@@ -127,15 +126,11 @@
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
     void reclaim(const Tasks::RunRef &run, TimePoint now);
 
-    Tasks::ServiceLoad loadOf(std::string_view service, TimePoint now) const;
-    std::map<std::string, Tasks::QueueForecast> forecastQueues(TimePoint now) const;
-    std::string describeWaits(TimePoint now) const;
     void tickLater();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
     /// Writes a text that all instances may read, if it has changed.
     void publish(const char *key, const std::string &text);
-    std::string describeLoad() const;
 
     Tasks::MetadataStore &store;
     TimerService &timers;
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -506,19 +506,25 @@
                      });
 }
 
-void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
-                          TimePoint now)
+/// What all answers to orders have in common. Null: there is nothing more to do.
+WorkerFleet::Worker *WorkerFleet::answeredOrder(const std::string &id, const WorkerAnswer &answer,
+                                                TimePoint now)
 {
     Worker *worker = this->workerOf(id);
-    if (!worker)
-        return;
-    if (answer.outcome == WorkerOutcome::Fenced) {
+    if (worker && answer.outcome == WorkerOutcome::Fenced) {
         this->listener.fenced(now);
-        return;
+        return nullptr;
     }
-    if (answer.outcome != WorkerOutcome::Unknown)
+    if (worker && answer.outcome != WorkerOutcome::Unknown)
         this->answeredAtAll(*worker, answer, now);
-    Run *run = this->runOf(*worker, ref);
+    return worker;
+}
+
+void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+                          TimePoint now)
+{
+    Worker *worker = this->answeredOrder(id, answer, now);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
     run->startOutstanding = false;
@@ -595,16 +601,8 @@
 void WorkerFleet::stopped(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
                           TimePoint now)
 {
-    Worker *worker = this->workerOf(id);
-    if (!worker)
-        return;
-    if (answer.outcome == WorkerOutcome::Fenced) {
-        this->listener.fenced(now);
-        return;
-    }
-    if (answer.outcome != WorkerOutcome::Unknown)
-        this->answeredAtAll(*worker, answer, now);
-    Run *run = this->runOf(*worker, ref);
+    Worker *worker = this->answeredOrder(id, answer, now);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
     run->stopOutstanding = false;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -176,6 +176,7 @@
     void checkLease(Worker &worker, TimePoint now);
 
     void sendStart(Worker &worker, Run &run, TimePoint now);
+    Worker *answeredOrder(const std::string &id, const Tasks::WorkerAnswer &answer, TimePoint now);
     void started(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
                  TimePoint now);
     void startUnanswered(Worker &worker, Run &run, TimePoint now);
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -92,7 +92,6 @@
     Coordination::TaskDispatcher::Settings settings;
     settings.workerRegistry = Platform::workerRegistryPrefix;
     settings.statusRetention = site.statusRetention;
-    settings.earliestStart = site.earliestStart;
     settings.planner.remoteDataFactor = site.remoteDataFactor;
     settings.fleet.longestHold = site.longestHold;
     return settings;
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -20,14 +20,9 @@
     double linkMbps = 1000.0;
     Duration shortestLease = seconds(1); ///< That the store grants.
     Duration longestHold = seconds(6); ///< Longest lease that a worker grants to what runs.
-    Duration gangWait = seconds(3); ///< How long a worker keeps a gang's member waiting.
-    Duration stopTime = milliseconds(900); ///< A stop takes at most this long.
     Duration graceTime = seconds(6); ///< Between the signal to stop and the kill.
-    Duration configurationBound = seconds(2); ///< A change must be in force after this.
     Duration revocationBound = seconds(5); ///< A revoked key must not be served after this.
     Duration statusRetention = seconds(120); ///< A job's state stays readable after its end.
-    Duration earliestStart = milliseconds(250); ///< Before a scheduled occurrence is due.
-    Duration restoreTime = milliseconds(100); ///< To resume from a checkpoint.
     double remoteDataFactor = 3.0; ///< Run time off the data's rack, against on it.
 
     bool operator==(const SiteSettings &) const = default;
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -50,6 +50,9 @@
     std::vector<std::size_t> claims; ///< Workers of earlier claims, one entry a task.
 };
 
+/// Whether the request's tasks can't end in time any more, by their expected run time.
+bool isLate(const StartRequest &request, UnixMs now);
+
 /// Start task `index` of request `request` on worker `worker`; numbers are places in the inputs.
 struct StartChoice
 {
--- a/Tasks/SystemConfiguration.cpp
+++ b/Tasks/SystemConfiguration.cpp
@@ -47,15 +47,6 @@
     return {};
 }
 
-const Queue *Directory::queueNamed(std::string_view name) const
-{
-    for (const Queue &queue : this->values.queues) {
-        if (queue.name == name)
-            return &queue;
-    }
-    return nullptr;
-}
-
 const Customer *Directory::customerOf(const std::string &key) const
 {
     const auto found = this->customersByKey.find(key);
--- a/Tasks/SystemConfiguration.h
+++ b/Tasks/SystemConfiguration.h
@@ -64,7 +64,6 @@
 
     /// The queue with the longest prefix of the path; the host's port is ignored.
     Match find(std::string_view host, std::string_view path) const;
-    const Queue *queueNamed(std::string_view name) const;
     /// The customer that holds the key, or null.
     const Customer *customerOf(const std::string &key) const;
     const Customer *customerNamed(std::string_view name) const;
