--- a/Config/ConfigurationValues.cpp
+++ b/Config/ConfigurationValues.cpp
@@ -14,11 +14,6 @@
 constexpr std::array cellNames{"slot", "pair", "quad", "worker", "rack"};
 static_assert(cellNames.size() == cellLevelCount);
 
-std::int64_t toMs(Duration duration)
-{
-    return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 Duration fromMs(const json &value, const char *key, Duration otherwise)
 {
     const auto found = value.find(key);
--- a/Config/RequestJson.cpp
+++ b/Config/RequestJson.cpp
@@ -12,11 +12,6 @@
 
 constexpr std::size_t largestAnswerBytes = std::size_t(8) * 1024 * 1024;
 
-std::int64_t toMs(Duration duration)
-{
-    return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 /// How accelerators and adjacency go together is more than the schema can say.
 void checkGang(const JobSpec &spec, Findings &findings)
 {
--- a/Coordination/JobFront.cpp
+++ b/Coordination/JobFront.cpp
@@ -29,11 +29,6 @@
 /// Of the time until a revoked key must not be served, how old the configuration may grow.
 constexpr double freshShare = 0.6;
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 const StoredItem *itemOf(const StoreAnswer &answer, std::string_view key)
 {
     for (const StoredItem &item : answer.items) {
@@ -257,6 +252,7 @@
         accepted.maxAttempts = std::max(1, queue.maxAttempts);
         accepted.stretch = queue.stretch;
         accepted.targetLatency = queue.targetLatency;
+        accepted.permits = queue.permits;
         accepted.acceptedAt = this->wallClock.nowMs();
         this->judge(*submission, now);
         this->submit(submission, now);
--- a/Coordination/JobTable.cpp
+++ b/Coordination/JobTable.cpp
@@ -34,6 +34,8 @@
         if (this->progress.at(i).state != TaskState::Waiting)
             continue;
         const Step &step = this->stepOf(this->progress.refAt(i));
+        if (step.perpetual)
+            continue;
         const std::chrono::duration<double> runTime = step.estimate;
         sum += runTime.count() * static_cast<double>(step.need.accelerators);
     }
@@ -63,6 +65,12 @@
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
+const LiveJob *JobTable::find(std::string_view id) const
+{
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
 RunRef JobTable::assign(LiveJob &job, const TaskRef &ref, std::string_view worker,
                         std::int64_t incarnation)
 {
--- a/Coordination/JobTable.h
+++ b/Coordination/JobTable.h
@@ -30,7 +30,8 @@
     {
         return this->job.steps[static_cast<std::size_t>(ref.step)];
     }
-    /// Accelerator-seconds of the tasks that wait, by the caller's estimates.
+    /// Accelerator-seconds of the tasks that wait, by the caller's estimates; perpetual ones have
+    /// none.
     double waitingWork() const;
     /// The tasks that start and end together with this one; just itself unless it is a gang's.
     std::vector<Tasks::TaskRef> together(const Tasks::TaskRef &ref) const;
@@ -45,6 +46,7 @@
     LiveJob &add(Tasks::Job job, std::optional<Tasks::JobProgress> progress, Tasks::UnixMs now);
     void remove(std::string_view id);
     LiveJob *find(std::string_view id);
+    const LiveJob *find(std::string_view id) const;
     std::map<std::string, LiveJob, std::less<>> &all() { return this->jobs; }
     const std::map<std::string, LiveJob, std::less<>> &all() const { return this->jobs; }
 
--- /dev/null
+++ b/Coordination/PlanInputs.cpp
@@ -0,0 +1,283 @@
+#include <Coordination/PlanInputs.h>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace Hibiscus::Coordination {
+
+using Tasks::OccupantView;
+using Tasks::StartRequest;
+using Tasks::StepRef;
+using Tasks::TaskProgress;
+using Tasks::TaskRef;
+using Tasks::UnixMs;
+using Tasks::WorkerView;
+
+namespace {
+
+/// Perpetual work does not end, and an outage of it is never too old to be mended.
+constexpr UnixMs never = std::numeric_limits<UnixMs>::max();
+
+/// An end after this many times the objective serves nobody.
+constexpr int worthlessAfterObjectives = 3;
+
+StepRef stepOf(const StartRequest &request)
+{
+    return {std::string(request.job), request.occurrence, request.stepNumber};
+}
+
+/// Whether the task is where it serves: a run that the worker lists as wholly at work.
+bool isAtWork(const WorkerFleet &fleet, const LiveJob &job, const TaskRef &ref)
+{
+    constexpr std::int32_t wholly = 100;
+    const TaskProgress &task = job.progress.task(ref);
+    if (!task.isOnWorker())
+        return false;
+    const WorkerFleet::Run *run = fleet.find(task.worker, {job.job.id, ref, task.run});
+    return run && !run->stopWanted && run->percent >= wholly;
+}
+
+/// Adds the tasks of the step that must stay where they are, in all of its occurrences.
+void fixTasksOf(const WorkerFleet &fleet, const LiveJob &job, std::int32_t step,
+                std::int32_t mostAway, std::set<Tasks::RunRef> &fixed)
+{
+    const std::int32_t count = job.job.steps[static_cast<std::size_t>(step)].count;
+    for (std::int32_t occurrence = 0; occurrence < job.job.occurrences(); occurrence++) {
+        std::vector<Tasks::RunRef> atWork;
+        for (std::int32_t index = 0; index < count; index++) {
+            const TaskRef ref{occurrence, step, index};
+            if (isAtWork(fleet, job, ref))
+                atWork.push_back({job.job.id, ref, job.progress.task(ref).run});
+        }
+        const std::int32_t away = count - static_cast<std::int32_t>(atWork.size());
+        const std::int32_t mayGo = std::clamp(mostAway - away, 0, count - away);
+        fixed.insert(atWork.begin() + mayGo, atWork.end());
+    }
+}
+
+} // namespace
+
+PlanInputs::PlanInputs(const JobTable &jobs, const WorkerFleet &fleet,
+                       const Tasks::RunTimeBook &runTimes, PermitBook &permits,
+                       GuaranteeLookup guarantees, const Settings &settings)
+    : jobs(jobs)
+    , fleet(fleet)
+    , runTimes(runTimes)
+    , permits(permits)
+    , guarantees(std::move(guarantees))
+    , settings(settings)
+{}
+
+void PlanInputs::clear()
+{
+    this->requests.clear();
+    this->workers.clear();
+    this->claims.clear();
+}
+
+bool PlanInputs::collect(UnixMs wall, TimePoint now)
+{
+    this->collectRequests(wall);
+    if (this->requests.empty())
+        return false;
+    this->collectWorkers(wall, now);
+    this->fixOccupants();
+    this->markGuaranteed();
+    for (StartRequest &request : this->requests) {
+        this->findSiblings(request);
+        this->restoreClaims(request);
+    }
+    this->restrictToPermits(wall, now);
+    return true;
+}
+
+void PlanInputs::collectRequests(UnixMs wall)
+{
+    this->requests.clear();
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (job.isOver())
+            continue;
+        const bool repeated = job.job.repetition.count > 0;
+        for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
+            if (repeated && wall < job.job.dueAt(i))
+                break;
+            this->addRequests(job, i, wall);
+        }
+    }
+}
+
+void PlanInputs::addRequests(const LiveJob &job, std::int32_t occurrence, UnixMs wall)
+{
+    const UnixMs span = toMs(job.job.objective(this->runTimes.expectedChain(job.job)));
+    for (std::size_t i = 0; i < job.job.steps.size(); i++) {
+        const auto number = static_cast<std::int32_t>(i);
+        std::vector<std::int32_t> indexes = JobTable::startable(job, occurrence, number);
+        if (indexes.empty())
+            continue;
+        const Tasks::Step &step = job.job.steps[i];
+        StartRequest request;
+        request.job = job.job.id;
+        request.occurrence = occurrence;
+        request.stepNumber = number;
+        request.step = &step;
+        request.service = job.job.service;
+        request.customer = job.job.customer;
+        request.priority = job.job.priority;
+        request.runTime = this->runTimes.expected(job.job.queue, step.estimate);
+        request.readySince = std::max(job.job.dueAt(occurrence), job.job.acceptedAt);
+        request.objectiveAt = step.perpetual ? wall : request.readySince + span;
+        request.worthlessAt
+            = step.perpetual ? never : request.readySince + worthlessAfterObjectives * span;
+        request.indexes = std::move(indexes);
+        this->requests.push_back(std::move(request));
+    }
+}
+
+void PlanInputs::collectWorkers(UnixMs wall, TimePoint now)
+{
+    this->workers.clear();
+    this->workers.reserve(this->fleet.all().size());
+    for (const auto &[id, worker] : this->fleet.all()) {
+        WorkerView view;
+        view.id = id;
+        view.service = worker.entry.service;
+        view.incarnation = worker.entry.incarnation;
+        view.labels = worker.entry.labels;
+        view.free = worker.entry.capacity;
+        view.free -= worker.used;
+        view.usable = worker.usable(now);
+        view.occupants.reserve(worker.runs.size());
+        for (const auto &[key, run] : worker.runs)
+            view.occupants.push_back(this->viewOf(run, wall, now));
+        this->workers.push_back(std::move(view));
+    }
+}
+
+OccupantView PlanInputs::viewOf(const WorkerFleet::Run &run, UnixMs wall, TimePoint now) const
+{
+    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
+    OccupantView view;
+    view.need = run.need;
+    view.stopping = run.stopWanted;
+    view.priority = run.priority;
+    view.expectedEnd
+        = run.perpetual ? never : wall + std::max<std::int64_t>(0, toMs(run.estimate - elapsed));
+    const double done = toSeconds(elapsed);
+    // What is perpetual builds up no work that a stop could lose.
+    const double lost = run.perpetual ? 0.0
+        : run.checkpoints             ? std::min(done, this->settings.checkpointLoss)
+                                      : done;
+    view.lossIfStopped = lost * run.members * Tasks::weightOf(run.need);
+    return view;
+}
+
+/// Of a step that bounds how many of its tasks may be away, only as many as the bound leaves may
+/// be displaced, the first ones by their number.
+void PlanInputs::fixOccupants()
+{
+    std::set<Tasks::RunRef> fixed;
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (job.isOver())
+            continue;
+        for (std::int32_t step = 0; step < static_cast<std::int32_t>(job.job.steps.size());
+             step++) {
+            const std::int32_t mostAway = job.job.steps[static_cast<std::size_t>(step)].mostAway;
+            if (mostAway > 0)
+                fixTasksOf(this->fleet, job, step, mostAway, fixed);
+        }
+    }
+    if (fixed.empty())
+        return;
+    for (WorkerView &view : this->workers) {
+        auto occupant = view.occupants.begin();
+        for (const auto &[key, run] : this->fleet.all().find(view.id)->second.runs) {
+            occupant->fixed = fixed.contains(run.ref);
+            ++occupant;
+        }
+    }
+}
+
+/// A customer's urgent jobs are owed their start as long as all of them, in the order of their
+/// acceptance, need no more than it is guaranteed.
+void PlanInputs::markGuaranteed()
+{
+    std::map<std::string_view, std::vector<const LiveJob *>> urgent;
+    for (const auto &[id, job] : this->jobs.all()) {
+        if (!job.isOver() && job.job.priority == 0)
+            urgent[job.job.customer].push_back(&job);
+    }
+    std::set<std::string_view> guaranteed;
+    for (auto &[customer, customerJobs] : urgent) {
+        std::stable_sort(customerJobs.begin(), customerJobs.end(),
+                         [](const LiveJob *left, const LiveJob *right) {
+                             return left->job.acceptedAt < right->job.acceptedAt;
+                         });
+        std::int64_t left = this->guarantees(customer);
+        for (const LiveJob *job : customerJobs) {
+            left -= job->job.widestStep();
+            if (left < 0)
+                break;
+            guaranteed.insert(job->job.id);
+        }
+    }
+    for (StartRequest &request : this->requests)
+        request.guaranteed = guaranteed.contains(request.job);
+}
+
+/// Notes the workers that already have tasks of the request's step, where that is limited.
+void PlanInputs::findSiblings(StartRequest &request) const
+{
+    if (request.step->maxPerWorker == 0)
+        return;
+    const LiveJob &job = *this->jobs.find(request.job);
+    for (std::int32_t index = 0; index < request.step->count; index++) {
+        const TaskProgress &task
+            = job.progress.task({request.occurrence, request.stepNumber, index});
+        const std::optional<std::size_t> place
+            = task.isOnWorker() ? this->placeOf(task.worker) : std::nullopt;
+        if (place)
+            request.besides.push_back(*place);
+    }
+}
+
+std::optional<std::size_t> PlanInputs::placeOf(std::string_view worker) const
+{
+    const auto found = std::lower_bound(
+        this->workers.begin(), this->workers.end(), worker,
+        [](const WorkerView &view, std::string_view name) { return view.id < name; });
+    if (found == this->workers.end() || found->id != worker)
+        return std::nullopt;
+    return static_cast<std::size_t>(found - this->workers.begin());
+}
+
+void PlanInputs::restoreClaims(StartRequest &request) const
+{
+    const auto kept = this->claims.find(stepOf(request));
+    if (kept == this->claims.end())
+        return;
+    for (const std::string &worker : kept->second) {
+        if (const std::optional<std::size_t> place = this->placeOf(worker))
+            request.claims.push_back(*place);
+    }
+}
+
+void PlanInputs::keepClaims(const Tasks::StartPlan &plan)
+{
+    this->claims.clear();
+    for (const Tasks::ClaimChoice &claim : plan.claims)
+        this->claims[stepOf(this->requests[claim.request])].emplace_back(
+            this->workers[claim.worker].id);
+}
+
+void PlanInputs::restrictToPermits(UnixMs wall, TimePoint now)
+{
+    for (StartRequest &request : this->requests) {
+        const Tasks::PermitTerms &terms = this->jobs.find(request.job)->job.permits;
+        if (terms.required())
+            this->permits.restrict(request, terms, this->workers, wall, now);
+    }
+    this->permits.ask(now);
+}
+
+} // namespace Hibiscus::Coordination
--- a/Coordination/QueueReport.cpp
+++ b/Coordination/QueueReport.cpp
@@ -5,15 +5,6 @@
 
 namespace Hibiscus::Coordination {
 
-namespace {
-
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
-} // namespace
-
 QueueReport::QueueReport(const JobTable &jobs, const WorkerFleet &fleet,
                          const Tasks::RunTimeBook &runTimes, const Tasks::WaitForecast &forecast)
     : jobs(jobs)
@@ -46,6 +37,11 @@
             continue;
         load.accelerators += static_cast<double>(worker.entry.capacity.accelerators);
         for (const auto &[key, run] : worker.runs) {
+            if (run.perpetual) {
+                // It never makes room, so there is that much less to wait for.
+                load.accelerators -= static_cast<double>(run.need.accelerators);
+                continue;
+            }
             const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
             const std::chrono::duration<double> left = std::max(Duration{}, run.estimate - elapsed);
             load.running[placeOf(run.priority)]
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -48,21 +48,19 @@
     return "unknown";
 }
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 /// All that a run takes from its job; its number is left open.
 WorkerFleet::Run describeRun(const LiveJob &job, const TaskRef &ref)
 {
     const Tasks::Step &step = job.stepOf(ref);
     WorkerFleet::Run run;
-    run.need = step.need;
+    run.need = step.room();
     run.priority = job.job.priority;
     run.estimate = step.estimate;
     run.members = step.gang ? step.count : 1;
     run.checkpoints = step.checkpoints;
+    run.perpetual = step.perpetual;
+    run.fills = step.fills;
+    run.responseTarget = step.responseTarget;
     run.payload = job.job.payload;
     run.checkpoint = job.progress.task(ref).checkpoint;
     run.resumed = !run.checkpoint.empty();
@@ -73,8 +71,9 @@
 
 TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
                                TimerService &timers, const WallClock &wallClock, Journal &journal,
-                               Leadership &leadership, const Settings &settings,
-                               EntryDecoder decoder, GuaranteeLookup guarantees)
+                               Leadership &leadership, Tasks::PlacementService &placement,
+                               const Settings &settings, EntryDecoder decoder,
+                               GuaranteeLookup guarantees)
     : store(store)
     , timers(timers)
     , wallClock(wallClock)
@@ -82,7 +81,6 @@
     , leadership(leadership)
     , settings(settings)
     , decoder(std::move(decoder))
-    , guarantees(std::move(guarantees))
     , fleet(link, timers, journal, settings.fleet, *this)
     , writer(store, timers, settings.writer,
              {[this](const std::string &job) { return this->encodeRecord(job); },
@@ -107,6 +105,8 @@
                this->beginWhenLoaded(now);
            },
            [](bool, TimePoint) {}})
+    , permits(placement, timers, journal, settings.permits, [this](TimePoint) { this->planSoon(); })
+    , inputs(jobs, fleet, runTimes, permits, std::move(guarantees), settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -128,7 +128,8 @@
     this->workersListed = false;
     this->progressComplete = false;
     this->planPending = false;
-    this->claims.clear();
+    this->inputs.clear();
+    this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
     this->published.clear();
@@ -245,6 +246,7 @@
     if (item.removed) {
         if (!key.cancellation) {
             this->jobs.remove(key.id);
+            this->permits.forget(key.id);
             this->refusals.erase(key.id);
         }
         return;
@@ -383,6 +385,11 @@
         this->apply(*job, effect, nullptr, now);
 }
 
+void TaskDispatcher::permitRejected(const RunRef &run, std::string_view worker)
+{
+    this->permits.drop({run.job, run.task.occurrence, run.task.step}, worker);
+}
+
 void TaskDispatcher::fenced(TimePoint now)
 {
     this->fleet.stop();
@@ -487,180 +494,19 @@
 {
     if (!this->leads(now))
         return;
-    std::vector<Tasks::StartRequest> requests = this->collectRequests();
-    if (requests.empty())
-        return;
-    const std::vector<Tasks::WorkerView> workers = this->collectWorkers(now);
-    this->markGuaranteed(requests);
-    for (Tasks::StartRequest &request : requests) {
-        this->findSiblings(request, workers);
-        this->restoreClaims(request, workers);
-    }
-    const Tasks::StartPlan plan = this->planner.plan(requests, workers, this->wallClock.nowMs());
-    this->keepClaims(plan, requests, workers);
-    this->carryOut(plan, requests, workers, now);
-}
-
-/// A customer's urgent jobs are owed their start as long as all of them, in the order of their
-/// acceptance, need no more than it is guaranteed.
-void TaskDispatcher::markGuaranteed(std::span<Tasks::StartRequest> requests)
-{
-    std::map<std::string_view, std::vector<const LiveJob *>> urgent;
-    for (const auto &[id, job] : this->jobs.all()) {
-        if (!job.isOver() && job.job.priority == 0)
-            urgent[job.job.customer].push_back(&job);
-    }
-    std::set<std::string_view> guaranteed;
-    for (auto &[customer, customerJobs] : urgent) {
-        std::stable_sort(customerJobs.begin(), customerJobs.end(),
-                         [](const LiveJob *left, const LiveJob *right) {
-                             return left->job.acceptedAt < right->job.acceptedAt;
-                         });
-        std::int64_t left = this->guarantees(customer);
-        for (const LiveJob *job : customerJobs) {
-            left -= job->job.widestStep();
-            if (left < 0)
-                break;
-            guaranteed.insert(job->job.id);
-        }
-    }
-    for (Tasks::StartRequest &request : requests)
-        request.guaranteed = guaranteed.contains(request.job);
-}
-
-void TaskDispatcher::restoreClaims(Tasks::StartRequest &request,
-                                   std::span<const Tasks::WorkerView> workers)
-{
-    const auto kept = this->claims.find(
-        {std::string(request.job), {request.occurrence, request.stepNumber, 0}});
-    if (kept == this->claims.end())
-        return;
-    for (const std::string &id : kept->second) {
-        const auto found = std::lower_bound(
-            workers.begin(), workers.end(), id,
-            [](const Tasks::WorkerView &view, const std::string &name) { return view.id < name; });
-        if (found != workers.end() && found->id == id)
-            request.claims.push_back(static_cast<std::size_t>(found - workers.begin()));
-    }
-}
-
-void TaskDispatcher::keepClaims(const Tasks::StartPlan &plan,
-                                std::span<const Tasks::StartRequest> requests,
-                                std::span<const Tasks::WorkerView> workers)
-{
-    this->claims.clear();
-    for (const Tasks::ClaimChoice &claim : plan.claims) {
-        const Tasks::StartRequest &request = requests[claim.request];
-        this->claims[{std::string(request.job), {request.occurrence, request.stepNumber, 0}}]
-            .emplace_back(workers[claim.worker].id);
-    }
-}
-
-std::vector<Tasks::StartRequest> TaskDispatcher::collectRequests()
-{
-    std::vector<Tasks::StartRequest> requests;
     const Tasks::UnixMs wall = this->wallClock.nowMs();
-    for (const auto &[id, job] : this->jobs.all()) {
-        if (job.isOver())
-            continue;
-        for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
-            const bool repeated = job.job.repetition.count > 0;
-            if (repeated && wall < job.job.dueAt(i))
-                break;
-            this->addRequests(job, i, requests);
-        }
-    }
-    return requests;
-}
-
-void TaskDispatcher::addRequests(const LiveJob &job, std::int32_t occurrence,
-                                 std::vector<Tasks::StartRequest> &requests)
-{
-    const Tasks::UnixMs span = toMs(job.job.objective(this->runTimes.expectedChain(job.job)));
-    for (std::size_t i = 0; i < job.job.steps.size(); i++) {
-        const auto number = static_cast<std::int32_t>(i);
-        std::vector<std::int32_t> indexes = JobTable::startable(job, occurrence, number);
-        if (indexes.empty())
-            continue;
-        Tasks::StartRequest request;
-        request.job = job.job.id;
-        request.occurrence = occurrence;
-        request.stepNumber = number;
-        request.step = &job.job.steps[i];
-        request.service = job.job.service;
-        request.customer = job.job.customer;
-        request.priority = job.job.priority;
-        request.runTime = this->runTimes.expected(job.job.queue, job.job.steps[i].estimate);
-        request.readySince = std::max(job.job.dueAt(occurrence), job.job.acceptedAt);
-        request.objectiveAt = request.readySince + span;
-        constexpr int worthlessAfterObjectives = 3;
-        request.worthlessAt = request.readySince + worthlessAfterObjectives * span;
-        request.indexes = std::move(indexes);
-        requests.push_back(std::move(request));
-    }
-}
-
-std::vector<Tasks::WorkerView> TaskDispatcher::collectWorkers(TimePoint now)
-{
-    std::vector<Tasks::WorkerView> views;
-    views.reserve(this->fleet.all().size());
-    const Tasks::UnixMs wall = this->wallClock.nowMs();
-    for (const auto &[id, worker] : this->fleet.all()) {
-        Tasks::WorkerView view;
-        view.id = id;
-        view.service = worker.entry.service;
-        view.labels = worker.entry.labels;
-        view.free = worker.entry.capacity;
-        view.free -= worker.used;
-        view.usable = worker.usable(now);
-        view.occupants.reserve(worker.runs.size());
-        for (const auto &[key, run] : worker.runs)
-            view.occupants.push_back(this->viewOf(run, wall, now));
-        views.push_back(std::move(view));
-    }
-    return views;
-}
-
-/// Notes the workers that already have tasks of the request's step, where that is limited.
-void TaskDispatcher::findSiblings(Tasks::StartRequest &request,
-                                  std::span<const Tasks::WorkerView> workers)
-{
-    if (request.step->maxPerWorker == 0)
+    if (!this->inputs.collect(wall, now))
         return;
-    const LiveJob &job = *this->jobs.find(request.job);
-    for (std::int32_t index = 0; index < request.step->count; index++) {
-        const TaskProgress &task
-            = job.progress.task({request.occurrence, request.stepNumber, index});
-        if (!task.isOnWorker())
-            continue;
-        const auto holds
-            = [&task](const Tasks::WorkerView &view) { return view.id == task.worker; };
-        const auto found = std::find_if(workers.begin(), workers.end(), holds);
-        if (found != workers.end())
-            request.besides.push_back(static_cast<std::size_t>(found - workers.begin()));
-    }
-}
-
-Tasks::OccupantView TaskDispatcher::viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
-                                           TimePoint now) const
-{
-    const Duration elapsed = run.confirmedAt ? now - *run.confirmedAt : Duration{};
-    Tasks::OccupantView view;
-    view.need = run.need;
-    view.stopping = run.stopWanted;
-    view.priority = run.priority;
-    view.expectedEnd = wall + std::max<std::int64_t>(0, toMs(run.estimate - elapsed));
-    double lost = std::chrono::duration<double>(elapsed).count();
-    if (run.checkpoints)
-        lost = std::min(lost, this->settings.checkpointLoss);
-    view.lossIfStopped = lost * run.members * Tasks::weightOf(run.need);
-    return view;
+    const Tasks::StartPlan plan
+        = this->planner.plan(this->inputs.startRequests(), this->inputs.workerViews(), wall);
+    this->inputs.keepClaims(plan);
+    this->carryOut(plan, now);
 }
 
-void TaskDispatcher::carryOut(const Tasks::StartPlan &plan,
-                              std::span<const Tasks::StartRequest> requests,
-                              std::span<const Tasks::WorkerView> workers, TimePoint now)
+void TaskDispatcher::carryOut(const Tasks::StartPlan &plan, TimePoint now)
 {
+    const std::span<const Tasks::StartRequest> requests = this->inputs.startRequests();
+    const std::span<const Tasks::WorkerView> workers = this->inputs.workerViews();
     // Views refer to the fleet's tables, which change below.
     std::vector<RunRef> victims;
     for (const Tasks::ReclaimChoice &choice : plan.reclaims) {
@@ -684,6 +530,8 @@
     WorkerFleet::Run run = describeRun(job, ref);
     run.estimate = request.runTime;
     run.ref = JobTable::assign(job, ref, worker, incarnation);
+    if (job.job.permits.required())
+        run.permit = this->permits.permitOf({job.job.id, ref.occurrence, ref.step}, worker, now);
     const RunRef runRef = run.ref;
     this->journal.tell(LogKind::Task, "run assigned",
                        {{"request", job.job.id},
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -2,6 +2,8 @@
 
 #include <Coordination/JobTable.h>
 #include <Coordination/Leadership.h>
+#include <Coordination/PermitBook.h>
+#include <Coordination/PlanInputs.h>
 #include <Coordination/PrefixWatch.h>
 #include <Coordination/RecordWriter.h>
 #include <Coordination/WorkerFleet.h>
@@ -32,10 +34,11 @@
         Duration loadInterval = milliseconds(500); ///< Between two writes of the queues' load.
         Duration listTimeout = milliseconds(1500);
         Duration storeRetry = milliseconds(150);
-        double checkpointLoss = 0.5; ///< Seconds of work lost by a stop of a task that checkpoints.
         Tasks::StartPlanner::Settings planner;
         Tasks::WaitForecast::Settings forecast;
         WorkerFleet::Settings fleet;
+        PermitBook::Settings permits;
+        PlanInputs::Settings inputs;
         RecordWriter::Settings writer;
     };
 
@@ -43,12 +46,10 @@
     using EntryDecoder = std::function<tl::expected<Tasks::WorkerEntry, std::string>(
         std::string_view key, std::string_view value)>;
 
-    /// Accelerators that a customer is guaranteed for its urgent jobs.
-    using GuaranteeLookup = std::function<std::int64_t(std::string_view customer)>;
-
     TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link, TimerService &timers,
                    const WallClock &wallClock, Journal &journal, Leadership &leadership,
-                   const Settings &settings, EntryDecoder decoder, GuaranteeLookup guarantees);
+                   Tasks::PlacementService &placement, const Settings &settings,
+                   EntryDecoder decoder, GuaranteeLookup guarantees);
 
     void elected(std::int64_t token, TimePoint now);
     void deposed(TimePoint now);
@@ -83,6 +84,7 @@
     void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
     void runEnded(const RunEnd &end, TimePoint now) override;
     void runLost(const RunEnd &end, const char *reason, TimePoint now) override;
+    void permitRejected(const Tasks::RunRef &run, std::string_view worker) override;
     void fenced(TimePoint now) override;
     void fleetChanged(TimePoint now) override;
 
@@ -107,20 +109,7 @@
 
     void planSoon();
     void plan(TimePoint now);
-    std::vector<Tasks::StartRequest> collectRequests();
-    void addRequests(const LiveJob &job, std::int32_t occurrence,
-                     std::vector<Tasks::StartRequest> &requests);
-    /// Sets which requests are within their customers' guarantees.
-    void markGuaranteed(std::span<Tasks::StartRequest> requests);
-    void restoreClaims(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
-    void keepClaims(const Tasks::StartPlan &plan, std::span<const Tasks::StartRequest> requests,
-                    std::span<const Tasks::WorkerView> workers);
-    void findSiblings(Tasks::StartRequest &request, std::span<const Tasks::WorkerView> workers);
-    std::vector<Tasks::WorkerView> collectWorkers(TimePoint now);
-    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
-                               TimePoint now) const;
-    void carryOut(const Tasks::StartPlan &plan, std::span<const Tasks::StartRequest> requests,
-                  std::span<const Tasks::WorkerView> workers, TimePoint now);
+    void carryOut(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, TimePoint now);
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
@@ -139,12 +128,14 @@
     Leadership &leadership;
     Settings settings;
     EntryDecoder decoder;
-    GuaranteeLookup guarantees;
     JobTable jobs;
     WorkerFleet fleet;
     RecordWriter writer;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
+    Tasks::RunTimeBook runTimes;
+    PermitBook permits;
+    PlanInputs inputs;
     StartPlanner planner;
     Tasks::WaitForecast forecast;
     Phase phase = Phase::Idle;
@@ -154,11 +145,8 @@
     bool progressComplete = false;
     std::map<std::string, LoadedRecord> records; ///< While loading.
     std::set<std::string> cancelledIds; ///< While loading.
-    Tasks::RunTimeBook runTimes;
     std::map<std::string, Refusal> refusals; ///< By job; stored in place of jobs.
     bool planPending = false;
-    /// Workers on which room is being made for steps, by job and place of the step.
-    std::map<std::pair<std::string, Tasks::TaskRef>, std::vector<std::string>> claims;
     std::map<std::string, std::string> published; ///< Newest stored text, by key.
     std::set<std::string> publishing; ///< Keys whose write is under way.
     TimePoint loadWrittenAt{};
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -20,22 +20,6 @@
 /// A worker's clock may be this much slower than ours.
 constexpr double slowestClock = 0.98;
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
-std::string nameOf(const RunRef &run)
-{
-    return std::to_string(run.task.occurrence) + "." + std::to_string(run.task.step) + "."
-        + std::to_string(run.task.index) + "#" + std::to_string(run.run);
-}
-
-std::pair<std::string, Tasks::TaskRef> keyOf(const RunRef &ref)
-{
-    return {ref.job, ref.task};
-}
-
 } // namespace
 
 WorkerFleet::WorkerFleet(Tasks::WorkerLink &link, TimerService &timers, Journal &journal,
@@ -45,6 +29,7 @@
     , journal(journal)
     , settings(settings)
     , listener(listener)
+    , paceControl(settings.pace)
 {}
 
 void WorkerFleet::begin(std::int64_t leaderToken, TimePoint now)
@@ -83,6 +68,11 @@
     return this->authority || now < this->authorityLostAt + this->settings.renewalGrace;
 }
 
+WorkerFleet::RunKey WorkerFleet::keyOf(const RunRef &ref)
+{
+    return {ref.job, ref.task};
+}
+
 WorkerFleet::Worker *WorkerFleet::workerOf(std::string_view id)
 {
     const auto found = this->workers.find(id);
@@ -107,6 +97,14 @@
                                                                              : &run->second;
 }
 
+bool WorkerFleet::Worker::isMixed() const
+{
+    const auto serves = [](const auto &entry) { return entry.second.responseTarget > Duration{}; };
+    const auto fills = [](const auto &entry) { return entry.second.fills; };
+    return std::any_of(this->runs.begin(), this->runs.end(), serves)
+        && std::any_of(this->runs.begin(), this->runs.end(), fills);
+}
+
 void WorkerFleet::workerListed(const WorkerEntry &entry, TimePoint now)
 {
     const auto [found, added] = this->workers.try_emplace(entry.id);
@@ -160,6 +158,7 @@
         return false;
     run.adopted = true;
     run.resumed = true;
+    run.paceTaken = !run.fills;
     // A former leader may have renewed until its grace ran out, with the longest lease.
     const Duration longest = this->longestLease();
     worker.leaseOverAt = std::max(worker.leaseOverAt, now + this->settings.renewalGrace + longest);
@@ -307,7 +306,7 @@
     const bool answering = worker->pollRetry == Duration{};
     if (greeted && answering && !worker->runs.empty()) {
         order.leaseUntil = this->leaseUntil(*worker, now);
-        order.wait = this->settings.pollWait;
+        order.wait = worker->isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
     }
     worker->polling = true;
     worker->polledAt = now;
@@ -359,6 +358,7 @@
     const bool first = !std::exchange(worker->greeted, true);
     this->takeEnds(*worker, answer, now);
     this->takeRunning(*worker, answer, sentAt, now);
+    this->balance(*worker, now);
     if (first)
         this->listener.fleetChanged(now);
     if (!worker->listed && worker->runs.empty()) {
@@ -437,6 +437,7 @@
         if (!running.checkpoint.empty())
             run->checkpoint = running.checkpoint;
         run->percent = running.percent;
+        run->load = running.load;
         run->adopted = false;
         if (!run->confirmedAt) {
             run->confirmedAt = now;
@@ -459,15 +460,6 @@
         this->loseRun(worker, key, "the worker does not list it", now);
 }
 
-/// Something runs that no record speaks of, such as a start that was given up and came late.
-void WorkerFleet::stopStranger(Worker &worker, const RunRef &ref)
-{
-    if (!this->authority || worker.runs.contains(keyOf(ref)))
-        return;
-    this->link.stop(worker.entry, {ref, this->token}, this->settings.orderTimeout,
-                    [](const WorkerAnswer &, TimePoint) {});
-}
-
 void WorkerFleet::checkLease(Worker &worker, TimePoint now)
 {
     if (now < worker.leaseOverAt || worker.runs.empty())
@@ -480,146 +472,4 @@
     worker.greeted = false;
 }
 
-void WorkerFleet::start(const std::string &id, const RunRef &ref, TimePoint now)
-{
-    Worker *worker = this->workerOf(id);
-    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
-    if (run)
-        this->sendStart(*worker, *run, now);
-}
-
-void WorkerFleet::sendStart(Worker &worker, Run &run, TimePoint now)
-{
-    run.startOutstanding = true;
-    run.tries++;
-    Tasks::StartOrder order;
-    order.run = run.ref;
-    order.payload = run.payload;
-    order.checkpoint = run.checkpoint;
-    order.leaseUntil = this->leaseUntil(worker, now);
-    order.fencingToken = this->token;
-    this->link.start(worker.entry, order, this->settings.orderTimeout,
-                     [this, id = worker.entry.id, ref = run.ref,
-                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                         if (generation == this->generation)
-                             this->started(id, ref, answer, at);
-                     });
-}
-
-/// What all answers to orders have in common. Null: there is nothing more to do.
-WorkerFleet::Worker *WorkerFleet::answeredOrder(const std::string &id, const WorkerAnswer &answer,
-                                                TimePoint now)
-{
-    Worker *worker = this->workerOf(id);
-    if (worker && answer.outcome == WorkerOutcome::Fenced) {
-        this->listener.fenced(now);
-        return nullptr;
-    }
-    if (worker && answer.outcome != WorkerOutcome::Unknown)
-        this->answeredAtAll(*worker, answer, now);
-    return worker;
-}
-
-void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
-                          TimePoint now)
-{
-    Worker *worker = this->answeredOrder(id, answer, now);
-    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
-    if (!run)
-        return;
-    run->startOutstanding = false;
-    switch (answer.outcome) {
-    case WorkerOutcome::Done:
-        run->settledAt = now;
-        if (!std::exchange(run->confirmedAt, now))
-            this->listener.runConfirmed(ref, now);
-        break;
-    case WorkerOutcome::Unknown:
-        this->startUnanswered(*worker, *run, now);
-        return;
-    default:
-        this->journal.tell(LogKind::Task, "start rejected",
-                           {{"request", ref.job},
-                            {"run", nameOf(ref)},
-                            {"worker", id},
-                            {"reason", static_cast<int>(answer.outcome)},
-                            {"try", run->tries}},
-                           now);
-        this->strike(*worker, now);
-        // An earlier sending of this start may have been carried out and have ended.
-        if (run->tries > 1) {
-            run->settledAt = now;
-            this->pollIfNeeded(*worker, now);
-            return;
-        }
-        this->loseRun(*worker, keyOf(ref), "the worker rejected its start", now);
-        return;
-    }
-    if (run->stopWanted && !run->stopOutstanding)
-        this->sendStop(*worker, *run, now);
-    this->pollIfNeeded(*worker, now);
-}
-
-void WorkerFleet::startUnanswered(Worker &worker, Run &run, TimePoint now)
-{
-    if (run.tries < this->settings.startTries && !run.stopWanted && this->authority) {
-        this->sendStart(worker, run, now);
-        return;
-    }
-    this->strike(worker, now);
-    run.stopWanted = true;
-    this->sendStop(worker, run, now);
-}
-
-void WorkerFleet::requestStop(const std::string &id, const RunRef &ref, TimePoint now)
-{
-    Worker *worker = this->workerOf(id);
-    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
-    if (!run || run->stopWanted)
-        return;
-    run->stopWanted = true;
-    if (!run->startOutstanding)
-        this->sendStop(*worker, *run, now);
-}
-
-void WorkerFleet::sendStop(Worker &worker, Run &run, TimePoint now)
-{
-    if (now >= worker.leaseOverAt) {
-        // Nothing runs there any more, nor will a late start be accepted.
-        this->loseRun(worker, keyOf(run.ref), "its lease is over", now);
-        return;
-    }
-    run.stopOutstanding = true;
-    this->link.stop(worker.entry, {run.ref, this->token}, this->settings.orderTimeout,
-                    [this, id = worker.entry.id, ref = run.ref,
-                     generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                        if (generation == this->generation)
-                            this->stopped(id, ref, answer, at);
-                    });
-}
-
-void WorkerFleet::stopped(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
-                          TimePoint now)
-{
-    Worker *worker = this->answeredOrder(id, answer, now);
-    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
-    if (!run)
-        return;
-    run->stopOutstanding = false;
-    if (answer.outcome == WorkerOutcome::Done || answer.outcome == WorkerOutcome::Superseded) {
-        run->settledAt = now;
-        this->pollIfNeeded(*worker, now);
-        return;
-    }
-    this->timers.after(this->settings.retry,
-                       [this, id, ref, generation = this->generation](TimePoint at) {
-                           if (generation != this->generation)
-                               return;
-                           Worker *again = this->workerOf(id);
-                           Run *waiting = again ? this->runOf(*again, ref) : nullptr;
-                           if (waiting && !waiting->stopOutstanding)
-                               this->sendStop(*again, *waiting, at);
-                       });
-}
-
 } // namespace Hibiscus::Coordination
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -2,6 +2,7 @@
 
 #include <Coordination/Journal.h>
 #include <Coordination/TimerService.h>
+#include <Tasks/PaceControl.h>
 #include <Tasks/WorkerLink.h>
 
 #include <functional>
@@ -33,6 +34,8 @@
     virtual void runEnded(const RunEnd &end, TimePoint now) = 0;
     /// The run surely does not run and will not, and no end of it is known.
     virtual void runLost(const RunEnd &end, const char *reason, TimePoint now) = 0;
+    /// The worker rejected the run's start for want of a valid permit; the run is lost.
+    virtual void permitRejected(const Tasks::RunRef &run, std::string_view worker) = 0;
     /// A worker has seen a higher fencing token.
     virtual void fenced(TimePoint now) = 0;
     /// Room or the set of workers changed.
@@ -61,6 +64,9 @@
         Duration leaseSlack = milliseconds(300); ///< Beyond the computed end of a lease.
         /// How long a leader that lost the store goes on renewing leases.
         Duration renewalGrace = seconds(5);
+        /// Instead of `pollWait` where some tasks serve users and others fill the worker.
+        Duration mixedPollWait = milliseconds(400);
+        Tasks::PaceControl::Settings pace;
     };
 
     /// One run that this fleet has been given.
@@ -72,10 +78,17 @@
         Duration estimate{}; ///< Of its run time.
         std::int32_t members = 1; ///< Of its gang.
         bool checkpoints = false;
+        bool perpetual = false;
+        bool fills = false; ///< May be slowed for the sake of tasks that serve users.
+        Duration responseTarget{}; ///< Zero: none.
+        std::string permit; ///< For its start; empty: none is needed.
         bool resumed = false; ///< From a checkpoint, or taken over: its start tells no run time.
         std::string payload;
         std::string checkpoint; ///< Newest known.
         std::int32_t percent = 0;
+        double load = 0.0; ///< See RunningTask.
+        std::int32_t pace = 100; ///< Percent that the worker was told.
+        bool paceTaken = true; ///< Whether the worker surely has that pace.
         bool adopted = false; ///< Taken over from a former leader and not yet seen.
         bool startOutstanding = false;
         bool stopOutstanding = false;
@@ -112,6 +125,8 @@
             return this->listed && this->greeted && !this->entry.draining
                 && now >= this->avoidUntil;
         }
+        /// Whether tasks that serve users share the worker with tasks that fill it.
+        bool isMixed() const;
         std::int64_t recordedUpTo() const
         {
             return this->unrecorded.empty() ? this->lastEnd : *this->unrecorded.begin() - 1;
@@ -154,6 +169,7 @@
 private:
     using RunKey = std::pair<std::string, Tasks::TaskRef>;
 
+    static RunKey keyOf(const Tasks::RunRef &ref);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
     void removeRun(Worker &worker, const RunKey &key, TimePoint now);
@@ -184,6 +200,8 @@
     void stopped(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
                  TimePoint now);
     void strike(Worker &worker, TimePoint now);
+    void balance(Worker &worker, TimePoint now);
+    void sendPace(Worker &worker, Run &run, std::int32_t percent);
     bool mayRenew(TimePoint now) const;
 
     Tasks::WorkerLink &link;
@@ -191,6 +209,7 @@
     Journal &journal;
     Settings settings;
     FleetListener &listener;
+    Tasks::PaceControl paceControl;
     std::uint64_t generation = 0; ///< Answers to calls of an earlier one are ignored.
     bool active = false;
     bool authority = false;
--- /dev/null
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -0,0 +1,226 @@
+#include <Coordination/WorkerFleet.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+// Orders to workers: starts, stops and paces of runs, repeated until their outcome is known.
+namespace Hibiscus::Coordination {
+
+using Runtime::LogKind;
+using Tasks::RunRef;
+using Tasks::WorkerAnswer;
+using Tasks::WorkerOutcome;
+
+namespace {
+
+std::string nameOf(const RunRef &run)
+{
+    return std::to_string(run.task.occurrence) + "." + std::to_string(run.task.step) + "."
+        + std::to_string(run.task.index) + "#" + std::to_string(run.run);
+}
+
+} // namespace
+
+/// Something runs that no record speaks of, such as a start that was given up and came late.
+void WorkerFleet::stopStranger(Worker &worker, const RunRef &ref)
+{
+    if (!this->authority || worker.runs.contains(keyOf(ref)))
+        return;
+    this->link.stop(worker.entry, {ref, this->token}, this->settings.orderTimeout,
+                    [](const WorkerAnswer &, TimePoint) {});
+}
+
+void WorkerFleet::start(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (run)
+        this->sendStart(*worker, *run, now);
+}
+
+void WorkerFleet::sendStart(Worker &worker, Run &run, TimePoint now)
+{
+    run.startOutstanding = true;
+    run.tries++;
+    Tasks::StartOrder order;
+    order.run = run.ref;
+    order.payload = run.payload;
+    order.checkpoint = run.checkpoint;
+    order.permit = run.permit;
+    order.leaseUntil = this->leaseUntil(worker, now);
+    order.fencingToken = this->token;
+    this->link.start(worker.entry, order, this->settings.orderTimeout,
+                     [this, id = worker.entry.id, ref = run.ref,
+                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                         if (generation == this->generation)
+                             this->started(id, ref, answer, at);
+                     });
+}
+
+/// What all answers to orders have in common. Null: there is nothing more to do.
+WorkerFleet::Worker *WorkerFleet::answeredOrder(const std::string &id, const WorkerAnswer &answer,
+                                                TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (worker && answer.outcome == WorkerOutcome::Fenced) {
+        this->listener.fenced(now);
+        return nullptr;
+    }
+    if (worker && answer.outcome != WorkerOutcome::Unknown)
+        this->answeredAtAll(*worker, answer, now);
+    return worker;
+}
+
+void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+                          TimePoint now)
+{
+    Worker *worker = this->answeredOrder(id, answer, now);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (!run)
+        return;
+    run->startOutstanding = false;
+    switch (answer.outcome) {
+    case WorkerOutcome::Done:
+        run->settledAt = now;
+        if (!std::exchange(run->confirmedAt, now))
+            this->listener.runConfirmed(ref, now);
+        break;
+    case WorkerOutcome::Unknown:
+        this->startUnanswered(*worker, *run, now);
+        return;
+    case WorkerOutcome::NotPermitted:
+        this->listener.permitRejected(ref, id);
+        this->loseRun(*worker, keyOf(ref), "the worker did not accept its permit", now);
+        return;
+    default:
+        this->journal.tell(LogKind::Task, "start rejected",
+                           {{"request", ref.job},
+                            {"run", nameOf(ref)},
+                            {"worker", id},
+                            {"reason", static_cast<int>(answer.outcome)},
+                            {"try", run->tries}},
+                           now);
+        this->strike(*worker, now);
+        // An earlier sending of this start may have been carried out and have ended.
+        if (run->tries > 1) {
+            run->settledAt = now;
+            this->pollIfNeeded(*worker, now);
+            return;
+        }
+        this->loseRun(*worker, keyOf(ref), "the worker rejected its start", now);
+        return;
+    }
+    if (run->stopWanted && !run->stopOutstanding)
+        this->sendStop(*worker, *run, now);
+    this->pollIfNeeded(*worker, now);
+}
+
+void WorkerFleet::startUnanswered(Worker &worker, Run &run, TimePoint now)
+{
+    if (run.tries < this->settings.startTries && !run.stopWanted && this->authority) {
+        this->sendStart(worker, run, now);
+        return;
+    }
+    this->strike(worker, now);
+    run.stopWanted = true;
+    this->sendStop(worker, run, now);
+}
+
+/// Slows what fills the worker while what serves users there comes near its response time target.
+void WorkerFleet::balance(Worker &worker, TimePoint now)
+{
+    if (!this->authority)
+        return;
+    double load = 0.0;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.responseTarget > Duration{})
+            load = std::max(load, run.load / static_cast<double>(toMs(run.responseTarget)));
+    }
+    for (auto &[key, run] : worker.runs) {
+        if (!run.fills || !run.confirmedAt)
+            continue;
+        const std::int32_t percent = this->paceControl.next(run.pace, load);
+        if (run.pace == percent && run.paceTaken)
+            continue;
+        this->journal.tell(LogKind::Task, "pace set",
+                           {{"request", run.ref.job},
+                            {"run", nameOf(run.ref)},
+                            {"worker", worker.entry.id},
+                            {"percent", percent},
+                            {"loadOfTarget", load}},
+                           now);
+        this->sendPace(worker, run, percent);
+    }
+}
+
+/// An order that was not carried out for sure is sent again after the worker's next list.
+void WorkerFleet::sendPace(Worker &worker, Run &run, std::int32_t percent)
+{
+    run.pace = percent;
+    run.paceTaken = true;
+    this->link.setPace(worker.entry, {run.ref, percent, this->token}, this->settings.orderTimeout,
+                       [this, id = worker.entry.id, ref = run.ref,
+                        generation = this->generation](const WorkerAnswer &answer, TimePoint) {
+                           if (generation != this->generation
+                               || answer.outcome == WorkerOutcome::Done)
+                               return;
+                           Worker *there = this->workerOf(id);
+                           Run *unset = there ? this->runOf(*there, ref) : nullptr;
+                           if (unset)
+                               unset->paceTaken = false;
+                       });
+}
+
+void WorkerFleet::requestStop(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (!run || run->stopWanted)
+        return;
+    run->stopWanted = true;
+    if (!run->startOutstanding)
+        this->sendStop(*worker, *run, now);
+}
+
+void WorkerFleet::sendStop(Worker &worker, Run &run, TimePoint now)
+{
+    if (now >= worker.leaseOverAt) {
+        // Nothing runs there any more, nor will a late start be accepted.
+        this->loseRun(worker, keyOf(run.ref), "its lease is over", now);
+        return;
+    }
+    run.stopOutstanding = true;
+    this->link.stop(worker.entry, {run.ref, this->token}, this->settings.orderTimeout,
+                    [this, id = worker.entry.id, ref = run.ref,
+                     generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                        if (generation == this->generation)
+                            this->stopped(id, ref, answer, at);
+                    });
+}
+
+void WorkerFleet::stopped(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+                          TimePoint now)
+{
+    Worker *worker = this->answeredOrder(id, answer, now);
+    Run *run = worker ? this->runOf(*worker, ref) : nullptr;
+    if (!run)
+        return;
+    run->stopOutstanding = false;
+    if (answer.outcome == WorkerOutcome::Done || answer.outcome == WorkerOutcome::Superseded) {
+        run->settledAt = now;
+        this->pollIfNeeded(*worker, now);
+        return;
+    }
+    this->timers.after(this->settings.retry,
+                       [this, id, ref, generation = this->generation](TimePoint at) {
+                           if (generation != this->generation)
+                               return;
+                           Worker *again = this->workerOf(id);
+                           Run *waiting = again ? this->runOf(*again, ref) : nullptr;
+                           if (waiting && !waiting->stopOutstanding)
+                               this->sendStop(*again, *waiting, at);
+                       });
+}
+
+} // namespace Hibiscus::Coordination
--- a/Core/Time.h
+++ b/Core/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Hibiscus {
 
@@ -22,4 +23,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Whole milliseconds, as records, logs and protocols hold spans of time.
+constexpr std::int64_t toMs(Duration span)
+{
+    return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+/// With its fraction, for sums of work.
+constexpr double toSeconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
 } // namespace Hibiscus
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -1,4 +1,5 @@
 #include <Node/NodeProcess.h>
+#include <Runtime/Address.h>
 #include <Runtime/Clock.h>
 #include <platform/CallerFormat.h>
 #include <platform/Formats.h>
@@ -23,13 +24,6 @@
 
 constexpr Duration usualPatience = seconds(3); ///< Of a client that does not tell.
 
-asio::ip::tcp::endpoint parseAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    const int port = std::stoi(address.substr(colon + 1));
-    return {asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(port)};
-}
-
 std::uint64_t seedOf(const std::string &name)
 {
     return std::hash<std::string>()(name);
@@ -125,13 +119,15 @@
     , journal({.instance = site.instance})
     , store(loop, site.storeAddress, Runtime::monotonicNow)
     , workers(loop, Runtime::monotonicNow)
+    , placement(loop, site.placementAddress, Runtime::monotonicNow)
     , front(store, timers, wallClock, journal, frontSettings(site), frontDecoders())
     , leadership(
           store, timers, journal, leadershipSettings(site),
           {[this](std::int64_t token, TimePoint now) { this->dispatcher.elected(token, now); },
            [this](TimePoint now) { this->dispatcher.deposed(now); }})
     , dispatcher(
-          store, workers, timers, wallClock, journal, leadership, dispatcherSettings(site),
+          store, workers, timers, wallClock, journal, leadership, placement,
+          dispatcherSettings(site),
           [](std::string_view key, std::string_view value) {
               return withErrorText(Platform::decodeWorkerEntry(key, value));
           },
@@ -159,13 +155,13 @@
                         {"store", this->site.storeAddress}},
                        now);
     this->callers.emplace(
-        this->loop, parseAddress(this->site.callersAddress),
+        this->loop, *Runtime::parseAddress(this->site.callersAddress),
         [this](HttpRequest request, const HttpResponder &responder) {
             this->serveCaller(std::move(request), responder);
         },
         Runtime::HttpServer::Settings{});
     this->readiness.emplace(
-        this->loop, parseAddress(this->site.readinessAddress),
+        this->loop, *Runtime::parseAddress(this->site.readinessAddress),
         [this](const HttpRequest &, const HttpResponder &responder) {
             this->serveReadiness(responder);
         },
--- a/Node/NodeProcess.h
+++ b/Node/NodeProcess.h
@@ -8,6 +8,7 @@
 #include <Node/ProcessJournal.h>
 #include <Runtime/HttpServer.h>
 #include <Tasks/SiteSettings.h>
+#include <platform/PlacementAdapter.h>
 #include <platform/StoreAdapter.h>
 #include <platform/WorkerAdapter.h>
 
@@ -62,6 +63,7 @@
     ProcessJournal journal;
     Platform::StoreAdapter store;
     Platform::WorkerAdapter workers;
+    Platform::PlacementAdapter placement;
     Coordination::JobFront front;
     Coordination::Leadership leadership;
     Coordination::TaskDispatcher dispatcher;
--- a/Runtime/HttpClient.cpp
+++ b/Runtime/HttpClient.cpp
@@ -1,3 +1,4 @@
+#include <Runtime/Address.h>
 #include <Runtime/HttpClient.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,19 +17,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-namespace {
-
-asio::ip::tcp::endpoint parseAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    error_code error;
-    const asio::ip::address host = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-    return {host, static_cast<unsigned short>(port)};
-}
-
-} // namespace
-
 struct HttpClient::Shared
 {
     asio::io_context &loop;
@@ -176,8 +164,15 @@
 };
 
 HttpClient::HttpClient(asio::io_context &loop, const std::string &address, const Settings &settings)
+    // A call to an address that can't be read ends as one to a port without listener.
     : shared(
-        std::make_shared<Shared>(Shared{loop, address, parseAddress(address), settings, {}, 0, 0}))
+        std::make_shared<Shared>(Shared{loop,
+                                        address,
+                                        parseAddress(address).value_or(asio::ip::tcp::endpoint()),
+                                        settings,
+                                        {},
+                                        0,
+                                        0}))
 {}
 
 HttpClient::~HttpClient() = default;
--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -22,11 +22,6 @@
     LastFailedRunColumn,
 };
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 json encodeStep(const Step &step)
 {
     return {{"count", step.count},
@@ -38,6 +33,9 @@
             {"checkpoints", step.checkpoints},
             {"endless", step.perpetual},
             {"filler", step.fills},
+            {"image", step.image},
+            {"responseTarget", toMs(step.responseTarget)},
+            {"mostAway", step.mostAway},
             {"label", step.requiredLabel},
             {"dataRack", step.dataRack},
             {"mostOnWorker", step.maxPerWorker}};
@@ -57,12 +55,28 @@
     step.checkpoints = value.at("checkpoints").get<bool>();
     step.perpetual = value.at("endless").get<bool>();
     step.fills = value.at("filler").get<bool>();
+    step.image = value.value("image", "");
+    step.responseTarget = milliseconds(value.value("responseTarget", std::int64_t{0}));
+    step.mostAway = value.value("mostAway", 0);
     step.requiredLabel = value.at("label").get<std::string>();
     step.dataRack = value.at("dataRack").get<std::string>();
     step.maxPerWorker = value.at("mostOnWorker").get<std::int32_t>();
     return step;
 }
 
+/// Three spans in ms: base, for each worker, validity.
+json encodePermits(const PermitTerms &terms)
+{
+    return {toMs(terms.base), toMs(terms.perWorker), toMs(terms.validity)};
+}
+
+PermitTerms decodePermits(const json &row)
+{
+    return {milliseconds(row.at(0).get<std::int64_t>()),
+            milliseconds(row.at(1).get<std::int64_t>()),
+            milliseconds(row.at(2).get<std::int64_t>())};
+}
+
 json encodeTask(const TaskProgress &task)
 {
     if (task == TaskProgress{})
@@ -117,7 +131,8 @@
                          {"steps", std::move(steps)},
                          {"times", job.repetition.count},
                          {"firstAt", job.repetition.first},
-                         {"every", toMs(job.repetition.interval)}};
+                         {"every", toMs(job.repetition.interval)},
+                         {"permits", encodePermits(job.permits)}};
     return record.dump();
 }
 
@@ -140,6 +155,8 @@
         job.repetition.count = record.at("times").get<std::int32_t>();
         job.repetition.first = record.at("firstAt").get<UnixMs>();
         job.repetition.interval = milliseconds(record.at("every").get<std::int64_t>());
+        if (record.contains("permits"))
+            job.permits = decodePermits(record.at("permits"));
         return job;
     });
 }
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-UnixMs toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 bool hasLabel(const WorkerView &worker, std::string_view label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -98,7 +93,7 @@
 {
     if (this->isEmpty(worker))
         this->emptyWorkers[request.service]--;
-    this->stage.free[worker] -= request.step->need;
+    this->stage.free[worker] -= request.step->room();
 }
 
 StartPlan PlanPass::run()
@@ -183,13 +178,16 @@
     const WorkerView &worker = this->workers[number];
     if (!worker.usable || worker.service != request.service)
         return false;
+    const bool permitted = !request.permitted
+        || std::binary_search(request.permitted->begin(), request.permitted->end(), number);
     const std::string &label = request.step->requiredLabel;
-    return label.empty() || hasLabel(worker, label);
+    return permitted && (label.empty() || hasLabel(worker, label));
 }
 
 bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
 {
-    return request.step->need.fitsInto(this->stage.free[worker]) && this->allowed(request, worker);
+    return request.step->room().fitsInto(this->stage.free[worker])
+        && this->allowed(request, worker);
 }
 
 bool PlanPass::belowMost(const StartRequest &request, std::size_t taken) const
@@ -226,14 +224,15 @@
     const auto impliesNone = [&request](const StartRequest *failed) {
         return failed->service == request.service
             && failed->step->requiredLabel == request.step->requiredLabel
-            && failed->step->need.fitsInto(request.step->need);
+            && failed->step->room().fitsInto(request.step->room());
     };
     return std::any_of(this->unplaced.begin(), this->unplaced.end(), impliesNone);
 }
 
 void PlanPass::noteUnplaced(const StartRequest &request)
 {
-    const bool byRoomAlone = request.step->maxPerWorker == 0 && !this->insistsOnRack(request);
+    const bool byRoomAlone
+        = request.step->maxPerWorker == 0 && !request.permitted && !this->insistsOnRack(request);
     if (byRoomAlone && !this->surelyHasNoRoom(request))
         this->unplaced.push_back(&request);
 }
@@ -242,7 +241,7 @@
 double PlanPass::waste(const StartRequest &request, std::size_t worker) const
 {
     Resources left = this->stage.free[worker];
-    left -= request.step->need;
+    left -= request.step->room();
     const bool offRack = !request.step->dataRack.empty()
         && !hasLabel(this->workers[worker], request.step->dataRack);
     constexpr double offRackWaste = 1e6;
@@ -307,8 +306,8 @@
             for (const OccupantView &occupant : this->workers[worker].occupants)
                 room += occupant.need;
             std::int64_t here = 0;
-            while (request.step->need.fitsInto(room) && here < request.step->count) {
-                room -= request.step->need;
+            while (request.step->room().fitsInto(room) && here < request.step->count) {
+                room -= request.step->room();
                 here++;
             }
             if (request.step->maxPerWorker > 0)
@@ -364,13 +363,13 @@
     Resources room = this->stage.free[number];
     UnixMs at = this->now;
     for (const std::size_t place : this->ordersOf(number).byEnd) {
-        if (request.step->need.fitsInto(room))
+        if (request.step->room().fitsInto(room))
             return at;
         const OccupantView &occupant = worker.occupants[place];
         room += occupant.need;
         at = std::max(at, occupant.stopping ? this->now : occupant.expectedEnd);
     }
-    return request.step->need.fitsInto(room) ? at : std::numeric_limits<UnixMs>::max();
+    return request.step->room().fitsInto(room) ? at : std::numeric_limits<UnixMs>::max();
 }
 
 std::optional<std::size_t> PlanPass::soonestWorker(const StartRequest &request,
@@ -400,7 +399,7 @@
         if (!worker)
             return never;
         latest = std::max(latest, this->roomAt(request, *worker));
-        this->stage.free[*worker] -= request.step->need;
+        this->stage.free[*worker] -= request.step->room();
     }
     return latest;
 }
@@ -449,19 +448,19 @@
     room += this->stage.coming[number];
     double loss = 0.0;
     for (const std::size_t place : this->ordersOf(number).byLoss) {
-        if (request.step->need.fitsInto(room))
+        if (request.step->room().fitsInto(room))
             break;
         const OccupantView &occupant = worker.occupants[place];
         if (occupant.priority < this->leastVictimPriority(request))
             break;
         const bool alreadyGone = std::find(gone.begin(), gone.end(), place) != gone.end();
-        if (occupant.stopping || alreadyGone)
+        if (occupant.stopping || occupant.fixed || alreadyGone)
             continue;
         room += occupant.need;
         loss += occupant.lossIfStopped;
         result.occupants.push_back(place);
     }
-    if (request.step->need.fitsInto(room))
+    if (request.step->room().fitsInto(room))
         result.loss = loss;
     return result;
 }
@@ -516,7 +515,7 @@
         if (best.loss == std::numeric_limits<double>::infinity())
             return covered;
         this->displace(best);
-        this->stage.free[best.worker] -= request.step->need;
+        this->stage.free[best.worker] -= request.step->room();
         taken.push_back(best.worker);
         loss += best.loss;
         covered.push_back(best.worker);
@@ -582,13 +581,13 @@
 void PlanPass::holdClaims(const StartRequest &request)
 {
     for (const std::size_t worker : request.claims)
-        this->stage.free[worker] -= request.step->need;
+        this->stage.free[worker] -= request.step->room();
 }
 
 void PlanPass::releaseClaims(const StartRequest &request)
 {
     for (const std::size_t worker : request.claims)
-        this->stage.free[worker] += request.step->need;
+        this->stage.free[worker] += request.step->room();
 }
 
 /// Keeps the claims whose room is still there or coming. Returns their workers, `most` at most.
@@ -599,10 +598,10 @@
         Resources room = this->stage.free[worker];
         room += this->stage.coming[worker];
         const bool holds = kept.size() < most && this->eligible(request, worker)
-            && request.step->need.fitsInto(room);
+            && request.step->room().fitsInto(room);
         if (!holds)
             continue;
-        this->stage.free[worker] -= request.step->need;
+        this->stage.free[worker] -= request.step->room();
         kept.push_back(worker);
     }
     return kept;
--- a/Tasks/RunTimeBook.cpp
+++ b/Tasks/RunTimeBook.cpp
@@ -21,7 +21,7 @@
         found = this->queues.emplace(queue, Record{}).first;
     Record &record = found->second;
     record.count++;
-    const double seconds = std::chrono::duration<double>(runTime).count();
+    const double seconds = toSeconds(runTime);
     const auto weight = static_cast<double>(std::min(record.count, runsOfMean));
     record.meanSeconds += (seconds - record.meanSeconds) / weight;
 }
@@ -31,7 +31,7 @@
     const auto found = this->queues.find(queue);
     if (found == this->queues.end() || found->second.count < fewestRuns)
         return estimate;
-    const double stated = std::chrono::duration<double>(estimate).count();
+    const double stated = toSeconds(estimate);
     const std::chrono::duration<double> midway(std::sqrt(stated * found->second.meanSeconds));
     return std::chrono::duration_cast<Duration>(midway);
 }
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -16,6 +16,7 @@
     std::string readinessAddress; ///< IP:port where the platform asks for readiness.
     std::string ip;
     std::string storeAddress; ///< IP:port.
+    std::string placementAddress; ///< IP:port of the placement service; empty: there is none.
     double cores = 0.25; ///< That this machine gives to the process.
     double linkMbps = 1000.0;
     Duration shortestLease = seconds(1); ///< That the store grants.
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -7,7 +7,9 @@
 
 bool isLate(const StartRequest &request, UnixMs now)
 {
-    const UnixMs runTime = std::chrono::duration_cast<milliseconds>(request.runTime).count();
+    if (request.step->perpetual)
+        return false;
+    const UnixMs runTime = toMs(request.runTime);
     return now + runTime > request.objectiveAt;
 }
 
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -2,6 +2,7 @@
 
 #include <Tasks/TaskJob.h>
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
     UnixMs expectedEnd = 0; ///< By the estimate; may lie in the past.
     double lossIfStopped = 0.0; ///< Core-seconds that a stop throws away, its gang's included.
     bool stopping = false; ///< Asked to stop: its room is coming free.
+    bool fixed = false; ///< Must not be displaced: too many of its step would be away.
     std::size_t group = 0; ///< Occupants of one gang share a group; they stop together.
 };
 
@@ -24,6 +26,7 @@
 {
     std::string_view id;
     std::string_view service;
+    std::int64_t incarnation = 0;
     std::span<const std::string> labels;
     Resources free;
     bool usable = false; ///< May be given new work.
@@ -48,9 +51,12 @@
     std::vector<std::int32_t> indexes; ///< Tasks that wait; a gang's are all of its tasks.
     std::vector<std::size_t> besides; ///< Workers, one entry a task of the step that they have.
     std::vector<std::size_t> claims; ///< Workers of earlier claims, one entry a task.
+    /// Workers that may run the tasks, in rising order; absent: all of the service.
+    std::optional<std::vector<std::size_t>> permitted;
 };
 
-/// Whether the request's tasks can't end in time any more, by their expected run time.
+/// Whether the request's tasks can't end in time any more, by their expected run time. Perpetual
+/// ones are always wanted at once.
 bool isLate(const StartRequest &request, UnixMs now);
 
 /// Start task `index` of request `request` on worker `worker`; numbers are places in the inputs.
--- a/Tasks/SystemConfiguration.h
+++ b/Tasks/SystemConfiguration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Core/Time.h>
+#include <Tasks/TaskJob.h>
 
 #include <cstdint>
 #include <string>
@@ -23,6 +23,7 @@
     Duration targetLatency{};
     Duration timeout{}; ///< For the answer to a call.
     bool open = false; ///< Calls need no key.
+    PermitTerms permits;
 };
 
 struct Customer
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -8,11 +8,6 @@
 
 constexpr double milliCoresPerCore = 1000.0;
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 } // namespace
 
 bool Resources::fitsInto(const Resources &room) const
@@ -48,6 +43,14 @@
     return cores + coresPerAccelerator * static_cast<double>(resources.accelerators);
 }
 
+Resources Step::room() const
+{
+    Resources room = this->need;
+    if (this->fills)
+        room.milliCores = 0;
+    return room;
+}
+
 UnixMs Job::dueAt(std::int32_t occurrence) const
 {
     if (this->repetition.count == 0)
@@ -89,7 +92,7 @@
 {
     double sum = 0.0;
     for (const Step &step : this->steps) {
-        const double runTime = std::chrono::duration<double>(step.estimate).count();
+        const double runTime = toSeconds(step.estimate);
         sum += weightOf(step.need) * static_cast<double>(step.count) * runTime;
     }
     return sum;
--- a/Tasks/TaskJob.h
+++ b/Tasks/TaskJob.h
@@ -46,9 +46,29 @@
     bool checkpoints = false;
     bool perpetual = false; ///< Runs until the job is cancelled.
     bool fills = false; ///< Uses leftover processor time only.
+    /// Image that the tasks run; those of one image load a worker alike. Empty: not told.
+    std::string image;
+    /// Perpetual tasks that serve users: the tail of their response times stays below. Zero: none.
+    Duration responseTarget{};
+    /// Of a perpetual step: so many tasks may be away at once through stops of ours.
+    std::int32_t mostAway = 0;
     std::string requiredLabel; ///< Empty: any worker.
     std::string dataRack; ///< Rack that holds the data; slow elsewhere. Empty: none.
     std::int32_t maxPerWorker = 0; ///< 0: no limit.
+
+    /// What one task takes of a worker's room; leftover processor time is nobody's.
+    Resources room() const;
+};
+
+/// A queue whose tasks may run only on workers that a placement service names.
+struct PermitTerms
+{
+    Duration base{}; ///< Time that one question takes ...
+    Duration perWorker{}; ///< ... and this much more for each worker that it names.
+    Duration validity{}; ///< Of a permit.
+
+    bool required() const { return this->validity > Duration{}; }
+    bool operator==(const PermitTerms &) const = default;
 };
 
 /// When a repeated job's occurrences are due.
@@ -74,6 +94,7 @@
     std::string payload; ///< Handed to each task unread.
     std::vector<Step> steps;
     Repetition repetition;
+    PermitTerms permits;
 
     std::int32_t occurrences() const
     {
@@ -117,4 +138,14 @@
     auto operator<=>(const TaskRef &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// Names one step of one occurrence of a job.
+struct StepRef
+{
+    std::string job;
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+
+    auto operator<=>(const StepRef &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 } // namespace Hibiscus::Tasks
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -12,6 +12,7 @@
 struct WorkerEntry
 {
     std::string id;
+    std::string machine; ///< The worker is one life of it. Empty: not told.
     std::string address; ///< IP:port.
     std::string service;
     std::string dataCenter;
@@ -37,6 +38,7 @@
     RunRef run;
     std::string payload;
     std::string checkpoint; ///< Empty: start from the beginning.
+    std::string permit; ///< Of the placement service; empty: the queue needs none.
     std::int64_t leaseUntil = 0; ///< On the worker's clock, in ms.
     std::int64_t fencingToken = 0;
 };
@@ -47,6 +49,14 @@
     std::int64_t fencingToken = 0;
 };
 
+/// Lets a task work, and load its worker, at a share of its full pace.
+struct PaceOrder
+{
+    RunRef run;
+    std::int32_t percent = 100;
+    std::int64_t fencingToken = 0;
+};
+
 /// Renews the lease of all that runs on the worker, forgets ends and asks for news.
 struct RenewOrder
 {
@@ -69,7 +79,10 @@
 {
     RunRef run;
     std::string checkpoint;
-    std::int32_t percent = 0;
+    std::int32_t percent = 0; ///< Of its work; of a perpetual task, 100 once it is at work.
+    /// Over the last half second. Of a task with a response time target: the tail of its response
+    /// times in ms; of any other: the cores that it uses.
+    double load = 0.0;
 };
 
 struct EndedTask
@@ -85,6 +98,7 @@
     Fenced, ///< A higher fencing token was seen.
     Superseded, ///< This run or a later one was there already and has ended.
     LeaseOver, ///< The order came after its lease.
+    NotPermitted, ///< The start's permit is missing or not valid here any more.
     NoRoom,
     Invalid,
     Unhealthy, ///< The worker did nothing.
@@ -115,6 +129,9 @@
     virtual void stop(const WorkerEntry &worker, const StopOrder &order, Duration timeout,
                       WorkerHandler handler)
         = 0;
+    virtual void setPace(const WorkerEntry &worker, const PaceOrder &order, Duration timeout,
+                         WorkerHandler handler)
+        = 0;
     virtual void renew(const WorkerEntry &worker, const RenewOrder &order, Duration timeout,
                        WorkerHandler handler)
         = 0;
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -32,6 +32,8 @@
         queue.maxAttempts = 2;
         queue.stretch = 3.0;
         queue.targetLatency = seconds(1);
+        if (value.value("permits", false))
+            queue.permits = {milliseconds(100), milliseconds(5), seconds(5)};
         configuration.queues.push_back(queue);
     }
     configuration.customers.push_back(
@@ -51,7 +53,15 @@
     step.need = {1000, 1000, value.at("accelerators").get<std::int64_t>()};
     step.estimate = parseScript(job.payload).runTime;
     step.gang = value.at("gang").get<bool>();
+    const TaskScript script = parseScript(job.payload);
+    step.fills = script.fills;
+    step.responseTarget = milliseconds(script.target);
+    step.perpetual = value.value("perpetual", false);
+    step.mostAway = value.value("mostAway", 0);
     job.steps.push_back(step);
+    job.repetition.count = value.value("times", 0);
+    job.repetition.first = value.value("firstMs", std::int64_t{0});
+    job.repetition.interval = milliseconds(value.value("everyMs", 0));
     return job;
 }
 
@@ -126,7 +136,37 @@
     std::shared_ptr<const std::optional<TimePoint>> suspendedUntil;
 };
 
-Instance::Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers, const std::string &name)
+void FakePlacement::ask(const Tasks::StepRef &step, const std::vector<std::string> &workers,
+                        Duration timeout, Tasks::PlacementHandler handler)
+{
+    this->questions++;
+    this->workersAsked += workers.size();
+    Tasks::PlacementAnswer answer;
+    answer.outcome
+        = this->silent ? Tasks::PlacementOutcome::Failed : Tasks::PlacementOutcome::Answered;
+    const std::string name = step.job + "/" + std::to_string(step.step) + "/";
+    for (const std::string &worker : workers) {
+        if (this->silent || !this->good.contains(worker))
+            continue;
+        const std::string permit = name + worker + "/" + std::to_string(this->questions);
+        this->validUntil[permit] = this->clock.now() + this->decision + this->validity;
+        answer.permits.push_back({worker, permit});
+    }
+    this->clock.in(this->silent ? timeout : this->decision,
+                   [this, answer, handler] { handler(answer, this->clock.now()); });
+}
+
+bool FakePlacement::accepts(const std::string &worker, const Tasks::StartOrder &order) const
+{
+    const auto known = this->validUntil.find(order.permit);
+    const std::string name
+        = order.run.job + "/" + std::to_string(order.run.task.step) + "/" + worker + "/";
+    return known != this->validUntil.end() && order.permit.starts_with(name)
+        && this->clock.now() < known->second;
+}
+
+Instance::Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers,
+                   FakePlacement &placement, const std::string &name)
     : alive(std::make_shared<bool>(true))
     , suspendedUntil(std::make_shared<std::optional<TimePoint>>())
     , timers(std::make_unique<Timers>(clock, this->alive, this->suspendedUntil))
@@ -151,7 +191,7 @@
     dispatcherSettings.workerRegistry = registry;
     this->dispatcher = std::make_unique<TaskDispatcher>(
         *this->store, *this->link, *this->timers, clock, this->journal, *this->leadership,
-        dispatcherSettings, decodeEntry, [this](std::string_view customer) {
+        placement, dispatcherSettings, decodeEntry, [this](std::string_view customer) {
             const Tasks::Directory *directory = this->jobs->directory();
             const Tasks::Customer *found = directory ? directory->customerNamed(customer) : nullptr;
             return found ? found->guaranteedAccelerators : 0;
@@ -163,7 +203,11 @@
 Cluster::Cluster(std::size_t instanceCount, std::size_t workerCount)
     : store(this->clock)
     , workers(this->clock)
+    , placement(this->clock)
 {
+    this->workers.permitCheck = [this](const std::string &worker, const Tasks::StartOrder &order) {
+        return this->placement.accepts(worker, order);
+    };
     constexpr std::size_t rackSize = 4;
     this->setKeys({"key-1"});
     for (std::size_t i = 0; i < workerCount; i++)
@@ -176,8 +220,8 @@
 
 void Cluster::startInstance(const std::string &name)
 {
-    this->instances[name]
-        = std::make_unique<Instance>(this->clock, this->store, this->workers, name);
+    this->instances[name] = std::make_unique<Instance>(this->clock, this->store, this->workers,
+                                                       this->placement, name);
 }
 
 void Cluster::killInstance(const std::string &name)
@@ -194,7 +238,10 @@
 {
     this->configurationVersion++;
     this->store.put(configurationKey,
-                    json{{"version", this->configurationVersion}, {"keys", keys}}.dump());
+                    json{{"version", this->configurationVersion},
+                         {"keys", keys},
+                         {"permits", this->permitsRequired}}
+                        .dump());
 }
 
 std::optional<ClientReply> Cluster::call(const std::string &instance, ClientCall call)
@@ -264,4 +311,11 @@
         .dump();
 }
 
+std::string withFields(const std::string &body, const json &fields)
+{
+    json value = json::parse(body);
+    value.update(fields);
+    return value.dump();
+}
+
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -9,7 +9,9 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,11 +31,37 @@
     std::vector<std::string> events;
 };
 
+/// The platform's placement service: each step may run on the workers that the test names.
+class FakePlacement final : public Tasks::PlacementService
+{
+public:
+    explicit FakePlacement(SimClock &clock)
+        : clock(clock)
+    {}
+
+    void ask(const Tasks::StepRef &step, const std::vector<std::string> &workers, Duration timeout,
+             Tasks::PlacementHandler handler) override;
+    /// Whether a worker lets a start with this permit in.
+    bool accepts(const std::string &worker, const Tasks::StartOrder &order) const;
+
+    std::set<std::string> good; ///< Workers that may run what needs a permit.
+    Duration decision = milliseconds(200);
+    Duration validity = seconds(5);
+    bool silent = false;
+    std::size_t questions = 0;
+    std::size_t workersAsked = 0;
+
+private:
+    SimClock &clock;
+    std::map<std::string, TimePoint> validUntil; ///< By permit.
+};
+
 /// One instance on simulated time.
 class Instance
 {
 public:
-    Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers, const std::string &name);
+    Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers, FakePlacement &placement,
+             const std::string &name);
     ~Instance() { *this->alive = false; }
 
     std::shared_ptr<bool> alive;
@@ -81,8 +109,10 @@
     SimClock clock;
     FakeStore store;
     FakeWorkers workers;
+    FakePlacement placement;
     std::map<std::string, std::unique_ptr<Instance>> instances;
     std::int64_t configurationVersion = 0;
+    bool permitsRequired = false; ///< By all queues, from the next version on.
 };
 
 /// A job's id: 16 hexadecimal digits that end with the number.
@@ -91,5 +121,7 @@
 /// queue; see Cluster::submit.
 std::string jobBody(const std::string &payload, std::int32_t tasks, std::int32_t accelerators,
                     bool gang = false);
+/// The body with further fields: "priority", "perpetual", "mostAway", "times", "everyMs".
+std::string withFields(const std::string &body, const nlohmann::json &fields);
 
 } // namespace Hibiscus::Coordination::Test
--- /dev/null
+++ b/UnitTests/Coordination/ContractsTest.cpp
@@ -0,0 +1,219 @@
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+using Tasks::JobState;
+
+/// Kinds of jobs beside the plain ones: perpetual, repeated, filling, bound to permits.
+class Contracts : public testing::Test
+{
+protected:
+    void TearDown() override
+    {
+        for (const std::string &violation : this->cluster.workers.violations)
+            ADD_FAILURE() << violation;
+        if (!HasFailure())
+            return;
+        for (const auto &[name, instance] : this->cluster.instances) {
+            for (const std::string &event : instance->journal.events)
+                std::cout << name << " " << event << "\n";
+        }
+    }
+
+    void accept(std::uint32_t number, const std::string &body)
+    {
+        const std::optional<ClientReply> reply
+            = this->cluster.submit("entry-0", jobId(number), body);
+        ASSERT_TRUE(reply);
+        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
+    }
+
+    JobState stateOf(std::uint32_t number)
+    {
+        const std::optional<ClientReply> reply = this->cluster.state("entry-0", jobId(number));
+        return reply ? reply->state : JobState::Queued;
+    }
+
+    void requirePermits(const std::set<std::string> &goodWorkers)
+    {
+        this->cluster.permitsRequired = true;
+        this->cluster.setKeys({"key-1"});
+        this->cluster.placement.good = goodWorkers;
+        this->cluster.run(milliseconds(100));
+    }
+
+    Cluster cluster{2, 4};
+};
+
+TEST_F(Contracts, PerpetualTasksAreStartedAgainHoweverTheyEnd)
+{
+    // The tasks end by themselves after two seconds, well or badly.
+    this->accept(1, withFields(jobBody("2000,again", 2, 1), {{"perpetual", true}}));
+    this->accept(2, withFields(jobBody("2000,fail,again", 1, 1), {{"perpetual", true}}));
+    this->cluster.run(seconds(20));
+    EXPECT_EQ(this->stateOf(1), JobState::Running);
+    EXPECT_EQ(this->stateOf(2), JobState::Running);
+    EXPECT_GE(this->cluster.workers.startsOf(jobId(1)), 18U);
+    EXPECT_GE(this->cluster.workers.startsOf(jobId(2)), 3U);
+    this->cluster.cancel("entry-0", jobId(1));
+    this->cluster.cancel("entry-0", jobId(2));
+    this->cluster.run(seconds(2));
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 0U);
+}
+
+TEST_F(Contracts, PerpetualTasksAreNeverTooLateToBeStartedAgain)
+{
+    // Long after any objective would have passed, a lost worker's tasks are back within its lease.
+    this->accept(1, withFields(jobBody("900000", 2, 8), {{"perpetual", true}}));
+    for (std::uint32_t i = 2; i < 10; i++)
+        this->accept(i, jobBody("4000", 4, 2));
+    this->cluster.run(seconds(100));
+    for (std::uint32_t i = 10; i < 20; i++)
+        this->accept(i, jobBody("4000", 4, 2));
+    this->cluster.run(milliseconds(500));
+    this->cluster.putWorker(this->cluster.workers.startAnew("worker-0"));
+    this->cluster.putWorker(this->cluster.workers.startAnew("worker-1"));
+    this->cluster.run(seconds(6));
+    std::size_t wholeWorkers = 0;
+    for (int i = 0; i < 4; i++)
+        wholeWorkers += this->cluster.workers.serves("worker-" + std::to_string(i), jobId(1));
+    EXPECT_EQ(wholeWorkers, 2U);
+}
+
+TEST_F(Contracts, PerpetualTasksKeepTheirTurnInAFlood)
+{
+    // Its tasks end every two seconds, and any objective has passed long before the flood.
+    this->accept(1, withFields(jobBody("2000,again", 2, 8), {{"perpetual", true}}));
+    this->cluster.run(seconds(100));
+    for (std::uint32_t i = 2; i < 20; i++)
+        this->accept(i, jobBody("3000", 4, 2));
+    const std::size_t before = this->cluster.workers.startsOf(jobId(1));
+    this->cluster.run(seconds(10));
+    EXPECT_GE(this->cluster.workers.startsOf(jobId(1)), before + 4);
+}
+
+TEST_F(Contracts, OccurrencesStartWhenTheyAreDueAndNotBefore)
+{
+    const std::int64_t first = this->cluster.clock.nowMs() + 3000;
+    this->accept(
+        1, withFields(jobBody("500", 2, 1), {{"times", 3}, {"firstMs", first}, {"everyMs", 2000}}));
+    this->cluster.run(milliseconds(2800));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 0U);
+    this->cluster.run(milliseconds(600));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+    this->cluster.run(seconds(2));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+    this->cluster.run(seconds(3));
+    EXPECT_EQ(this->stateOf(1), JobState::Completed);
+}
+
+TEST_F(Contracts, OccurrencesThatFellIntoAnOutageAreMadeUpFor)
+{
+    const std::int64_t first = this->cluster.clock.nowMs() + 1000;
+    this->accept(
+        1, withFields(jobBody("500", 1, 1), {{"times", 3}, {"firstMs", first}, {"everyMs", 1000}}));
+    this->cluster.killInstance("entry-0");
+    this->cluster.killInstance("entry-1");
+    this->cluster.run(seconds(6));
+    this->cluster.startInstance("entry-0");
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->stateOf(1), JobState::Completed);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
+}
+
+TEST_F(Contracts, WhatFillsIsSlowedWhileItHarmsWhatServes)
+{
+    // Alone the task serves at 100 ms; each filler at full pace adds 300 ms, over its target.
+    for (std::uint32_t i = 1; i <= 4; i++)
+        this->accept(i, withFields(jobBody("900000,serve=300", 1, 1), {{"perpetual", true}}));
+    this->cluster.run(seconds(1));
+    for (std::uint32_t i = 11; i <= 14; i++)
+        this->accept(i, jobBody("60000,fill", 1, 1));
+    this->cluster.run(seconds(20));
+    EXPECT_GT(this->cluster.workers.paceOrders, 0U);
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 8U);
+}
+
+TEST_F(Contracts, WhatFillsGoesOnAtItsPaceUnderTheNextLeader)
+{
+    for (std::uint32_t i = 1; i <= 4; i++)
+        this->accept(i, withFields(jobBody("900000,serve=300", 1, 1), {{"perpetual", true}}));
+    for (std::uint32_t i = 11; i <= 14; i++)
+        this->accept(i, jobBody("60000,fill", 1, 1));
+    this->cluster.run(seconds(5));
+    this->cluster.killInstance(this->cluster.leader());
+    this->cluster.run(seconds(20));
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 8U);
+    // Once nothing serves beside it, it goes on at full pace.
+    const std::string instance = this->cluster.instances.begin()->first;
+    for (std::uint32_t i = 1; i <= 4; i++)
+        this->cluster.cancel(instance, jobId(i));
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->cluster.workers.slowedTasks(), 0U);
+}
+
+TEST_F(Contracts, WhatFillsTakesNoProcessorRoom)
+{
+    // 40 fillers of one core each beside workers of 32 cores, with room for 40 accelerators in all.
+    Tasks::Step step;
+    step.need = {32000, 1000, 0};
+    EXPECT_EQ(step.room().milliCores, 32000);
+    step.fills = true;
+    EXPECT_EQ(step.room(), (Tasks::Resources{0, 1000, 0}));
+}
+
+TEST_F(Contracts, TasksStartOnlyWherePlacementPermitsThem)
+{
+    this->requirePermits({"worker-2"});
+    this->accept(1, jobBody("500,permit", 6, 2));
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->stateOf(1), JobState::Completed);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 6U);
+    // One question told of all workers; the permit was valid for all tasks.
+    EXPECT_EQ(this->cluster.placement.questions, 1U);
+}
+
+TEST_F(Contracts, PermitsThatRanOutAreAskedForAgain)
+{
+    this->requirePermits({"worker-1", "worker-2"});
+    // Two rounds of tasks that take longer than a permit is valid.
+    this->accept(1, jobBody("6000,permit", 4, 8));
+    this->cluster.run(seconds(20));
+    EXPECT_EQ(this->stateOf(1), JobState::Completed);
+    EXPECT_GE(this->cluster.placement.questions, 2U);
+    EXPECT_EQ(this->cluster.workers.permitRejections, 0U);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
+TEST_F(Contracts, WorkThatNeedsNoPermitIsNotHeldUpByASilentPlacementService)
+{
+    this->requirePermits({"worker-0"});
+    this->cluster.placement.silent = true;
+    this->accept(1, jobBody("500,permit", 1, 1));
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->stateOf(1), JobState::Queued);
+    this->cluster.placement.silent = false;
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->stateOf(1), JobState::Completed);
+}
+
+TEST_F(Contracts, OfAStepOnlyAsManyTasksGiveWayAsItMayMiss)
+{
+    // Four perpetual tasks of whole workers, of which one may be away; urgent work wants two.
+    this->accept(1, withFields(jobBody("900000", 4, 8), {{"perpetual", true}, {"mostAway", 1}}));
+    this->cluster.run(seconds(3));
+    this->accept(2, withFields(jobBody("2000", 2, 8), {{"priority", 0}}));
+    this->cluster.run(seconds(2));
+    EXPECT_EQ(this->cluster.workers.serving(jobId(1)), 3U);
+    this->cluster.run(seconds(8));
+    EXPECT_EQ(this->cluster.workers.serving(jobId(1)), 4U);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(2)), 2U);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -17,11 +17,6 @@
 constexpr double slowClock = 0.98;
 constexpr Duration cancellationBound = seconds(3);
 
-std::int64_t toMs(Duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-
 std::string describe(const RunRef &run)
 {
     return run.job + "." + std::to_string(run.task.step) + "." + std::to_string(run.task.index)
@@ -35,9 +30,15 @@
     TaskScript script;
     script.runTime = milliseconds(std::atoi(payload.c_str()));
     script.fails = payload.find(",fail") != std::string::npos;
-    const std::size_t gang = payload.find(",gang=");
-    if (gang != std::string::npos)
-        script.gang = std::atoi(payload.c_str() + gang + 6);
+    const auto numberAfter = [&payload](const std::string &name) {
+        const std::size_t found = payload.find(name);
+        return found == std::string::npos ? 0 : std::atoi(payload.c_str() + found + name.size());
+    };
+    script.gang = numberAfter(",gang=");
+    script.target = numberAfter(",serve=");
+    script.fills = payload.find(",fill") != std::string::npos;
+    script.needsPermit = payload.find(",permit") != std::string::npos;
+    script.again = payload.find(",again") != std::string::npos;
     return script;
 }
 
@@ -88,6 +89,33 @@
     return sum;
 }
 
+std::size_t FakeWorkers::serving(const std::string &job) const
+{
+    std::size_t sum = 0;
+    for (const auto &[id, machine] : this->machines) {
+        for (const auto &[name, task] : machine.running)
+            sum += name.first == job ? 1 : 0;
+    }
+    return sum;
+}
+
+std::size_t FakeWorkers::slowedTasks() const
+{
+    std::size_t sum = 0;
+    for (const auto &[id, machine] : this->machines) {
+        for (const auto &[name, task] : machine.running)
+            sum += task.pace < 100 ? 1 : 0;
+    }
+    return sum;
+}
+
+bool FakeWorkers::serves(const std::string &id, const std::string &job) const
+{
+    const auto &running = this->machines.at(id).running;
+    return std::any_of(running.begin(), running.end(),
+                       [&job](const auto &entry) { return entry.first.first == job; });
+}
+
 std::size_t FakeWorkers::startsOf(const std::string &job) const
 {
     const auto found = this->starts.find(job);
@@ -133,7 +161,7 @@
         this->end(id, machine.running.begin()->first, EndCause::LeaseLapsed);
 }
 
-void FakeWorkers::checkStart(const std::string &id, const RunRef &run)
+void FakeWorkers::checkStart(const std::string &id, const RunRef &run, bool again)
 {
     const TaskName name{run.job, run.task};
     for (const auto &[other, machine] : this->machines) {
@@ -144,7 +172,7 @@
                                            .append(" while it runs on ")
                                            .append(other));
     }
-    if (this->acknowledgedDone.contains(name))
+    if (!again && this->acknowledgedDone.contains(name))
         this->violations.push_back(describe(run) + " starts after its end was acknowledged");
     const auto cancel = this->cancelled.find(run.job);
     if (cancel != this->cancelled.end() && this->clock.now() > cancel->second + cancellationBound)
@@ -169,11 +197,17 @@
         answer.outcome = WorkerOutcome::LeaseOver;
         return answer;
     }
-    this->checkStart(id, order.run);
+    const TaskScript script = parseScript(order.payload);
+    if (script.needsPermit && !this->permitCheck(id, order)) {
+        this->permitRejections++;
+        answer.outcome = WorkerOutcome::NotPermitted;
+        return answer;
+    }
+    this->checkStart(id, order.run, script.again);
     this->starts[order.run.job]++;
     Task task;
     task.run = order.run;
-    task.script = parseScript(order.payload);
+    task.script = script;
     task.left = task.script.runTime;
     task.serial = this->nextSerial++;
     const std::uint64_t serial = task.serial;
@@ -202,6 +236,8 @@
     const TaskName name{task.run.job, task.run.task};
     const std::uint64_t serial = task.serial;
     const bool fails = task.script.fails;
+    if (task.script.target > 0)
+        this->checkHarm(id);
     this->clock.in(task.left, [this, id, name, serial, fails] {
         Machine &machine = this->machines[id];
         const auto running = machine.running.find(name);
@@ -289,6 +325,50 @@
     return answer;
 }
 
+WorkerAnswer FakeWorkers::setPace(const std::string &id, const Tasks::PaceOrder &order)
+{
+    Machine &machine = this->machines[id];
+    WorkerAnswer answer;
+    if (this->fences(machine, order.fencingToken, answer))
+        return answer;
+    this->paceOrders++;
+    const auto running = machine.running.find({order.run.job, order.run.task});
+    if (running != machine.running.end() && running->second.run.run == order.run.run)
+        running->second.pace = order.percent;
+    return answer;
+}
+
+double FakeWorkers::loadOf(const Machine &machine, const Task &task) const
+{
+    if (task.script.target == 0)
+        return 0.0;
+    double load = this->servingLoad;
+    for (const auto &[name, other] : machine.running)
+        load += other.script.fills ? this->fillingLoad * other.pace / 100.0 : 0.0;
+    return load;
+}
+
+/// Looks at response times every tenth of a second while something serves there.
+void FakeWorkers::checkHarm(const std::string &id)
+{
+    Machine &machine = this->machines[id];
+    const TimePoint now = this->clock.now();
+    bool serves = false;
+    for (auto &[name, task] : machine.running) {
+        if (task.script.target == 0)
+            continue;
+        serves = true;
+        if (this->loadOf(machine, task) <= task.script.target)
+            task.overTargetSince.reset();
+        else if (!task.overTargetSince)
+            task.overTargetSince = now;
+        else if (now - *task.overTargetSince > this->harmBound)
+            this->violations.push_back(describe(task.run) + " is slowed for too long");
+    }
+    if (serves)
+        this->clock.in(milliseconds(100), [this, id] { this->checkHarm(id); });
+}
+
 WorkerAnswer FakeWorkers::renew(const std::string &id, const Tasks::RenewOrder &order)
 {
     Machine &machine = this->machines[id];
@@ -314,7 +394,8 @@
     answer.clock = this->clockOf(machine);
     answer.incarnation = machine.entry.incarnation;
     for (const auto &[name, task] : machine.running)
-        answer.running.push_back({task.run, "", 0});
+        answer.running.push_back(
+            {task.run, "", task.working ? 100 : 0, this->loadOf(machine, task)});
     answer.ended = machine.ended;
     return answer;
 }
@@ -372,6 +453,14 @@
     });
 }
 
+void FakeWorkers::View::setPace(const WorkerEntry &worker, const Tasks::PaceOrder &order,
+                                Duration timeout, WorkerHandler handler)
+{
+    this->order(worker.id, timeout, handler, [&target = this->workers, id = worker.id, order] {
+        return target.setPace(id, order);
+    });
+}
+
 void FakeWorkers::View::renew(const WorkerEntry &worker, const Tasks::RenewOrder &order,
                               Duration timeout, WorkerHandler handler)
 {
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -6,18 +6,24 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace Hibiscus::Coordination::Test {
 
-/// What a task does, told by its payload: "RUNTIME_MS[,fail][,gang=N]".
+/// What a task does, told by its payload:
+/// "RUNTIME_MS[,fail][,gang=N][,serve=TARGET_MS][,fill][,permit][,again]".
 struct TaskScript
 {
     Duration runTime = seconds(1);
     bool fails = false;
     std::int32_t gang = 0; ///< Members of its gang; 0: none.
+    std::int32_t target = 0; ///< Of its response times, in ms; 0: it serves nobody.
+    bool fills = false; ///< Slows what serves beside it.
+    bool needsPermit = false;
+    bool again = false; ///< To be started again also after it was done.
 };
 TaskScript parseScript(const std::string &payload);
 
@@ -47,9 +53,22 @@
     Duration latency = milliseconds(1); ///< One way.
     Duration stopTime = milliseconds(300);
     Duration gangWait = seconds(3);
+    /// Whether a start that needs a permit is let in.
+    std::function<bool(const std::string &worker, const Tasks::StartOrder &)> permitCheck;
+    double servingLoad = 100.0; ///< Response times in ms of a task that serves alone.
+    double fillingLoad = 300.0; ///< Added by each task that fills, at full pace.
+    /// Response times may be over their target for so long because of what fills.
+    Duration harmBound = seconds(4);
+    std::size_t paceOrders = 0;
+    std::size_t permitRejections = 0;
 
     std::size_t running(const std::string &id) const;
     std::size_t runningTasks() const;
+    /// Tasks of the job that run.
+    std::size_t serving(const std::string &job) const;
+    /// Tasks that run at less than their full pace.
+    std::size_t slowedTasks() const;
+    bool serves(const std::string &id, const std::string &job) const;
     std::size_t startsOf(const std::string &job) const;
     Violations violations;
     /// Jobs whose cancellation was acknowledged, and when.
@@ -65,6 +84,8 @@
         Duration left{};
         TimePoint resumedAt{};
         bool working = false;
+        std::int32_t pace = 100; ///< Percent.
+        std::optional<TimePoint> overTargetSince;
         std::uint64_t serial = 0;
     };
     struct Machine
@@ -90,9 +111,12 @@
     void checkLease(const std::string &id);
     Tasks::WorkerAnswer start(const std::string &id, const Tasks::StartOrder &order);
     Tasks::WorkerAnswer stop(const std::string &id, const Tasks::StopOrder &order);
+    Tasks::WorkerAnswer setPace(const std::string &id, const Tasks::PaceOrder &order);
     Tasks::WorkerAnswer renew(const std::string &id, const Tasks::RenewOrder &order);
+    double loadOf(const Machine &machine, const Task &task) const;
+    void checkHarm(const std::string &id);
     Tasks::WorkerAnswer report(const Machine &machine) const;
-    void checkStart(const std::string &id, const Tasks::RunRef &run);
+    void checkStart(const std::string &id, const Tasks::RunRef &run, bool again);
     void begin(const std::string &id, Task &task);
     void beginGangIfWhole(const Tasks::RunRef &run, std::int32_t members);
     void end(const std::string &id, const TaskName &name, Tasks::EndCause cause);
@@ -118,6 +142,8 @@
                Tasks::WorkerHandler handler) override;
     void stop(const Tasks::WorkerEntry &worker, const Tasks::StopOrder &order, Duration timeout,
               Tasks::WorkerHandler handler) override;
+    void setPace(const Tasks::WorkerEntry &worker, const Tasks::PaceOrder &order, Duration timeout,
+                 Tasks::WorkerHandler handler) override;
     void renew(const Tasks::WorkerEntry &worker, const Tasks::RenewOrder &order, Duration timeout,
                Tasks::WorkerHandler handler) override;
 
--- /dev/null
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -0,0 +1,204 @@
+#include <Runtime/Clock.h>
+#include <Runtime/HttpServer.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <platform/PlacementAdapter.h>
+#include <platform/StoreAdapter.h>
+#include <platform/WorkerAdapter.h>
+
+namespace Hibiscus::Platform {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+/// A peer on loopback that keeps what it is sent and answers as the test says.
+class AdapterTest : public testing::Test
+{
+protected:
+    AdapterTest()
+        : address("127.0.0.1:" + std::to_string(this->port))
+        , peer(
+              this->loop, {asio::ip::address_v4::loopback(), this->port},
+              [this](const Runtime::HttpRequest &request, const Runtime::HttpResponder &responder) {
+                  this->seen = request;
+                  Runtime::HttpResponse response(http::int_to_status(this->status), 11);
+                  response.body() = this->reply;
+                  responder(response);
+              },
+              {})
+    {
+        this->worker.id = "i-7";
+        this->worker.address = this->address;
+    }
+
+    unsigned short freePort()
+    {
+        const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+        return asio::ip::tcp::acceptor(this->loop, any).local_endpoint().port();
+    }
+
+    template <class Answer>
+    Answer wait(std::optional<Answer> &answer)
+    {
+        while (!answer)
+            this->loop.run_one();
+        return *answer;
+    }
+
+    Tasks::WorkerAnswer startWith(const Tasks::StartOrder &order)
+    {
+        std::optional<Tasks::WorkerAnswer> answer;
+        this->workers.start(this->worker, order, seconds(20),
+                            [&answer](const Tasks::WorkerAnswer &a, TimePoint) { answer = a; });
+        return this->wait(answer);
+    }
+
+    Tasks::StoreAnswer read(const std::string &key)
+    {
+        std::optional<Tasks::StoreAnswer> answer;
+        this->store.read(key, seconds(20),
+                         [&answer](const Tasks::StoreAnswer &a, TimePoint) { answer = a; });
+        return this->wait(answer);
+    }
+
+    Tasks::PlacementAnswer ask()
+    {
+        std::optional<Tasks::PlacementAnswer> answer;
+        this->placement.ask({"5c0e7a21d94b36f8", 2, 1}, {"i-7", "i-8"}, seconds(20),
+                            [&answer](const Tasks::PlacementAnswer &a, TimePoint) { answer = a; });
+        return this->wait(answer);
+    }
+
+    json seenBody() const { return json::parse(this->seen.body()); }
+
+    asio::io_context loop;
+    unsigned short port = this->freePort();
+    std::string address;
+    Runtime::HttpServer peer;
+    Runtime::HttpRequest seen;
+    unsigned status = 200;
+    std::string reply = "{}";
+    Tasks::WorkerEntry worker;
+    WorkerAdapter workers{this->loop, Runtime::monotonicNow};
+    StoreAdapter store{this->loop, this->address, Runtime::monotonicNow};
+    PlacementAdapter placement{this->loop, this->address, Runtime::monotonicNow};
+};
+
+TEST_F(AdapterTest, StartNamesItsTaskRunLeaseAndPermit)
+{
+    Tasks::StartOrder order;
+    order.run = {"5c0e7a21d94b36f8", {0, 1, 17}, 2};
+    order.payload = "p";
+    order.leaseUntil = 486000;
+    order.fencingToken = 7;
+    order.permit = "t-1";
+    this->reply = R"({"clockMs":482113,"born":99})";
+    const Tasks::WorkerAnswer answer = this->startWith(order);
+    EXPECT_EQ(answer.outcome, Tasks::WorkerOutcome::Done);
+    EXPECT_EQ(answer.clock, 482113);
+    EXPECT_EQ(answer.incarnation, 99);
+    EXPECT_EQ(this->seen.target(), "/run-start");
+    EXPECT_EQ(this->seen["Expect-Instance"], "i-7");
+    const json wanted = {{"task", "5c0e7a21d94b36f8.0.1.17"},
+                         {"run", 2},
+                         {"spec", "p"},
+                         {"deadlineMs", 486000},
+                         {"fencingToken", 7},
+                         {"ticket", "t-1"}};
+    EXPECT_EQ(this->seenBody(), wanted);
+}
+
+TEST_F(AdapterTest, RejectionsHaveTheirReasons)
+{
+    struct Case
+    {
+        const char *reason;
+        Tasks::WorkerOutcome outcome;
+    };
+    static constexpr Case cases[] = {{"fence", Tasks::WorkerOutcome::Fenced},
+                                     {"old", Tasks::WorkerOutcome::Superseded},
+                                     {"late", Tasks::WorkerOutcome::LeaseOver},
+                                     {"room", Tasks::WorkerOutcome::NoRoom},
+                                     {"ticket", Tasks::WorkerOutcome::NotPermitted}};
+    this->status = 409;
+    for (const Case &rejection : cases) {
+        this->reply = json{{"reason", rejection.reason}}.dump();
+        EXPECT_EQ(this->startWith({}).outcome, rejection.outcome) << rejection.reason;
+    }
+    this->status = 503;
+    EXPECT_EQ(this->startWith({}).outcome, Tasks::WorkerOutcome::Unhealthy);
+    this->status = 500;
+    EXPECT_EQ(this->startWith({}).outcome, Tasks::WorkerOutcome::Unknown);
+}
+
+TEST_F(AdapterTest, ListsOfAWorkerAreReadWithTheirLoad)
+{
+    this->reply = R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,250],
+        ["5c0e7a21d94b36f8.0.1.18",1,"",7]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"broken",""],
+        [59,"no task",1,"done",""]]})";
+    std::optional<Tasks::WorkerAnswer> kept;
+    this->workers.renew(this->worker, {0, 7, 57, {}}, seconds(20),
+                        [&kept](const Tasks::WorkerAnswer &a, TimePoint) { kept = a; });
+    const Tasks::WorkerAnswer answer = this->wait(kept);
+    ASSERT_EQ(answer.running.size(), 2U);
+    EXPECT_EQ(answer.running[0].checkpoint, "cp");
+    EXPECT_DOUBLE_EQ(answer.running[0].load, 250.0);
+    EXPECT_EQ(answer.running[1].percent, 7);
+    ASSERT_EQ(answer.ended.size(), 1U);
+    EXPECT_EQ(answer.ended[0].cause, Tasks::EndCause::GangBroken);
+    EXPECT_EQ(this->seenBody(), (json{{"fencingToken", 7}, {"ackedUpto", 57}}));
+}
+
+TEST_F(AdapterTest, PaceIsSetInPercent)
+{
+    std::optional<Tasks::WorkerAnswer> kept;
+    this->workers.setPace(this->worker, {{"5c0e7a21d94b36f8", {0, 0, 3}, 1}, 30, 7}, seconds(20),
+                          [&kept](const Tasks::WorkerAnswer &a, TimePoint) { kept = a; });
+    EXPECT_EQ(this->wait(kept).outcome, Tasks::WorkerOutcome::Done);
+    EXPECT_EQ(this->seen.target(), "/pace");
+    EXPECT_EQ(this->seenBody().at("percent"), 30);
+}
+
+TEST_F(AdapterTest, KeysAreEscapedAndValuesDecoded)
+{
+    this->reply = R"({"key":"a b","value":"aGk=","revision":5,"lease":0,"storeRevision":9})";
+    const Tasks::StoreAnswer answer = this->read("a b&c");
+    EXPECT_EQ(this->seen.target(), "/kv-key?key=a%20b%26c");
+    ASSERT_EQ(answer.items.size(), 1U);
+    EXPECT_EQ(answer.items[0].value, "hi");
+    EXPECT_EQ(answer.items[0].revision, 5);
+    EXPECT_EQ(answer.revision, 9);
+}
+
+TEST_F(AdapterTest, AnswersThatCanNotBeReadTellNothing)
+{
+    this->reply = "\xff";
+    EXPECT_EQ(this->read("k").outcome, Tasks::StoreOutcome::Unknown);
+    this->reply = R"({"key":7})";
+    EXPECT_EQ(this->read("k").outcome, Tasks::StoreOutcome::Unknown);
+    EXPECT_EQ(this->ask().outcome, Tasks::PlacementOutcome::Failed);
+}
+
+TEST_F(AdapterTest, PermitsAreReadFromTheirRows)
+{
+    this->reply = R"({"good":[["i-8","t-5"]]})";
+    const Tasks::PlacementAnswer answer = this->ask();
+    EXPECT_EQ(this->seen.target(), "/advise");
+    EXPECT_EQ(this->seenBody(),
+              (json{{"step", "5c0e7a21d94b36f8.2.1"}, {"workers", {"i-7", "i-8"}}}));
+    ASSERT_EQ(answer.outcome, Tasks::PlacementOutcome::Answered);
+    ASSERT_EQ(answer.permits.size(), 1U);
+    EXPECT_EQ(answer.permits[0].worker, "i-8");
+    EXPECT_EQ(answer.permits[0].permit, "t-5");
+    this->status = 429;
+    EXPECT_EQ(this->ask().outcome, Tasks::PlacementOutcome::Busy);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Platform
--- a/UnitTests/platform/FormatsTest.cpp
+++ b/UnitTests/platform/FormatsTest.cpp
@@ -55,7 +55,8 @@
 {
     const auto configuration = decodeConfiguration(R"({"version":7,"extra":{},"routes":[
         {"name":"r","host":"h.example","prefix":"/p/","timeoutMs":3000,"targetLatencyMs":250,
-         "priority":0,"backend":"svc","maxAttempts":3,"stretch":1.5,"noAuth":true}],
+         "priority":0,"backend":"svc","maxAttempts":3,"stretch":1.5,"noAuth":true,
+         "advice":{"decideMs":200,"periodMs":5,"validMs":4000}}],
         "limits":{"maxBodyBytes":1000,"idleTimeoutMs":9000},
         "tenants":[{"name":"t","apiKeys":["k1","k2"],"guaranteed":{"gpu":120}}]})");
     ASSERT_TRUE(configuration) << configuration.error().toString();
@@ -64,6 +65,8 @@
     EXPECT_EQ(configuration->queues[0].service, "svc");
     EXPECT_TRUE(configuration->queues[0].open);
     EXPECT_EQ(configuration->queues[0].targetLatency, milliseconds(250));
+    EXPECT_EQ(configuration->queues[0].permits,
+              (Tasks::PermitTerms{milliseconds(200), milliseconds(5), seconds(4)}));
     EXPECT_EQ(configuration->customers[0].guaranteedAccelerators, 120);
     EXPECT_EQ(configuration->limits.bodyBytes, 1000U);
     EXPECT_EQ(configuration->limits.idleTimeout, seconds(9));
@@ -89,6 +92,8 @@
     EXPECT_TRUE(entry->draining);
     EXPECT_EQ(entry->incarnation, 99);
     EXPECT_EQ(entry->capacity, (Tasks::Resources{16000, 32768, 8}));
+    EXPECT_FALSE(decodeWorkerEntry("servers/i-8", R"({"backend":"svc","address":"nowhere",
+        "state":"ready","capacity":{"cpu":1,"memMb":1}})"));
     EXPECT_FALSE(decodeWorkerEntry("servers/i-8", "\xff\xfe"));
     EXPECT_FALSE(decodeWorkerEntry("servers/i-8", R"({"state":"ready"})"));
     EXPECT_FALSE(decodeWorkerEntry("servers/i-8", R"({"backend":"svc","address":"a:1",
@@ -99,9 +104,15 @@
 {
     const auto job = decodeSubmission(R"({"spec":"s","steps":[{"count":4,"cpu":500,"memMb":256,
         "estimateMs":900,"affinity":"r1-3"},{"after":[0],"savesProgress":true,"gpu":2,"gang":true,
-        "sameRack":true,"maxPerServer":1}],"repeats":2,"firstMs":5,"intervalMs":4500})");
+        "sameRack":true,"maxPerServer":1},{"perpetual":true,"fills":true,"image":"m","targetMs":250,
+        "mayMiss":2}],"repeats":2,"firstMs":5,"intervalMs":4500})");
     ASSERT_TRUE(job) << job.error().toString();
-    ASSERT_EQ(job->steps.size(), 2U);
+    ASSERT_EQ(job->steps.size(), 3U);
+    EXPECT_TRUE(job->steps[2].perpetual);
+    EXPECT_TRUE(job->steps[2].fills);
+    EXPECT_EQ(job->steps[2].image, "m");
+    EXPECT_EQ(job->steps[2].responseTarget, milliseconds(250));
+    EXPECT_EQ(job->steps[2].mostAway, 2);
     EXPECT_EQ(job->steps[0].dataRack, "r1-3");
     EXPECT_EQ(job->steps[1].count, 1);
     EXPECT_TRUE(job->steps[1].checkpoints);
