--- a/PerformanceTests/FakeFleet.cpp
+++ b/PerformanceTests/FakeFleet.cpp
@@ -14,11 +14,6 @@
 constexpr Duration stopTime = milliseconds(100);
 constexpr std::uint32_t memoryPerSlotMiB = 1000;
 
-double inSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// Slots of `free` in runs of `size` adjacent ones.
 std::uint32_t slotsInRuns(SlotMask free, unsigned size)
 {
@@ -216,7 +211,7 @@
         while (largest < slotsPerWorker && slotsInRuns(idle, largest + 1) != 0)
             ++largest;
     }
-    const double length = inSeconds(end - this->now);
+    const double length = toSeconds(end - this->now);
     const std::uint32_t usable = this->usableFor(gang);
     this->weighedSeconds += length;
     this->unusableSum += free == 0 ? 0 : length * (free - usable) / free;
--- a/PerformanceTests/Trace.cpp
+++ b/PerformanceTests/Trace.cpp
@@ -23,11 +23,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
 }
 
-double inSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 class TraceMaker
 {
 public:
@@ -40,7 +35,7 @@
     {
         const WorkKind &kind = this->workload.kinds[index];
         std::exponential_distribution<double> gap(kind.perSecond);
-        const double end = inSeconds(traceSpan);
+        const double end = toSeconds(traceSpan);
         for (double at = gap(this->random); at < end; at += gap(this->random))
             this->arrivals.push_back(this->arrival(index, fromSeconds(at)));
     }
@@ -81,8 +76,8 @@
         const WorkKind &kind = this->workload.kinds[index];
         const auto &parts = this->workload.customerParts;
         std::discrete_distribution<std::uint16_t> customer(parts.begin(), parts.end());
-        std::uniform_real_distribution<double> runTime(inSeconds(kind.shortest),
-                                                       inSeconds(kind.longest));
+        std::uniform_real_distribution<double> runTime(toSeconds(kind.shortest),
+                                                       toSeconds(kind.longest));
         Arrival arrival;
         arrival.when = traceBegin + at;
         arrival.spec.urgency = kind.urgency;
@@ -108,7 +103,7 @@
         arrival.runTime = runTime;
         arrival.spec.memoryMiB = memoryPerJobMiB;
         arrival.spec.declaredRunTime = fromSeconds(
-            inSeconds(runTime) * std::pow(largestDeclarationError, exponent(this->random)));
+            toSeconds(runTime) * std::pow(largestDeclarationError, exponent(this->random)));
         const bool fitsWorker = arrival.spec.accelerators <= slotsPerWorker;
         arrival.spec.adjacency = fitsWorker ? Adjacency::Worker : Adjacency::Any;
     }
--- a/PerformanceTests/TraceFigures.cpp
+++ b/PerformanceTests/TraceFigures.cpp
@@ -20,11 +20,6 @@
 constexpr Duration borrowersRun = seconds(1000);
 constexpr Duration longestReclaimBegin = seconds(100);
 
-double inSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 Preset presetOf(const KeptShares &kept)
 {
     Preset preset{.name = "ordinary"};
@@ -136,8 +131,8 @@
     const Arrival &arrival = this->arrivals[job];
     const Outcome &outcome = this->outcomes[job];
     const auto &reached = measure == Measure::Wait ? outcome.started : outcome.finished;
-    const double taken = inSeconds(reached.value_or(traceEnd) - arrival.when);
-    return measure == Measure::Slowdown ? taken / inSeconds(arrival.runTime) : taken;
+    const double taken = toSeconds(reached.value_or(traceEnd) - arrival.when);
+    return measure == Measure::Slowdown ? taken / toSeconds(arrival.runTime) : taken;
 }
 
 double TraceFigures::quantileOf(const Filter &filter, Measure measure, double quantile) const
@@ -190,7 +185,7 @@
     for (std::size_t job = 0; job < arrivals.size(); ++job) {
         if (arrivals[job].spec.customer.value != 0)
             longest
-                = std::max(longest, inSeconds(fleet.results()[job].started.value_or(end) - claim));
+                = std::max(longest, toSeconds(fleet.results()[job].started.value_or(end) - claim));
     }
     return longest;
 }
--- a/Policy/AdmissionControl.cpp
+++ b/Policy/AdmissionControl.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-double toSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 std::uint32_t slotsOf(const QueuedJob &job)
 {
     return std::max<std::uint32_t>(job.accelerators, 1);
--- a/Policy/RunTimeModel.cpp
+++ b/Policy/RunTimeModel.cpp
@@ -10,10 +10,9 @@
 constexpr double shortestSeconds = 0.001;
 constexpr double longestSeconds = 30.0 * 24 * 3600;
 
-double toSeconds(Duration value)
+double boundedSeconds(Duration value)
 {
-    return std::clamp(std::chrono::duration<double>(value).count(), shortestSeconds,
-                      longestSeconds);
+    return std::clamp(toSeconds(value), shortestSeconds, longestSeconds);
 }
 
 Duration fromSeconds(double value)
@@ -39,10 +38,10 @@
         return fromSeconds(record->meanSeconds);
     }
     if (record == nullptr)
-        return fromSeconds(toSeconds(job.declaredRunTime));
+        return fromSeconds(boundedSeconds(job.declaredRunTime));
     // One run says little: the ratio counts in full only as runs add up.
     const double trust = double(record->ratios) / (double(record->ratios) + 1);
-    return fromSeconds(toSeconds(job.declaredRunTime) * std::exp(record->logRatio * trust));
+    return fromSeconds(boundedSeconds(job.declaredRunTime) * std::exp(record->logRatio * trust));
 }
 
 void RunTimeModel::learn(const QueuedJob &job, Duration seen)
@@ -58,12 +57,12 @@
     Record &record = this->records[*found];
     ++record.runs;
     const double weight = std::max(1.0 / record.runs, this->settings.newestWeight);
-    record.meanSeconds += (toSeconds(seen) - record.meanSeconds) * weight;
+    record.meanSeconds += (boundedSeconds(seen) - record.meanSeconds) * weight;
     if (job.declaredRunTime <= Duration::zero())
         return;
     ++record.ratios;
     const double ratioWeight = std::max(1.0 / record.ratios, this->settings.newestWeight);
-    const double ratio = std::log(toSeconds(seen) / toSeconds(job.declaredRunTime));
+    const double ratio = std::log(boundedSeconds(seen) / boundedSeconds(job.declaredRunTime));
     record.logRatio += (ratio - record.logRatio) * ratioWeight;
 }
 
