--- a/Coordination/JobFront.cpp
+++ b/Coordination/JobFront.cpp
@@ -53,18 +53,6 @@
     int refused = 0;
 };
 
-/// A call that reads the store.
-struct JobFront::Lookup
-{
-    ClientCall call;
-    ReplyHandler reply;
-    std::string job;
-    std::string queue;
-    std::string customer; ///< Empty: the queue needs no key.
-    TimePoint receivedAt{};
-    int failures = 0;
-};
-
 JobFront::JobFront(Tasks::MetadataStore &store, TimerService &timers, const WallClock &wallClock,
                    Journal &journal, const Settings &settings, Decoders decoders)
     : store(store)
@@ -181,6 +169,11 @@
     return deadline - this->settings.answerReserve - now;
 }
 
+Duration JobFront::storeTime(TimePoint deadline, TimePoint now) const
+{
+    return std::min(this->settings.storeTimeout, this->timeLeft(deadline, now));
+}
+
 void JobFront::handle(ClientCall call, ReplyHandler reply, TimePoint now)
 {
     if (!this->current) {
@@ -197,8 +190,7 @@
 /// The watch has been silent for too long: a key may have been revoked since.
 void JobFront::refreshThen(ClientCall call, ReplyHandler reply, TimePoint now)
 {
-    const Duration timeout
-        = std::min(this->settings.storeTimeout, this->timeLeft(call.deadline, now));
+    const Duration timeout = this->storeTime(call.deadline, now);
     if (timeout <= Duration{}) {
         reply(this->unavailable("the configuration could not be confirmed in time"));
         return;
@@ -272,7 +264,9 @@
             reply({.kind = ReplyKind::NoSuchJob});
         return;
     }
-    if (call.verb == CallVerb::Cancel)
+    if (this->timeLeft(call.deadline, now) <= Duration{})
+        reply(this->unavailable("the client's time is up"));
+    else if (call.verb == CallVerb::Cancel)
         this->cancel(lookup, now);
     else
         this->readState(lookup, now);
@@ -280,8 +274,7 @@
 
 void JobFront::submit(const std::shared_ptr<Submission> &submission, TimePoint now)
 {
-    const Duration timeout
-        = std::min(this->settings.storeTimeout, this->timeLeft(submission->call.deadline, now));
+    const Duration timeout = this->storeTime(submission->call.deadline, now);
     if (timeout <= Duration{}) {
         this->submitAgain(submission, now);
         return;
@@ -406,132 +399,4 @@
     submission->reply(reply);
 }
 
-void JobFront::lookAgain(const std::shared_ptr<Lookup> &lookup,
-                         void (JobFront::*step)(const std::shared_ptr<Lookup> &, TimePoint),
-                         TimePoint now)
-{
-    lookup->failures++;
-    const bool timeIsUp = this->timeLeft(lookup->call.deadline, now) <= this->settings.retry;
-    if (timeIsUp || lookup->failures > mostUnanswered) {
-        this->journal.tell(LogKind::Request, "state not read",
-                           {{"request", lookup->job},
-                            {"failures", lookup->failures},
-                            {"tookMs", toMs(now - lookup->receivedAt)}},
-                           now);
-        lookup->reply(this->unavailable("the store does not answer"));
-        return;
-    }
-    this->timers.after(this->settings.retry,
-                       [this, lookup, step](TimePoint at) { (this->*step)(lookup, at); });
-}
-
-void JobFront::readState(const std::shared_ptr<Lookup> &lookup, TimePoint)
-{
-    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
-        if (answer.outcome == StoreOutcome::Absent) {
-            this->readJob(lookup, now);
-            return;
-        }
-        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
-            this->lookAgain(lookup, &JobFront::readState, now);
-            return;
-        }
-        const tl::expected<Tasks::JobState, std::string> state
-            = Tasks::decodeProgressState(answer.items.front().value);
-        if (!state) {
-            this->journal.tell(LogKind::Fault, "progress record can't be read",
-                               {{"request", lookup->job}, {"error", state.error()}}, now);
-            lookup->reply(this->unavailable("the job's record can't be read"));
-            return;
-        }
-        lookup->reply({.kind = ReplyKind::State, .state = *state});
-    };
-    this->store.read(StoreKeys::progressOf(lookup->job), this->settings.storeTimeout, answered);
-}
-
-void JobFront::readJob(const std::shared_ptr<Lookup> &lookup, TimePoint)
-{
-    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
-        const bool refused = answer.outcome == StoreOutcome::Done && !answer.items.empty()
-            && Tasks::isRefusal(answer.items.front().value);
-        if (answer.outcome == StoreOutcome::Absent || refused)
-            lookup->reply({.kind = ReplyKind::NoSuchJob});
-        else if (answer.outcome == StoreOutcome::Done)
-            lookup->reply({.kind = ReplyKind::State});
-        else
-            this->lookAgain(lookup, &JobFront::readState, now);
-    };
-    this->store.read(StoreKeys::job(lookup->job), this->settings.storeTimeout, answered);
-}
-
-void JobFront::cancel(const std::shared_ptr<Lookup> &lookup, TimePoint)
-{
-    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
-        if (answer.outcome == StoreOutcome::Absent) {
-            lookup->reply({.kind = ReplyKind::NoSuchJob});
-            return;
-        }
-        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
-            this->lookAgain(lookup, &JobFront::cancel, now);
-            return;
-        }
-        if (Tasks::isRefusal(answer.items.front().value)) {
-            lookup->reply({.kind = ReplyKind::NoSuchJob});
-            return;
-        }
-        const tl::expected<Job, std::string> job = Tasks::decodeJob(answer.items.front().value);
-        if (job && !lookup->customer.empty() && job->customer != lookup->customer) {
-            lookup->reply({.kind = ReplyKind::ForeignJob});
-            return;
-        }
-        this->writeCancellation(lookup, now);
-    };
-    this->store.read(StoreKeys::job(lookup->job), this->settings.storeTimeout, answered);
-}
-
-void JobFront::writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint)
-{
-    Tasks::StoreCommit commit;
-    commit.writes.push_back({StoreKeys::cancellation(lookup->job), lookup->customer, 0});
-    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint now) {
-        if (answer.outcome != StoreOutcome::Done) {
-            this->lookAgain(lookup, &JobFront::writeCancellation, now);
-            return;
-        }
-        this->journal.tell(LogKind::Request, "cancellation stored",
-                           {{"request", lookup->job}, {"tookMs", toMs(now - lookup->receivedAt)}},
-                           now);
-        lookup->reply({.kind = ReplyKind::Cancelled});
-    };
-    this->store.commit(commit, this->settings.storeTimeout, answered);
-}
-
-void JobFront::countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now)
-{
-    const auto replyCount = [this, lookup] {
-        const nlohmann::json counts = nlohmann::json::parse(this->pendingCounts, nullptr, false);
-        ClientReply reply{.kind = ReplyKind::Pending};
-        if (counts.is_object())
-            reply.pending = counts.value(lookup->queue, std::int64_t{0});
-        lookup->reply(reply);
-    };
-    if (this->pendingKnown && now - this->pendingReadAt < this->settings.pendingValidity) {
-        replyCount();
-        return;
-    }
-    const auto answered = [this, lookup, replyCount](const StoreAnswer &answer, TimePoint at) {
-        const bool known = answer.outcome == StoreOutcome::Absent
-            || (answer.outcome == StoreOutcome::Done && !answer.items.empty());
-        if (!known) {
-            this->lookAgain(lookup, &JobFront::countPending, at);
-            return;
-        }
-        this->pendingCounts = answer.items.empty() ? "{}" : answer.items.front().value;
-        this->pendingReadAt = at;
-        this->pendingKnown = true;
-        replyCount();
-    };
-    this->store.read(StoreKeys::load, this->settings.storeTimeout, answered);
-}
-
 } // namespace Hibiscus::Coordination
--- a/Coordination/JobFront.h
+++ b/Coordination/JobFront.h
@@ -99,7 +99,18 @@
 
 private:
     struct Submission;
-    struct Lookup;
+
+    /// A call that reads the store.
+    struct Lookup
+    {
+        ClientCall call;
+        ReplyHandler reply;
+        std::string job;
+        std::string queue;
+        std::string customer; ///< Empty: the queue needs no key.
+        TimePoint receivedAt{};
+        int failures = 0;
+    };
 
     void waitsRead(const Tasks::StoredItem &item, TimePoint now);
     void judge(Submission &submission, TimePoint now);
@@ -128,6 +139,8 @@
                    void (JobFront::*step)(const std::shared_ptr<Lookup> &, TimePoint),
                    TimePoint now);
     Duration timeLeft(TimePoint deadline, TimePoint now) const;
+    /// How long the store may take for a call's next step.
+    Duration storeTime(TimePoint deadline, TimePoint now) const;
     ClientReply unavailable(const char *error) const;
 
     Tasks::MetadataStore &store;
--- /dev/null
+++ b/Coordination/JobFrontLookups.cpp
@@ -0,0 +1,156 @@
+#include <Coordination/JobFront.h>
+#include <Coordination/StoreKeys.h>
+#include <Tasks/JobRecord.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+// Calls that read the store: states, cancellations and counts.
+namespace Hibiscus::Coordination {
+
+using Runtime::LogKind;
+using Tasks::Job;
+using Tasks::StoreAnswer;
+using Tasks::StoreOutcome;
+
+namespace {
+
+/// Times that the store left a read unanswered before the client is told so.
+constexpr int mostUnanswered = 2;
+
+} // namespace
+
+void JobFront::lookAgain(const std::shared_ptr<Lookup> &lookup,
+                         void (JobFront::*step)(const std::shared_ptr<Lookup> &, TimePoint),
+                         TimePoint now)
+{
+    lookup->failures++;
+    const bool timeIsUp = this->timeLeft(lookup->call.deadline, now) <= this->settings.retry;
+    if (timeIsUp || lookup->failures > mostUnanswered) {
+        this->journal.tell(LogKind::Request, "state not read",
+                           {{"request", lookup->job},
+                            {"failures", lookup->failures},
+                            {"tookMs", toMs(now - lookup->receivedAt)}},
+                           now);
+        lookup->reply(this->unavailable("the store does not answer"));
+        return;
+    }
+    this->timers.after(this->settings.retry,
+                       [this, lookup, step](TimePoint at) { (this->*step)(lookup, at); });
+}
+
+void JobFront::readState(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const Duration timeout = this->storeTime(lookup->call.deadline, now);
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint at) {
+        if (answer.outcome == StoreOutcome::Absent) {
+            this->readJob(lookup, at);
+            return;
+        }
+        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
+            this->lookAgain(lookup, &JobFront::readState, at);
+            return;
+        }
+        const tl::expected<Tasks::JobState, std::string> state
+            = Tasks::decodeProgressState(answer.items.front().value);
+        if (!state) {
+            this->journal.tell(LogKind::Fault, "progress record can't be read",
+                               {{"request", lookup->job}, {"error", state.error()}}, at);
+            lookup->reply(this->unavailable("the job's record can't be read"));
+            return;
+        }
+        lookup->reply({.kind = ReplyKind::State, .state = *state});
+    };
+    this->store.read(StoreKeys::progressOf(lookup->job), timeout, answered);
+}
+
+void JobFront::readJob(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const Duration timeout = this->storeTime(lookup->call.deadline, now);
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint at) {
+        const bool refused = answer.outcome == StoreOutcome::Done && !answer.items.empty()
+            && Tasks::isRefusal(answer.items.front().value);
+        if (answer.outcome == StoreOutcome::Absent || refused)
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+        else if (answer.outcome == StoreOutcome::Done)
+            lookup->reply({.kind = ReplyKind::State});
+        else
+            this->lookAgain(lookup, &JobFront::readState, at);
+    };
+    this->store.read(StoreKeys::job(lookup->job), timeout, answered);
+}
+
+void JobFront::cancel(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const Duration timeout = this->storeTime(lookup->call.deadline, now);
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint at) {
+        if (answer.outcome == StoreOutcome::Absent) {
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+            return;
+        }
+        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
+            this->lookAgain(lookup, &JobFront::cancel, at);
+            return;
+        }
+        if (Tasks::isRefusal(answer.items.front().value)) {
+            lookup->reply({.kind = ReplyKind::NoSuchJob});
+            return;
+        }
+        const tl::expected<Job, std::string> job = Tasks::decodeJob(answer.items.front().value);
+        if (job && !lookup->customer.empty() && job->customer != lookup->customer) {
+            lookup->reply({.kind = ReplyKind::ForeignJob});
+            return;
+        }
+        this->writeCancellation(lookup, at);
+    };
+    this->store.read(StoreKeys::job(lookup->job), timeout, answered);
+}
+
+void JobFront::writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const Duration timeout = this->storeTime(lookup->call.deadline, now);
+    Tasks::StoreCommit commit;
+    commit.writes.push_back({StoreKeys::cancellation(lookup->job), lookup->customer, 0});
+    const auto answered = [this, lookup](const StoreAnswer &answer, TimePoint at) {
+        if (answer.outcome != StoreOutcome::Done) {
+            this->lookAgain(lookup, &JobFront::writeCancellation, at);
+            return;
+        }
+        this->journal.tell(LogKind::Request, "cancellation stored",
+                           {{"request", lookup->job}, {"tookMs", toMs(at - lookup->receivedAt)}},
+                           at);
+        lookup->reply({.kind = ReplyKind::Cancelled});
+    };
+    this->store.commit(commit, timeout, answered);
+}
+
+void JobFront::countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now)
+{
+    const Duration timeout = this->storeTime(lookup->call.deadline, now);
+    const auto replyCount = [this, lookup] {
+        const nlohmann::json counts = nlohmann::json::parse(this->pendingCounts, nullptr, false);
+        ClientReply reply{.kind = ReplyKind::Pending};
+        if (counts.is_object())
+            reply.pending = counts.value(lookup->queue, std::int64_t{0});
+        lookup->reply(reply);
+    };
+    if (this->pendingKnown && now - this->pendingReadAt < this->settings.pendingValidity) {
+        replyCount();
+        return;
+    }
+    const auto answered = [this, lookup, replyCount](const StoreAnswer &answer, TimePoint at) {
+        const bool known = answer.outcome == StoreOutcome::Absent
+            || (answer.outcome == StoreOutcome::Done && !answer.items.empty());
+        if (!known) {
+            this->lookAgain(lookup, &JobFront::countPending, at);
+            return;
+        }
+        this->pendingCounts = answer.items.empty() ? "{}" : answer.items.front().value;
+        this->pendingReadAt = at;
+        this->pendingKnown = true;
+        replyCount();
+    };
+    this->store.read(StoreKeys::load, timeout, answered);
+}
+
+} // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -224,7 +224,6 @@
 
 void TaskDispatcher::adoptRuns(LiveJob &job, TimePoint now)
 {
-    std::vector<RunEnd> gone;
     for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
         const TaskProgress &task = job.progress.at(i);
         if (!task.isOnWorker())
@@ -232,12 +231,8 @@
         const TaskRef ref = job.progress.refAt(i);
         WorkerFleet::Run run = describeRun(job, ref);
         run.ref = {job.job.id, ref, task.run};
-        const RunEnd end{run.ref, task.worker, EndCause::LeaseLapsed, task.checkpoint, 0};
-        if (!this->fleet.adopt(task.worker, task.incarnation, std::move(run), now))
-            gone.push_back(end);
+        this->fleet.adopt(task.worker, task.incarnation, std::move(run), now);
     }
-    for (const RunEnd &end : gone)
-        this->runLost(end, "the worker was started anew", now);
 }
 
 void TaskDispatcher::jobKeyChanged(const StoredItem &item, TimePoint now)
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -109,13 +109,15 @@
 {
     const auto [found, added] = this->workers.try_emplace(entry.id);
     Worker &worker = found->second;
-    const bool otherLife = !added && entry.incarnation != worker.entry.incarnation;
+    const std::int64_t known = worker.entry.incarnation;
     const bool wasDraining = worker.entry.draining;
     if (added)
         worker.leaseOverAt = now;
-    if (otherLife && worker.entry.incarnation != 0)
+    if (known != 0 && entry.incarnation > known)
         this->reborn(worker, entry.incarnation, now);
     worker.entry = entry;
+    // The registry may lag behind what the worker itself has told.
+    worker.entry.incarnation = std::max(known, entry.incarnation);
     worker.listed = true;
     if (entry.draining && !wasDraining)
         this->journal.tell(LogKind::Dependency, "worker leaves", {{"worker", entry.id}}, now);
@@ -146,7 +148,7 @@
     worker->runs.insert_or_assign(key, std::move(run));
 }
 
-bool WorkerFleet::adopt(const std::string &id, std::int64_t incarnation, Run run, TimePoint now)
+void WorkerFleet::adopt(const std::string &id, std::int64_t incarnation, Run run, TimePoint now)
 {
     const auto [found, added] = this->workers.try_emplace(id);
     Worker &worker = found->second;
@@ -154,8 +156,6 @@
         worker.entry.id = id;
         worker.entry.incarnation = incarnation;
     }
-    if (worker.entry.incarnation != 0 && worker.entry.incarnation != incarnation)
-        return false;
     run.adopted = true;
     run.resumed = true;
     run.paceTaken = !run.fills;
@@ -170,7 +170,6 @@
                            if (Worker *late = this->workerOf(id))
                                this->checkLease(*late, at);
                        });
-    return true;
 }
 
 void WorkerFleet::removeRun(Worker &worker, const RunKey &key, TimePoint now)
@@ -354,7 +353,10 @@
     }
     if (std::exchange(worker->pollRetry, Duration{}) != Duration{})
         this->journal.tell(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
-    this->answeredAtAll(*worker, answer, now);
+    if (!this->answeredAtAll(*worker, answer, now)) {
+        this->pollIfNeeded(*worker, now);
+        return;
+    }
     const bool first = !std::exchange(worker->greeted, true);
     this->takeEnds(*worker, answer, now);
     this->takeRunning(*worker, answer, sentAt, now);
@@ -368,20 +370,23 @@
     this->pollIfNeeded(*worker, now);
 }
 
-void WorkerFleet::answeredAtAll(Worker &worker, const WorkerAnswer &answer, TimePoint now)
+bool WorkerFleet::answeredAtAll(Worker &worker, const WorkerAnswer &answer, TimePoint now)
 {
+    // Starts of a worker's process are told by their time, so an earlier one is gone.
+    if (answer.incarnation != 0 && answer.incarnation < worker.entry.incarnation)
+        return false;
+    const bool otherLife
+        = answer.incarnation != 0 && answer.incarnation != worker.entry.incarnation;
+    if (otherLife && worker.entry.incarnation != 0)
+        this->reborn(worker, answer.incarnation, now);
+    if (otherLife)
+        worker.entry.incarnation = answer.incarnation;
     worker.lastAnswerAt = now;
     if (answer.clock != 0) {
         worker.clock = answer.clock;
         worker.clockAt = now;
     }
-    const bool otherLife
-        = answer.incarnation != 0 && answer.incarnation != worker.entry.incarnation;
-    if (!otherLife)
-        return;
-    if (worker.entry.incarnation != 0)
-        this->reborn(worker, answer.incarnation, now);
-    worker.entry.incarnation = answer.incarnation;
+    return true;
 }
 
 /// The worker's process was started anew: it runs and knows nothing of before.
@@ -395,11 +400,38 @@
     worker.unrecorded.clear();
     worker.greeted = false;
     worker.strikes = 0;
-    std::vector<RunKey> keys;
-    for (const auto &[key, run] : worker.runs)
-        keys.push_back(key);
-    for (const RunKey &key : keys)
+    // Its clock began anew as well, so a lease of before proves nothing.
+    worker.leaseOverAt = now + this->longestLease();
+    std::vector<RunKey> gone;
+    for (const auto &[key, run] : worker.runs) {
+        // A start on its way may be carried out by the new process; its answer will tell.
+        if (!run.startOutstanding && !worker.openStarts.contains(run.ref))
+            gone.push_back(key);
+    }
+    for (const RunKey &key : gone)
         this->loseRun(worker, key, "the worker was started anew", now);
+    this->barOpenStarts(worker, now);
+}
+
+/// Starts that had no answer may reach the new process, which knows nothing of their runs. They
+/// are barred there, and runs among them count as lost only then, or they would run twice.
+void WorkerFleet::barOpenStarts(Worker &worker, TimePoint now)
+{
+    const std::map<RunRef, TimePoint> open = worker.openStarts;
+    for (const auto &[ref, givenUpAt] : open) {
+        if (now > givenUpAt + this->settings.latestStart)
+            continue;
+        Run *run = this->runOf(worker, ref);
+        if (!run) {
+            this->barStart(worker.entry.id, ref, now);
+            continue;
+        }
+        run->confirmedAt.reset();
+        run->settledAt.reset();
+        run->stopWanted = true;
+        if (!run->stopOutstanding && !run->startOutstanding)
+            this->sendStop(worker, *run, now);
+    }
 }
 
 void WorkerFleet::takeEnds(Worker &worker, const WorkerAnswer &answer, TimePoint now)
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -61,6 +61,8 @@
         Duration shortestAvoidance = milliseconds(500); ///< After a failed order.
         Duration longestAvoidance = seconds(8);
         std::int32_t startTries = 3; ///< Sendings of one start without an answer.
+        /// An order without an answer is not carried out later than this.
+        Duration latestStart = seconds(13);
         Duration leaseSlack = milliseconds(300); ///< Beyond the computed end of a lease.
         /// How long a leader that lost the store goes on renewing leases.
         Duration renewalGrace = seconds(5);
@@ -93,7 +95,7 @@
         bool startOutstanding = false;
         bool stopOutstanding = false;
         bool stopWanted = false;
-        std::int32_t tries = 0;
+        std::int32_t tries = 0; ///< Sendings of its start.
         std::optional<TimePoint> confirmedAt; ///< Its start.
         /// The worker's word on the last order; a list asked for later is complete about the run.
         std::optional<TimePoint> settledAt;
@@ -119,6 +121,8 @@
         TimePoint polledAt{}; ///< Start of the last poll.
         Duration pollRetry{};
         std::map<std::pair<std::string, Tasks::TaskRef>, Run> runs;
+        /// Starts that had no answer, and when they were given up; they may still be carried out.
+        std::map<Tasks::RunRef, TimePoint> openStarts;
 
         bool usable(TimePoint now) const
         {
@@ -153,9 +157,9 @@
     /// Gives up an assignment that was never sent.
     void withdraw(const std::string &worker, const Tasks::RunRef &ref, TimePoint now);
     void requestStop(const std::string &worker, const Tasks::RunRef &ref, TimePoint now);
-    /// A run that the store says is on this worker, started by a former leader.
-    /// False: the worker's process was started anew since, so the run is gone.
-    bool adopt(const std::string &worker, std::int64_t incarnation, Run run, TimePoint now);
+    /// A run that the store says is on this worker, started by a former leader. Whether it is still
+    /// there, the worker's first answer tells; that bars what the former leader sent as well.
+    void adopt(const std::string &worker, std::int64_t incarnation, Run run, TimePoint now);
     /// The end is stored: the worker may forget it.
     void endRecorded(const std::string &worker, std::int64_t number, TimePoint now);
     /// The worker did what it was given.
@@ -183,8 +187,11 @@
     bool needsPoll(const Worker &worker) const;
     void pollIfNeeded(Worker &worker, TimePoint now);
     void pollAfterPause(Worker &worker, TimePoint now);
-    void answeredAtAll(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    /// False: the answer is of an earlier life of the worker and tells nothing.
+    bool answeredAtAll(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
     void reborn(Worker &worker, std::int64_t incarnation, TimePoint now);
+    void barOpenStarts(Worker &worker, TimePoint now);
+    void barStart(const std::string &id, const Tasks::RunRef &ref, TimePoint now);
     void takeEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
     void takeRunning(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
                      TimePoint now);
@@ -192,12 +199,12 @@
     void checkLease(Worker &worker, TimePoint now);
 
     void sendStart(Worker &worker, Run &run, TimePoint now);
-    Worker *answeredOrder(const std::string &id, const Tasks::WorkerAnswer &answer, TimePoint now);
-    void started(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
+    Worker *answeredOrder(const std::string &id, Tasks::WorkerAnswer &answer, TimePoint now);
+    void started(const std::string &id, const Tasks::RunRef &ref, Tasks::WorkerAnswer answer,
                  TimePoint now);
     void startUnanswered(Worker &worker, Run &run, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
-    void stopped(const std::string &id, const Tasks::RunRef &ref, const Tasks::WorkerAnswer &answer,
+    void stopped(const std::string &id, const Tasks::RunRef &ref, Tasks::WorkerAnswer answer,
                  TimePoint now);
     void strike(Worker &worker, TimePoint now);
     void balance(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -31,6 +31,26 @@
                     [](const WorkerAnswer &, TimePoint) {});
 }
 
+/// Repeated until the worker takes it or the start can't come any more.
+void WorkerFleet::barStart(const std::string &id, const RunRef &ref, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    const auto open
+        = worker ? worker->openStarts.find(ref) : std::map<RunRef, TimePoint>::iterator{};
+    const bool needed = worker && open != worker->openStarts.end() && this->authority
+        && now <= open->second + this->settings.latestStart;
+    if (!needed)
+        return;
+    this->link.stop(
+        worker->entry, {ref, this->token}, this->settings.orderTimeout,
+        [this, id, ref, generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+            const bool barred = answer.outcome == WorkerOutcome::Done
+                || answer.outcome == WorkerOutcome::Superseded;
+            if (generation == this->generation && !barred)
+                this->barStart(id, ref, at);
+        });
+}
+
 void WorkerFleet::start(const std::string &id, const RunRef &ref, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
@@ -59,7 +79,7 @@
 }
 
 /// What all answers to orders have in common. Null: there is nothing more to do.
-WorkerFleet::Worker *WorkerFleet::answeredOrder(const std::string &id, const WorkerAnswer &answer,
+WorkerFleet::Worker *WorkerFleet::answeredOrder(const std::string &id, WorkerAnswer &answer,
                                                 TimePoint now)
 {
     Worker *worker = this->workerOf(id);
@@ -67,12 +87,13 @@
         this->listener.fenced(now);
         return nullptr;
     }
-    if (worker && answer.outcome != WorkerOutcome::Unknown)
-        this->answeredAtAll(*worker, answer, now);
+    const bool told = worker && answer.outcome != WorkerOutcome::Unknown;
+    if (told && !this->answeredAtAll(*worker, answer, now))
+        answer.outcome = WorkerOutcome::Unknown;
     return worker;
 }
 
-void WorkerFleet::started(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+void WorkerFleet::started(const std::string &id, const RunRef &ref, WorkerAnswer answer,
                           TimePoint now)
 {
     Worker *worker = this->answeredOrder(id, answer, now);
@@ -87,6 +108,10 @@
             this->listener.runConfirmed(ref, now);
         break;
     case WorkerOutcome::Unknown:
+        std::erase_if(worker->openStarts, [this, now](const auto &entry) {
+            return now > entry.second + this->settings.latestStart;
+        });
+        worker->openStarts[ref] = now;
         this->startUnanswered(*worker, *run, now);
         return;
     case WorkerOutcome::NotPermitted:
@@ -199,7 +224,7 @@
                     });
 }
 
-void WorkerFleet::stopped(const std::string &id, const RunRef &ref, const WorkerAnswer &answer,
+void WorkerFleet::stopped(const std::string &id, const RunRef &ref, WorkerAnswer answer,
                           TimePoint now)
 {
     Worker *worker = this->answeredOrder(id, answer, now);
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -23,6 +23,10 @@
 namespace {
 
 constexpr Duration usualPatience = seconds(3); ///< Of a client that does not tell.
+/// While the process drains, each call is answered so long before its end.
+constexpr Duration answerBeforeEnd = milliseconds(150);
+/// For answers that are overdue when the process wakes at its end.
+constexpr Duration lastAnswers = milliseconds(200);
 
 std::uint64_t seedOf(const std::string &name)
 {
@@ -222,10 +226,16 @@
 
 void NodeProcess::endWhenIdle(TimePoint now)
 {
-    const bool served = now >= this->drainUntil && this->callers->requestsInProgress() == 0;
+    const bool idle = this->callers->requestsInProgress() == 0;
+    const bool served = now >= this->drainUntil && idle;
     if (served)
         this->callers->closeIdle();
-    if (now >= this->endBy || (served && this->callers->connectionCount() == 0)) {
+    // After a pause of the whole process, what is overdue is answered first.
+    const bool timeIsUp = now >= this->endBy;
+    if (timeIsUp && this->lastAnswersUntil == TimePoint{})
+        this->lastAnswersUntil = now + lastAnswers;
+    const bool ends = timeIsUp && (idle || now >= this->lastAnswersUntil);
+    if (ends || (served && this->callers->connectionCount() == 0)) {
         this->journal.tell(LogKind::Process, "stop",
                            {{"connections", this->callers->connectionCount()},
                             {"requestsInProgress", this->callers->requestsInProgress()}},
@@ -274,6 +284,8 @@
         responder(HttpResponse(http::status::method_not_allowed, 11));
         return;
     }
+    if (this->draining)
+        call->deadline = std::min(call->deadline, this->endBy - answerBeforeEnd);
     const auto verb = static_cast<std::size_t>(call->verb);
     this->front.handle(
         std::move(*call),
--- a/Node/NodeProcess.h
+++ b/Node/NodeProcess.h
@@ -74,6 +74,7 @@
     bool draining = false;
     TimePoint endBy{};
     TimePoint drainUntil{};
+    TimePoint lastAnswersUntil{}; ///< Set once the time to end has come.
     std::array<Histogram, 4> answerTimes; ///< By CallVerb.
 };
 
--- a/Runtime/HttpServer.cpp
+++ b/Runtime/HttpServer.cpp
@@ -231,6 +231,11 @@
     this->acceptor.close(ignored);
 }
 
+unsigned short HttpServer::port() const
+{
+    return this->acceptor.local_endpoint().port();
+}
+
 std::size_t HttpServer::connectionCount() const
 {
     return this->shared->connections.size();
--- a/Runtime/HttpServer.h
+++ b/Runtime/HttpServer.h
@@ -46,6 +46,8 @@
     void closeIdle();
     void stopListening();
 
+    /// That the server listens on; the address may have left the choice to the machine.
+    unsigned short port() const;
     std::size_t connectionCount() const;
     std::size_t requestsInProgress() const;
 
--- /dev/null
+++ b/Soak/SoakClients.cpp
@@ -0,0 +1,260 @@
+#include <Soak/SoakClients.h>
+#include <Soak/StandInWire.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace Hibiscus::Soak {
+
+namespace http = boost::beast::http;
+using Runtime::HttpCall;
+using Runtime::HttpClient;
+using Runtime::HttpResult;
+
+namespace {
+
+constexpr Duration revocationBound = seconds(5);
+
+/// A made-up job; most are small and short.
+struct JobShape
+{
+    std::int32_t tasks = 1;
+    std::int32_t accelerators = 1;
+    std::int32_t runMs = 500;
+    bool gang = false;
+    bool fails = false;
+    bool checkpoints = false;
+};
+
+JobShape drawShape(pcg32 &random)
+{
+    JobShape shape;
+    shape.tasks = 1 + static_cast<std::int32_t>(random(5));
+    shape.accelerators = 1 << random(4);
+    shape.runMs = 200 + static_cast<std::int32_t>(random(1800));
+    shape.gang = random(3) == 0;
+    shape.fails = random(20) == 0;
+    shape.checkpoints = random(2) == 0;
+    return shape;
+}
+
+std::string payloadOf(const JobShape &shape)
+{
+    std::string payload = std::to_string(shape.runMs);
+    if (shape.fails)
+        payload += ",fail";
+    if (shape.gang)
+        payload += ",gang=" + std::to_string(shape.tasks);
+    return payload;
+}
+
+} // namespace
+
+SoakClients::SoakClients(boost::asio::io_context &loop, SoakSite &site, std::uint64_t seed,
+                         const Settings &settings)
+    : loop(loop)
+    , site(site)
+    , settings(settings)
+    , random(seed)
+{
+    constexpr std::size_t keptConnections = 8;
+    for (std::size_t i = 0; i < site.instanceCount(); i++)
+        this->instances.push_back(std::make_unique<HttpClient>(
+            loop, site.callersAddress(i), HttpClient::Settings{.mostIdle = keptConnections}));
+}
+
+void SoakClients::start()
+{
+    this->handIn();
+}
+
+void SoakClients::useKey(const std::string &newKey, TimePoint now)
+{
+    if (!this->key.empty())
+        this->revoked.emplace(this->key, now);
+    this->key = newKey;
+}
+
+void SoakClients::later(Duration delay, std::function<void()> step)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->loop, delay);
+    timer->async_wait([timer, step = std::move(step)](boost::system::error_code error) {
+        if (!error)
+            step();
+    });
+}
+
+HttpClient &SoakClients::anyInstance()
+{
+    return *this->instances[this->random(static_cast<std::uint32_t>(this->instances.size()))];
+}
+
+HttpCall SoakClients::callOf(const ClientJob &job, http::verb verb) const
+{
+    HttpCall call{.verb = verb, .target = job.path};
+    call.headers.push_back({"Host", configurationHost});
+    call.headers.push_back({"Authorization", "Bearer " + job.key});
+    call.headers.push_back({"Deadline-Ms", std::to_string(toMs(this->settings.patience))});
+    if (verb == http::verb::post)
+        call.body = job.body;
+    return call;
+}
+
+void SoakClients::handIn()
+{
+    if (this->closed)
+        return;
+    std::size_t open = 0;
+    for (const auto &[id, job] : this->jobs)
+        open += job->fate == Fate::Accepted && !isFinal(job->state) ? 1 : 0;
+    if (open < this->settings.mostOpen) {
+        const JobShape shape = drawShape(this->random);
+        auto job = std::make_unique<ClientJob>();
+        char id[17];
+        std::snprintf(id, sizeof(id), "%016zx", ++this->number);
+        job->id = id;
+        job->path = "/p" + std::to_string(this->random(3)) + "/" + job->id;
+        job->body = encodeJob(payloadOf(shape), shape.tasks, shape.accelerators, shape.gang,
+                              shape.checkpoints);
+        job->key = this->key;
+        job->tasks = shape.tasks;
+        job->fails = shape.fails;
+        ClientJob &added = *this->jobs.emplace(job->id, std::move(job)).first->second;
+        this->submit(added);
+    }
+    this->later(this->settings.between, [this] { this->handIn(); });
+}
+
+void SoakClients::submit(ClientJob &job)
+{
+    job.tries++;
+    this->anyInstance().call(this->callOf(job, http::verb::post), this->settings.patience,
+                             [this, &job, sentAt = this->site.now()](const HttpResult &result) {
+                                 this->submitted(job, result, sentAt);
+                             });
+}
+
+void SoakClients::submitted(ClientJob &job, const HttpResult &result, TimePoint sentAt)
+{
+    if (result.status == 200) {
+        const auto gone = this->revoked.find(job.key);
+        // A repeated submission of a job that was accepted before is answered as such.
+        const bool late = gone != this->revoked.end() && sentAt > gone->second + revocationBound
+            && !job.anyUnanswered;
+        if (late)
+            this->violations.push_back(job.id + " was accepted with a key that is revoked");
+        job.fate = Fate::Accepted;
+        this->later(this->settings.statePoll, [this, &job] { this->askState(job); });
+        if (this->random(static_cast<std::uint32_t>(this->settings.cancelOneOf)) == 0)
+            this->later(this->settings.statePoll, [this, &job] { this->cancel(job); });
+        return;
+    }
+    const bool notRun = result.status == 503 || result.status == 429 || result.status == 401;
+    if (notRun) {
+        job.fate = job.anyUnanswered ? Fate::Unknown : Fate::Refused;
+        return;
+    }
+    if (result.status != 0 && result.status != 502 && result.status != 504)
+        this->violations.push_back(job.id + " got " + std::to_string(result.status));
+    job.anyUnanswered = true;
+    if (job.tries < this->settings.mostTries)
+        this->submit(job);
+    else
+        job.fate = Fate::Unknown;
+}
+
+void SoakClients::askState(ClientJob &job)
+{
+    ClientJob asked = job;
+    asked.key = this->key;
+    this->anyInstance().call(this->callOf(asked, http::verb::get), this->settings.patience,
+                             [this, &job](const HttpResult &result) {
+                                 this->stateTold(job, result);
+                                 if (!isFinal(job.state))
+                                     this->later(this->settings.statePoll,
+                                                 [this, &job] { this->askState(job); });
+                             });
+}
+
+void SoakClients::stateTold(ClientJob &job, const HttpResult &result)
+{
+    if (result.status == 410)
+        this->violations.push_back(job.id + " was accepted and is not known");
+    if (result.status != 200)
+        return;
+    const nlohmann::json body = nlohmann::json::parse(result.body, nullptr, false);
+    job.state = body.is_object() ? body.value("state", "") : "";
+    const bool known = isFinal(job.state) || job.state == "queued" || job.state == "running";
+    if (!known)
+        this->violations.push_back(job.id + " has the state \"" + job.state + "\"");
+    if (job.state == "cancelled" && !job.cancelSent)
+        this->violations.push_back(job.id + " is shown as cancelled by nobody");
+    if (job.state == "failed" && !job.fails)
+        this->violations.push_back(job.id + " is shown as failed without a failed run");
+    if (job.state == "completed" && job.fails)
+        this->violations.push_back(job.id + " is shown as completed and can't be");
+}
+
+void SoakClients::cancel(ClientJob &job)
+{
+    if (isFinal(job.state))
+        return;
+    job.cancelSent = true;
+    ClientJob asked = job;
+    asked.key = this->key;
+    this->anyInstance().call(this->callOf(asked, http::verb::delete_), this->settings.patience,
+                             [this, &job](const HttpResult &result) {
+                                 if (result.status != 200)
+                                     return;
+                                 job.cancelled = true;
+                                 this->site.workers.cancelled.emplace(job.id, this->site.now());
+                             });
+}
+
+bool SoakClients::isFinal(const std::string &state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+bool SoakClients::allOver() const
+{
+    for (const auto &[id, job] : this->jobs) {
+        if (job->fate == Fate::Open || (job->fate == Fate::Accepted && !isFinal(job->state)))
+            return false;
+    }
+    return true;
+}
+
+void SoakClients::judge()
+{
+    for (const auto &[id, job] : this->jobs) {
+        const std::size_t starts = this->site.workers.startsOf(id);
+        if (job->fate == Fate::Refused && starts > 0)
+            this->violations.push_back(id + " was refused as not run, and ran");
+        if (job->fate == Fate::Open)
+            this->violations.push_back(id + " was never answered");
+        if (job->fate == Fate::Accepted && !isFinal(job->state))
+            this->violations.push_back(id + " was accepted and is still \"" + job->state + "\"");
+        const bool completed = job->fate == Fate::Accepted && job->state == "completed";
+        if (completed && starts < static_cast<std::size_t>(job->tasks))
+            this->violations.push_back(id + " is shown as completed with tasks never started");
+    }
+}
+
+std::string SoakClients::summary() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[id, job] : this->jobs) {
+        static constexpr const char *fates[] = {"open", "accepted", "refused", "unknown"};
+        counts[fates[static_cast<std::size_t>(job->fate)]]++;
+        if (job->fate == Fate::Accepted)
+            counts[job->state]++;
+    }
+    std::string text;
+    for (const auto &[name, count] : counts)
+        text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + name;
+    return text;
+}
+
+} // namespace Hibiscus::Soak
--- /dev/null
+++ b/Soak/SoakSite.cpp
@@ -0,0 +1,262 @@
+#include <Soak/SoakSite.h>
+#include <Soak/StandInWire.h>
+#include <platform/Formats.h>
+
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/wait.h>
+
+namespace Hibiscus::Soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration pumpInterval = milliseconds(2);
+constexpr std::size_t rackSize = 4;
+/// Under faults a cancellation may reach the leader late; see the rules on machines in touch.
+constexpr Duration cancellationBound = seconds(12);
+constexpr long mostMemoryKiB = 60 * 1024;
+
+const asio::ip::tcp::endpoint anyPort{asio::ip::address_v4::loopback(), 0};
+
+constexpr unsigned short callersPort = 8521;
+constexpr unsigned short readinessPort = 8523;
+
+/// Instances of soaks that run beside one another have addresses of their own, all on loopback.
+asio::ip::address_v4 instanceAddress(std::uint64_t seed, std::size_t instance)
+{
+    constexpr std::uint64_t perByte = 250;
+    const auto byteOf
+        = [](std::uint64_t value) { return static_cast<unsigned char>(1 + value % perByte); };
+    return asio::ip::address_v4({127, byteOf(seed / perByte), byteOf(seed), byteOf(instance)});
+}
+
+asio::ip::tcp::endpoint loopback(unsigned short port)
+{
+    return {asio::ip::address_v4::loopback(), port};
+}
+
+std::string addressOf(unsigned short port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+SoakSite::SoakSite(asio::io_context &loop, const Settings &settings)
+    : loop(loop)
+    , settings(settings)
+    , pump(loop)
+    , pumpedAt(std::chrono::steady_clock::now())
+{
+    this->workers.cancellationBound = cancellationBound;
+    this->instances.resize(settings.instances);
+    this->machines.resize(settings.workers);
+    for (std::size_t i = 0; i < settings.workers; i++)
+        this->addWorker(i);
+    this->pumpClock();
+    for (std::size_t i = 0; i < settings.instances; i++)
+        this->addInstance(i);
+}
+
+SoakSite::~SoakSite()
+{
+    *this->alive = false;
+}
+
+void SoakSite::pumpClock()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto passed = std::chrono::duration_cast<Duration>(now - this->pumpedAt);
+    this->pumpedAt += passed;
+    this->clock.run(passed);
+    this->pump.expires_after(pumpInterval);
+    this->pump.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            this->pumpClock();
+    });
+}
+
+void SoakSite::addWorker(std::size_t number)
+{
+    Machine &machine = this->machines[number];
+    const std::string id = "worker-" + std::to_string(number);
+    machine.entry = this->workers.add(id, "rack-" + std::to_string(number / rackSize));
+    machine.entry.dataCenter = "north";
+    machine.server = std::make_unique<Runtime::HttpServer>(
+        this->loop, anyPort,
+        [this, number](const Runtime::HttpRequest &request,
+                       const Runtime::HttpResponder &responder) {
+            serveWorker(this->link, this->machines[number].entry, request, responder);
+        },
+        Runtime::HttpServer::Settings{});
+    machine.proxy = std::make_unique<FaultProxy>(this->loop, loopback(machine.server->port()));
+    machine.entry.address = addressOf(machine.proxy->port());
+    this->publish(machine);
+}
+
+void SoakSite::publish(Machine &machine)
+{
+    this->store.put(registryKey(machine.entry.id), encodeEntry(machine.entry, ++this->sequence));
+}
+
+void SoakSite::addInstance(std::size_t number)
+{
+    Instance &instance = this->instances[number];
+    instance.name = "entry-" + std::to_string(number);
+    instance.settingsFile = this->settings.folder + "/" + instance.name + ".toml";
+    instance.logFile = this->settings.folder + "/" + instance.name + ".log";
+    instance.view = std::make_unique<FakeStore::View>(this->store, instance.name, this->alive);
+    instance.storeServer = std::make_unique<Runtime::HttpServer>(
+        this->loop, anyPort,
+        [&view = *instance.view](const Runtime::HttpRequest &request,
+                                 const Runtime::HttpResponder &responder) {
+            serveStore(view, request, responder);
+        },
+        Runtime::HttpServer::Settings{.idleTimeout = seconds(60)});
+    instance.store
+        = std::make_unique<FaultProxy>(this->loop, loopback(instance.storeServer->port()));
+    const asio::ip::address_v4 ip = instanceAddress(this->settings.seed, number);
+    instance.callers
+        = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint(ip, callersPort));
+    const std::string host = ip.to_string() + ":";
+    std::ofstream(instance.settingsFile) << encodeSettings(
+        {instance.name, host + std::to_string(callersPort), host + std::to_string(readinessPort),
+         addressOf(instance.store->port())});
+    this->startInstance(number);
+}
+
+std::string SoakSite::callersAddress(std::size_t instance) const
+{
+    return addressOf(this->instances[instance].callers->port());
+}
+
+void SoakSite::startInstance(std::size_t number)
+{
+    Instance &instance = this->instances[number];
+    instance.endWanted = false;
+    instance.paused = false;
+    instance.process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{this->settings.program, "--settings", instance.settingsFile},
+        instance.logFile);
+}
+
+void SoakSite::signalInstance(std::size_t number, int signal)
+{
+    Instance &instance = this->instances[number];
+    instance.endWanted = instance.endWanted || signal == SIGKILL || signal == SIGTERM;
+    instance.paused = signal == SIGSTOP || (instance.paused && signal != SIGCONT);
+    instance.process->signal(signal);
+    // A paused process takes no other signal than a kill.
+    if (signal == SIGTERM && instance.paused)
+        this->signalInstance(number, SIGCONT);
+}
+
+void SoakSite::restartEnded()
+{
+    for (std::size_t i = 0; i < this->instances.size(); i++) {
+        Instance &instance = this->instances[i];
+        if (instance.process->peakMemoryKiB() > mostMemoryKiB)
+            this->violations.push_back(instance.name + " takes too much memory");
+        if (instance.process->running())
+            continue;
+        if (!instance.endWanted)
+            this->violations.push_back(instance.name + " ended by itself, status "
+                                       + std::to_string(instance.process->status()));
+        this->startInstance(i);
+    }
+}
+
+void SoakSite::changeSettings(std::size_t number)
+{
+    std::ofstream(this->instances[number].settingsFile, std::ios::app) << "# changed\n";
+}
+
+void SoakSite::setStorePath(std::size_t instance, StorePath path)
+{
+    this->store.paths[this->instances[instance].name] = path;
+}
+
+void SoakSite::startWorkerAnew(std::size_t worker)
+{
+    Machine &machine = this->machines[worker];
+    const std::string address = machine.entry.address;
+    machine.entry = this->workers.startAnew(machine.entry.id);
+    machine.entry.address = address;
+    machine.entry.dataCenter = "north";
+    this->publish(machine);
+}
+
+void SoakSite::setDraining(std::size_t worker, bool draining)
+{
+    this->machines[worker].entry.draining = draining;
+    this->publish(this->machines[worker]);
+}
+
+void SoakSite::setSlowToObey(std::size_t worker, bool slow)
+{
+    if (slow)
+        this->workers.slowToObey.insert(this->machines[worker].entry.id);
+    else
+        this->workers.slowToObey.erase(this->machines[worker].entry.id);
+}
+
+void SoakSite::configure(const std::vector<std::string> &keys)
+{
+    this->version++;
+    this->store.put(Platform::configurationKey, encodeConfiguration(this->version, keys));
+}
+
+void SoakSite::heal()
+{
+    this->store.everyPath = StorePath::Open;
+    this->store.paths.clear();
+    this->workers.slowToObey.clear();
+    for (std::size_t i = 0; i < this->instances.size(); i++) {
+        this->signalInstance(i, SIGCONT);
+        this->instances[i].store->setFault(PathFault::None);
+        this->instances[i].callers->setFault(PathFault::None);
+    }
+    for (std::size_t i = 0; i < this->machines.size(); i++) {
+        this->machines[i].proxy->setFault(PathFault::None);
+        this->setDraining(i, false);
+    }
+    this->restartEnded();
+}
+
+void SoakSite::stopAll()
+{
+    for (std::size_t i = 0; i < this->instances.size(); i++) {
+        this->signalInstance(i, SIGTERM);
+        const auto deadline = std::chrono::steady_clock::now() + seconds(10);
+        while (this->instances[i].process->running() && std::chrono::steady_clock::now() < deadline)
+            this->loop.run_for(milliseconds(20));
+        if (this->instances[i].process->running())
+            this->violations.push_back(this->instances[i].name + " does not stop");
+        this->checkLog(this->instances[i]);
+    }
+}
+
+/// A planned stop ends with no request in progress.
+void SoakSite::checkLog(const Instance &instance)
+{
+    std::ifstream log(instance.logFile);
+    for (std::string line; std::getline(log, line);) {
+        const nlohmann::json entry = nlohmann::json::parse(line, nullptr, false);
+        if (!entry.is_object()) {
+            // A line may be cut off by a kill; anything else is written by an error.
+            if (!line.starts_with("{"))
+                this->violations.push_back(instance.name + " writes: " + line);
+            continue;
+        }
+        const std::string event = entry.value("event", "");
+        if (event == "stop" && entry.value("requestsInProgress", 0) > 0)
+            this->violations.push_back(instance.name + " cut requests when it stopped");
+        if (event == "progress record can't be read" || event == "job record can't be read")
+            this->violations.push_back(instance.name + ": " + line);
+    }
+}
+
+} // namespace Hibiscus::Soak
--- /dev/null
+++ b/Soak/SoakSite.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <FakeStore.h>
+#include <FakeWorkers.h>
+#include <Runtime/HttpServer.h>
+#include <Soak/ChildProcess.h>
+#include <Soak/FaultProxy.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Hibiscus::Soak {
+
+using Coordination::Test::FakeStore;
+using Coordination::Test::FakeWorkers;
+using Coordination::Test::SimClock;
+using Coordination::Test::StorePath;
+
+/// The site under test: instances as real processes, and the stand-ins of the platform's store and
+/// workers in this process, on real time. Every connection passes a proxy.
+class SoakSite
+{
+public:
+    struct Settings
+    {
+        std::uint64_t seed = 0; ///< Sets the instances' addresses.
+        std::string program; ///< hibiscus-node.
+        std::string folder; ///< For settings files and logs; exists.
+        std::size_t instances = 3;
+        std::size_t workers = 8;
+    };
+
+    SoakSite(boost::asio::io_context &loop, const Settings &settings);
+    ~SoakSite();
+
+    std::size_t instanceCount() const { return this->instances.size(); }
+    std::size_t workerCount() const { return this->machines.size(); }
+    /// Where clients reach the instance.
+    std::string callersAddress(std::size_t instance) const;
+
+    void startInstance(std::size_t number);
+    void signalInstance(std::size_t number, int signal);
+    /// Starts every instance that has ended, as the platform does. Notes ends that nobody asked
+    /// for.
+    void restartEnded();
+    /// Writes the settings file with one field more.
+    void changeSettings(std::size_t number);
+
+    void setStorePath(std::size_t instance, StorePath path);
+    void setStorePathOfAll(StorePath path) { this->store.everyPath = path; }
+    FaultProxy &callersProxy(std::size_t instance) { return *this->instances[instance].callers; }
+    FaultProxy &storeProxy(std::size_t instance) { return *this->instances[instance].store; }
+    FaultProxy &workerProxy(std::size_t worker) { return *this->machines[worker].proxy; }
+    void startWorkerAnew(std::size_t worker);
+    void setDraining(std::size_t worker, bool draining);
+    void setSlowToObey(std::size_t worker, bool slow);
+    /// A new version with these keys.
+    void configure(const std::vector<std::string> &keys);
+
+    /// Resumes, restarts and reopens everything.
+    void heal();
+    /// Ends all instances and reads what their logs say of it.
+    void stopAll();
+
+    TimePoint now() const { return this->clock.now(); }
+    SimClock clock;
+    FakeStore store{this->clock};
+    FakeWorkers workers{this->clock};
+    std::vector<std::string> violations;
+
+private:
+    struct Instance
+    {
+        std::string name;
+        std::string settingsFile;
+        std::string logFile;
+        std::unique_ptr<FakeStore::View> view;
+        std::unique_ptr<Runtime::HttpServer> storeServer;
+        std::unique_ptr<FaultProxy> store;
+        std::unique_ptr<FaultProxy> callers;
+        std::unique_ptr<ChildProcess> process;
+        bool endWanted = false;
+        bool paused = false;
+    };
+    struct Machine
+    {
+        Tasks::WorkerEntry entry;
+        std::unique_ptr<Runtime::HttpServer> server;
+        std::unique_ptr<FaultProxy> proxy;
+    };
+
+    void pumpClock();
+    void addInstance(std::size_t number);
+    void addWorker(std::size_t number);
+    void publish(Machine &machine);
+    void checkLog(const Instance &instance);
+
+    boost::asio::io_context &loop;
+    Settings settings;
+    boost::asio::steady_timer pump;
+    std::chrono::steady_clock::time_point pumpedAt;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    FakeWorkers::View link{this->workers, "soak", this->alive};
+    std::vector<Instance> instances;
+    std::vector<Machine> machines;
+    std::int64_t version = 0;
+    std::int64_t sequence = 0;
+};
+
+} // namespace Hibiscus::Soak
--- /dev/null
+++ b/Soak/main.cpp
@@ -0,0 +1,147 @@
+#include <Soak/FaultSchedule.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+#include <sstream>
+
+namespace {
+
+using namespace Hibiscus;
+namespace fs = std::filesystem;
+
+constexpr Duration warmUp = seconds(2);
+/// After the faults: leases of lost runs end and everything is done again.
+constexpr Duration longestRecovery = seconds(60);
+
+struct Options
+{
+    std::string program;
+    fs::path folder;
+    Duration faultTime{};
+    std::size_t instances = 3;
+    std::size_t workers = 8;
+};
+
+cxxopts::Options describeOptions()
+{
+    cxxopts::Options options(
+        "hibiscus-soak",
+        "Runs instances as real processes against stand-ins of the platform, injects faults drawn "
+        "from a seed, and checks the promises while they last.\n\nExit status: 0 if every seed "
+        "kept them, 1 if not.");
+    cxxopts::OptionAdder add = options.add_options();
+    add("program", "The instance's program", cxxopts::value<std::string>());
+    add("first", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("count", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seeds", "File with a seed at the begin of each line, instead of first and count",
+        cxxopts::value<std::string>());
+    add("seconds", "Time with faults", cxxopts::value<int>()->default_value("15"));
+    add("instances", "Instances", cxxopts::value<std::size_t>()->default_value("3"));
+    add("workers", "Workers", cxxopts::value<std::size_t>()->default_value("8"));
+    add("folder", "Where logs of seeds that fail are kept",
+        cxxopts::value<std::string>()->default_value("soak-logs"));
+    add("help", "Print this");
+    return options;
+}
+
+void pumpUntil(boost::asio::io_context &loop, Soak::SoakSite &site, Duration span,
+               const std::function<bool()> &done)
+{
+    const TimePoint end = site.now() + span;
+    while (site.now() < end && !done()) {
+        loop.run_for(milliseconds(50));
+        site.restartEnded();
+    }
+}
+
+/// Whether the seed kept all promises.
+bool runSeed(std::uint64_t seed, const Options &options)
+{
+    const fs::path folder = options.folder / std::to_string(seed);
+    fs::remove_all(folder);
+    fs::create_directories(folder);
+    boost::asio::io_context loop(1);
+    Soak::SoakSite site(
+        loop, {seed, options.program, folder.string(), options.instances, options.workers});
+    Soak::SoakClients clients(loop, site, seed, {});
+    Soak::FaultSchedule faults(loop, site, clients, seed, {});
+    site.configure({"key-1"});
+    clients.useKey("key-1", site.now());
+    const auto never = [] { return false; };
+    pumpUntil(loop, site, warmUp, never);
+    clients.start();
+    faults.start();
+    pumpUntil(loop, site, options.faultTime, never);
+    faults.stop();
+    clients.close();
+    // Faults that still last end by themselves.
+    pumpUntil(loop, site, seconds(5), never);
+    site.heal();
+    pumpUntil(loop, site, longestRecovery, [&clients] { return clients.allOver(); });
+    clients.judge();
+    site.stopAll();
+    std::vector<std::string> violations = site.violations;
+    violations.insert(violations.end(), clients.violations.begin(), clients.violations.end());
+    violations.insert(violations.end(), site.workers.violations.begin(),
+                      site.workers.violations.end());
+    std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN") << "; "
+              << clients.summary() << "; faults: " << faults.summary() << std::endl;
+    for (const std::string &violation : violations)
+        std::cout << "  " << violation << std::endl;
+    if (violations.empty())
+        fs::remove_all(folder);
+    return violations.empty();
+}
+
+std::vector<std::uint64_t> seedsOf(const cxxopts::ParseResult &arguments)
+{
+    std::vector<std::uint64_t> seeds;
+    if (arguments.count("seeds") == 0) {
+        seeds.resize(arguments["count"].as<std::uint64_t>());
+        std::iota(seeds.begin(), seeds.end(), arguments["first"].as<std::uint64_t>());
+        return seeds;
+    }
+    std::ifstream file(arguments["seeds"].as<std::string>());
+    for (std::string line; std::getline(file, line);) {
+        std::uint64_t seed = 0;
+        if (std::istringstream(line) >> seed)
+            seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+int runWith(int argc, char **argv)
+{
+    cxxopts::Options described = describeOptions();
+    const cxxopts::ParseResult arguments = described.parse(argc, argv);
+    if (arguments.count("help") > 0 || arguments.count("program") == 0) {
+        std::cout << described.help();
+        return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+    Options options;
+    options.program = arguments["program"].as<std::string>();
+    options.folder = arguments["folder"].as<std::string>();
+    options.faultTime = seconds(arguments["seconds"].as<int>());
+    options.instances = arguments["instances"].as<std::size_t>();
+    options.workers = arguments["workers"].as<std::size_t>();
+    bool kept = true;
+    for (const std::uint64_t seed : seedsOf(arguments))
+        kept = runSeed(seed, options) && kept;
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return runWith(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "the soak can't go on: " << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -15,7 +15,6 @@
 
 /// Every second worker's clock is this much slower.
 constexpr double slowClock = 0.98;
-constexpr Duration cancellationBound = seconds(3);
 
 std::string describe(const RunRef &run)
 {
@@ -175,7 +174,8 @@
     if (!again && this->acknowledgedDone.contains(name))
         this->violations.push_back(describe(run) + " starts after its end was acknowledged");
     const auto cancel = this->cancelled.find(run.job);
-    if (cancel != this->cancelled.end() && this->clock.now() > cancel->second + cancellationBound)
+    if (cancel != this->cancelled.end()
+        && this->clock.now() > cancel->second + this->cancellationBound)
         this->violations.push_back(describe(run) + " starts after its job was cancelled");
 }
 
@@ -189,7 +189,11 @@
     const auto present = machine.running.find(name);
     if (present != machine.running.end() && present->second.run.run == order.run.run)
         return answer;
-    if (machine.endedRuns.contains(name) && order.run.run <= machine.endedRuns[name]) {
+    const bool higherThere
+        = present != machine.running.end() && present->second.run.run > order.run.run;
+    const bool overtaken
+        = machine.endedRuns.contains(name) && order.run.run <= machine.endedRuns[name];
+    if (higherThere || overtaken) {
         answer.outcome = WorkerOutcome::Superseded;
         return answer;
     }
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -53,6 +53,8 @@
     Duration latency = milliseconds(1); ///< One way.
     Duration stopTime = milliseconds(300);
     Duration gangWait = seconds(3);
+    /// No task of a job may start later than this after its cancellation was acknowledged.
+    Duration cancellationBound = seconds(3);
     /// Whether a start that needs a permit is let in.
     std::function<bool(const std::string &worker, const Tasks::StartOrder &)> permitCheck;
     double servingLoad = 100.0; ///< Response times in ms of a task that serves alone.
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -53,6 +53,48 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
 }
 
+TEST_F(WorkerFault, StartThatMeetsAWorkerStartedAnewRunsOnce)
+{
+    // The order is under way when the worker starts anew, so its new process carries it out.
+    this->cluster.workers.latency = milliseconds(150);
+    this->accept(1, jobBody("3000", 1, 8));
+    this->cluster.run(milliseconds(60));
+    for (int i = 0; i < 4; i++)
+        this->cluster.putWorker(this->cluster.workers.startAnew("worker-" + std::to_string(i)));
+    this->cluster.run(seconds(8));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
+TEST_F(WorkerFault, StartThatComesLateToAWorkerStartedAnewIsBarred)
+{
+    for (int i = 0; i < 4; i++)
+        this->cluster.workers.slowToObey.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("6000", 2, 8));
+    this->cluster.run(milliseconds(900));
+    this->cluster.workers.slowToObey.clear();
+    for (int i = 0; i < 4; i++)
+        this->cluster.putWorker(this->cluster.workers.startAnew("worker-" + std::to_string(i)));
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, LateStartOfATaskThatIsDoneIsBarredOnAWorkerStartedAnew)
+{
+    // Of two sendings the first comes late; the second is carried out and the task is done.
+    for (int i = 0; i < 4; i++)
+        this->cluster.workers.slowToObey.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("300", 1, 8));
+    this->cluster.run(milliseconds(300));
+    this->cluster.workers.slowToObey.clear();
+    this->cluster.run(milliseconds(1500));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    for (int i = 0; i < 4; i++)
+        this->cluster.putWorker(this->cluster.workers.startAnew("worker-" + std::to_string(i)));
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
 TEST_F(WorkerFault, TasksOfADeadWorkerWaitForTheirLeaseAndRunElsewhere)
 {
     this->accept(1, jobBody("2000", 2, 8));
--- a/UnitTests/Runtime/HttpTest.cpp
+++ b/UnitTests/Runtime/HttpTest.cpp
@@ -17,11 +17,10 @@
 protected:
     void serve(HttpHandler handler, const HttpServer::Settings &settings = {})
     {
-        const unsigned short port = freePort();
-        this->address = "127.0.0.1:" + std::to_string(port);
         this->server.emplace(this->loop,
-                             asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port),
+                             asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0),
                              std::move(handler), settings);
+        this->address = "127.0.0.1:" + std::to_string(this->server->port());
         this->client.emplace(this->loop, this->address, HttpClient::Settings{});
     }
 
--- a/UnitTests/platform/AdaptersTest.cpp
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -21,27 +21,20 @@
 {
 protected:
     AdapterTest()
-        : address("127.0.0.1:" + std::to_string(this->port))
-        , peer(
-              this->loop, {asio::ip::address_v4::loopback(), this->port},
-              [this](const Runtime::HttpRequest &request, const Runtime::HttpResponder &responder) {
-                  this->seen = request;
-                  Runtime::HttpResponse response(http::int_to_status(this->status), 11);
-                  response.body() = this->reply;
-                  responder(response);
-              },
-              {})
+        : peer(
+            this->loop, {asio::ip::address_v4::loopback(), 0},
+            [this](const Runtime::HttpRequest &request, const Runtime::HttpResponder &responder) {
+                this->seen = request;
+                Runtime::HttpResponse response(http::int_to_status(this->status), 11);
+                response.body() = this->reply;
+                responder(response);
+            },
+            {})
     {
         this->worker.id = "i-7";
         this->worker.address = this->address;
     }
 
-    unsigned short freePort()
-    {
-        const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
-        return asio::ip::tcp::acceptor(this->loop, any).local_endpoint().port();
-    }
-
     template <class Answer>
     Answer wait(std::optional<Answer> &answer)
     {
@@ -77,9 +70,8 @@
     json seenBody() const { return json::parse(this->seen.body()); }
 
     asio::io_context loop;
-    unsigned short port = this->freePort();
-    std::string address;
     Runtime::HttpServer peer;
+    std::string address = "127.0.0.1:" + std::to_string(this->peer.port());
     Runtime::HttpRequest seen;
     unsigned status = 200;
     std::string reply = "{}";
