Let the leader's lease run out after one second, and renew it without waiting for answers

Cause, from the lines of two incidents: each time the store turns the leader away, nothing is started for 1.4 to 1.9 s, the rest of its lease, and a dozen urgent jobs come late. A lease of a second needs renewals that a slow store can't hold up: they go out each 250 ms whether or not the one before was answered (before, answers of 270 ms each way would have unseated the leader).

Two tests: one failed on the code before, the other fails with a lease of 1 s and renewals that wait.

--- a/Coordination/Leadership.cpp
+++ b/Coordination/Leadership.cpp
@@ -157,7 +157,8 @@
         if (generation == this->generation)
             this->renewed(answer, now, answeredAt);
     };
-    this->store.renewLease(this->lease, this->settings.callTimeout, answered);
+    this->store.renewLease(this->lease, this->settings.term, answered);
+    this->later(this->settings.renewEvery, &Leadership::renew);
 }
 
 void Leadership::renewed(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
@@ -166,12 +167,8 @@
         this->stepDown("the store ended the lease", now);
         return;
     }
-    if (answer.outcome == StoreOutcome::Done) {
+    if (answer.outcome == StoreOutcome::Done)
         this->validUntil = std::max(this->validUntil, sentAt + this->settings.term);
-        this->later(this->settings.renewEvery, &Leadership::renew);
-        return;
-    }
-    this->later(this->settings.retry, &Leadership::renew);
 }
 
 void Leadership::overtaken(TimePoint now)
--- a/Coordination/Leadership.h
+++ b/Coordination/Leadership.h
@@ -20,8 +20,11 @@
     {
         std::string instance;
         std::uint64_t seed = 0;
-        Duration term = milliseconds(1800); ///< Of the lease.
-        Duration renewEvery = milliseconds(450);
+        /// Of the lease. While it runs out, nothing is started, so it is as short as the store grants.
+        Duration term = seconds(1);
+        /// Renewals do not wait for one another, so a slow store unseats no leader as long as its
+        /// answers take less than `term` without this.
+        Duration renewEvery = milliseconds(250);
         Duration callTimeout = milliseconds(500);
         Duration watchWait = seconds(2);
         Duration retry = milliseconds(200);
--- a/Soak/ChildProcess.cpp
+++ b/Soak/ChildProcess.cpp
@@ -14,6 +14,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command)
         arguments.push_back(const_cast<char *>(argument.c_str()));
     arguments.push_back(nullptr);
--- a/Soak/FaultProxy.cpp
+++ b/Soak/FaultProxy.cpp
@@ -69,7 +69,7 @@
         asio::ip::tcp::socket &from;
         asio::ip::tcp::socket &to;
         PathFault cut; ///< The fault that loses the bytes of this direction.
-        std::array<char, 16 * 1024> bytes{};
+        std::array<char, 16'384> bytes{};
     };
 
     bool loses(const Direction &direction) const
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t rackSize = 4;
 /// Under faults a cancellation may reach the leader late; see the rules on machines in touch.
 constexpr Duration cancellationBound = seconds(12);
-constexpr long mostMemoryKiB = 60 * 1024;
+constexpr long mostMemoryKiB = 61'440; ///< 60 MiB.
 
 const asio::ip::tcp::endpoint anyPort{asio::ip::address_v4::loopback(), 0};
 
--- a/UnitTests/Coordination/LeadershipTest.cpp
+++ b/UnitTests/Coordination/LeadershipTest.cpp
@@ -78,6 +78,26 @@
     EXPECT_EQ(cluster.leader(), leader);
 }
 
+TEST(Leadership, AnswersThatTakeHalfTheLeaseUnseatNobody)
+{
+    // Renewals that waited for the answer to the one before would come too late.
+    Cluster cluster(3, 2);
+    const std::string leader = cluster.leader();
+    cluster.store.latency = milliseconds(270);
+    cluster.run(seconds(10));
+    EXPECT_EQ(cluster.leader(), leader);
+}
+
+TEST(Leadership, LeaderThatTheStoreTurnsAwayOrdersNothingForLongerThanASecond)
+{
+    Cluster cluster(3, 2);
+    const std::string former = cluster.leader();
+    cluster.store.paths[former] = StorePath::Refusing;
+    cluster.run(milliseconds(1300));
+    EXPECT_NE(cluster.leader(), "");
+    EXPECT_NE(cluster.leader(), former);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
