Count answers and jobs by customer and queue, tell the age of what is believed, log calls turned away

Calls that are turned away for key, path or time have a line of their own kind, so that probes of missing routes can't crowd out others. "job over" names queue, customer and the objective.

--- a/Coordination/JobFront.cpp
+++ b/Coordination/JobFront.cpp
@@ -53,6 +53,20 @@
     int refused = 0;
 };
 
+std::string_view nameOf(ReplyKind kind)
+{
+    static constexpr std::string_view names[]
+        = {"accepted",    "state",       "cancelled", "pending", "no such queue", "no such job",
+           "unknown key", "foreign job", "malformed", "not run", "unavailable",   "undecided"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view nameOf(CallVerb verb)
+{
+    static constexpr std::string_view names[] = {"submit", "status", "cancel", "pending"};
+    return names[static_cast<std::size_t>(verb)];
+}
+
 JobFront::JobFront(Tasks::MetadataStore &store, TimerService &timers, const WallClock &wallClock,
                    Journal &journal, const Settings &settings, Decoders decoders)
     : store(store)
@@ -150,6 +164,25 @@
     return fresh && now - *fresh < Duration(bound);
 }
 
+std::optional<Duration> JobFront::configurationAge(TimePoint now) const
+{
+    const std::optional<TimePoint> fresh = this->watch.freshAt();
+    return fresh ? std::optional(now - *fresh) : std::nullopt;
+}
+
+std::int64_t JobFront::configurationAgeMs(TimePoint now) const
+{
+    const std::optional<Duration> age = this->configurationAge(now);
+    return age ? toMs(*age) : -1;
+}
+
+std::optional<Duration> JobFront::forecastAge(TimePoint now) const
+{
+    if (this->waitsReadAt == TimePoint{})
+        return std::nullopt;
+    return now - this->waitsReadAt;
+}
+
 bool JobFront::isReady(TimePoint now) const
 {
     return this->current && this->isFresh(now);
@@ -174,8 +207,33 @@
     return std::min(this->settings.storeTimeout, this->timeLeft(deadline, now));
 }
 
+ReplyHandler JobFront::observed(const ClientCall &call, ReplyHandler reply, TimePoint now)
+{
+    const std::string request = call.path.substr(call.path.rfind('/') + 1);
+    return [this, request, verb = call.verb, receivedAt = now,
+            reply = std::move(reply)](const ClientReply &answer) {
+        const bool turnedAway = answer.kind == ReplyKind::NoSuchQueue
+            || answer.kind == ReplyKind::NoSuchJob || answer.kind == ReplyKind::UnknownKey
+            || answer.kind == ReplyKind::ForeignJob || answer.kind == ReplyKind::Unavailable;
+        if (turnedAway)
+            this->journal.tell(
+                LogKind::Refusal, "call turned away",
+                {{"request", request},
+                 {"call", nameOf(verb)},
+                 {"outcome", nameOf(answer.kind)},
+                 {"queue", answer.queue},
+                 {"customer", answer.customer},
+                 {"configuration", this->current ? this->current->configuration().version : 0},
+                 {"configurationAgeMs", this->configurationAgeMs(receivedAt)},
+                 {"error", answer.error}},
+                receivedAt);
+        reply(answer);
+    };
+}
+
 void JobFront::handle(ClientCall call, ReplyHandler reply, TimePoint now)
 {
+    reply = this->observed(call, std::move(reply), now);
     if (!this->current) {
         reply(this->unavailable("no configuration was read yet"));
         return;
@@ -207,15 +265,22 @@
     this->store.read(this->settings.configurationKey, timeout, answered);
 }
 
-void JobFront::decide(const ClientCall &call, const ReplyHandler &reply, TimePoint now)
+void JobFront::decide(const ClientCall &call, const ReplyHandler &caller, TimePoint now)
 {
     const Directory::Match match = this->current->find(call.host, call.path);
     if (!match.queue) {
-        reply({.kind = ReplyKind::NoSuchQueue});
+        caller({.kind = ReplyKind::NoSuchQueue});
         return;
     }
     const Queue &queue = *match.queue;
     const Customer *customer = this->current->customerOf(call.key);
+    const ReplyHandler reply
+        = [caller, queueName = queue.name,
+           customerName = customer ? customer->name : std::string()](ClientReply answer) {
+              answer.queue = queueName;
+              answer.customer = customerName;
+              caller(answer);
+          };
     if (!queue.open && !customer) {
         reply({.kind = ReplyKind::UnknownKey});
         return;
@@ -380,22 +445,17 @@
 void JobFront::finishSubmit(const std::shared_ptr<Submission> &submission, const ClientReply &reply,
                             TimePoint now)
 {
-    static constexpr const char *outcomes[]
-        = {"accepted",    "state",       "cancelled", "pending", "no such queue", "no such job",
-           "unknown key", "foreign job", "malformed", "not run", "unavailable",   "undecided"};
-    this->journal.tell(
-        LogKind::Request, "job submitted",
-        {{"request", submission->job.id},
-         {"queue", submission->job.queue},
-         {"customer", submission->job.customer},
-         {"outcome", outcomes[static_cast<std::size_t>(reply.kind)]},
-         {"configuration", this->current->configuration().version},
-         {"configurationAgeMs",
-          this->watch.freshAt() ? toMs(now - *this->watch.freshAt()) : std::int64_t{-1}},
-         {"unanswered", submission->unanswered},
-         {"refused", submission->refused},
-         {"tookMs", toMs(now - submission->receivedAt)}},
-        now);
+    this->journal.tell(LogKind::Request, "job submitted",
+                       {{"request", submission->job.id},
+                        {"queue", submission->job.queue},
+                        {"customer", submission->job.customer},
+                        {"outcome", nameOf(reply.kind)},
+                        {"configuration", this->current->configuration().version},
+                        {"configurationAgeMs", this->configurationAgeMs(now)},
+                        {"unanswered", submission->unanswered},
+                        {"refused", submission->refused},
+                        {"tookMs", toMs(now - submission->receivedAt)}},
+                       now);
     submission->reply(reply);
 }
 
--- a/Coordination/JobFront.h
+++ b/Coordination/JobFront.h
@@ -54,8 +54,14 @@
     std::int64_t pending = 0;
     Duration retryAfter{}; ///< With NotRun and Unavailable.
     std::string error; ///< For people.
+    std::string customer; ///< That called; empty: not known.
+    std::string queue;
 };
 
+/// In a few words, for logs and metrics.
+std::string_view nameOf(ReplyKind kind);
+std::string_view nameOf(CallVerb verb);
+
 using ReplyHandler = std::function<void(const ClientReply &)>;
 
 /// Serves callers: accepts jobs by one conditional write, reads their state from the store. Any
@@ -94,6 +100,10 @@
     /// Whether this instance can serve: it has a configuration and the store answers.
     bool isReady(TimePoint now) const;
     const Tasks::Directory *directory() const { return this->current.get(); }
+    /// Since the configuration was last confirmed as the newest; absent: it was not.
+    std::optional<Duration> configurationAge(TimePoint now) const;
+    /// Since the forecast was told by which work is refused; absent: none was.
+    std::optional<Duration> forecastAge(TimePoint now) const;
     /// Called after each new configuration.
     std::function<void(const Tasks::SystemConfiguration &)> configurationChanged;
 
@@ -118,8 +128,11 @@
     ClientReply storedReply(const Submission &submission) const;
     void configurationRead(const Tasks::StoredItem &item, TimePoint now);
     bool isFresh(TimePoint now) const;
+    std::int64_t configurationAgeMs(TimePoint now) const;
+    /// Tells of calls that are turned away.
+    ReplyHandler observed(const ClientCall &call, ReplyHandler reply, TimePoint now);
     void refreshThen(ClientCall call, ReplyHandler reply, TimePoint now);
-    void decide(const ClientCall &call, const ReplyHandler &reply, TimePoint now);
+    void decide(const ClientCall &call, const ReplyHandler &caller, TimePoint now);
 
     void submit(const std::shared_ptr<Submission> &submission, TimePoint now);
     void submitAnswered(const std::shared_ptr<Submission> &submission,
--- a/Coordination/Leadership.h
+++ b/Coordination/Leadership.h
@@ -20,7 +20,8 @@
     {
         std::string instance;
         std::uint64_t seed = 0;
-        /// Of the lease. While it runs out, nothing is started, so it is as short as the store grants.
+        /// Of the lease. While it runs out, nothing is started, so it is as short as the store
+        /// grants.
         Duration term = seconds(1);
         /// Renewals do not wait for one another, so a slow store unseats no leader as long as its
         /// answers take less than `term` without this.
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -400,16 +400,28 @@
                            TimePoint now)
 {
     if (effect.jobOver)
-        this->journal.tell(LogKind::Request, "job over",
-                           {{"request", job.job.id},
-                            {"state", static_cast<int>(job.progress.state)},
-                            {"ageMs", this->wallClock.nowMs() - job.job.acceptedAt}},
-                           now);
+        this->tellOver(job, now);
     this->writer.record(job.job.id, std::move(afterStored));
     this->stopRuns(effect.toStop, now);
     this->planSoon();
 }
 
+void TaskDispatcher::tellOver(const LiveJob &job, TimePoint now)
+{
+    const std::int64_t ageMs = this->wallClock.nowMs() - job.job.acceptedAt;
+    this->journal.tell(LogKind::Request, "job over",
+                       {{"request", job.job.id},
+                        {"queue", job.job.queue},
+                        {"customer", job.job.customer},
+                        {"state", Tasks::nameOf(job.progress.state)},
+                        {"ageMs", ageMs},
+                        {"objectiveMs", toMs(job.job.objective(job.job.longestChain()))}},
+                       now);
+    if (this->jobFinished)
+        this->jobFinished(job.job, job.progress.state,
+                          milliseconds(std::max<std::int64_t>(0, ageMs)));
+}
+
 void TaskDispatcher::stopRuns(std::span<const RunRef> runs, TimePoint now)
 {
     if (!this->leads(now))
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -46,6 +46,9 @@
     using EntryDecoder = std::function<tl::expected<Tasks::WorkerEntry, std::string>(
         std::string_view key, std::string_view value)>;
 
+    /// Called for each job that becomes final while this instance leads.
+    std::function<void(const Tasks::Job &, Tasks::JobState, Duration age)> jobFinished;
+
     TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link, TimerService &timers,
                    const WallClock &wallClock, Journal &journal, Leadership &leadership,
                    Tasks::PlacementService &placement, const Settings &settings,
@@ -102,6 +105,7 @@
 
     void apply(LiveJob &job, const EndEffect &effect, RecordWriter::Effect afterStored,
                TimePoint now);
+    void tellOver(const LiveJob &job, TimePoint now);
     void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
     std::string encodeRecord(const std::string &job);
     void removeExpired();
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -105,14 +105,26 @@
         && std::any_of(this->runs.begin(), this->runs.end(), fills);
 }
 
+std::optional<Duration> WorkerFleet::oldestAnswer(TimePoint now) const
+{
+    std::optional<Duration> oldest;
+    for (const auto &[id, worker] : this->workers) {
+        if (!worker.runs.empty())
+            oldest = std::max(oldest.value_or(Duration{}), now - worker.lastAnswerAt);
+    }
+    return oldest;
+}
+
 void WorkerFleet::workerListed(const WorkerEntry &entry, TimePoint now)
 {
     const auto [found, added] = this->workers.try_emplace(entry.id);
     Worker &worker = found->second;
     const std::int64_t known = worker.entry.incarnation;
     const bool wasDraining = worker.entry.draining;
-    if (added)
+    if (added) {
         worker.leaseOverAt = now;
+        worker.lastAnswerAt = now;
+    }
     if (known != 0 && entry.incarnation > known)
         this->reborn(worker, entry.incarnation, now);
     worker.entry = entry;
@@ -155,6 +167,7 @@
     if (added) {
         worker.entry.id = id;
         worker.entry.incarnation = incarnation;
+        worker.lastAnswerAt = now;
     }
     run.adopted = true;
     run.resumed = true;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -168,6 +168,8 @@
     void avoid(const std::string &worker, TimePoint now);
 
     const std::map<std::string, Worker, std::less<>> &all() const { return this->workers; }
+    /// How long ago the most silent worker that runs something has answered; absent: none runs.
+    std::optional<Duration> oldestAnswer(TimePoint now) const;
     const Run *find(std::string_view worker, const Tasks::RunRef &ref) const;
 
 private:
--- a/Hibiscusctl/Explain.cpp
+++ b/Hibiscusctl/Explain.cpp
@@ -13,7 +13,8 @@
 using nlohmann::ordered_json;
 
 /// Events after which a request's outcome does not change.
-constexpr std::array<std::string_view, 2> settlingEvents{"job over", "job refused"};
+constexpr std::array<std::string_view, 3> settlingEvents{"job over", "job refused",
+                                                         "call turned away"};
 /// Kinds of lines that tell of the system rather than of one request.
 constexpr std::array<std::string_view, 3> contextKinds{"leadership", "process", "fault"};
 
--- /dev/null
+++ b/Node/NodeMetrics.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <Coordination/JobFront.h>
+#include <Core/Histogram.h>
+#include <Node/ProcessJournal.h>
+
+#include <map>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace Hibiscus::Node {
+
+/// What one instance counts, by customer and queue where a call or job tells them, and its text for
+/// Prometheus.
+class NodeMetrics
+{
+public:
+    /// A call was answered after `took`.
+    void answered(Coordination::CallVerb verb, const Coordination::ClientReply &reply,
+                  Duration took);
+    /// A job that this instance led is over, so long after its acceptance.
+    void jobOver(const Tasks::Job &job, Tasks::JobState state, Duration age);
+
+    /// Values that are read when they are asked for.
+    struct Readings
+    {
+        bool leads = false;
+        std::size_t jobs = 0;
+        std::size_t workers = 0;
+        std::uint64_t storeCalls = 0;
+        std::uint64_t workerCalls = 0;
+        std::uint64_t workerConnections = 0;
+        std::uint64_t placementCalls = 0;
+        std::int64_t configurationVersion = 0;
+        std::optional<Duration> configurationAge; ///< Since it was last confirmed.
+        std::optional<Duration> forecastAge;
+        std::optional<Duration> oldestWorkerAnswer; ///< Of the workers that run something.
+    };
+    std::string describe(const Readings &readings, const ProcessJournal &journal) const;
+
+private:
+    struct Labels
+    {
+        std::string customer;
+        std::string queue;
+        std::string_view kind; ///< Of call or end.
+        auto operator<=>(const Labels &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+    struct AnswerLabels
+    {
+        Labels labels;
+        std::string_view outcome;
+        auto operator<=>(const AnswerLabels &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+
+    template <class Key, class Value>
+    static Value &seriesOf(std::map<Key, Value> &series, const Key &key);
+    static void writeHistogram(std::ostringstream &text, std::string_view name,
+                               const std::string &labels, const Histogram &histogram);
+
+    std::map<AnswerLabels, std::uint64_t> answers;
+    std::map<Labels, Histogram> answerTimes;
+    std::map<Labels, Histogram> jobTimes;
+};
+
+} // namespace Hibiscus::Node
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -138,6 +138,8 @@
           [this](std::string_view customer) { return this->guaranteeOf(customer); })
     , settingsText(readText(settings.settingsFile))
 {
+    this->dispatcher.jobFinished = [this](const Tasks::Job &job, Tasks::JobState state,
+                                          Duration age) { this->metrics.jobOver(job, state, age); };
     this->front.configurationChanged = [this](const Tasks::SystemConfiguration &configuration) {
         this->applyLimits(configuration);
     };
@@ -173,7 +175,7 @@
     if (this->settings.metricsPort != 0) {
         const asio::ip::tcp::endpoint address(asio::ip::make_address(this->site.ip),
                                               this->settings.metricsPort);
-        this->metrics.emplace(
+        this->metricsServer.emplace(
             this->loop, address,
             [this](const HttpRequest &, const HttpResponder &responder) {
                 this->serveMetrics(responder);
@@ -286,11 +288,10 @@
     }
     if (this->draining)
         call->deadline = std::min(call->deadline, this->endBy - answerBeforeEnd);
-    const auto verb = static_cast<std::size_t>(call->verb);
     this->front.handle(
         std::move(*call),
-        [this, responder, now, verb](const ClientReply &reply) {
-            this->answerTimes[verb].add(Runtime::monotonicNow() - now);
+        [this, responder, now, verb = call->verb](const ClientReply &reply) {
+            this->metrics.answered(verb, reply, Runtime::monotonicNow() - now);
             responder(Platform::encodeReply(reply));
         },
         now);
@@ -305,38 +306,26 @@
 
 void NodeProcess::serveMetrics(const HttpResponder &responder)
 {
-    responder(textResponse(http::status::ok, this->describeMetrics()));
+    const NodeMetrics::Readings readings = this->readMetrics(Runtime::monotonicNow());
+    responder(textResponse(http::status::ok, this->metrics.describe(readings, this->journal)));
 }
 
-std::string NodeProcess::describeMetrics() const
+NodeMetrics::Readings NodeProcess::readMetrics(TimePoint now) const
 {
-    std::ostringstream text;
-    for (const auto &[event, count] : this->journal.counts())
-        text << "hibiscus_events_total{event=\"" << event << "\"} " << count << "\n";
-    text << "hibiscus_log_lines_dropped_total " << this->journal.droppedLines() << "\n";
-    text << "hibiscus_store_calls_total " << this->store.callsMade() << "\n";
-    text << "hibiscus_worker_calls_total " << this->workers.callsMade() << "\n";
-    text << "hibiscus_worker_connections_total " << this->workers.connectionsMade() << "\n";
-    text << "hibiscus_leading " << (this->dispatcher.isReady() ? 1 : 0) << "\n";
-    text << "hibiscus_jobs " << this->dispatcher.jobTable().all().size() << "\n";
-    text << "hibiscus_workers " << this->dispatcher.workerFleet().all().size() << "\n";
-    static constexpr const char *verbs[] = {"submit", "status", "cancel", "pending"};
-    for (std::size_t i = 0; i < this->answerTimes.size(); i++) {
-        const Histogram &histogram = this->answerTimes[i];
-        std::uint64_t below = 0;
-        for (std::size_t bucket = 0; bucket + 1 < Histogram::bucketCount; bucket++) {
-            below += histogram.bucket(bucket);
-            text << "hibiscus_answer_ms_bucket{call=\"" << verbs[i] << "\",le=\""
-                 << Histogram::upperBound(bucket).count() / 1000 << "\"} " << below << "\n";
-        }
-        text << "hibiscus_answer_ms_bucket{call=\"" << verbs[i] << "\",le=\"+Inf\"} "
-             << histogram.count() << "\n";
-        text << "hibiscus_answer_ms_sum{call=\"" << verbs[i] << "\"} "
-             << histogram.sum().count() / 1000 << "\n";
-        text << "hibiscus_answer_ms_count{call=\"" << verbs[i] << "\"} " << histogram.count()
-             << "\n";
-    }
-    return text.str();
+    NodeMetrics::Readings readings;
+    readings.leads = this->dispatcher.isReady();
+    readings.jobs = this->dispatcher.jobTable().all().size();
+    readings.workers = this->dispatcher.workerFleet().all().size();
+    readings.storeCalls = this->store.callsMade();
+    readings.workerCalls = this->workers.callsMade();
+    readings.workerConnections = this->workers.connectionsMade();
+    readings.placementCalls = this->placement.callsMade();
+    const Tasks::Directory *directory = this->front.directory();
+    readings.configurationVersion = directory ? directory->configuration().version : 0;
+    readings.configurationAge = this->front.configurationAge(now);
+    readings.forecastAge = this->front.forecastAge(now);
+    readings.oldestWorkerAnswer = this->dispatcher.workerFleet().oldestAnswer(now);
+    return readings;
 }
 
 void NodeProcess::applyLimits(const Tasks::SystemConfiguration &configuration)
--- a/Node/NodeProcess.h
+++ b/Node/NodeProcess.h
@@ -3,8 +3,8 @@
 #include <Coordination/JobFront.h>
 #include <Coordination/Leadership.h>
 #include <Coordination/TaskDispatcher.h>
-#include <Core/Histogram.h>
 #include <Node/LoopTimers.h>
+#include <Node/NodeMetrics.h>
 #include <Node/ProcessJournal.h>
 #include <Runtime/HttpServer.h>
 #include <Tasks/SiteSettings.h>
@@ -12,7 +12,6 @@
 #include <platform/StoreAdapter.h>
 #include <platform/WorkerAdapter.h>
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <optional>
@@ -51,7 +50,7 @@
     void serveCaller(Runtime::HttpRequest request, const Runtime::HttpResponder &responder);
     void serveReadiness(const Runtime::HttpResponder &responder);
     void serveMetrics(const Runtime::HttpResponder &responder);
-    std::string describeMetrics() const;
+    NodeMetrics::Readings readMetrics(TimePoint now) const;
     void applyLimits(const Tasks::SystemConfiguration &configuration);
 
     Settings settings;
@@ -69,13 +68,13 @@
     Coordination::TaskDispatcher dispatcher;
     std::optional<Runtime::HttpServer> callers;
     std::optional<Runtime::HttpServer> readiness;
-    std::optional<Runtime::HttpServer> metrics;
+    std::optional<Runtime::HttpServer> metricsServer;
+    NodeMetrics metrics;
     std::string settingsText; ///< As last read.
     bool draining = false;
     TimePoint endBy{};
     TimePoint drainUntil{};
     TimePoint lastAnswersUntil{}; ///< Set once the time to end has come.
-    std::array<Histogram, 4> answerTimes; ///< By CallVerb.
 };
 
 } // namespace Hibiscus::Node
--- a/Runtime/EventLog.h
+++ b/Runtime/EventLog.h
@@ -17,6 +17,7 @@
     Dependency, ///< Store, worker or configuration lost, regained or changed.
     Leadership,
     Request, ///< A caller's request was decided.
+    Refusal, ///< A call was turned away for its key, its path or its time.
     Task, ///< A task was assigned, started, stopped or ended.
     Fault, ///< Something unexpected, such as input that can't be read.
     Count,
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -51,6 +51,13 @@
     return room;
 }
 
+std::string_view nameOf(JobState state)
+{
+    static constexpr std::string_view names[]
+        = {"queued", "running", "completed", "failed", "cancelled"};
+    return names[static_cast<std::size_t>(state)];
+}
+
 UnixMs Job::dueAt(std::int32_t occurrence) const
 {
     if (this->repetition.count == 0)
--- a/Tasks/TaskJob.h
+++ b/Tasks/TaskJob.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hibiscus::Tasks {
@@ -122,6 +123,9 @@
     Cancelled,
 };
 
+/// In one word, for logs and metrics.
+std::string_view nameOf(JobState state);
+
 /// Whether nothing of the job starts any more.
 constexpr bool isFinal(JobState state)
 {
