Log what a second start rests on

What on-call saw: a task started again, and no line that told whether its record had been lost, its end had been acknowledged too early, or an order had been carried out late.

Added: "records stored" and "records differ in the store" (requests, revision, token, attempts), "ends acknowledged" (worker, incarnation, numbers), "run taken over" (revision of the record it was read from), "start not answered", "stop order answered", "end of an unknown run" and "worker forgotten". Commits of records and acknowledged ends have a log kind of their own with its own limit of lines. `explain` shows lines that name several requests. The reason of "start rejected" is a name instead of a number. One copy of the names of runs and outcomes, in Tasks.

--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -18,10 +18,11 @@
 
 } // namespace
 
-RecordWriter::RecordWriter(Tasks::MetadataStore &store, TimerService &timers,
+RecordWriter::RecordWriter(Tasks::MetadataStore &store, TimerService &timers, EventLogger &logger,
                            const Settings &settings, Handlers handlers)
     : store(store)
     , timers(timers)
+    , logger(logger)
     , settings(settings)
     , handlers(std::move(handlers))
 {}
@@ -92,6 +93,7 @@
         this->append(this->queue.front());
         this->queue.pop_front();
     }
+    this->attempts = 0;
     this->send(now);
 }
 
@@ -113,6 +115,7 @@
 
 void RecordWriter::send(TimePoint)
 {
+    this->attempts++;
     const auto handler
         = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
               if (generation == this->generation)
@@ -148,8 +151,23 @@
         this->handlers.reachability(value, now);
 }
 
+void RecordWriter::logCommit(std::string_view event, std::int64_t revision, TimePoint now)
+{
+    std::vector<std::string> jobs;
+    for (const PendingWrite &entry : this->inFlight)
+        jobs.push_back(entry.job);
+    this->logger.logEvent(Runtime::LogKind::Record, event,
+                          {{"requests", jobs},
+                           {"revision", revision},
+                           {"token", this->token},
+                           {"attempts", this->attempts},
+                           {"queued", this->queue.size()}},
+                          now);
+}
+
 void RecordWriter::handleCommit(std::int64_t revision, TimePoint now)
 {
+    this->logCommit("records stored", revision, now);
     const std::vector<PendingWrite> written = std::exchange(this->inFlight, {});
     for (const PendingWrite &entry : written) {
         if (entry.value.empty())
@@ -194,6 +212,7 @@
         this->handleCommit(committedRevision, now);
         return;
     }
+    this->logCommit("records differ in the store", answer.revision, now);
     // The stored records differ from the ones sent: writes them again with the revisions just read.
     std::vector<PendingWrite> rejected = std::exchange(this->inFlight, {});
     for (PendingWrite &entry : rejected) {
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Coordination/EventLogger.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/MetadataStore.h>
 
@@ -35,8 +36,8 @@
 
     using StoredHandler = std::function<void(TimePoint)>;
 
-    RecordWriter(Tasks::MetadataStore &store, TimerService &timers, const Settings &settings,
-                 Handlers handlers);
+    RecordWriter(Tasks::MetadataStore &store, TimerService &timers, EventLogger &logger,
+                 const Settings &settings, Handlers handlers);
 
     /// Starts writing under the leader's fencing token.
     void begin(std::int64_t token);
@@ -69,9 +70,11 @@
     void handleCommit(std::int64_t revision, TimePoint now);
     void handleConflict(const Tasks::StoreAnswer &answer, TimePoint now);
     void setReachable(bool value, TimePoint now);
+    void logCommit(std::string_view event, std::int64_t revision, TimePoint now);
 
     Tasks::MetadataStore &store;
     TimerService &timers;
+    EventLogger &logger;
     Settings settings;
     Handlers handlers;
     std::uint64_t generation = 0;
@@ -84,6 +87,7 @@
     std::map<std::string, std::vector<StoredHandler>> storedHandlers;
     std::vector<PendingWrite> inFlight;
     Tasks::StoreCommit commit;
+    std::int32_t attempts = 0; ///< Number of times that `commit` was sent.
 };
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -23,31 +23,6 @@
 
 namespace {
 
-std::string textOf(const TaskRef &ref)
-{
-    return std::to_string(ref.occurrence) + "." + std::to_string(ref.step) + "."
-        + std::to_string(ref.index);
-}
-
-const char *nameOf(EndCause cause)
-{
-    switch (cause) {
-    case EndCause::Done:
-        return "done";
-    case EndCause::Failed:
-        return "failed";
-    case EndCause::Stopped:
-        return "stopped";
-    case EndCause::LeaseExpired:
-        return "lease lapsed";
-    case EndCause::GangMemberEnded:
-        return "gang broken";
-    case EndCause::GangIncomplete:
-        return "gang incomplete";
-    }
-    return "unknown";
-}
-
 /// Fills in the properties of a run that come from its job. The caller sets the run's reference.
 WorkerFleet::Run describeRun(const TrackedJob &job, const TaskRef &ref)
 {
@@ -82,7 +57,7 @@
     , settings(settings)
     , decoder(std::move(decoder))
     , fleet(link, timers, logger, settings.fleet, *this)
-    , writer(store, timers, settings.writer,
+    , writer(store, timers, logger, settings.writer,
              {[this](const std::string &job) { return this->encodeRecord(job); },
               [this](TimePoint now) { this->election.handleOtherLeader(now); },
               [this](bool reachable, TimePoint now) {
@@ -220,10 +195,10 @@
         return;
     }
     TrackedJob &live = this->jobs.add(job, std::move(*progress), this->wallClock.nowMs());
-    this->adoptRuns(live, now);
+    this->adoptRuns(live, record->second.revision, now);
 }
 
-void TaskDispatcher::adoptRuns(TrackedJob &job, TimePoint now)
+void TaskDispatcher::adoptRuns(TrackedJob &job, std::int64_t revision, TimePoint now)
 {
     for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
         const TaskProgress &task = job.progress.at(i);
@@ -232,6 +207,14 @@
         const TaskRef ref = job.progress.refAt(i);
         WorkerFleet::Run run = describeRun(job, ref);
         run.ref = {job.job.id, ref, task.run};
+        this->logger.logEvent(LogKind::Task, "run taken over",
+                              {{"request", job.job.id},
+                               {"task", Tasks::textOf(ref)},
+                               {"run", task.run},
+                               {"worker", task.worker},
+                               {"incarnation", task.incarnation},
+                               {"revision", revision}},
+                              now);
         this->fleet.adopt(task.worker, task.incarnation, std::move(run), now);
     }
 }
@@ -339,10 +322,10 @@
                                          this->wallClock.nowMs());
     this->logger.logEvent(LogKind::Task, "run ended",
                           {{"request", end.run.job},
-                           {"task", textOf(end.run.task)},
+                           {"task", Tasks::textOf(end.run.task)},
                            {"run", end.run.run},
                            {"worker", end.worker},
-                           {"cause", nameOf(end.cause)},
+                           {"cause", Tasks::nameOf(end.cause)},
                            {"end", end.number},
                            {"changed", update.changed}},
                           now);
@@ -370,7 +353,7 @@
     TrackedJob *job = this->jobs.find(end.run.job);
     this->logger.logEvent(LogKind::Task, "run lost",
                           {{"request", end.run.job},
-                           {"task", textOf(end.run.task)},
+                           {"task", Tasks::textOf(end.run.task)},
                            {"run", end.run.run},
                            {"worker", end.worker},
                            {"reason", reason}},
@@ -548,7 +531,7 @@
     const RunRef runRef = run.ref;
     this->logger.logEvent(LogKind::Task, "run assigned",
                           {{"request", job.job.id},
-                           {"task", textOf(ref)},
+                           {"task", Tasks::textOf(ref)},
                            {"run", runRef.run},
                            {"worker", worker},
                            {"waitedMs", this->wallClock.nowMs() - request.readySince},
@@ -585,7 +568,7 @@
     }
     this->logger.logEvent(LogKind::Task, "run gives way to urgent work",
                           {{"request", run.job},
-                           {"task", textOf(run.task)},
+                           {"task", Tasks::textOf(run.task)},
                            {"run", run.run},
                            {"runsToStop", runs.size()}},
                           now);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -100,7 +100,8 @@
     void handleProgressPage(const Tasks::StoreAnswer &answer);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
-    void adoptRuns(TrackedJob &job, TimePoint now);
+    /// `revision` is that of the job's record, for the log.
+    void adoptRuns(TrackedJob &job, std::int64_t revision, TimePoint now);
 
     void jobKeyChanged(const Tasks::StoredItem &item, TimePoint now);
     void addJob(const Tasks::StoredItem &item, const std::string &id, TimePoint now);
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -147,10 +147,24 @@
     this->logger.logEvent(LogKind::Dependency, "worker unlisted",
                           {{"worker", id}, {"runs", worker->runs.size()}}, now);
     if (worker->runs.empty() && !worker->pollInFlight)
-        this->workers.erase(id);
+        this->forgetWorker(id, now);
     this->listener.fleetChanged(now);
 }
 
+void WorkerFleet::forgetWorker(const std::string &id, TimePoint now)
+{
+    const Worker &worker = this->workers.find(id)->second;
+    this->logger.logEvent(LogKind::Dependency, "worker forgotten",
+                          {{"worker", id},
+                           {"incarnation", worker.entry.incarnation},
+                           {"lastEnd", worker.lastEnd},
+                           {"acknowledgedEnd", worker.acknowledgedEnd},
+                           {"unrecordedEnds", worker.unrecordedEnds.size()},
+                           {"unansweredStarts", worker.unansweredStarts.size()}},
+                          now);
+    this->workers.erase(id);
+}
+
 void WorkerFleet::assign(const std::string &id, Run run, TimePoint)
 {
     Worker *worker = this->workerOf(id);
@@ -336,12 +350,24 @@
                              return;
                          Worker *sender = this->workerOf(id);
                          if (sender && answer.outcome == WorkerOutcome::Done)
-                             sender->acknowledgedEnd
-                                 = std::max(sender->acknowledgedEnd, acknowledgedEnd);
+                             this->endsAcknowledged(*sender, acknowledgedEnd, at);
                          this->handlePollAnswer(id, answer, sentAt, at);
                      });
 }
 
+void WorkerFleet::endsAcknowledged(Worker &worker, std::int64_t number, TimePoint now)
+{
+    if (number <= worker.acknowledgedEnd)
+        return;
+    this->logger.logEvent(LogKind::Record, "ends acknowledged",
+                          {{"worker", worker.entry.id},
+                           {"incarnation", worker.entry.incarnation},
+                           {"after", worker.acknowledgedEnd},
+                           {"upTo", number}},
+                          now);
+    worker.acknowledgedEnd = number;
+}
+
 void WorkerFleet::handlePollAnswer(const std::string &id, const WorkerAnswer &answer,
                                    TimePoint sentAt, TimePoint now)
 {
@@ -383,7 +409,7 @@
     if (first)
         this->listener.fleetChanged(now);
     if (!worker->listed && worker->runs.empty()) {
-        this->workers.erase(id);
+        this->forgetWorker(id, now);
         return;
     }
     this->pollIfNeeded(*worker, now);
@@ -463,8 +489,16 @@
             continue;
         worker.lastEnd = ended.number;
         Run *run = this->runOf(worker, ended.run);
-        if (!run)
+        if (!run) {
+            this->logger.logEvent(LogKind::Task, "end of an unknown run",
+                                  {{"request", ended.run.job},
+                                   {"run", Tasks::textOf(ended.run)},
+                                   {"worker", worker.entry.id},
+                                   {"cause", Tasks::nameOf(ended.cause)},
+                                   {"end", ended.number}},
+                                  now);
             continue;
+        }
         worker.unrecordedEnds.insert(ended.number);
         const bool timed = run->startConfirmedAt && !run->resumed;
         const RunEnd end{
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -200,6 +200,7 @@
     static RunKey keyOf(const Tasks::RunRef &ref);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
+    void forgetWorker(const std::string &id, TimePoint now);
     void removeRun(Worker &worker, const RunKey &key, TimePoint now);
     void reportLostRun(Worker &worker, const RunKey &key, const char *reason, TimePoint now);
 
@@ -208,6 +209,7 @@
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
                           TimePoint sentAt, TimePoint now);
+    void endsAcknowledged(Worker &worker, std::int64_t number, TimePoint now);
     bool needsPoll(const Worker &worker) const;
     void pollIfNeeded(Worker &worker, TimePoint now);
     void pollAfterPause(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -13,16 +13,6 @@
 using Tasks::WorkerAnswer;
 using Tasks::WorkerOutcome;
 
-namespace {
-
-std::string nameOf(const RunRef &run)
-{
-    return std::to_string(run.task.occurrence) + "." + std::to_string(run.task.step) + "."
-        + std::to_string(run.task.index) + "#" + std::to_string(run.run);
-}
-
-} // namespace
-
 /// Stops a run that the leader does not know, such as one of a late start order that had timed out.
 void WorkerFleet::stopUnknownRun(Worker &worker, const RunRef &ref)
 {
@@ -115,6 +105,12 @@
             return now > entry.second + this->settings.maxStartDelay;
         });
         worker->unansweredStarts[ref] = now;
+        this->logger.logEvent(LogKind::Task, "start not answered",
+                              {{"request", ref.job},
+                               {"run", Tasks::textOf(ref)},
+                               {"worker", id},
+                               {"try", run->startAttempts}},
+                              now);
         this->handleUnansweredStart(*worker, *run, now);
         return;
     case WorkerOutcome::NotPermitted:
@@ -124,9 +120,9 @@
     default:
         this->logger.logEvent(LogKind::Task, "start rejected",
                               {{"request", ref.job},
-                               {"run", nameOf(ref)},
+                               {"run", Tasks::textOf(ref)},
                                {"worker", id},
-                               {"reason", static_cast<int>(answer.outcome)},
+                               {"reason", Tasks::nameOf(answer.outcome)},
                                {"try", run->startAttempts}},
                               now);
         this->backOff(*worker, now);
@@ -175,7 +171,7 @@
             continue;
         this->logger.logEvent(LogKind::Task, "pace set",
                               {{"request", run.ref.job},
-                               {"run", nameOf(run.ref)},
+                               {"run", Tasks::textOf(run.ref)},
                                {"worker", worker.entry.id},
                                {"percent", percent},
                                {"loadOfTarget", load}},
@@ -239,6 +235,12 @@
     if (!run)
         return;
     run->stopOutstanding = false;
+    this->logger.logEvent(LogKind::Task, "stop order answered",
+                          {{"request", ref.job},
+                           {"run", Tasks::textOf(ref)},
+                           {"worker", id},
+                           {"outcome", Tasks::nameOf(answer.outcome)}},
+                          now);
     if (answer.outcome == WorkerOutcome::Done || answer.outcome == WorkerOutcome::Superseded) {
         run->orderConfirmedAt = now;
         this->pollIfNeeded(*worker, now);
--- a/Hibiscusctl/Explain.cpp
+++ b/Hibiscusctl/Explain.cpp
@@ -29,7 +29,7 @@
     std::string details;
     for (const auto &[name, value] : line.items()) {
         if (name == "time" || name == "instance" || name == "kind" || name == "event"
-            || name == "request")
+            || name == "request" || name == "requests")
             continue;
         const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
         if (!details.empty())
@@ -45,6 +45,15 @@
     return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+/// Whether the line concerns the request, alone ("request") or with others ("requests").
+bool concerns(const ordered_json &line, const std::string &request)
+{
+    const auto several = line.find("requests");
+    if (several == line.end() || !several->is_array())
+        return textOf(line, "request") == request;
+    return std::find(several->begin(), several->end(), request) != several->end();
+}
+
 } // namespace
 
 RequestTimeline::RequestTimeline(std::string request)
@@ -67,7 +76,7 @@
     if (!line.is_object() || !line.contains("time") || !line["time"].is_number_integer())
         return;
     const std::string event = textOf(line, "event");
-    const bool isOfRequest = textOf(line, "request") == this->request;
+    const bool isOfRequest = concerns(line, this->request);
     if (!isOfRequest && !isContext(textOf(line, "kind"), event))
         return;
     const bool isFinalOutcome = isOfRequest
--- a/Runtime/EventLog.cpp
+++ b/Runtime/EventLog.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(LogKind::Count)> kindNames{
-    "process", "dependency", "leadership", "request", "refusal", "task", "fault",
+    "process", "dependency", "leadership", "request", "refusal", "task", "record", "fault",
 };
 constexpr Duration rateLimitWindow = seconds(1);
 
--- a/Runtime/EventLog.h
+++ b/Runtime/EventLog.h
@@ -19,6 +19,7 @@
     Request, ///< A decision on a caller's request.
     Refusal, ///< A call was rejected for its API key, its path or its deadline.
     Task, ///< A task was assigned, started, stopped or ended.
+    Record, ///< Records of jobs were written to the store.
     Fault, ///< Unexpected condition, such as malformed input.
     Count,
 };
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hibiscus::Tasks {
@@ -118,6 +119,14 @@
     std::vector<EndedTask> ended;
 };
 
+/// Names in log lines.
+std::string_view nameOf(EndCause cause);
+std::string_view nameOf(WorkerOutcome outcome);
+/// "OCCURRENCE.STEP.INDEX".
+std::string textOf(const TaskRef &task);
+/// "OCCURRENCE.STEP.INDEX#RUN".
+std::string textOf(const RunRef &run);
+
 using WorkerHandler = std::function<void(const WorkerAnswer &, TimePoint now)>;
 
 /// Sends orders to workers. Each call invokes its handler exactly once, at the latest after its
--- a/UnitTests/Hibiscusctl/ExplainTest.cpp
+++ b/UnitTests/Hibiscusctl/ExplainTest.cpp
@@ -30,6 +30,17 @@
     return timeline.lines();
 }
 
+TEST(Explain, LineThatNamesSeveralRequestsBelongsToEachOfThem)
+{
+    std::istringstream log(
+        R"({"time":2000,"instance":"entry-2","kind":"record","event":"records stored","requests":["ab","cd"],"revision":41})");
+    RequestTimeline timeline("cd");
+    timeline.read(log);
+    ASSERT_EQ(timeline.lines().size(), 1U);
+    EXPECT_EQ(timeline.lines()[0].event, "records stored");
+    EXPECT_EQ(timeline.lines()[0].details, "revision=41");
+}
+
 TEST(Explain, LinesOfSeveralInstancesAreOrderedByTime)
 {
     const std::vector<LogLine> lines = timelineOf("ab");
