--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -236,6 +236,11 @@
     this->store.put(registryPrefix + entry.id, encodeEntry(entry));
 }
 
+void Cluster::removeWorkerEntry(const std::string &id)
+{
+    this->store.remove(registryPrefix + id);
+}
+
 void Cluster::setKeys(const std::vector<std::string> &keys)
 {
     this->configurationVersion++;
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -94,6 +94,8 @@
     void startInstance(const std::string &name);
     void killInstance(const std::string &name);
     void putWorker(const Tasks::WorkerEntry &entry);
+    /// Removes the worker's registry entry, as when its heartbeats don't reach the store.
+    void removeWorkerEntry(const std::string &id);
     void setKeys(const std::vector<std::string> &keys);
 
     /// Returns the reply, or nothing if none arrives within the client's timeout of three seconds.
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -25,6 +25,17 @@
         ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
     }
 
+    /// A worker that runs a task; empty if there is none.
+    std::string busyWorker() const
+    {
+        for (int i = 0; i < 8; i++) {
+            std::string id = "worker-" + std::to_string(i);
+            if (this->cluster.workers.runningOn(id) > 0)
+                return id;
+        }
+        return {};
+    }
+
     Cluster cluster{3, 8};
 };
 
@@ -259,6 +270,27 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
 }
 
+TEST_F(Failover, EndsOfAWorkerThatWasUnlistedAreKeptUntilTheJobRecordIsStored)
+{
+    // Guards against the incident of 2026-12-05: a run that had ended was started again.
+    this->accept(1, jobBody("1000", 1, 8));
+    this->cluster.run(milliseconds(700));
+    const std::string leader = this->cluster.leader();
+    const std::string worker = this->busyWorker();
+    this->cluster.store.behaviors[leader] = StoreBehavior::DropsCommits;
+    this->cluster.run(milliseconds(500));
+    ASSERT_EQ(this->cluster.workers.runningTasks(), 0U);
+    const Tasks::WorkerEntry entry = this->cluster.workers.entryOf(worker);
+    this->cluster.removeWorkerEntry(worker);
+    this->cluster.run(milliseconds(50));
+    this->cluster.putWorker(entry);
+    this->cluster.run(milliseconds(500));
+    this->cluster.killInstance(leader);
+    this->cluster.run(seconds(8));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -146,13 +146,17 @@
     });
 }
 
-void FakeStore::View::call(Duration timeout, const StoreHandler &handler, const Action &action)
+void FakeStore::View::call(Duration timeout, const StoreHandler &handler, const Action &action,
+                           bool isCommit)
 {
     FakeStore &target = this->store;
     target.clock.in(
         target.latency,
-        [this, &target, timeout, handler, action, alive = this->alive, name = this->instance] {
-            const StoreBehavior behavior = target.behaviorOf(name);
+        [this, &target, timeout, handler, action, isCommit, alive = this->alive,
+         name = this->instance] {
+            StoreBehavior behavior = target.behaviorOf(name);
+            if (behavior == StoreBehavior::DropsCommits)
+                behavior = isCommit ? StoreBehavior::Unresponsive : StoreBehavior::Normal;
             StoreAnswer result;
             if (behavior == StoreBehavior::Normal || behavior == StoreBehavior::LosesAnswers)
                 result = action();
@@ -209,7 +213,9 @@
             if (!*alive)
                 return;
             const StoreBehavior behavior = target.behaviorOf(name);
-            if (behavior != StoreBehavior::Normal) {
+            const bool answers
+                = behavior == StoreBehavior::Normal || behavior == StoreBehavior::DropsCommits;
+            if (!answers) {
                 const bool refused = behavior == StoreBehavior::Rejecting;
                 this->answer(handler,
                              {.outcome = refused ? StoreOutcome::Refused : StoreOutcome::Unknown},
@@ -227,7 +233,10 @@
             entry->answer = [this, handler, alive, &target, name](StoreAnswer answer) {
                 // The answer is lost if the store's behaviour for the instance has changed in the
                 // meantime.
-                if (target.behaviorOf(name) != StoreBehavior::Normal)
+                const StoreBehavior current = target.behaviorOf(name);
+                const bool isAnswered
+                    = current == StoreBehavior::Normal || current == StoreBehavior::DropsCommits;
+                if (!isAnswered)
                     answer = {};
                 if (*alive)
                     this->answer(handler, std::move(answer), target.latency);
@@ -245,7 +254,8 @@
 void FakeStore::View::commit(const Tasks::StoreCommit &commit, Duration timeout,
                              StoreHandler handler)
 {
-    this->call(timeout, handler, [&target = this->store, commit] { return target.commit(commit); });
+    this->call(
+        timeout, handler, [&target = this->store, commit] { return target.commit(commit); }, true);
 }
 
 void FakeStore::View::grantLease(Duration term, Duration timeout, StoreHandler handler)
--- a/UnitTests/Coordination/FakeStore.h
+++ b/UnitTests/Coordination/FakeStore.h
@@ -19,6 +19,7 @@
     Unresponsive, ///< Calls do not reach the store.
     Rejecting, ///< Calls are refused.
     LosesAnswers, ///< Calls are executed but not answered.
+    DropsCommits, ///< Commits do not reach the store; other calls are executed and answered.
     ExecutesLate, ///< Calls are executed two seconds late and not answered.
 };
 
@@ -101,7 +102,8 @@
 private:
     using Action = std::function<Tasks::StoreAnswer()>;
 
-    void call(Duration timeout, const Tasks::StoreHandler &handler, const Action &action);
+    void call(Duration timeout, const Tasks::StoreHandler &handler, const Action &action,
+              bool isCommit = false);
     void answer(const Tasks::StoreHandler &handler, Tasks::StoreAnswer answer, Duration delay);
 
     FakeStore &store;
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -185,6 +185,10 @@
     WorkerAnswer answer;
     if (!machine.alive || this->isFenced(machine, order.fencingToken, answer))
         return answer;
+    if (this->unhealthyWorkers.contains(id)) {
+        answer.outcome = WorkerOutcome::Unhealthy;
+        return answer;
+    }
     const TaskName name{order.run.job, order.run.task};
     const auto present = machine.running.find(name);
     if (present != machine.running.end() && present->second.run.run == order.run.run)
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -53,6 +53,8 @@
     std::map<std::string, std::set<std::string>> unreachableWorkers; ///< By instance.
     /// Workers that execute orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedWorkers;
+    /// Workers that reject start orders without effect.
+    std::set<std::string> unhealthyWorkers;
     Duration orderDelay = seconds(3);
     Duration latency = milliseconds(1); ///< Of one direction.
     Duration stopTime = milliseconds(300);
@@ -71,6 +73,10 @@
     std::size_t paceOrders = 0;
     std::size_t permitRejections = 0;
 
+    const Tasks::WorkerEntry &entryOf(const std::string &id) const
+    {
+        return this->machines.at(id).entry;
+    }
     std::size_t runningOn(const std::string &id) const;
     std::size_t runningTasks() const;
     /// Number of running tasks of the job.
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -39,6 +39,18 @@
         return {};
     }
 
+    /// The worker of the newest assignment.
+    std::string assignedWorker() const
+    {
+        std::string worker;
+        for (const std::string &event : this->cluster.instances.at("entry-0")->logger.events) {
+            constexpr std::string_view name = "run assigned ";
+            if (event.starts_with(name))
+                worker = nlohmann::json::parse(event.substr(name.size())).at("worker");
+        }
+        return worker;
+    }
+
     Cluster cluster{1, 4};
 };
 
@@ -127,6 +139,21 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(WorkerFault, LateStartBeforeARejectedAttemptDoesNotRunAlongsideItsReplacement)
+{
+    // Guards against the incident of 2026-12-05: the first attempt of a start order is executed
+    // late, and the worker rejects the second one.
+    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    this->accept(1, jobBody("6000", 1, 8));
+    this->cluster.run(milliseconds(200));
+    this->cluster.workers.delayedWorkers.clear();
+    this->cluster.workers.unhealthyWorkers = {this->assignedWorker()};
+    this->cluster.run(milliseconds(2700));
+    this->cluster.workers.unhealthyWorkers.clear();
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 TEST_F(WorkerFault, GangStartsAndEndsAsAWhole)
 {
     this->accept(1, jobBody("1000,gang=3", 3, 8, true));
