Judge every listed end by its job's record, also of runs that the fleet does not track

Cause: the fleet acknowledged an end whose run it did not track without asking whether the job's record was stored. The fleet drops a worker that leaves the registry without runs; when the worker came back while the record of its last end still waited for the store, that end was listed again, counted as the end of a foreign run and was acknowledged. The worker discarded it, and the next leader found the run neither listed nor ended and started the task again. Writes that are late for longer than a registry entry lasts bring both about: records wait, and the workers' own heartbeats are missing.

Ruled out: a record that comes back; all commits are conditional on the leader's key and on the record's revision.

Change: the fleet reports every new end; the dispatcher decides by the job's record and acknowledges the end when that record is stored. What the fleet tracks no longer decides what may be discarded.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -327,6 +327,7 @@
                            {"worker", end.worker},
                            {"cause", Tasks::nameOf(end.cause)},
                            {"end", end.number},
+                           {"tracked", end.tracked},
                            {"changed", update.changed}},
                           now);
     if (end.cause == EndCause::Failed)
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -482,32 +482,37 @@
     }
 }
 
+/// Reports new ends to the listener, also those of runs that this fleet does not track: only the
+/// listener knows whether a job's record depends on an end, for example on one that was listed
+/// before the worker left the registry and came back.
 void WorkerFleet::processEnds(Worker &worker, const WorkerAnswer &answer, TimePoint now)
 {
+    std::vector<RunEnd> ends;
     for (const EndedTask &ended : answer.ended) {
         if (ended.number <= worker.lastEnd)
             continue;
         worker.lastEnd = ended.number;
-        Run *run = this->runOf(worker, ended.run);
-        if (!run) {
-            this->logger.logEvent(LogKind::Task, "end of an unknown run",
-                                  {{"request", ended.run.job},
-                                   {"run", Tasks::textOf(ended.run)},
-                                   {"worker", worker.entry.id},
-                                   {"cause", Tasks::nameOf(ended.cause)},
-                                   {"end", ended.number}},
-                                  now);
-            continue;
-        }
         worker.unrecordedEnds.insert(ended.number);
-        const bool timed = run->startConfirmedAt && !run->resumed;
-        const RunEnd end{
-            ended.run,    worker.entry.id,
-            ended.cause,  ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint,
-            ended.number, timed ? now - *run->startConfirmedAt : Duration{}};
-        this->removeRun(worker, keyOf(ended.run), now);
-        this->listener.runEnded(end, now);
+        ends.push_back(this->takeEnd(worker, ended, now));
     }
+    for (const RunEnd &end : ends)
+        this->listener.runEnded(end, now);
+}
+
+/// Removes the run of a listed end if the fleet tracks it, and describes the end.
+RunEnd WorkerFleet::takeEnd(Worker &worker, const EndedTask &ended, TimePoint now)
+{
+    RunEnd end{ended.run, worker.entry.id, ended.cause, ended.checkpoint, ended.number};
+    const Run *run = this->runOf(worker, ended.run);
+    if (!run)
+        return end;
+    if (end.checkpoint.empty())
+        end.checkpoint = run->checkpoint;
+    if (run->startConfirmedAt && !run->resumed)
+        end.runTime = now - *run->startConfirmedAt;
+    end.tracked = true;
+    this->removeRun(worker, keyOf(ended.run), now);
+    return end;
 }
 
 void WorkerFleet::processRunning(Worker &worker, const WorkerAnswer &answer, TimePoint sentAt,
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -23,6 +23,7 @@
     std::string checkpoint; ///< Newest known checkpoint; empty if there is none.
     /// Sequence number of the end in the worker's list; 0 if the worker did not report it.
     std::int64_t number = 0;
+    bool tracked = false; ///< Whether the fleet held the run as assigned to the worker.
     /// Run time observed by this leader; 0 if unknown or if the run resumed from a checkpoint.
     Duration runTime{};
 };
@@ -220,6 +221,7 @@
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
     void revokeStart(const std::string &id, const Tasks::RunRef &ref, TimePoint now);
     void processEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    RunEnd takeEnd(Worker &worker, const Tasks::EndedTask &ended, TimePoint now);
     void processRunning(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
                         TimePoint now);
     void stopUnknownRun(Worker &worker, const Tasks::RunRef &ref);
