Count a run as lost only when no attempt of its start order can be executed any more

Cause: a start order without an answer is sent again. When the worker rejected the second attempt, the leader took a list without the run as proof that it never starts. The list says nothing of the first attempt, which was carried out seconds later, next to the run that had replaced it.

Change: after a rejection with earlier attempts unanswered the run is stopped, as after attempts that were all unanswered. The worker accepts no start of a run that it was told to stop, so a later list without the run is proof. A worker that answers "superseded" accepts none either. The same for a rejected permit.

Price: such a task waits for the stop order and one list, at the most until its lease is over.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -232,6 +232,7 @@
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
                            Tasks::WorkerAnswer answer, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint now);
+    void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
                           Tasks::WorkerAnswer answer, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -115,7 +115,7 @@
         return;
     case WorkerOutcome::NotPermitted:
         this->listener.permitRejected(ref, id);
-        this->reportLostRun(*worker, keyOf(ref), "the worker rejected the permit", now);
+        this->handleRejectedStart(*worker, *run, answer.outcome, now);
         return;
     default:
         this->logger.logEvent(LogKind::Task, "start rejected",
@@ -126,14 +126,7 @@
                                {"try", run->startAttempts}},
                               now);
         this->backOff(*worker, now);
-        // An earlier attempt of this start order may have been executed, and the run may have ended
-        // already.
-        if (run->startAttempts > 1) {
-            run->orderConfirmedAt = now;
-            this->pollIfNeeded(*worker, now);
-            return;
-        }
-        this->reportLostRun(*worker, keyOf(ref), "the worker rejected the start order", now);
+        this->handleRejectedStart(*worker, *run, answer.outcome, now);
         return;
     }
     if (run->stopWanted && !run->stopOutstanding)
@@ -141,6 +134,26 @@
     this->pollIfNeeded(*worker, now);
 }
 
+/// A rejection concerns one attempt only. Earlier attempts without an answer may still be executed
+/// until the worker has accepted a stop order for the run, or has answered that it accepts no start
+/// of the run any more.
+void WorkerFleet::handleRejectedStart(Worker &worker, Run &run, WorkerOutcome outcome,
+                                      TimePoint now)
+{
+    if (outcome == WorkerOutcome::Superseded) {
+        // The run may have been executed and may have ended; the worker's lists show it.
+        run.orderConfirmedAt = now;
+        this->pollIfNeeded(worker, now);
+        return;
+    }
+    if (run.startAttempts > 1) {
+        run.stopWanted = true;
+        this->sendStop(worker, run, now);
+        return;
+    }
+    this->reportLostRun(worker, keyOf(run.ref), "the worker rejected the start order", now);
+}
+
 void WorkerFleet::handleUnansweredStart(Worker &worker, Run &run, TimePoint now)
 {
     if (run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted && this->authority) {
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -51,6 +51,18 @@
         return worker;
     }
 
+    void executeFirstAttemptLateAndRejectTheSecond(const std::string &body)
+    {
+        this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+        this->accept(1, body);
+        this->cluster.run(milliseconds(200));
+        this->cluster.workers.delayedWorkers.clear();
+        this->cluster.workers.unhealthyWorkers = {this->assignedWorker()};
+        this->cluster.run(milliseconds(2700));
+        this->cluster.workers.unhealthyWorkers.clear();
+        this->cluster.run(seconds(20));
+    }
+
     Cluster cluster{1, 4};
 };
 
@@ -143,14 +155,14 @@
 {
     // Guards against the incident of 2026-12-05: the first attempt of a start order is executed
     // late, and the worker rejects the second one.
-    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
-    this->accept(1, jobBody("6000", 1, 8));
-    this->cluster.run(milliseconds(200));
-    this->cluster.workers.delayedWorkers.clear();
-    this->cluster.workers.unhealthyWorkers = {this->assignedWorker()};
-    this->cluster.run(milliseconds(2700));
-    this->cluster.workers.unhealthyWorkers.clear();
-    this->cluster.run(seconds(20));
+    this->executeFirstAttemptLateAndRejectTheSecond(jobBody("6000", 1, 8));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, LateGangBeforeRejectedAttemptsDoesNotRunAlongsideItsReplacement)
+{
+    // The same for a gang whose members are all on one worker.
+    this->executeFirstAttemptLateAndRejectTheSecond(jobBody("6000,gang=2", 2, 4, true));
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
