Acknowledge an end only to the process of the worker that listed it

What callers would see: a task that ended as done is started again after a restart of its worker.

When the record of an end of the former process was stored, the end of the same number of the new process counted as recorded and was acknowledged.

Change: a recorded end carries the incarnation that listed it.

WorkerFleetTest.RecordedEndOfAFormerProcessAcknowledgesNoEndOfTheNewOne fails without the check of the incarnation ("renewal.order.endsRecorded Which is: 1") and passes with it.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -336,9 +336,7 @@
         this->fleet.reportSuccess(end.worker);
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
         this->runTimes.recordRun(job->job.queue, end.runTime);
-    const auto recorded = [this, worker = end.worker, number = end.number](TimePoint at) {
-        this->fleet.endRecorded(worker, number, at);
-    };
+    const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
     // An end that changes nothing may depend on an earlier change that is not stored yet: the first
     // end of a gang settles the ends of its other members.
     if (update.changed)
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -240,12 +240,13 @@
         this->removeRun(*worker, keyOf(ref), now);
 }
 
-void WorkerFleet::endRecorded(const std::string &id, std::int64_t number, TimePoint now)
+void WorkerFleet::endRecorded(const RunEnd &end, TimePoint now)
 {
-    Worker *worker = this->workerOf(id);
-    if (!worker)
+    Worker *worker = this->workerOf(end.worker);
+    // Each process of a worker numbers its ends from 1.
+    if (!worker || worker->entry.incarnation != end.incarnation)
         return;
-    worker->unrecordedEnds.erase(number);
+    worker->unrecordedEnds.erase(end.number);
     this->pollIfNeeded(*worker, now);
 }
 
@@ -520,7 +521,8 @@
 /// Removes the run of a listed end if the fleet tracks it, and describes the end.
 RunEnd WorkerFleet::takeEnd(Worker &worker, const EndedTask &ended, TimePoint now)
 {
-    RunEnd end{ended.run, worker.entry.id, ended.cause, ended.checkpoint, ended.number};
+    RunEnd end{ended.run,        worker.entry.id, ended.cause,
+               ended.checkpoint, ended.number,    worker.entry.incarnation};
     const Run *run = this->runOf(worker, ended.run);
     if (!run)
         return end;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -21,8 +21,10 @@
     std::string worker;
     Tasks::EndCause cause = Tasks::EndCause::Failed;
     std::string checkpoint; ///< Newest known checkpoint; empty if there is none.
-    /// Sequence number of the end in the worker's list; 0 if the worker did not report it.
+    /// Sequence number of the end in the list of the worker's process; 0 if the worker did not
+    /// report it.
     std::int64_t number = 0;
+    std::int64_t incarnation = 0; ///< The worker's process that reported the end.
     bool tracked = false; ///< Whether the fleet held the run as assigned to the worker.
     /// Run time observed by this leader; 0 if unknown or if the run resumed from a checkpoint.
     Duration runTime{};
@@ -141,8 +143,8 @@
         TimePoint pollSentAt{}; ///< When the last poll was sent.
         Duration pollRetryDelay{};
         std::map<std::pair<std::string, Tasks::TaskRef>, Run> runs;
-        /// Start orders without a known answer, also of former leaders, and the time since when; the
-        /// worker may still execute them.
+        /// Start orders without a known answer, also of former leaders, and the time since when;
+        /// the worker may still execute them.
         std::map<Tasks::RunRef, TimePoint> unansweredStarts;
 
         bool isUsable(TimePoint now) const
@@ -185,7 +187,7 @@
     /// orders of the former leader that are still in flight.
     void adopt(const std::string &worker, std::int64_t incarnation, Run run, TimePoint now);
     /// The end is stored, so the worker may discard it.
-    void endRecorded(const std::string &worker, std::int64_t number, TimePoint now);
+    void endRecorded(const RunEnd &end, TimePoint now);
     /// A run on the worker succeeded: resets its failure count.
     void reportSuccess(const std::string &worker);
     /// A run on the worker failed: assigns nothing to it for a backoff that doubles with each
--- /dev/null
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -0,0 +1,111 @@
+#include "Cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+
+/// Keeps the calls to workers until the test answers them.
+class ManualLink final : public Tasks::WorkerLink
+{
+public:
+    struct Renewal
+    {
+        Tasks::RenewOrder order;
+        Tasks::WorkerHandler handler;
+    };
+
+    void start(const Tasks::WorkerEntry &, const Tasks::StartOrder &, Duration,
+               Tasks::WorkerHandler) override
+    {}
+    void stop(const Tasks::WorkerEntry &, const Tasks::StopOrder &, Duration,
+              Tasks::WorkerHandler) override
+    {}
+    void setPace(const Tasks::WorkerEntry &, const Tasks::PaceOrder &, Duration,
+                 Tasks::WorkerHandler) override
+    {}
+    void renew(const Tasks::WorkerEntry &, const Tasks::RenewOrder &order, Duration,
+               Tasks::WorkerHandler handler) override
+    {
+        this->renewals.push_back({order, std::move(handler)});
+    }
+
+    std::vector<Renewal> renewals;
+};
+
+class RecordingListener final : public FleetListener
+{
+public:
+    void runConfirmed(const Tasks::RunRef &, TimePoint) override {}
+    void runEnded(const RunEnd &end, TimePoint) override { this->ends.push_back(end); }
+    void runLost(const RunEnd &, const char *, TimePoint) override {}
+    void permitRejected(const Tasks::RunRef &, std::string_view) override {}
+    void fenced(TimePoint) override {}
+    void fleetChanged(TimePoint) override {}
+
+    std::vector<RunEnd> ends;
+};
+
+class IgnoredTimers final : public TimerService
+{
+public:
+    void after(Duration, std::function<void(TimePoint)>) override {}
+};
+
+class WorkerFleetTest : public testing::Test
+{
+protected:
+    WorkerFleetTest()
+    {
+        this->fleet.begin(7, start);
+        this->list(1000);
+        this->fleet.openSessions(start);
+    }
+
+    void list(std::int64_t incarnation)
+    {
+        Tasks::WorkerEntry entry;
+        entry.id = "worker-0";
+        entry.address = "worker-0:1";
+        entry.incarnation = incarnation;
+        this->fleet.workerListed(entry, start);
+    }
+
+    /// Answers the newest poll with one end, which has the number 1.
+    void answerWithFirstEnd(std::int64_t incarnation, const std::string &job)
+    {
+        Tasks::WorkerAnswer answer;
+        answer.outcome = Tasks::WorkerOutcome::Done;
+        answer.incarnation = incarnation;
+        answer.ended.push_back({1, {job, {}, 1}, Tasks::EndCause::Done, ""});
+        this->link.renewals.back().handler(answer, start);
+    }
+
+    ManualLink link;
+    RecordingListener listener;
+    IgnoredTimers timers;
+    RecordingEventLogger logger;
+    WorkerFleet fleet{this->link, this->timers, this->logger, {}, this->listener};
+};
+
+TEST_F(WorkerFleetTest, RecordedEndOfAFormerProcessAcknowledgesNoEndOfTheNewOne)
+{
+    this->answerWithFirstEnd(1000, "a");
+    this->list(2000);
+    this->answerWithFirstEnd(2000, "b");
+    ASSERT_EQ(this->listener.ends.size(), 2U);
+    const std::size_t polls = this->link.renewals.size();
+    this->fleet.endRecorded(this->listener.ends[0], start);
+    for (const ManualLink::Renewal &renewal : this->link.renewals)
+        EXPECT_EQ(renewal.order.endsRecorded, 0);
+    this->fleet.endRecorded(this->listener.ends[1], start);
+    ASSERT_EQ(this->link.renewals.size(), polls + 1);
+    EXPECT_EQ(this->link.renewals.back().order.endsRecorded, 1);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
