Settle a stopped run that was never seen without a long poll

The price of the stop order after a rejected attempt: the leader then polled the worker with the usual wait of up to two seconds, and a run that never started has no end that would make the worker answer sooner. A poll with such a run pending now asks for the lists at once.

WorkerFleetTest.StoppedRunThatWasNeverSeenIsSettledWithoutALongPoll.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -346,6 +346,19 @@
         });
 }
 
+/// A run whose order was answered and which was not seen yet waits for the worker's list: it may
+/// have no end that would make the worker answer.
+Duration WorkerFleet::pollWaitOf(const Worker &worker) const
+{
+    const bool hasUnsettledRun
+        = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+              return entry.second.orderConfirmedAt && !entry.second.startConfirmedAt;
+          });
+    if (hasUnsettledRun)
+        return Duration{};
+    return worker.isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
+}
+
 void WorkerFleet::poll(const std::string &id, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
@@ -361,7 +374,7 @@
     const bool answering = worker->pollRetryDelay == Duration{};
     if (hasSession && answering && !worker->runs.empty()) {
         order.leaseUntil = this->extendLease(*worker, now);
-        order.wait = worker->isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
+        order.wait = this->pollWaitOf(*worker);
     }
     worker->pollInFlight = true;
     worker->pollSentAt = now;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -212,6 +212,7 @@
     Duration longestLease() const;
     TimePoint latestStart(const Worker &worker, TimePoint now) const;
     std::int64_t extendLease(Worker &worker, TimePoint now);
+    Duration pollWaitOf(const Worker &worker) const;
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
                           TimePoint sentAt, TimePoint now);
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -19,11 +19,15 @@
     };
 
     void start(const Tasks::WorkerEntry &, const Tasks::StartOrder &, Duration,
-               Tasks::WorkerHandler) override
-    {}
+               Tasks::WorkerHandler handler) override
+    {
+        this->starts.push_back(std::move(handler));
+    }
     void stop(const Tasks::WorkerEntry &, const Tasks::StopOrder &, Duration,
-              Tasks::WorkerHandler) override
-    {}
+              Tasks::WorkerHandler handler) override
+    {
+        this->stops.push_back(std::move(handler));
+    }
     void setPace(const Tasks::WorkerEntry &, const Tasks::PaceOrder &, Duration,
                  Tasks::WorkerHandler) override
     {}
@@ -34,6 +38,8 @@
     }
 
     std::vector<Renewal> renewals;
+    std::vector<Tasks::WorkerHandler> starts;
+    std::vector<Tasks::WorkerHandler> stops;
 };
 
 class RecordingListener final : public FleetListener
@@ -107,6 +113,28 @@
     EXPECT_EQ(this->link.renewals.back().order.endsRecorded, 1);
 }
 
+TEST_F(WorkerFleetTest, StoppedRunThatWasNeverSeenIsSettledWithoutALongPoll)
+{
+    using Tasks::WorkerOutcome;
+    const auto answerOf = [](WorkerOutcome outcome) {
+        Tasks::WorkerAnswer answer;
+        answer.outcome = outcome;
+        answer.incarnation = 1000;
+        return answer;
+    };
+    this->link.renewals.back().handler(answerOf(WorkerOutcome::Done), start);
+    WorkerFleet::Run run;
+    run.ref = {"a", {}, 1};
+    this->fleet.assign("worker-0", run, start);
+    this->fleet.start("worker-0", run.ref, start);
+    this->link.starts.at(0)({}, start);
+    this->link.starts.at(1)(answerOf(WorkerOutcome::Unhealthy), start);
+    const std::size_t polls = this->link.renewals.size();
+    this->link.stops.at(0)(answerOf(WorkerOutcome::Done), start);
+    ASSERT_EQ(this->link.renewals.size(), polls + 1);
+    EXPECT_EQ(this->link.renewals.back().order.wait, Duration{});
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
