Let the soak build again

Cause: Tasks::nameOf(EndCause) is new and is found by argument beside the stand-in's own function. The two can't be joined: the log says "lease lapsed", the platform's lists say "lapsed".

Change: the stand-in's function is named wireNameOf. Measured: hibiscus-soak builds.

--- a/Soak/StandInWire.cpp
+++ b/Soak/StandInWire.cpp
@@ -137,7 +137,8 @@
     return commit;
 }
 
-const char *nameOf(EndCause cause)
+/// Returns the platform's name of the cause, as in the lists of a worker.
+const char *wireNameOf(EndCause cause)
 {
     switch (cause) {
     case EndCause::Done:
@@ -165,7 +166,7 @@
     json ended = json::array();
     for (const Tasks::EndedTask &task : answer.ended)
         ended.push_back({task.number, Platform::taskName(task.run), task.run.run,
-                         nameOf(task.cause), task.checkpoint});
+                         wireNameOf(task.cause), task.checkpoint});
     return {{"clockMs", answer.clock},
             {"born", answer.incarnation},
             {"running", std::move(running)},
