Soak: log what the fakes of the platform did

What was missing: the logs of the instances don't say when a worker restarted without its leader noticing, which order reached which process of a worker, under which fencing token and whether it was delayed, or when a guarantee was violated.

--- a/Soak/FaultSchedule.cpp
+++ b/Soak/FaultSchedule.cpp
@@ -56,6 +56,7 @@
     const NamedFault &selected
         = faults[this->random(static_cast<std::uint32_t>(std::size(faults)))];
     this->counts[selected.name]++;
+    this->site.logAction("fault", {{"name", selected.name}});
     (this->*selected.fault)();
     const Duration pause
         = Duration(this->random(static_cast<std::uint32_t>(this->settings.maxPause.count())));
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -1,10 +1,9 @@
+#include <Runtime/Clock.h>
 #include <Soak/SoakSite.h>
 #include <Soak/StandInWire.h>
 #include <platform/Formats.h>
 
 #include <csignal>
-#include <fstream>
-#include <nlohmann/json.hpp>
 #include <sys/wait.h>
 
 namespace Hibiscus::Soak {
@@ -50,6 +49,7 @@
 SoakSite::SoakSite(asio::io_context &loop, const Settings &settings)
     : loop(loop)
     , settings(settings)
+    , actions(settings.folder + "/platform.log")
     , clockTimer(loop)
     , clockAdvancedAt(std::chrono::steady_clock::now())
 {
@@ -74,6 +74,8 @@
     const auto passed = std::chrono::duration_cast<Duration>(now - this->clockAdvancedAt);
     this->clockAdvancedAt += passed;
     this->clock.run(passed);
+    for (; this->loggedViolations < this->workers.violations.size(); this->loggedViolations++)
+        this->logAction("violation", {{"text", this->workers.violations[this->loggedViolations]}});
     this->clockTimer.expires_after(clockInterval);
     this->clockTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -91,6 +93,7 @@
         this->loop, anyPort,
         [this, number](const Runtime::HttpRequest &request,
                        const Runtime::HttpResponder &responder) {
+            this->logOrder(this->machines[number], request);
             serveWorker(this->link, this->machines[number].entry, request, responder);
         },
         Runtime::HttpServer::Settings{});
@@ -99,6 +102,32 @@
     this->publish(machine);
 }
 
+void SoakSite::logAction(std::string_view action, nlohmann::json fields)
+{
+    fields["time"] = Runtime::wallClockMs();
+    fields["action"] = action;
+    this->actions << fields.dump() << std::endl;
+}
+
+/// Logs a start or stop order when it reaches the worker's server. While the worker's orders are
+/// delayed, the worker executes it after FakeWorkers::orderDelay.
+void SoakSite::logOrder(const Machine &machine, const Runtime::HttpRequest &request)
+{
+    if (request.target() == "/hold" || request.target() == "/pace")
+        return;
+    const nlohmann::json order = nlohmann::json::parse(request.body(), nullptr, false);
+    if (!order.is_object())
+        return;
+    this->logAction("order received",
+                    {{"worker", machine.entry.id},
+                     {"incarnation", machine.entry.incarnation},
+                     {"order", std::string(request.target())},
+                     {"task", order.value("task", "")},
+                     {"run", order.value("run", 0)},
+                     {"token", order.value("fencingToken", std::int64_t{0})},
+                     {"delayed", this->workers.delayedWorkers.contains(machine.entry.id)}});
+}
+
 void SoakSite::publish(Machine &machine)
 {
     this->store.put(registryKey(machine.entry.id), encodeEntry(machine.entry, ++this->sequence));
@@ -151,6 +180,7 @@
     instance.stopExpected = instance.stopExpected || signal == SIGKILL || signal == SIGTERM;
     instance.paused = signal == SIGSTOP || (instance.paused && signal != SIGCONT);
     instance.process->signal(signal);
+    this->logAction("signal", {{"instance", instance.name}, {"signal", signal}});
     // A paused process handles no signal except SIGKILL.
     if (signal == SIGTERM && instance.paused)
         this->signalInstance(number, SIGCONT);
@@ -188,6 +218,8 @@
     machine.entry = this->workers.restart(machine.entry.id);
     machine.entry.address = address;
     machine.entry.dataCenter = "north";
+    this->logAction("worker restarted",
+                    {{"worker", machine.entry.id}, {"incarnation", machine.entry.incarnation}});
     this->publish(machine);
 }
 
@@ -199,6 +231,8 @@
 
 void SoakSite::setOrdersDelayed(std::size_t worker, bool delayed)
 {
+    this->logAction("orders delayed",
+                    {{"worker", this->machines[worker].entry.id}, {"delayed", delayed}});
     if (delayed)
         this->workers.delayedWorkers.insert(this->machines[worker].entry.id);
     else
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -8,9 +8,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fstream>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hibiscus::Soak {
@@ -66,6 +69,9 @@
     /// Stops all instances and checks their logs.
     void stopAll();
 
+    /// Adds a line to the log of what the fakes did, which is kept beside the instances' logs.
+    void logAction(std::string_view action, nlohmann::json fields);
+
     TimePoint now() const { return this->clock.now(); }
     SimClock clock;
     FakeStore store{this->clock};
@@ -97,10 +103,13 @@
     void addInstance(std::size_t number);
     void addWorker(std::size_t number);
     void publish(Machine &machine);
+    void logOrder(const Machine &machine, const Runtime::HttpRequest &request);
     void checkLog(const Instance &instance);
 
     boost::asio::io_context &loop;
     Settings settings;
+    std::ofstream actions;
+    std::size_t loggedViolations = 0; ///< Number of the workers' violations in the log.
     boost::asio::steady_timer clockTimer;
     std::chrono::steady_clock::time_point clockAdvancedAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
