Let no restarted worker answer a poll of its earlier process

Cause: the fake of the workers kept the waiting poll in its event queue and answered it, up to two seconds later, with the lists and the `born` of the new process. That answer would show the leader a session under its token with a process that has never seen the token.

Decided by PROTOCOL.md, "Service discovery": "A worker that crashes sends nothing", and a worker that starts again under its id "then holds and knows nothing of before"; "Running tasks": after a crash it "has seen no fencing token".

Change: such a poll gets no answer.

This makes the fake stricter: the leader gets no lists of the new process by an old poll.

--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -490,8 +490,11 @@
             return;
         }
         const auto done = std::make_shared<bool>(false);
-        const auto reply = [this, &target, id, handler, alive, done] {
-            if (!*alive || !this->reaches(id) || std::exchange(*done, true))
+        const std::int64_t incarnation = target.machines[id].entry.incarnation;
+        const auto reply = [this, &target, id, incarnation, handler, alive, done] {
+            // A worker that crashes sends nothing, so the next process does not answer the poll.
+            const bool isSameProcess = target.machines[id].entry.incarnation == incarnation;
+            if (!*alive || !isSameProcess || !this->reaches(id) || std::exchange(*done, true))
                 return;
             this->answer(handler, target.report(target.machines[id]), target.latency);
         };
