--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -36,6 +36,19 @@
         return {};
     }
 
+    /// The worker of the newest assignment by the leader.
+    std::string assignedWorker() const
+    {
+        std::string worker;
+        for (const std::string &event :
+             this->cluster.instances.at(this->cluster.leader())->logger.events) {
+            constexpr std::string_view name = "run assigned ";
+            if (event.starts_with(name))
+                worker = nlohmann::json::parse(event.substr(name.size())).at("worker");
+        }
+        return worker;
+    }
+
     Cluster cluster{3, 8};
 };
 
@@ -291,6 +304,85 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
 }
 
+TEST_F(Failover, LateStartOfAFormerLeaderOnARestartedWorkerDoesNotRunAlongsideItsReplacement)
+{
+    // The worker answers the next leader before the former leader's start order is executed. It
+    // then restarts, has seen no fencing token, and executes that order.
+    for (int i = 0; i < 8; i++)
+        this->cluster.workers.delayedWorkers.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("6000", 1, 8));
+    this->cluster.run(milliseconds(200));
+    const std::string former = this->cluster.leader();
+    const std::string worker = this->assignedWorker();
+    ASSERT_FALSE(worker.empty());
+    this->cluster.instances.at(former)->election->resign(this->cluster.clock.now());
+    this->cluster.workers.delayedWorkers.clear();
+    // The next run goes to another worker, so the leader has no reason to poll this one.
+    Tasks::WorkerEntry draining = this->cluster.workers.entryOf(worker);
+    draining.draining = true;
+    this->cluster.putWorker(draining);
+    this->cluster.run(milliseconds(1500));
+    ASSERT_NE(this->cluster.leader(), "");
+    ASSERT_NE(this->cluster.leader(), former);
+    // The registry shows the restart only after the order is executed.
+    this->cluster.workers.restart(worker);
+    this->cluster.run(seconds(2));
+    this->cluster.putWorker(this->cluster.workers.entryOf(worker));
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, LateStartOfAFormerLeaderIsFencedOffByAWorkerThatIsKnownToHaveRestarted)
+{
+    // Soak seed 90001: the leader learns of the restart from the registry while a poll of the
+    // earlier process is in flight, a second before the former leader's start order is executed.
+    this->cluster.workers.orderDelay = seconds(2);
+    for (int i = 0; i < 8; i++)
+        this->cluster.workers.delayedWorkers.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("6000", 1, 8));
+    this->cluster.run(milliseconds(200));
+    const std::string former = this->cluster.leader();
+    const std::string worker = this->assignedWorker();
+    ASSERT_FALSE(worker.empty());
+    this->cluster.instances.at(former)->election->resign(this->cluster.clock.now());
+    this->cluster.workers.delayedWorkers.clear();
+    // Every worker is busy and polled. The others are free again before the late start.
+    this->accept(2, jobBody("1000", 7, 8));
+    this->cluster.run(milliseconds(600));
+    ASSERT_NE(this->cluster.leader(), former);
+    ASSERT_EQ(this->cluster.workers.runningOn(worker), 1U);
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, TaskDoesNotStartAgainAfterAnEarlierRunHasEndedAsDone)
+{
+    // Soak seed 90001: the start order of a run that counts as lost is executed late on a restarted
+    // worker, and the run ends as done before the task's next run is assigned.
+    for (int i = 0; i < 8; i++)
+        this->cluster.workers.delayedWorkers.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("300", 1, 8));
+    this->cluster.run(milliseconds(200));
+    const std::string worker = this->assignedWorker();
+    ASSERT_FALSE(worker.empty());
+    this->cluster.instances.at(this->cluster.leader())->election->resign(this->cluster.clock.now());
+    this->cluster.workers.delayedWorkers.clear();
+    // No worker takes the next run.
+    for (int i = 0; i < 8; i++) {
+        Tasks::WorkerEntry draining = this->cluster.workers.entryOf("worker-" + std::to_string(i));
+        draining.draining = true;
+        this->cluster.putWorker(draining);
+    }
+    this->cluster.run(milliseconds(1500));
+    this->cluster.workers.restart(worker);
+    this->cluster.run(seconds(2));
+    for (int i = 0; i < 8; i++)
+        this->cluster.putWorker(this->cluster.workers.entryOf("worker-" + std::to_string(i)));
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -108,6 +108,25 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
 }
 
+TEST_F(WorkerFault, LateStartOfACompletedTaskDoesNotRunBeforeItIsRevokedOnARestartedWorker)
+{
+    // The first of two attempts of the start order is executed late, after the second one has run
+    // to its end, and before the registry shows that the worker has restarted.
+    for (int i = 0; i < 4; i++)
+        this->cluster.workers.delayedWorkers.insert("worker-" + std::to_string(i));
+    this->accept(1, jobBody("300", 1, 8));
+    this->cluster.run(milliseconds(300));
+    this->cluster.workers.delayedWorkers.clear();
+    const std::string worker = this->assignedWorker();
+    this->cluster.run(milliseconds(1500));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    this->cluster.workers.restart(worker);
+    this->cluster.run(seconds(2));
+    this->cluster.putWorker(this->cluster.workers.entryOf(worker));
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 TEST_F(WorkerFault, TasksOfAFailedWorkerAreRescheduledAfterTheirLease)
 {
     this->accept(1, jobBody("2000", 2, 8));
