--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -20,6 +20,12 @@
     return behavior == this->behaviors.end() ? this->defaultBehavior : behavior->second;
 }
 
+Duration FakeStore::latencyOf(const std::string &instance) const
+{
+    const auto found = this->instanceLatencies.find(instance);
+    return found == this->instanceLatencies.end() ? this->latency : found->second;
+}
+
 const StoredItem *FakeStore::find(const std::string &key) const
 {
     const auto found = this->items.find(key);
@@ -151,12 +157,15 @@
 {
     FakeStore &target = this->store;
     target.clock.in(
-        target.latency,
+        target.latencyOf(this->instance),
         [this, &target, timeout, handler, action, isCommit, alive = this->alive,
          name = this->instance] {
+            const Duration latency = target.latencyOf(name);
             StoreBehavior behavior = target.behaviorOf(name);
             if (behavior == StoreBehavior::DropsCommits)
                 behavior = isCommit ? StoreBehavior::Unresponsive : StoreBehavior::Normal;
+            if (behavior == StoreBehavior::ExecutesCommitsLate)
+                behavior = isCommit ? StoreBehavior::ExecutesLate : StoreBehavior::Normal;
             StoreAnswer result;
             if (behavior == StoreBehavior::Normal || behavior == StoreBehavior::LosesAnswers)
                 result = action();
@@ -165,11 +174,11 @@
             if (!*alive)
                 return;
             if (behavior == StoreBehavior::Normal)
-                this->answer(handler, std::move(result), target.latency);
+                this->answer(handler, std::move(result), latency);
             else if (behavior == StoreBehavior::Rejecting)
-                this->answer(handler, {.outcome = StoreOutcome::Refused}, target.latency);
+                this->answer(handler, {.outcome = StoreOutcome::Refused}, latency);
             else
-                this->answer(handler, {}, timeout - target.latency);
+                this->answer(handler, {}, timeout - latency);
         });
 }
 
@@ -207,24 +216,25 @@
 {
     FakeStore &target = this->store;
     target.clock.in(
-        target.latency,
+        target.latencyOf(this->instance),
         [this, &target, prefix, revision, wait, handler, alive = this->alive,
          name = this->instance] {
             if (!*alive)
                 return;
             const StoreBehavior behavior = target.behaviorOf(name);
-            const bool answers
-                = behavior == StoreBehavior::Normal || behavior == StoreBehavior::DropsCommits;
+            const bool answers = behavior == StoreBehavior::Normal
+                || behavior == StoreBehavior::DropsCommits
+                || behavior == StoreBehavior::ExecutesCommitsLate;
             if (!answers) {
                 const bool refused = behavior == StoreBehavior::Rejecting;
                 this->answer(handler,
                              {.outcome = refused ? StoreOutcome::Refused : StoreOutcome::Unknown},
-                             refused ? target.latency : wait);
+                             refused ? target.latencyOf(name) : wait);
                 return;
             }
             StoreAnswer present = target.eventsAfter(prefix, revision);
             if (present.outcome != StoreOutcome::Done || !present.items.empty()) {
-                this->answer(handler, std::move(present), target.latency);
+                this->answer(handler, std::move(present), target.latencyOf(name));
                 return;
             }
             const auto entry = std::make_shared<Watch>();
@@ -234,12 +244,13 @@
                 // The answer is lost if the store's behaviour for the instance has changed in the
                 // meantime.
                 const StoreBehavior current = target.behaviorOf(name);
-                const bool isAnswered
-                    = current == StoreBehavior::Normal || current == StoreBehavior::DropsCommits;
+                const bool isAnswered = current == StoreBehavior::Normal
+                    || current == StoreBehavior::DropsCommits
+                    || current == StoreBehavior::ExecutesCommitsLate;
                 if (!isAnswered)
                     answer = {};
                 if (*alive)
-                    this->answer(handler, std::move(answer), target.latency);
+                    this->answer(handler, std::move(answer), target.latencyOf(name));
             };
             target.watches.push_back(entry);
             target.clock.in(wait, [&target, entry] {
--- a/UnitTests/Coordination/FakeStore.h
+++ b/UnitTests/Coordination/FakeStore.h
@@ -21,6 +21,8 @@
     LosesAnswers, ///< Calls are executed but not answered.
     DropsCommits, ///< Commits do not reach the store; other calls are executed and answered.
     ExecutesLate, ///< Calls are executed two seconds late and not answered.
+    /// Commits are executed two seconds late and not answered; other calls are answered.
+    ExecutesCommitsLate,
 };
 
 /// Fake of the platform's store with transactions, leases and watches on one revision counter.
@@ -42,6 +44,8 @@
     std::map<std::string, StoreBehavior> behaviors;
     StoreBehavior defaultBehavior = StoreBehavior::Normal;
     Duration latency = milliseconds(2); ///< Of one direction.
+    /// By instance; `latency` applies to the others.
+    std::map<std::string, Duration> instanceLatencies;
     std::uint64_t commits = 0; ///< Number of attempted commits.
 
     /// An instance's connection to the store. Answers to an instance that was killed are dropped.
@@ -68,6 +72,7 @@
     Tasks::StoreAnswer commit(const Tasks::StoreCommit &commit);
     Tasks::StoreAnswer eventsAfter(const std::string &prefix, std::int64_t after) const;
     StoreBehavior behaviorOf(const std::string &instance) const;
+    Duration latencyOf(const std::string &instance) const;
 
     SimClock &clock;
     std::int64_t revision = 1;
