Add a failing test: a start is forgotten between two renewals

LateCall.StartIsNotForgottenWhileARenewalIsAwaited: TaskDispatcher::startAssigned returns without a word if the lease is over by the leader's clock at the moment at which the assignment's commit is answered. The answer to a renewal that was sent in time arrives later, before the delayed timer that would step down, so the instance stays the leader. The run is neither started nor withdrawn, and nothing asks for it again: it was never sent, so no list counts it as missing.

Passed-in time: the store answers the leader after 900 ms, the leader's timers stand still for 180 ms.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -38,6 +38,45 @@
         return this->cluster.leader() == "entry-0" ? "entry-1" : "entry-0";
     }
 
+    /// The worker of the leader's newest assignment.
+    std::string assignedWorker() const
+    {
+        std::string worker;
+        for (const auto &[name, instance] : this->cluster.instances) {
+            for (const std::string &event : instance->logger.events) {
+                constexpr std::string_view assigned = "run assigned ";
+                if (event.starts_with(assigned))
+                    worker = nlohmann::json::parse(event.substr(assigned.size())).at("worker");
+            }
+        }
+        return worker;
+    }
+
+    /// Runs until the leader has just renewed its lease, and returns when it sent the renewal.
+    TimePoint runUntilRenewed()
+    {
+        const LeaderElection &election
+            = *this->cluster.instances.at(this->cluster.leader())->election;
+        const SimClock &clock = this->cluster.clock;
+        while (!election.isLeading(clock.now() + milliseconds(995)))
+            this->cluster.run(milliseconds(1));
+        return clock.now() - milliseconds(4);
+    }
+
+    /// From `renewedAt` on, the store answers the leader after 900 ms. The leader's timers stand
+    /// still from shortly before the end of its lease until the next renewal is answered, as on a
+    /// machine that is slowed down; so the leader does not step down.
+    void slowDownLeader(TimePoint renewedAt)
+    {
+        const std::string leader = this->cluster.leader();
+        this->cluster.store.instanceLatencies[leader] = milliseconds(450);
+        this->cluster.clock.at(renewedAt + milliseconds(990), [this, leader, renewedAt] {
+            *this->cluster.instances.at(leader)->suspendedUntil = renewedAt + milliseconds(1170);
+        });
+        this->cluster.clock.at(renewedAt + milliseconds(1170),
+                               [this] { this->cluster.store.instanceLatencies.clear(); });
+    }
+
     Cluster cluster{2, 4};
 };
 
@@ -62,6 +101,19 @@
     EXPECT_EQ(reply->pending, 7);
 }
 
+TEST_F(LateCall, StartIsNotForgottenWhileARenewalIsAwaited)
+{
+    // The assignment is stored while the leader's lease is over by its own clock; the answer to a
+    // renewal that was sent in time arrives later.
+    const TimePoint renewedAt = this->runUntilRenewed();
+    this->cluster.run(milliseconds(150));
+    this->accept(1, jobBody("1000", 1, 8));
+    this->slowDownLeader(renewedAt);
+    this->cluster.run(seconds(10));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
