Add a failing test: a cancelled job runs on after a gap between renewals

LateCall.CancelledJobIsStoppedAlsoWhileARenewalIsAwaited: TaskDispatcher::stopRuns returns without a word if the lease is over by the leader's clock at the moment at which the cancellation arrives. The job counts as over, its tasks stay on the workers, and their leases are renewed by the same leader.

Passed-in time, the same gap as for StartIsNotForgottenWhileARenewalIsAwaited. The stops of a gang's other members and those of runConfirmed go the same way.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -114,6 +114,20 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, CancelledJobIsStoppedAlsoWhileARenewalIsAwaited)
+{
+    // The leader learns of the cancellation while its lease is over by its own clock; the answer to
+    // a renewal that was sent in time arrives later.
+    this->accept(1, jobBody("60000", 2, 8));
+    this->cluster.run(seconds(2));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 2U);
+    this->slowDownLeader(this->runUntilRenewed());
+    this->cluster.run(milliseconds(600));
+    this->cluster.cancel(this->follower(), jobId(1));
+    this->cluster.run(seconds(10));
+    EXPECT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
