Add a failing test: the lease bound does not hold over a worker's restart

LateCall.LateStartOnARestartedWorkerOutOfReachDoesNotRunAlongsideItsReplacement: a start order is in flight when its worker restarts; the leader can't reach the new process to revoke it. WorkerFleet::sendStop gives the run up as soon as the lease bound of handleRestart is over (6.4 s), because "the worker rejects late start orders, since their lease is over". The lease of that order is a time on the clock of the earlier process, so the new one, whose clock starts anew, accepts it for up to maxStartDelay (13 s).

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -128,6 +128,24 @@
     EXPECT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 0U);
 }
 
+TEST_F(LateCall, LateStartOnARestartedWorkerOutOfReachDoesNotRunAlongsideItsReplacement)
+{
+    // The worker's process restarts with a start order in flight and can't be reached by the
+    // leader. The leader's bound for leases does not hold for the order: its lease is a time on the
+    // clock of the earlier process.
+    this->cluster.workers.orderDelay = seconds(9);
+    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    this->accept(1, jobBody("6000", 1, 8));
+    this->cluster.run(milliseconds(900));
+    const std::string worker = this->assignedWorker();
+    this->cluster.workers.delayedWorkers.clear();
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {worker};
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
