Add a failing test: a stop that was accepted ends with the worker's process

LateCall.LateStartThatWasStoppedDoesNotRunOnTheRestartedWorker: the worker has accepted the stop of an unanswered start, so the run counts as lost and the task runs elsewhere. The worker restarts, the registry shows it late, and the new process, which knows neither the stop nor a fencing token, carries the start out. Nobody revokes it before the registry's entry.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -146,6 +146,27 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, LateStartThatWasStoppedDoesNotRunOnTheRestartedWorker)
+{
+    // The worker leaves and accepts the stop order for an unanswered start. Its next process, which
+    // the registry shows late, knows nothing of the stop.
+    this->cluster.workers.orderDelay = seconds(5);
+    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    this->accept(1, jobBody("8000", 1, 8));
+    this->cluster.run(milliseconds(1100));
+    const std::string worker = this->assignedWorker();
+    this->cluster.workers.delayedWorkers.clear();
+    Tasks::WorkerEntry draining = this->cluster.workers.entryOf(worker);
+    draining.draining = true;
+    this->cluster.putWorker(draining);
+    this->cluster.run(milliseconds(2300));
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(worker);
+    this->cluster.run(seconds(2));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
