Add a failing test: a task is replaced while its late start is revoked

LateCall.TaskIsNotReplacedWhileItsLateStartIsRevoked: WorkerFleet::handleRestart counts the task's second run as lost at once, as only that run's own start is looked up in unansweredStarts. The first run's start, still in flight, has been carried out by the new process meanwhile. Its stop is sent, and the third run is started beside it, here on the same worker.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -167,6 +167,25 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, TaskIsNotReplacedWhileItsLateStartIsRevoked)
+{
+    // The second run of a task is lost in a restart of its worker. The first run's start order,
+    // which the earlier process was told to stop, is carried out by the new process and has to be
+    // stopped there before the task can start again.
+    this->cluster.workers.orderDelay = seconds(5);
+    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    this->accept(1, jobBody("8000", 1, 8));
+    this->cluster.run(milliseconds(1100));
+    const std::string worker = this->assignedWorker();
+    this->cluster.workers.delayedWorkers.clear();
+    this->cluster.run(milliseconds(2300));
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(worker);
+    this->cluster.run(seconds(2));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(40));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
