Add a failing test: a late poll wipes the ends of the worker's next process

LateCall.LatePollOfAnEarlierProcessAcknowledgesNoEndOfTheNextOne: the numbers of ends start anew with each process, but /hold names no incarnation (Expect-Instance names the id, which the restarted worker keeps). A poll that acknowledges eight ends gets no answer and is carried out 5 s later by the next process, which forgets its end 1. That end's record is not stored, and the leader dies. By reading, not by a run: the first poll after a restart that the leader hasn't noticed carries the old number too.

Control: without the delayed poll the test passes.

FakeWorkers learns polls that are carried out late and not answered.

--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -480,6 +480,11 @@
         this->answer(handler, {}, timeout);
         return;
     }
+    if (target.delayedPolls.contains(id)) {
+        target.clock.in(target.orderDelay, [&target, id, order] { target.renew(id, order); });
+        this->answer(handler, {}, timeout);
+        return;
+    }
     target.clock.in(target.latency, [this, &target, id, order, handler, alive = this->alive] {
         WorkerAnswer first = target.renew(id, order);
         const bool waits
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -53,6 +53,8 @@
     std::map<std::string, std::set<std::string>> unreachableWorkers; ///< By instance.
     /// Workers that execute orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedWorkers;
+    /// Workers that execute polls after `orderDelay` and don't answer them.
+    std::set<std::string> delayedPolls;
     /// Workers that reject start orders without effect.
     std::set<std::string> unhealthyWorkers;
     Duration orderDelay = seconds(3);
@@ -78,6 +80,11 @@
         return this->machines.at(id).entry;
     }
     std::size_t runningOn(const std::string &id) const;
+    /// Number of ends that the worker lists, since they were not acknowledged.
+    std::size_t listedEndsOf(const std::string &id) const
+    {
+        return this->machines.at(id).ended.size();
+    }
     std::size_t runningTasks() const;
     /// Number of running tasks of the job.
     std::size_t runningTasksOf(const std::string &job) const;
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -186,6 +186,38 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, LatePollOfAnEarlierProcessAcknowledgesNoEndOfTheNextOne)
+{
+    // A poll with the acknowledgement of eight ends is carried out after a restart of the worker,
+    // whose next process counts its ends from one. The record of its first end is not stored yet.
+    const std::string worker = "worker-0";
+    for (int i = 1; i < 4; i++)
+        this->cluster.removeWorkerEntry("worker-" + std::to_string(i));
+    this->accept(1, jobBody("300", 8, 1));
+    this->cluster.run(seconds(1));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    this->accept(2, jobBody("30000", 1, 1));
+    this->cluster.run(milliseconds(500));
+    this->cluster.workers.orderDelay = seconds(5);
+    this->cluster.workers.delayedPolls = {worker};
+    this->cluster.run(milliseconds(2200));
+    this->cluster.workers.delayedPolls.clear();
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    this->cluster.run(milliseconds(2600));
+    this->accept(3, jobBody("700", 1, 1));
+    for (int i = 0; i < 4000 && this->cluster.workers.startsOf(jobId(3)) == 0; i++)
+        this->cluster.run(milliseconds(10));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(3)), 1U);
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.behaviors[leader] = StoreBehavior::DropsCommits;
+    this->cluster.run(milliseconds(2000));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(3)), 0U);
+    this->cluster.killInstance(leader);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
