Add a failing test: an old answer settles the ends of the worker's next process

LateCall.AnswerOfAnEarlierProcessDoesNotSettleTheEndsOfTheNextOne: WorkerFleet::poll notes the acknowledged number before acceptAnswer looks at the answer's incarnation. If the registry has shown the restart first, the number of the earlier process counts for the next one, and an idle worker isn't polled again to acknowledge its ends.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -218,6 +218,30 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
 }
 
+TEST_F(LateCall, AnswerOfAnEarlierProcessDoesNotSettleTheEndsOfTheNextOne)
+{
+    // The registry shows a restart of the worker while an answer of the earlier process, to a poll
+    // that acknowledged eight ends, is on its way.
+    const std::string worker = "worker-0";
+    for (int i = 1; i < 4; i++)
+        this->cluster.removeWorkerEntry("worker-" + std::to_string(i));
+    this->accept(1, jobBody("300", 8, 1));
+    this->cluster.run(seconds(1));
+    this->cluster.workers.latency = milliseconds(100);
+    this->accept(2, jobBody("2000", 1, 1));
+    // The end of the second job answers a poll.
+    while (this->cluster.workers.startsOf(jobId(2)) == 0)
+        this->cluster.run(milliseconds(1));
+    this->cluster.run(milliseconds(2050));
+    ASSERT_EQ(this->cluster.workers.runningTasks(), 0U);
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    this->cluster.run(seconds(3));
+    this->accept(3, jobBody("500", 1, 1));
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.listedEndsOf(worker), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
