Add a failing test: a restarted worker is filled by its former capacity

An answer shows the new incarnation before the registry does; WorkerFleet::acceptAnswer takes it over, and the worker is usable at once with the capacity, labels and state of its earlier process. No call has to be late for that, only the worker's own entry.

FakeWorkers learns capacities and checks them where a task's script says what it uses.

--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -67,8 +67,10 @@
 
 std::string encodeEntry(const Tasks::WorkerEntry &entry)
 {
-    return json{
-        {"incarnation", entry.incarnation}, {"labels", entry.labels}, {"draining", entry.draining}}
+    return json{{"incarnation", entry.incarnation},
+                {"labels", entry.labels},
+                {"draining", entry.draining},
+                {"accelerators", entry.capacity.accelerators}}
         .dump();
 }
 
@@ -83,7 +85,7 @@
     entry.address = entry.id + ":1";
     entry.service = "blend";
     entry.labels = value.at("labels").get<std::vector<std::string>>();
-    entry.capacity = {32000, 65536, 8};
+    entry.capacity = {32000, 65536, value.at("accelerators").get<std::int64_t>()};
     entry.draining = value.at("draining").get<bool>();
     entry.incarnation = value.at("incarnation").get<std::int64_t>();
     return entry;
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -38,6 +38,7 @@
     script.bestEffort = payload.find(",fill") != std::string::npos;
     script.needsPermit = payload.find(",permit") != std::string::npos;
     script.restartsWhenDone = payload.find(",again") != std::string::npos;
+    script.accelerators = numberAfter(",use=");
     return script;
 }
 
@@ -56,12 +57,13 @@
     return entry;
 }
 
-WorkerEntry FakeWorkers::restart(const std::string &id)
+WorkerEntry FakeWorkers::restart(const std::string &id, std::int64_t accelerators)
 {
     Machine &machine = this->machines[id];
     Machine fresh;
     fresh.entry = machine.entry;
     fresh.entry.incarnation = machine.entry.incarnation + 1000;
+    fresh.entry.capacity.accelerators = accelerators;
     fresh.startedAt = this->clock.now();
     machine = std::move(fresh);
     return machine.entry;
@@ -160,8 +162,19 @@
         this->end(id, machine.running.begin()->first, EndCause::LeaseExpired);
 }
 
-void FakeWorkers::checkStart(const std::string &id, const RunRef &run, bool restartsWhenDone)
+void FakeWorkers::checkCapacity(const std::string &id, const RunRef &run, const TaskScript &script)
 {
+    const Machine &machine = this->machines.at(id);
+    std::int64_t used = script.accelerators;
+    for (const auto &[name, task] : machine.running)
+        used += task.script.accelerators;
+    if (used > machine.entry.capacity.accelerators)
+        this->violations.push_back(describe(run) + " brings " + id + " over its capacity");
+}
+
+void FakeWorkers::checkStart(const std::string &id, const RunRef &run, const TaskScript &script)
+{
+    this->checkCapacity(id, run, script);
     const TaskName name{run.job, run.task};
     for (const auto &[other, machine] : this->machines) {
         if (machine.alive && machine.running.contains(name))
@@ -171,7 +184,7 @@
                                            .append(" while it runs on ")
                                            .append(other));
     }
-    if (!restartsWhenDone && this->acknowledgedDone.contains(name))
+    if (!script.restartsWhenDone && this->acknowledgedDone.contains(name))
         this->violations.push_back(describe(run) + " starts after its end was acknowledged");
     const auto cancel = this->cancelledAt.find(run.job);
     if (cancel != this->cancelledAt.end()
@@ -211,7 +224,7 @@
         answer.outcome = WorkerOutcome::NotPermitted;
         return answer;
     }
-    this->checkStart(id, order.run, script.restartsWhenDone);
+    this->checkStart(id, order.run, script);
     this->starts[order.run.job]++;
     Task task;
     task.run = order.run;
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -14,7 +14,7 @@
 namespace Hibiscus::Coordination::Test {
 
 /// Behaviour of a task, parsed from its payload:
-/// "RUNTIME_MS[,fail][,gang=N][,serve=TARGET_MS][,fill][,permit][,again]".
+/// "RUNTIME_MS[,fail][,gang=N][,serve=TARGET_MS][,fill][,permit][,again][,use=N]".
 struct TaskScript
 {
     Duration runTime = seconds(1);
@@ -27,6 +27,8 @@
     bool needsPermit = false;
     /// Perpetual: is started again even after it ended successfully.
     bool restartsWhenDone = false;
+    /// Accelerators that the task occupies; workers check them against their capacity.
+    std::int64_t accelerators = 0;
 };
 TaskScript parseScript(const std::string &payload);
 
@@ -45,8 +47,8 @@
     /// Adds a worker and returns its registry entry.
     Tasks::WorkerEntry add(const std::string &id, const std::string &rack);
     /// Restarts the worker's process, which loses all runs and ends, and returns its new registry
-    /// entry.
-    Tasks::WorkerEntry restart(const std::string &id);
+    /// entry. The new process may have fewer accelerators.
+    Tasks::WorkerEntry restart(const std::string &id, std::int64_t accelerators = 8);
     void kill(const std::string &id);
 
     /// Workers that an instance can't reach, in both directions.
@@ -139,7 +141,8 @@
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
     Tasks::WorkerAnswer report(const Machine &machine) const;
-    void checkStart(const std::string &id, const Tasks::RunRef &run, bool restartsWhenDone);
+    void checkStart(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
+    void checkCapacity(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
     void begin(const std::string &id, Task &task);
     void beginGangIfWhole(const Tasks::RunRef &run, std::int32_t members);
     void end(const std::string &id, const TaskName &name, Tasks::EndCause cause);
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -242,6 +242,19 @@
     EXPECT_EQ(this->cluster.workers.listedEndsOf(worker), 0U);
 }
 
+TEST_F(LateCall, RestartedWorkerIsNotFilledByTheCapacityOfItsEarlierProcess)
+{
+    // The worker starts again with half of its accelerators. It answers a poll before the registry
+    // shows the new entry.
+    this->accept(1, jobBody("20000,use=8", 4, 8));
+    this->cluster.run(seconds(1));
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart("worker-0", 4);
+    this->cluster.run(seconds(5));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(60));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
