Add a failing test: a late entry of an earlier process replaces the newer one

LateCall.LateEntryOfAnEarlierProcessDoesNotReplaceTheNewerOne: WorkerFleet::workerListed keeps the higher incarnation but takes capacity, labels, service, address and draining from the older entry, which the worker's earlier process wrote and the store carried out late.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -255,6 +255,20 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, LateEntryOfAnEarlierProcessDoesNotReplaceTheNewerOne)
+{
+    // The worker starts again with half of its accelerators. An entry that its earlier process
+    // wrote reaches the registry after that of the new process.
+    const Tasks::WorkerEntry former = this->cluster.workers.entryOf("worker-0");
+    this->cluster.putWorker(this->cluster.workers.restart("worker-0", 4));
+    this->cluster.run(milliseconds(500));
+    this->cluster.putWorker(former);
+    this->cluster.run(milliseconds(500));
+    this->accept(1, jobBody("2000,use=8", 4, 8));
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
