Add a failing test: one record that the store refuses holds up all jobs

LateCall.RecordThatTheStoreRefusesDoesNotHoldUpOtherJobs: RecordWriter::handleAnswer resends a commit that was answered with 400, 403 or 404 unchanged for ever, like one without an answer. No code looks at the store's valueBytes, and a record with a row for each task can outgrow it after the job was accepted. Every leader after this one gets stuck in the same way.

FakeStore learns a limit of values; the limit of a real site was not looked up.

--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -119,6 +119,10 @@
         = commit.checks.size() + commit.writes.size() + commit.removals.size();
     if (entries > Tasks::maxCommitEntries)
         return {.outcome = StoreOutcome::Refused};
+    for (const Tasks::StoredWrite &write : commit.writes) {
+        if (this->maxValueBytes != 0 && write.value.size() > this->maxValueBytes)
+            return {.outcome = StoreOutcome::Refused};
+    }
     StoreAnswer conflict{.outcome = StoreOutcome::Conflict, .revision = this->revision};
     bool holds = true;
     for (const Tasks::RevisionCheck &check : commit.checks) {
--- a/UnitTests/Coordination/FakeStore.h
+++ b/UnitTests/Coordination/FakeStore.h
@@ -46,6 +46,8 @@
     Duration latency = milliseconds(2); ///< Of one direction.
     /// By instance; `latency` applies to the others.
     std::map<std::string, Duration> instanceLatencies;
+    /// Longest value in bytes; commits with a longer one are refused. 0: no limit.
+    std::size_t maxValueBytes = 0;
     std::uint64_t commits = 0; ///< Number of attempted commits.
 
     /// An instance's connection to the store. Answers to an instance that was killed are dropped.
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -57,12 +57,13 @@
     return entry;
 }
 
-WorkerEntry FakeWorkers::restart(const std::string &id, std::int64_t accelerators)
+WorkerEntry FakeWorkers::restart(const std::string &id, std::int64_t accelerators,
+                                 std::int64_t step)
 {
     Machine &machine = this->machines[id];
     Machine fresh;
     fresh.entry = machine.entry;
-    fresh.entry.incarnation = machine.entry.incarnation + 1000;
+    fresh.entry.incarnation = machine.entry.incarnation + step;
     fresh.entry.capacity.accelerators = accelerators;
     fresh.startedAt = this->clock.now();
     machine = std::move(fresh);
@@ -479,6 +480,13 @@
 void FakeWorkers::View::setPace(const WorkerEntry &worker, const Tasks::PaceOrder &order,
                                 Duration timeout, WorkerHandler handler)
 {
+    FakeWorkers &target = this->workers;
+    if (target.delayedPaceOrders.contains(worker.id)) {
+        target.clock.in(target.orderDelay,
+                        [&target, id = worker.id, order] { target.setPace(id, order); });
+        this->answer(handler, {}, timeout);
+        return;
+    }
     this->order(worker.id, timeout, handler, [&target = this->workers, id = worker.id, order] {
         return target.setPace(id, order);
     });
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -47,8 +47,10 @@
     /// Adds a worker and returns its registry entry.
     Tasks::WorkerEntry add(const std::string &id, const std::string &rack);
     /// Restarts the worker's process, which loses all runs and ends, and returns its new registry
-    /// entry. The new process may have fewer accelerators.
-    Tasks::WorkerEntry restart(const std::string &id, std::int64_t accelerators = 8);
+    /// entry. The new process may have fewer accelerators. Its incarnation differs by `step`, which
+    /// is negative if the machine's clock was set back.
+    Tasks::WorkerEntry restart(const std::string &id, std::int64_t accelerators = 8,
+                               std::int64_t step = 1000);
     void kill(const std::string &id);
 
     /// Workers that an instance can't reach, in both directions.
@@ -57,6 +59,8 @@
     std::set<std::string> delayedWorkers;
     /// Workers that execute polls after `orderDelay` and don't answer them.
     std::set<std::string> delayedPolls;
+    /// Workers that execute pace orders after `orderDelay` and don't answer them.
+    std::set<std::string> delayedPaceOrders;
     /// Workers that reject start orders without effect.
     std::set<std::string> unhealthyWorkers;
     Duration orderDelay = seconds(3);
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -269,6 +269,16 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, RecordThatTheStoreRefusesDoesNotHoldUpOtherJobs)
+{
+    // The progress record of the first job is longer than the store's values may be.
+    this->cluster.store.maxValueBytes = 800;
+    this->accept(1, jobBody("1000", 28, 1));
+    this->accept(2, jobBody("1000", 1, 1));
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
