Add a failing test: a worker whose clock was set back is never heard again

WorkerFleet::acceptAnswer ignores every answer of a process with a lower one, workerListed takes no restart from it, and each further poll extends leaseExpiresAt, so that the runs of the earlier process are never given up.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -279,6 +279,16 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
 }
 
+TEST_F(LateCall, WorkerWhoseClockWasSetBackStartsItsTasksAgain)
+{
+    // The worker's new process reports an earlier start time than the one before it.
+    this->accept(1, jobBody("2000", 4, 8));
+    this->cluster.run(milliseconds(500));
+    this->cluster.putWorker(this->cluster.workers.restart("worker-0", 8, -500));
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
