Add a failing test: a late pace order replaces a newer one

LateCall.LatePaceOrderDoesNotReplaceANewerOne: WorkerFleet::sendPace has several orders in flight and takes the answer to the last one for the pace that the worker applies. An order without an answer is carried out later, and while the wanted pace doesn't change, nothing is sent again. Pace 0 stops a task for good.

Seen: 4 tasks at pace 0 although 100 was ordered and confirmed, 18 s after the tasks that they disturbed had ended, at, passed-in time, orders carried out 6 s late. Control: without the delay the test passes.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -289,6 +289,26 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, LatePaceOrderDoesNotReplaceANewerOne)
+{
+    // A pace order gets no answer and is carried out after the latency-sensitive tasks have ended
+    // and full pace was ordered and confirmed.
+    for (std::uint32_t i = 1; i <= 4; i++)
+        this->accept(i, withFields(jobBody("900000,serve=300", 1, 1), {{"perpetual", true}}));
+    this->cluster.run(seconds(1));
+    this->cluster.workers.orderDelay = seconds(6);
+    this->cluster.workers.delayedPaceOrders = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    for (std::uint32_t i = 11; i <= 14; i++)
+        this->accept(i, jobBody("60000,fill", 1, 1));
+    this->cluster.run(milliseconds(1500));
+    this->cluster.workers.delayedPaceOrders.clear();
+    for (std::uint32_t i = 1; i <= 4; i++)
+        this->cluster.cancel(this->follower(), jobId(i));
+    this->cluster.run(seconds(20));
+    EXPECT_EQ(this->cluster.workers.runningTasks(), 4U);
+    EXPECT_EQ(this->cluster.workers.throttledTasks(), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
