Add a failing test: the revocation of a start is repeated without a pause

LateCall.RevocationOfAStartPausesWhileTheWorkerRefusesConnections: WorkerFleet::revokeStart sends the next stop order as soon as the last one has failed. Where the connection is refused or the worker answers 429, 503 or 421, that is as fast as the loop turns, for up to maxStartDelay and for each open start.

FakeWorkers learns workers that refuse connections for orders.

--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -446,6 +446,11 @@
                               const Action &action)
 {
     FakeWorkers &target = this->workers;
+    if (target.closedWorkers.contains(id)) {
+        target.refusedConnections++;
+        this->answer(handler, {}, 2 * target.latency);
+        return;
+    }
     const bool reached = this->reaches(id);
     const bool isDelayed = target.delayedWorkers.contains(id);
     if (reached && isDelayed)
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -61,6 +61,8 @@
     std::set<std::string> delayedPolls;
     /// Workers that execute pace orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedPaceOrders;
+    /// Workers that refuse connections for orders.
+    std::set<std::string> closedWorkers;
     /// Workers that reject start orders without effect.
     std::set<std::string> unhealthyWorkers;
     Duration orderDelay = seconds(3);
@@ -80,6 +82,7 @@
     Duration maxOverTargetTime = seconds(4);
     std::size_t paceOrders = 0;
     std::size_t permitRejections = 0;
+    std::size_t refusedConnections = 0;
 
     const Tasks::WorkerEntry &entryOf(const std::string &id) const
     {
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -309,6 +309,25 @@
     EXPECT_EQ(this->cluster.workers.throttledTasks(), 0U);
 }
 
+TEST_F(LateCall, RevocationOfAStartPausesWhileTheWorkerRefusesConnections)
+{
+    // The worker restarts with a start order of a completed task in flight, and the port of its new
+    // process closes again for 13 s. The pause between two stop orders is 150 ms, so there are at
+    // most 90 of them.
+    this->cluster.workers.delayedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    this->cluster.workers.orderDelay = seconds(60);
+    this->accept(1, jobBody("300", 1, 8));
+    this->cluster.run(milliseconds(300));
+    this->cluster.workers.delayedWorkers.clear();
+    this->cluster.run(milliseconds(1500));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    const std::string worker = this->assignedWorker();
+    this->cluster.workers.closedWorkers = {worker};
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    this->cluster.run(seconds(13));
+    EXPECT_LE(this->cluster.workers.refusedConnections, 90U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
