Add a failing test: an unreadable answer counts as an empty worker

AdapterTest.UnreadableAnswerDoesNotShowAnEmptyWorker: decodeAnswer of the worker's adapter takes a 200 whose body isn't a JSON object for an answer without running and ended tasks; the store's adapter takes the same for unknown. WorkerFleet::processRunning then counts each confirmed or adopted run as lost.

Nothing shows that a worker of a site answers like this.

--- a/UnitTests/platform/AdaptersTest.cpp
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -148,6 +148,18 @@
     EXPECT_EQ(this->requestBody(), (json{{"fencingToken", 7}, {"ackedUpto", 57}}));
 }
 
+TEST_F(AdapterTest, UnreadableAnswerDoesNotShowAnEmptyWorker)
+{
+    // Taken for an empty list, the answer would make all runs on the worker count as lost.
+    for (const char *body : {"", "\xff", "[]"}) {
+        this->responseBody = body;
+        std::optional<Tasks::WorkerAnswer> result;
+        this->workers.renew(this->worker, {0, 7, 57, {}}, seconds(20),
+                            [&result](const Tasks::WorkerAnswer &a, TimePoint) { result = a; });
+        EXPECT_EQ(this->wait(result).outcome, Tasks::WorkerOutcome::Unknown) << body;
+    }
+}
+
 TEST_F(AdapterTest, PaceIsSentInPercent)
 {
     std::optional<Tasks::WorkerAnswer> result;
