Add a failing test: an earlier call accepts a job after its refusal

LateCall.RefusedJobIsNotAcceptedByAnEarlierCallThatTriesAgain: the refusal that is stored under a job's key bars attempts that are in flight to the store, but not a call that is in progress at another instance. JobApi::handleSubmitConflict takes any refusal for an older one, even after an own attempt without an answer, and replaces it. The client, whose connection to that instance broke, has been told "not run".

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -328,6 +328,35 @@
     EXPECT_LE(this->cluster.workers.refusedConnections, 90U);
 }
 
+TEST_F(LateCall, RefusedJobIsNotAcceptedByAnEarlierCallThatTriesAgain)
+{
+    // The client's connection to one instance breaks while that instance has no answer from the
+    // store. Another instance then refuses the job for load.
+    const std::string leader = this->cluster.leader();
+    const std::string staleInstance = this->follower();
+    this->cluster.store.behaviors[staleInstance] = StoreBehavior::Unresponsive;
+    for (std::uint32_t i = 0; i < 16; i++)
+        this->cluster.submit(leader, jobId(i), jobBody("10000", 4, 8));
+    this->cluster.run(milliseconds(600));
+    const std::string body = jobBody("10000", 4, 8);
+    this->cluster.instances.at(staleInstance)
+        ->jobApi->handle(
+            {.verb = CallVerb::Submit,
+             .host = "jobs.example",
+             .path = "/p1/" + jobId(77),
+             .key = "key-1",
+             .body = body,
+             .deadline = this->cluster.clock.now() + seconds(3)},
+            [](const ClientReply &) {}, this->cluster.clock.now());
+    this->cluster.run(milliseconds(100));
+    const std::optional<ClientReply> reply = this->cluster.submit(leader, jobId(77), body);
+    ASSERT_TRUE(reply);
+    ASSERT_EQ(reply->kind, ReplyKind::NotRun);
+    this->cluster.store.behaviors.clear();
+    this->cluster.run(seconds(250));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(77)), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
