Add a failing test: an idle worker out of reach gets the same task again

LateCall.IdleWorkerOutOfReachHoldsUpATaskForOneLeaseAtMost: a start order to an idle worker that can't be reached gets no answer, and WorkerFleet::sendStop gives the run up when its lease is over. Unlike checkLease it leaves hasSession set, and a worker without runs isn't polled. The backoff after the start (0.5 s, doubled with each failure) is over long before the lease, so the planner takes the same worker again, although three others are idle.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -357,6 +357,18 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(77)), 0U);
 }
 
+TEST_F(LateCall, IdleWorkerOutOfReachHoldsUpATaskForOneLeaseAtMost)
+{
+    // The leader has a session with an idle worker that it can't reach any more. The task counts as
+    // lost after the longest lease and has to start on another worker then.
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {"worker-0"};
+    this->accept(1, jobBody("2000", 1, 8));
+    this->cluster.run(seconds(12));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
