Add a failing test: a late poll renews leases of the worker's next process

LateCall.LatePollOfAnEarlierProcessDoesNotOutliveTheLeadersBound: the end of a lease is a time on the clock of a process. A poll to the earlier process, carried out late by the next one, whose clock started anew, is shortened to the longest lease from then on, while the leader's bound counts from its own last renewal.

--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -369,6 +369,30 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
 }
 
+TEST_F(LateCall, LatePollOfAnEarlierProcessDoesNotOutliveTheLeadersBound)
+{
+    // A poll that renews the leases of a worker's earlier process is carried out by the next one,
+    // whose clock started anew, after the leader has lost touch with the worker.
+    const std::string worker = "worker-0";
+    this->accept(1, jobBody("30000", 1, 8));
+    this->cluster.run(milliseconds(50));
+    ASSERT_TRUE(this->cluster.workers.runsJob(worker, jobId(1)));
+    this->accept(2, jobBody("9000", 3, 8));
+    this->cluster.run(milliseconds(450));
+    this->cluster.workers.orderDelay = seconds(8);
+    this->cluster.workers.delayedPolls = {worker};
+    this->cluster.run(milliseconds(2200));
+    this->cluster.workers.delayedPolls.clear();
+    this->cluster.putWorker(this->cluster.workers.restart(worker));
+    for (int k = 0; k < 4000 && !this->cluster.workers.runsJob(worker, jobId(1)); k++)
+        this->cluster.run(milliseconds(10));
+    this->cluster.run(milliseconds(300));
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {worker};
+    this->cluster.run(seconds(60));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
