--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -14,7 +14,7 @@
 namespace Hibiscus::Coordination::Test {
 
 /// Behaviour of a task, parsed from its payload:
-/// "RUNTIME_MS[,fail][,gang=N][,serve=TARGET_MS][,fill][,permit][,again]".
+/// "RUNTIME_MS[,fail][,gang=N][,serve=TARGET_MS][,fill][,permit][,again][,use=N]".
 struct TaskScript
 {
     Duration runTime = seconds(1);
@@ -27,6 +27,8 @@
     bool needsPermit = false;
     /// Perpetual: is started again even after it ended successfully.
     bool restartsWhenDone = false;
+    /// Accelerators that the task occupies; workers check them against their capacity.
+    std::int64_t accelerators = 0;
 };
 TaskScript parseScript(const std::string &payload);
 
@@ -45,14 +47,22 @@
     /// Adds a worker and returns its registry entry.
     Tasks::WorkerEntry add(const std::string &id, const std::string &rack);
     /// Restarts the worker's process, which loses all runs and ends, and returns its new registry
-    /// entry.
-    Tasks::WorkerEntry restart(const std::string &id);
+    /// entry. The new process may have fewer accelerators. Its incarnation differs by `step`, which
+    /// is negative if the machine's clock was set back.
+    Tasks::WorkerEntry restart(const std::string &id, std::int64_t accelerators = 8,
+                               std::int64_t step = 1000);
     void kill(const std::string &id);
 
     /// Workers that an instance can't reach, in both directions.
     std::map<std::string, std::set<std::string>> unreachableWorkers; ///< By instance.
     /// Workers that execute orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedWorkers;
+    /// Workers that execute polls after `orderDelay` and don't answer them.
+    std::set<std::string> delayedPolls;
+    /// Workers that execute pace orders after `orderDelay` and don't answer them.
+    std::set<std::string> delayedPaceOrders;
+    /// Workers that refuse connections for orders.
+    std::set<std::string> closedWorkers;
     /// Workers that reject start orders without effect.
     std::set<std::string> unhealthyWorkers;
     Duration orderDelay = seconds(3);
@@ -72,12 +82,18 @@
     Duration maxOverTargetTime = seconds(4);
     std::size_t paceOrders = 0;
     std::size_t permitRejections = 0;
+    std::size_t refusedConnections = 0;
 
     const Tasks::WorkerEntry &entryOf(const std::string &id) const
     {
         return this->machines.at(id).entry;
     }
     std::size_t runningOn(const std::string &id) const;
+    /// Number of ends that the worker lists, since they were not acknowledged.
+    std::size_t listedEndsOf(const std::string &id) const
+    {
+        return this->machines.at(id).ended.size();
+    }
     std::size_t runningTasks() const;
     /// Number of running tasks of the job.
     std::size_t runningTasksOf(const std::string &job) const;
@@ -132,7 +148,8 @@
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
     Tasks::WorkerAnswer report(const Machine &machine) const;
-    void checkStart(const std::string &id, const Tasks::RunRef &run, bool restartsWhenDone);
+    void checkStart(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
+    void checkCapacity(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
     void begin(const std::string &id, Task &task);
     void beginGangIfWhole(const Tasks::RunRef &run, std::int32_t members);
     void end(const std::string &id, const TaskName &name, Tasks::EndCause cause);
