Add failing tests for gangs that wait for one rack without end

While the racks are busy in turn, it waits, and past its use (rank 7) it reserves no room either. Two racks are slower by `farFactor`, not forbidden; the room counts as free for it.

Records, leaders and workers were in order: the job's record was never written, as nothing had been assigned.

Fix to make: wait for one rack for a limited time, as `requiresDataRack` does for the rack of the data, then take any workers.

- Tasks.StartPlannerTest.GangWaitsForRoomInOneRackForALimitedTime
- Coordination.GangInOneRack.StartsAcrossRacksIfNoRackGetsRoomForIt

--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -53,6 +53,7 @@
     step.need = {1000, 1000, value.at("accelerators").get<std::int64_t>()};
     step.estimate = parseScript(job.payload).runTime;
     step.gang = value.at("gang").get<bool>();
+    step.sameRack = value.value("sameRack", false);
     const TaskScript script = parseScript(job.payload);
     step.bestEffortCpu = script.bestEffort;
     step.responseTarget = milliseconds(script.target);
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -125,8 +125,8 @@
 /// `accelerators` is the need of each task. For the queue see Cluster::submit.
 std::string jobBody(const std::string &payload, std::int32_t tasks, std::int32_t accelerators,
                     bool gang = false);
-/// Adds fields to a body: "priority" (which selects the queue), "perpetual", "mostAway", "times",
-/// "firstMs" or "everyMs".
+/// Adds fields to a body: "priority" (which selects the queue), "sameRack", "perpetual",
+/// "mostAway", "times", "firstMs" or "everyMs".
 std::string withFields(const std::string &body, const nlohmann::json &fields);
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/JobKindsTest.cpp
+++ b/UnitTests/Coordination/JobKindsTest.cpp
@@ -205,6 +205,34 @@
     EXPECT_EQ(this->stateOf(1), JobState::Completed);
 }
 
+TEST(GangInOneRack, StartsAcrossRacksIfNoRackGetsRoomForIt)
+{
+    // Two workers of each rack of four are taken for good. The other half of the workers has room
+    // for the gang twice over, but no rack has room for all of it.
+    Cluster cluster(2, 16);
+    for (std::uint32_t number = 1; number <= 8; number++) {
+        const std::string body = jobBody("600000,again", 2, 5);
+        ASSERT_TRUE(
+            cluster.submit("entry-0", jobId(number), withFields(body, {{"perpetual", true}})));
+        cluster.run(milliseconds(500));
+    }
+    for (const std::uint32_t number : {4, 5, 7, 8})
+        ASSERT_TRUE(cluster.cancel("entry-0", jobId(number)));
+    cluster.run(seconds(2));
+    for (std::size_t rack = 0; rack < 4; rack++) {
+        std::size_t taken = 0;
+        for (std::size_t i = 4 * rack; i < 4 * rack + 4; i++)
+            taken += cluster.workers.runningOn("worker-" + std::to_string(i));
+        ASSERT_EQ(taken, 2U) << "rack " << rack;
+    }
+    const std::string gang = jobBody("1000,gang=3", 3, 8, true);
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(9),
+                               withFields(gang, {{"sameRack", true}, {"priority", 1}})));
+    cluster.run(seconds(60));
+    EXPECT_TRUE(cluster.isCompleted(jobId(9)));
+    EXPECT_EQ(cluster.workers.violations, Violations{});
+}
+
 TEST_F(JobKinds, PreemptionRespectsTheLimitOfDisplacedTasks)
 {
     // Four perpetual tasks occupy all workers, and the step allows one of them to be displaced; an
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -239,6 +239,23 @@
     EXPECT_EQ(this->plan().preemptions.size(), 2U);
 }
 
+TEST_F(StartPlannerTest, GangWaitsForRoomInOneRackForALimitedTime)
+{
+    // One worker of each rack is taken for long. The others have room for the gang twice over, but
+    // no rack has room for both members.
+    this->addWorkers(8);
+    for (std::size_t worker = 0; worker < 8; worker += 2)
+        this->occupy(worker, {6000, 1000, 6}, 0, 600'000, 10.0);
+    StartRequest &request = this->request(1, 2, 8);
+    this->stepOf(0).gang = true;
+    this->stepOf(0).sameRack = true;
+    EXPECT_TRUE(this->plan().starts.empty());
+    request.readySince = now - 60'000;
+    request.objectiveAt = now - 50'000;
+    request.usefulUntil = now - 30'000;
+    EXPECT_EQ(this->plan().starts.size(), 2U);
+}
+
 TEST_F(StartPlannerTest, ClaimedRoomIsNotTakenByLaterRequests)
 {
     this->addWorkers(4);
