Add a failing test for a dead worker that keeps its session

Cause: when the lease of a run passes while its stop order gets no answer, WorkerFleet::sendStop reports the run as lost but leaves `hasSession` set; checkLease, which clears it, finds no run any more. The worker then has nothing to be polled for and counts as usable as soon as its backoff is over, until its registry entry goes.

In the test, the worker gets members of each new run of the gang.

Fix to make: clear `hasSession` there too and go on polling while the worker is listed.

--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -258,6 +258,24 @@
     EXPECT_FALSE(this->cluster.instances.at("entry-0")->jobApi->isReady(this->cluster.clock.now()));
 }
 
+TEST_F(WorkerFault, WorkerThatDiedBeforeAStopGetsNoGangMember)
+{
+    // The process is gone for good, but its registry entry stays. The lease of its last run, which
+    // was to be stopped, passes without any answer. A gang that starts later would wait for the
+    // member on that worker in vain.
+    this->accept(1, jobBody("60000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string dead = this->busyWorker();
+    ASSERT_NE(dead, "");
+    this->cluster.workers.kill(dead);
+    ASSERT_TRUE(this->cluster.cancel("entry-0", jobId(1)));
+    this->cluster.run(seconds(20));
+    this->accept(2, jobBody("1000,gang=4", 4, 4, true));
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(2)), 4U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
