--- a/Core/Time.h
+++ b/Core/Time.h
@@ -24,6 +24,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Longest duration that is taken from outside. Sums of thousands of them, and of one and a point
+/// in time, stay within the range of Duration.
+inline constexpr Duration maxDuration = std::chrono::years(100);
+
 /// Converts to whole milliseconds, the unit of durations in records, logs and protocols.
 constexpr std::int64_t toMs(Duration span)
 {
--- a/UnitTests/platform/AdaptersTest.cpp
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -193,6 +193,73 @@
     EXPECT_EQ(this->requestPermits().outcome, Tasks::PlacementOutcome::Busy);
 }
 
+class OddAnswer : public AdapterTest
+{
+protected:
+    Tasks::WorkerAnswer renewAndWait()
+    {
+        std::optional<Tasks::WorkerAnswer> answer;
+        this->workers.renew(this->worker, {0, 7, 57, {}}, seconds(20),
+                            [&answer](const Tasks::WorkerAnswer &a, TimePoint) { answer = a; });
+        return this->wait(answer);
+    }
+
+    Tasks::StoreAnswer listAndWait()
+    {
+        std::optional<Tasks::StoreAnswer> answer;
+        this->store.list("servers/", "", seconds(20),
+                         [&answer](const Tasks::StoreAnswer &a, TimePoint) { answer = a; });
+        return this->wait(answer);
+    }
+
+    static std::string nested(std::size_t levels)
+    {
+        return std::string(levels, '[') + std::string(levels, ']');
+    }
+};
+
+TEST_F(OddAnswer, DeepNestingInAnAnswerDoesNotEndTheProcess)
+{
+    for (const std::size_t levels :
+         {std::size_t{1000}, std::size_t{100'000}, std::size_t{500'000}}) {
+        this->responseBody = R"({"clockMs":1,"running":)" + nested(levels) + "}";
+        EXPECT_EQ(this->renewAndWait().outcome, Tasks::WorkerOutcome::Unknown) << levels;
+        this->responseBody = nested(levels);
+        EXPECT_EQ(this->renewAndWait().outcome, Tasks::WorkerOutcome::Unknown) << levels;
+        EXPECT_EQ(this->readAndWait("k").outcome, Tasks::StoreOutcome::Unknown) << levels;
+        this->responseBody = R"({"good":)" + nested(levels) + "}";
+        EXPECT_EQ(this->requestPermits().outcome, Tasks::PlacementOutcome::Failed) << levels;
+    }
+}
+
+TEST_F(OddAnswer, ListsThatCanNotBeReadDoNotShowThatNothingRuns)
+{
+    for (const char *body : {"\xff", "[]", "7", R"({"running":[)", R"({"running":7})",
+                             R"({"clockMs":1e400,"running":[]})", R"({"clockMs":1e30})",
+                             R"({"clockMs":9223372036854775808})", R"({"clockMs":-1})",
+                             R"({"born":18446744073709551615})", R"({"born":"x"})"}) {
+        this->responseBody = body;
+        EXPECT_EQ(this->renewAndWait().outcome, Tasks::WorkerOutcome::Unknown) << body;
+    }
+}
+
+TEST_F(OddAnswer, RowsWithNumbersOutsideTheirRangeNameNoRun)
+{
+    this->responseBody = R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.17",4294967297,"cp",41],
+        ["5c0e7a21d94b36f8.0.1.18",18446744073709551615,"",7],["5c0e7a21d94b36f8.0.1.18",0,"",7],
+        ["5c0e7a21d94b36f8.0.1.19",1,"",1e30,-1e300],["5c0e7a21d94b36f8.0.1.99999999999",1,"",7],
+        ["5c0e7a21d94b36f8.0.1.-1",1,"",7]],
+        "ended":[[18446744073709551615,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+        [0,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+        [58,"5c0e7a21d94b36f8.0.1.9",4294967297,"done",""]]})";
+    const Tasks::WorkerAnswer answer = this->renewAndWait();
+    EXPECT_EQ(answer.outcome, Tasks::WorkerOutcome::Done);
+    ASSERT_EQ(answer.running.size(), 1U);
+    EXPECT_EQ(answer.running[0].run.task.index, 19);
+    EXPECT_EQ(answer.running[0].percent, 100);
+    EXPECT_EQ(answer.ended.size(), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Platform
