--- a/UnitTests/Runtime/EventLogTest.cpp
+++ b/UnitTests/Runtime/EventLogTest.cpp
@@ -89,6 +89,18 @@
     EXPECT_GT(log.droppedLines(), 0U);
 }
 
+TEST_F(EventLogTest, FieldsThatAreNotUtf8AreWrittenWithReplacements)
+{
+    EventLog log(this->settings());
+    log.write(LogKind::Fault, "worker entry can't be used",
+              {{"worker", "i-\xff\xc3"}, {"error", std::string("a\0\xed\xa0\x80", 5)}}, start,
+              1700);
+    const std::string text = this->readAll();
+    const nlohmann::json line = nlohmann::json::parse(text, nullptr, false);
+    ASSERT_TRUE(line.is_object()) << text;
+    EXPECT_EQ(line.at("worker"), "i-\xef\xbf\xbd\xef\xbf\xbd");
+}
+
 } // namespace
 
 } // namespace Hibiscus::Runtime
