Bound the findings of one input

What operators would see: an odd entry or a client's body of wrong values makes an instance build a report of many times the input's size, and the log leaves the line out because it is too long.

Cause: a finding for each value, without a limit.

Change: Findings keeps 100 entries and counts the others.

--- a/Core/Findings.h
+++ b/Core/Findings.h
@@ -23,14 +23,19 @@
     void add(std::string_view location, std::string_view message);
     void append(const Findings &others);
 
+    /// Findings beyond this number are counted and not kept, so that an input full of faults takes
+    /// little memory and its report fits into a line of the log.
+    static constexpr std::size_t maxEntries = 100;
+
     bool isEmpty() const { return this->entries.empty(); }
     const std::vector<Finding> &all() const { return this->entries; }
 
-    /// One finding per line, as "location: message".
+    /// One finding per line, as "location: message", and the number of those that were not kept.
     std::string toString() const;
 
 private:
     std::vector<Finding> entries;
+    std::size_t omitted = 0;
 };
 
 } // namespace Hibiscus
--- a/UnitTests/platform/OddInputTest.cpp
+++ b/UnitTests/platform/OddInputTest.cpp
@@ -132,6 +132,30 @@
         EXPECT_TRUE(isRefused("servers/i-8", text));
 }
 
+TEST(OddWorkerEntry, FindingsOfAFullEntryStayShort)
+{
+    std::string labels = "[0";
+    while (labels.size() < maxValueBytes)
+        labels += ",0";
+    EXPECT_TRUE(isRefused("servers/i-8", entryWith(R"(["a","r1-3"])", labels + "]")));
+}
+
+std::string submission(const std::string &step, const std::string &job = "")
+{
+    return R"({"spec":"s","steps":[{)" + step + "}]" + job + "}";
+}
+
+TEST(OddSubmission, FindingsOfAFullBodyStayShort)
+{
+    constexpr std::size_t maxFindingBytes = 16'000;
+    std::string after = "[-1";
+    while (after.size() < std::size_t{256} * 1024)
+        after += ",-1";
+    const auto job = decodeSubmission(submission(R"("after":)" + after + "]"));
+    ASSERT_FALSE(job);
+    EXPECT_LE(job.error().toString().size(), maxFindingBytes);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Platform
