Refuse registry entries that were born in the future

What operators would see: a worker that answers, and gets no work until the leader changes.

Cause: answers of an earlier incarnation are ignored, and the incarnation is the highest `born` that was read. One entry with a huge `born` makes all true answers of its worker look old; a later true entry did not help.

Evidence (before): OddEntry.EntryOfAnotherWriterThatIsBornInTheFutureDoesNotSilenceItsWorker: a gang that needs all four workers had not completed after 10 s.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -23,6 +23,9 @@
 
 namespace {
 
+/// How far the wall clock of a worker may be ahead of the leader's.
+constexpr std::int64_t maxClockLeadMs = toMs(std::chrono::hours(24));
+
 /// Fills in the properties of a run that come from its job. The caller sets the run's reference.
 WorkerFleet::Run describeRun(const TrackedJob &job, const TaskRef &ref)
 {
@@ -289,7 +292,11 @@
         this->fleet.workerUnlisted(id, now);
         return;
     }
-    const tl::expected<Tasks::WorkerEntry, std::string> entry = this->decoder(item.key, item.value);
+    tl::expected<Tasks::WorkerEntry, std::string> entry = this->decoder(item.key, item.value);
+    // Answers of earlier incarnations are ignored, so an entry with a start time in the future
+    // would silence its worker.
+    if (entry && entry->incarnation > this->wallClock.nowMs() + maxClockLeadMs)
+        entry = tl::unexpected(std::string("its start time is in the future"));
     if (entry) {
         this->fleet.workerListed(*entry, now);
         return;
--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -59,6 +59,20 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
 }
 
+TEST_F(OddEntry, EntryOfAnotherWriterThatIsBornInTheFutureDoesNotSilenceItsWorker)
+{
+    Tasks::WorkerEntry odd;
+    odd.id = "worker-0";
+    odd.labels = {"kind-a", "rack-0"};
+    odd.incarnation = 9'000'000'000'000'000'000;
+    this->cluster.putWorker(odd);
+    this->cluster.run(seconds(1));
+    EXPECT_EQ(this->logger().count("worker entry can't be used"), 1U);
+    odd.incarnation = 1000;
+    this->cluster.putWorker(odd);
+    this->expectWorkIsDone(1);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
