Read pages of the store that contain an odd key

Keys were cut at the length of the prefix without a look at the prefix.

Items outside the prefix are not reported.

--- a/Coordination/PrefixWatch.cpp
+++ b/Coordination/PrefixWatch.cpp
@@ -115,6 +115,9 @@
 
 void PrefixWatch::apply(const StoredItem &item, TimePoint now)
 {
+    // Keys are cut at the prefix by those who handle them.
+    if (!item.key.starts_with(this->settings.prefix))
+        return;
     const auto known = this->revisions.find(item.key);
     if (known != this->revisions.end() && known->second >= item.revision)
         return;
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -151,9 +151,11 @@
 
 void TaskDispatcher::handleProgressPage(const StoreAnswer &answer)
 {
-    const std::size_t prefix = std::string_view(StoreKeys::progress).size();
-    for (const StoredItem &item : answer.items)
-        this->records[item.key.substr(prefix)] = {item.value, item.revision};
+    const std::string_view prefix = StoreKeys::progress;
+    for (const StoredItem &item : answer.items) {
+        if (item.key.starts_with(prefix))
+            this->records[item.key.substr(prefix.size())] = {item.value, item.revision};
+    }
     if (answer.truncated && !answer.items.empty())
         this->listProgress(answer.items.back().key);
     else
--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -73,6 +73,62 @@
     this->expectWorkIsDone(1);
 }
 
+/// A store that answers a list with what the test sets.
+class ListingStore final : public Tasks::MetadataStore
+{
+public:
+    void read(const std::string &, Duration, Tasks::StoreHandler) override {}
+    void list(const std::string &, const std::string &, Duration,
+              Tasks::StoreHandler handler) override
+    {
+        handler(this->answer, TimePoint{seconds(1)});
+    }
+    void watch(const std::string &, std::int64_t, Duration, Tasks::StoreHandler handler) override
+    {
+        this->watches++;
+        this->watchHandler = std::move(handler);
+    }
+    void commit(const Tasks::StoreCommit &, Duration, Tasks::StoreHandler) override {}
+    void grantLease(Duration, Duration, Tasks::StoreHandler) override {}
+    void renewLease(std::int64_t, Duration, Tasks::StoreHandler) override {}
+    void revokeLease(std::int64_t, Duration, Tasks::StoreHandler) override {}
+
+    Tasks::StoreAnswer answer;
+    Tasks::StoreHandler watchHandler;
+    int watches = 0;
+};
+
+class NoTimers final : public TimerService
+{
+public:
+    void after(Duration, std::function<void(TimePoint)>) override {}
+};
+
+TEST(OddKey, KeysOutsideThePrefixAreNotReported)
+{
+    ListingStore store;
+    NoTimers timers;
+    std::vector<std::string> reported;
+    bool listed = false;
+    PrefixWatch watch(
+        store, timers, {.prefix = "servers/"},
+        {[&](const Tasks::StoredItem &item, TimePoint) { reported.push_back(item.key); },
+         [&](TimePoint) { listed = true; }, [](bool, TimePoint) {}});
+    store.answer.outcome = Tasks::StoreOutcome::Done;
+    store.answer.revision = 9;
+    store.answer.items = {{.key = "", .revision = 4},
+                          {.key = "s", .revision = 5},
+                          {.key = "servers/a", .revision = 6},
+                          {.key = "other/a", .revision = 7}};
+    watch.start(TimePoint{});
+    EXPECT_TRUE(listed);
+    EXPECT_EQ(store.watches, 1);
+    EXPECT_EQ(reported, std::vector<std::string>{"servers/a"});
+    store.watchHandler(store.answer, TimePoint{seconds(2)});
+    EXPECT_EQ(reported.size(), 1U);
+    EXPECT_EQ(store.watches, 2);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/platform/AdaptersTest.cpp
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -260,6 +260,36 @@
     EXPECT_EQ(answer.ended.size(), 0U);
 }
 
+TEST_F(OddAnswer, OneOddItemOfAPageLeavesTheOthers)
+{
+    const char *others = R"({"key":"servers/a","value":"aGk=","revision":5},)"
+                         R"({"key":"servers/z","value":"aGk=","revision":6}],"storeRevision":9})";
+    for (const char *odd :
+         {R"({"key":"servers/b","value":"no base64!","revision":7},)",
+          R"({"key":"servers/b","value":7,"revision":7},)", R"({"key":"servers/b","revision":7},)",
+          "{\"key\":\"servers/\xff\xc3\",\"value\":\"aGk=\",\"revision\":7},",
+          R"({"key":"servers/","value":"","revision":7},)"}) {
+        this->responseBody = std::string(R"({"items":[)") + odd + others;
+        const Tasks::StoreAnswer answer = this->listAndWait();
+        EXPECT_EQ(answer.outcome, Tasks::StoreOutcome::Done) << odd;
+        ASSERT_EQ(answer.items.size(), 3U) << odd;
+        EXPECT_EQ(answer.items[1].key, "servers/a");
+        EXPECT_EQ(answer.items[2].key, "servers/z");
+        EXPECT_EQ(answer.revision, 9);
+    }
+}
+
+TEST_F(OddAnswer, RevisionsOutsideTheirRangeMakeTheStoresAnswerUnknown)
+{
+    for (const char *body : {R"({"items":[],"storeRevision":9223372036854775808})",
+                             R"({"items":[{"key":"k","revision":18446744073709551615}]})",
+                             R"({"items":[],"storeRevision":1e30})", R"({"items":7})",
+                             R"({"items":[],"storeRevision":1e400})"}) {
+        this->responseBody = body;
+        EXPECT_EQ(this->listAndWait().outcome, Tasks::StoreOutcome::Unknown) << body;
+    }
+}
+
 } // namespace
 
 } // namespace Hibiscus::Platform
