Refuse numbers out of range in what else is read

What callers and operators would see: a job with negative needs that adds room to a worker; limits of 2^32 that mean none; an estimate or timeout that overflows into the past; an instance that ends when the stored count of pending jobs has another type.

Evidence (before): OddSubmission.NumbersOutsideTheRangeOfTheirFieldAreRefused: "cpu -1" and others taken; OddCall.TimeoutBeyondTheRangeOfTimesIsCapped: a deadline before now; OddConfiguration.DeepNestingAndNumbersOutsideTheRangeAreRefused: priority and others taken; OddEntry.PendingCountOfAnotherTypeIsTakenAsZero: type_error.302, "type must be number, but is string".

--- a/Coordination/JobApi.cpp
+++ b/Coordination/JobApi.cpp
@@ -1,10 +1,10 @@
 #include <Coordination/JobApi.h>
 #include <Coordination/StoreKeys.h>
+#include <Core/JsonText.h>
 #include <Tasks/JobRecord.h>
 #include <Tasks/WaitForecast.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Hibiscus::Coordination {
 
@@ -28,6 +28,7 @@
 constexpr int maxRefusedAttempts = 2;
 /// Maximum age of the configuration as a fraction of the revocation bound.
 constexpr double maxAgeFraction = 0.6;
+constexpr NumberRange durationRange{0, toMs(maxDuration)}; ///< In ms.
 
 const StoredItem *itemOf(const StoreAnswer &answer, std::string_view key)
 {
@@ -99,17 +100,18 @@
 
 void JobApi::updateForecast(const StoredItem &item, TimePoint now)
 {
-    const nlohmann::json values = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json values = parseJson(item.value);
     this->forecasts.clear();
     this->forecastReadAt = now;
     if (item.removed || !values.is_object())
         return;
     for (const auto &[queue, wait] : values.items()) {
-        const bool valid = wait.is_array() && wait.size() == 2 && wait[0].is_number_integer()
-            && wait[1].is_number_integer();
-        if (valid)
-            this->forecasts[queue] = {milliseconds(wait[0].get<std::int64_t>()),
-                                      milliseconds(wait[1].get<std::int64_t>())};
+        if (!wait.is_array() || wait.size() != 2)
+            continue;
+        const std::optional<std::int64_t> expected = integerOf(wait[0], durationRange);
+        const std::optional<std::int64_t> chain = integerOf(wait[1], durationRange);
+        if (expected && chain)
+            this->forecasts[queue] = {milliseconds(*expected), milliseconds(*chain)};
     }
 }
 
--- a/Coordination/JobApiLookups.cpp
+++ b/Coordination/JobApiLookups.cpp
@@ -1,9 +1,9 @@
 #include <Coordination/JobApi.h>
 #include <Coordination/StoreKeys.h>
+#include <Core/JsonText.h>
 #include <Tasks/JobRecord.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 // The requests of JobApi that read the store: job status, cancellation and pending counts.
 namespace Hibiscus::Coordination {
@@ -128,10 +128,10 @@
 {
     const Duration timeout = this->storeTime(lookup->call.deadline, now);
     const auto replyCount = [this, lookup] {
-        const nlohmann::json counts = nlohmann::json::parse(this->pendingCounts, nullptr, false);
+        const nlohmann::json counts = parseJson(this->pendingCounts);
         ClientReply reply{.kind = ReplyKind::Pending};
-        if (counts.is_object())
-            reply.pending = counts.value(lookup->queue, std::int64_t{0});
+        if (counts.is_object() && counts.contains(lookup->queue))
+            reply.pending = integerOf(counts[lookup->queue]).value_or(0);
         lookup->reply(reply);
     };
     if (this->pendingKnown && now - this->pendingReadAt < this->settings.pendingCountsValidity) {
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double milliCoresPerCore = 1000.0;
+/// Multiples of an objective stay within the range of Duration.
+constexpr Duration maxObjective = 100 * maxDuration;
 
 } // namespace
 
@@ -84,7 +86,9 @@
 
 Duration Job::objective(Duration chain) const
 {
-    return std::chrono::duration_cast<Duration>(this->stretch * chain) + this->targetLatency;
+    const std::chrono::duration<double> stretched
+        = std::min<std::chrono::duration<double>>(this->stretch * chain, maxObjective);
+    return std::chrono::duration_cast<Duration>(stretched) + this->targetLatency;
 }
 
 std::int64_t Job::maxStepAccelerators() const
--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -73,6 +73,16 @@
     this->expectWorkIsDone(1);
 }
 
+TEST_F(OddEntry, PendingCountOfAnotherTypeIsTakenAsZero)
+{
+    this->cluster.store.put(StoreKeys::load, R"({"queue-1":"many"})");
+    const auto reply
+        = this->cluster.call("entry-0", {.verb = CallVerb::Status, .path = "/p1/", .key = "key-1"});
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::Pending);
+    EXPECT_EQ(reply->pending, 0);
+}
+
 /// A store that answers a list with what the test sets.
 class ListingStore final : public Tasks::MetadataStore
 {
--- a/UnitTests/platform/OddInputTest.cpp
+++ b/UnitTests/platform/OddInputTest.cpp
@@ -145,6 +145,37 @@
     return R"({"spec":"s","steps":[{)" + step + "}]" + job + "}";
 }
 
+TEST(OddSubmission, DeepNestingIsRefused)
+{
+    constexpr std::size_t levels = 100'000;
+    EXPECT_FALSE(decodeSubmission(nestedArrays(levels)));
+    EXPECT_FALSE(decodeSubmission(R"({"steps":)" + nestedArrays(levels) + "}"));
+    EXPECT_FALSE(decodeSubmission(submission(R"("after":)" + nestedArrays(levels))));
+    EXPECT_FALSE(decodeSubmission(submission(R"("count":1,"x":)" + nestedObjects(levels))));
+}
+
+TEST(OddSubmission, NumbersOutsideTheRangeOfTheirFieldAreRefused)
+{
+    EXPECT_TRUE(decodeSubmission(submission(R"("cpu":1,"gpu":0,"estimateMs":900.5)")));
+    for (const char *field :
+         {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs", "mayMiss", "maxPerServer"}) {
+        for (const char *number : {"-1", "1e300", "1e400", "4294967297.5e12", "9223372036854775808",
+                                   "18446744073709551615", "9223372036854775807"})
+            EXPECT_FALSE(decodeSubmission(submission("\"" + std::string(field) + "\":" + number)))
+                << field << " " << number;
+    }
+    for (const char *field : {"mayMiss", "maxPerServer"})
+        EXPECT_FALSE(decodeSubmission(submission("\"" + std::string(field) + "\":4294967296")))
+            << field;
+    for (const char *field : {"repeats", "firstMs", "intervalMs"}) {
+        for (const char *number : {"-1", "1e300", "18446744073709551615", "9223372036854775807"})
+            EXPECT_FALSE(
+                decodeSubmission(submission("", ",\"" + std::string(field) + "\":" + number)))
+                << field << " " << number;
+    }
+    EXPECT_FALSE(decodeSubmission(submission("", R"(,"repeats":4294967297)")));
+}
+
 TEST(OddSubmission, FindingsOfAFullBodyStayShort)
 {
     constexpr std::size_t maxFindingBytes = 16'000;
@@ -156,6 +187,42 @@
     EXPECT_LE(job.error().toString().size(), maxFindingBytes);
 }
 
+TEST(OddCall, TimeoutBeyondTheRangeOfTimesIsCapped)
+{
+    const TimePoint now{seconds(5)};
+    for (const char *timeout : {"9223372036854775807", "9223372036854776"}) {
+        Runtime::HttpRequest request;
+        request.method(boost::beast::http::verb::get);
+        request.target("/p/");
+        request.set("Deadline-Ms", timeout);
+        const auto call = decodeCall(request, seconds(3), now);
+        ASSERT_TRUE(call);
+        EXPECT_GT(call->deadline, now) << timeout;
+    }
+}
+
+std::string configuration(const std::string &queueFields, const std::string &others = "")
+{
+    return R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","backend":"svc")"
+        + queueFields + "}]" + others + "}";
+}
+
+TEST(OddConfiguration, DeepNestingAndNumbersOutsideTheRangeAreRefused)
+{
+    EXPECT_TRUE(decodeConfiguration(configuration("")));
+    EXPECT_FALSE(decodeConfiguration(nestedObjects(100'000)));
+    EXPECT_FALSE(decodeConfiguration(configuration(",\"x\":" + nestedArrays(100'000))));
+    for (const char *fields :
+         {R"(,"priority":4294967296)", R"(,"maxAttempts":4294967297)", R"(,"timeoutMs":1e300)",
+          R"(,"targetLatencyMs":-1e300)", R"(,"priority":18446744073709551615)"})
+        EXPECT_FALSE(decodeConfiguration(configuration(fields))) << fields;
+    EXPECT_FALSE(
+        decodeConfiguration(configuration("", R"(,"limits":{"maxHeaderBytes":4294967296})")));
+    EXPECT_FALSE(decodeConfiguration(configuration("", R"(,"limits":{"maxBodyBytes":-1})")));
+    EXPECT_FALSE(decodeConfiguration(configuration(
+        "", R"(,"tenants":[{"name":"t","guaranteed":{"gpu":18446744073709551615}}])")));
+}
+
 } // namespace
 
 } // namespace Hibiscus::Platform
