Refuse jobs with more tasks than a leader can track

What operators would see: a client submits a job with `repeats` of 2,000,000,000, gets 200, and each leader in turn ends by itself, for as long as the record is stored.

Cause: the leader allocates the progress of each task of each occurrence.

Evidence (before): OddEntry.RecordWithMoreTasksThanAnInstanceCanTrackIsLoggedAndTheOthersHold: std::bad_alloc (under a limit of 3 GB of address space); OddSubmission.JobsWithMoreTasksThanAnInstanceCanTrackAreRefused: both jobs taken.

Change: at most 100,000 tasks in all occurrences of a job, checked at the submission (400) and when a record is read. Records are also checked for steps and states that are used as indexes.

--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -1,6 +1,8 @@
+#include <Core/JsonText.h>
 #include <Tasks/JobRecord.h>
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <stdexcept>
 
 namespace Hibiscus::Tasks {
 
@@ -77,6 +79,17 @@
             milliseconds(row.at(2).get<std::int64_t>())};
 }
 
+/// Throws std::out_of_range if the value is none of the states up to `last`.
+template <class State>
+State stateOf(const json &value, State last)
+{
+    const std::optional<std::int64_t> number
+        = integerOf(value, {0, static_cast<std::int64_t>(last)});
+    if (!number)
+        throw std::out_of_range("has an unknown state");
+    return static_cast<State>(*number);
+}
+
 json encodeTask(const TaskProgress &task)
 {
     if (task == TaskProgress{})
@@ -90,7 +103,7 @@
     TaskProgress task;
     if (!row.is_array())
         return task;
-    task.state = static_cast<TaskState>(row.at(StateColumn).get<int>());
+    task.state = stateOf(row.at(StateColumn), TaskState::Failed);
     task.run = row.at(RunColumn).get<std::int32_t>();
     task.failures = row.at(FailuresColumn).get<std::int32_t>();
     task.worker = row.at(WorkerColumn).get<std::string>();
@@ -100,13 +113,40 @@
     return task;
 }
 
+json parseRecord(std::string_view text)
+{
+    json record = parseJson(text);
+    if (record.is_discarded())
+        throw std::out_of_range("is not valid JSON of few levels");
+    return record;
+}
+
+/// Throws std::out_of_range if the job has no tasks or too many, or steps that refer to no earlier
+/// step.
+void checkJob(const Job &job)
+{
+    for (std::size_t i = 0; i < job.steps.size(); i++) {
+        const Step &step = job.steps[i];
+        const bool refersToEarlierSteps
+            = std::all_of(step.after.begin(), step.after.end(), [i](std::int32_t earlier) {
+                  return earlier >= 0 && static_cast<std::size_t>(earlier) < i;
+              });
+        if (step.count < 1 || !refersToEarlierSteps)
+            throw std::out_of_range("step " + std::to_string(i) + " has no tasks or order");
+    }
+    if (job.steps.empty() || job.taskCount() > maxTasksPerJob)
+        throw std::out_of_range("the job has no tasks or too many");
+}
+
 template <class Value, class Decode>
 tl::expected<Value, std::string> decodeRecord(std::string_view text, Decode decode)
 {
     try {
-        return decode(json::parse(text));
+        return decode(parseRecord(text));
     } catch (const json::exception &error) {
         return tl::unexpected(std::string(error.what()));
+    } catch (const std::out_of_range &error) {
+        return tl::unexpected(std::string(error.what()));
     }
 }
 
@@ -157,6 +197,7 @@
         job.repetition.interval = milliseconds(record.at("every").get<std::int64_t>());
         if (record.contains("permits"))
             job.permits = decodePermits(record.at("permits"));
+        checkJob(job);
         return job;
     });
 }
@@ -187,7 +228,7 @@
 {
     return decodeRecord<JobProgress>(text, [&job](const json &record) {
         JobProgress progress(job);
-        progress.state = static_cast<JobState>(record.at("state").get<int>());
+        progress.state = stateOf(record.at("state"), JobState::Cancelled);
         progress.endedAt = record.at("endedAt").get<UnixMs>();
         const json &tasks = record.at("tasks");
         for (std::size_t i = 0; i < progress.taskCount(); i++)
@@ -198,9 +239,8 @@
 
 tl::expected<JobState, std::string> decodeProgressState(std::string_view text)
 {
-    return decodeRecord<JobState>(text, [](const json &record) {
-        return static_cast<JobState>(record.at("state").get<int>());
-    });
+    return decodeRecord<JobState>(
+        text, [](const json &record) { return stateOf(record.at("state"), JobState::Cancelled); });
 }
 
 } // namespace Hibiscus::Tasks
--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -60,6 +60,14 @@
     return names[static_cast<std::size_t>(state)];
 }
 
+std::int64_t Job::taskCount() const
+{
+    std::int64_t tasks = 0;
+    for (const Step &step : this->steps)
+        tasks += step.count;
+    return tasks * this->occurrences();
+}
+
 UnixMs Job::dueAt(std::int32_t occurrence) const
 {
     if (this->repetition.count == 0)
--- a/Tasks/TaskJob.h
+++ b/Tasks/TaskJob.h
@@ -83,6 +83,10 @@
     Duration interval{};
 };
 
+/// Most tasks of one job, with all its occurrences. The leader keeps the progress of each of them
+/// in memory.
+inline constexpr std::int64_t maxTasksPerJob = 100'000;
+
 /// A job as submitted by its caller and accepted by the system. Immutable after acceptance.
 struct Job
 {
@@ -104,6 +108,8 @@
     {
         return this->repetition.count > 0 ? this->repetition.count : 1;
     }
+    /// Tasks of all steps in all occurrences.
+    std::int64_t taskCount() const;
     /// Earliest start time of the occurrence.
     UnixMs dueAt(std::int32_t occurrence) const;
     /// Length of the critical path: the sum of estimates along the longest chain of dependent
--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -73,6 +73,21 @@
     this->expectWorkIsDone(1);
 }
 
+TEST_F(OddEntry, RecordWithMoreTasksThanAnInstanceCanTrackIsLoggedAndTheOthersHold)
+{
+    Tasks::Job job;
+    job.id = jobId(7);
+    job.queue = "queue-1";
+    job.service = "blend";
+    job.customer = "parks";
+    job.steps.resize(1);
+    job.repetition.count = 2'000'000'000;
+    this->cluster.store.put(StoreKeys::job(job.id), Tasks::encodeJob(job));
+    this->cluster.run(seconds(1));
+    EXPECT_EQ(this->logger().count("job record can't be read"), 1U);
+    this->expectWorkIsDone(1);
+}
+
 TEST_F(OddEntry, PendingCountOfAnotherTypeIsTakenAsZero)
 {
     this->cluster.store.put(StoreKeys::load, R"({"queue-1":"many"})");
--- a/UnitTests/platform/OddInputTest.cpp
+++ b/UnitTests/platform/OddInputTest.cpp
@@ -176,6 +176,14 @@
     EXPECT_FALSE(decodeSubmission(submission("", R"(,"repeats":4294967297)")));
 }
 
+TEST(OddSubmission, JobsWithMoreTasksThanAnInstanceCanTrackAreRefused)
+{
+    EXPECT_TRUE(decodeSubmission(submission(R"("count":10000)")));
+    EXPECT_TRUE(decodeSubmission(submission(R"("count":10)", R"(,"repeats":1000)")));
+    EXPECT_FALSE(decodeSubmission(submission("", R"(,"repeats":2147483647)")));
+    EXPECT_FALSE(decodeSubmission(submission(R"("count":10000)", R"(,"repeats":10000)")));
+}
+
 TEST(OddSubmission, FindingsOfAFullBodyStayShort)
 {
     constexpr std::size_t maxFindingBytes = 16'000;
