--- a/UnitTests/Tasks/JobRecordTest.cpp
+++ b/UnitTests/Tasks/JobRecordTest.cpp
@@ -96,6 +96,43 @@
     EXPECT_EQ(job.dueAt(1), job.repetition.first + 4500);
 }
 
+/// The record of the sample job with the first occurrence of `part` replaced.
+std::string recordWith(const std::string &part, const std::string &replacement)
+{
+    std::string text = encodeJob(sampleJob());
+    const std::size_t at = text.find(part);
+    EXPECT_NE(at, std::string::npos) << part;
+    return text.replace(at, part.size(), replacement);
+}
+
+TEST(JobRecord, JobsWhoseStepsCanNotBeIndexedAreNotRead)
+{
+    EXPECT_TRUE(decodeJob(recordWith("parks", "parks")));
+    EXPECT_FALSE(decodeJob(recordWith(R"("follows":[0])", R"("follows":[1])")));
+    EXPECT_FALSE(decodeJob(recordWith(R"("follows":[0])", R"("follows":[-1])")));
+    EXPECT_FALSE(decodeJob(recordWith(R"("count":2)", R"("count":0)")));
+    EXPECT_FALSE(decodeJob(recordWith(R"("count":2)", R"("count":-2)")));
+    EXPECT_FALSE(decodeJob(recordWith(R"("times":2)", R"("times":2000000000)")));
+    const std::string levels(100'000, '[');
+    EXPECT_FALSE(decodeJob(recordWith(R"("follows":[0])", R"("follows":)" + levels)));
+}
+
+TEST(JobRecord, UnknownStatesAreNotRead)
+{
+    const Job job = sampleJob();
+    JobProgress progress(job);
+    progress.task({0, 0, 0}).state = TaskState::Failed;
+    std::string text = encodeProgress(progress);
+    ASSERT_TRUE(decodeProgress(text, job));
+    std::string task = text;
+    task.replace(task.find("[[4,"), 4, "[[5,");
+    EXPECT_FALSE(decodeProgress(task, job));
+    for (const char *state : {"5", "-1", "256", "18446744073709551615", "1e30", "\"done\""}) {
+        const std::string odd = R"({"record":1,"state":)" + std::string(state) + "}";
+        EXPECT_FALSE(decodeProgressState(odd)) << state;
+    }
+}
+
 } // namespace
 
 } // namespace Hibiscus::Tasks
