--- a/Tasks/TaskJob.cpp
+++ b/Tasks/TaskJob.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double milliCoresPerCore = 1000.0;
+/// Multiples of an objective stay within the range of Duration.
+constexpr Duration maxObjective = 100 * maxDuration;
 
 } // namespace
 
@@ -58,6 +60,14 @@
     return names[static_cast<std::size_t>(state)];
 }
 
+std::int64_t Job::taskCount() const
+{
+    std::int64_t tasks = 0;
+    for (const Step &step : this->steps)
+        tasks += step.count;
+    return tasks * this->occurrences();
+}
+
 UnixMs Job::dueAt(std::int32_t occurrence) const
 {
     if (this->repetition.count == 0)
@@ -84,7 +94,9 @@
 
 Duration Job::objective(Duration chain) const
 {
-    return std::chrono::duration_cast<Duration>(this->stretch * chain) + this->targetLatency;
+    const std::chrono::duration<double> stretched
+        = std::min<std::chrono::duration<double>>(this->stretch * chain, maxObjective);
+    return std::chrono::duration_cast<Duration>(stretched) + this->targetLatency;
 }
 
 std::int64_t Job::maxStepAccelerators() const
