--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -426,29 +426,30 @@
         this->cluster.putWorker(this->cluster.workers.entryOf("worker-" + std::to_string(i)));
     this->cluster.run(seconds(40));
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
-    TEST(SlowLeader, AssignmentStoredWhileTheLeaseIsInDoubtIsStartedAfterItsRenewal)
-    {
-        // The store answers slowly and the leader's machine stands still, so that the leader's
-        // bound for its own lease passes before the answer to a renewal arrives. The leader goes on
-        // leading after that answer; in some phases the assignment is stored in between.
-        for (int phase = 0; phase < 250; phase += 10) {
-            Cluster cluster(1, 4);
-            const std::string leader = cluster.leader();
-            cluster.run(milliseconds(phase));
-            cluster.clock.in(milliseconds(8),
-                             [&cluster] { cluster.store.latency = milliseconds(400); });
-            cluster.clock.in(milliseconds(88), [&cluster, leader] {
-                *cluster.instances.at(leader)->suspendedUntil
-                    = cluster.clock.now() + milliseconds(950);
-            });
-            cluster.clock.in(milliseconds(1038),
-                             [&cluster] { cluster.store.latency = milliseconds(2); });
-            ASSERT_TRUE(cluster.submit(leader, jobId(1), jobBody("1000", 1, 8)));
-            cluster.run(seconds(15));
-            EXPECT_TRUE(cluster.isCompleted(jobId(1))) << "phase " << phase << " ms";
-            EXPECT_EQ(cluster.workers.violations, Violations{});
-        }
+}
+
+TEST(SlowLeader, AssignmentStoredWhileTheLeaseIsInDoubtIsStartedAfterItsRenewal)
+{
+    // The store answers slowly and the leader's machine stands still, so that the leader's
+    // bound for its own lease passes before the answer to a renewal arrives. The leader goes on
+    // leading after that answer; in some phases the assignment is stored in between.
+    for (int phase = 0; phase < 250; phase += 10) {
+        Cluster cluster(1, 4);
+        const std::string leader = cluster.leader();
+        cluster.run(milliseconds(phase));
+        cluster.clock.in(milliseconds(8),
+                         [&cluster] { cluster.store.latency = milliseconds(400); });
+        cluster.clock.in(milliseconds(88), [&cluster, leader] {
+            *cluster.instances.at(leader)->suspendedUntil = cluster.clock.now() + milliseconds(950);
+        });
+        cluster.clock.in(milliseconds(1038),
+                         [&cluster] { cluster.store.latency = milliseconds(2); });
+        ASSERT_TRUE(cluster.submit(leader, jobId(1), jobBody("1000", 1, 8)));
+        cluster.run(seconds(15));
+        EXPECT_TRUE(cluster.isCompleted(jobId(1))) << "phase " << phase << " ms";
+        EXPECT_EQ(cluster.workers.violations, Violations{});
     }
+}
 
 } // namespace
 
