OddEntryTest: start from the worker's true entry

The fakes' registry entries hold the capacity since the late-call tests; the test's hand-made entry had none, so the worker offered no room and the gang of four could not start. The check stays the same.

--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -61,9 +61,7 @@
 
 TEST_F(OddEntry, EntryOfAnotherWriterThatIsBornInTheFutureDoesNotSilenceItsWorker)
 {
-    Tasks::WorkerEntry odd;
-    odd.id = "worker-0";
-    odd.labels = {"kind-a", "rack-0"};
+    Tasks::WorkerEntry odd = this->cluster.workers.entryOf("worker-0");
     odd.incarnation = 9'000'000'000'000'000'000;
     this->cluster.putWorker(odd);
     this->cluster.run(seconds(1));
