Let the outcome of an earlier run of a task count

Cause: an end was applied only if the job's record held that very run as the current one. The end of an earlier run changed nothing and was acknowledged.

Change: an earlier run that ended as done completes its task (or gang), and the current run is stopped; one that failed counts as an attempt. Stopping a run that was never sent keeps a task that is done as done.

TrackedJobTableTest.* for gangs and for failures.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -434,7 +434,9 @@
             continue;
         }
         this->fleet.withdraw(worker, ref, now);
-        job->progress.task(ref.task).state = TaskState::Waiting;
+        TaskProgress &task = job->progress.task(ref.task);
+        if (task.isOnWorker())
+            task.state = TaskState::Waiting;
         this->writer.scheduleWrite(ref.job, nullptr);
     }
 }
--- a/Coordination/TrackedJobTable.cpp
+++ b/Coordination/TrackedJobTable.cpp
@@ -99,7 +99,7 @@
         return update;
     const TaskProgress &task = job.progress.task(run.task);
     if (!task.isOnWorker() || task.run != run.run)
-        return update;
+        return endEarlierRun(job, run, cause, now);
     update.changed = true;
     const bool isPerpetual = job.stepOf(run.task).perpetual;
     if (cause == EndCause::Done && !isPerpetual && !job.isFinished()) {
@@ -112,6 +112,33 @@
     return update;
 }
 
+/// A run that counted as lost may have been executed after all, because its start order was late.
+/// Its outcome counts: a task that ended as done must not start again, and a failure is an attempt.
+JobUpdate TrackedJobTable::endEarlierRun(TrackedJob &job, const RunRef &run, EndCause cause,
+                                         UnixMs now)
+{
+    JobUpdate update;
+    const bool isOpen = !job.isFinished() && !job.progress.task(run.task).hasEnded()
+        && !job.stepOf(run.task).perpetual;
+    if (!isOpen)
+        return update;
+    const std::vector<TaskRef> members = job.gangMembers(run.task);
+    if (cause == EndCause::Done) {
+        update.changed = true;
+        for (const TaskRef &member : members) {
+            const TaskProgress &task = job.progress.task(member);
+            if (task.isOnWorker())
+                update.runsToStop.push_back({job.job.id, member, task.run});
+        }
+        completeTask(job, run, now, update);
+    } else if (cause == EndCause::Failed
+               && run.run > job.progress.task(members.front()).lastFailedRun) {
+        update.changed = true;
+        failTask(job, run, now, update);
+    }
+    return update;
+}
+
 void TrackedJobTable::completeTask(TrackedJob &job, const RunRef &run, UnixMs now,
                                    JobUpdate &update)
 {
--- a/Coordination/TrackedJobTable.h
+++ b/Coordination/TrackedJobTable.h
@@ -70,6 +70,8 @@
 private:
     static void finish(TrackedJob &job, Tasks::JobState state, Tasks::UnixMs now,
                        JobUpdate &update);
+    static JobUpdate endEarlierRun(TrackedJob &job, const Tasks::RunRef &run, Tasks::EndCause cause,
+                                   Tasks::UnixMs now);
     static void completeTask(TrackedJob &job, const Tasks::RunRef &run, Tasks::UnixMs now,
                              JobUpdate &update);
     static void failTask(TrackedJob &job, const Tasks::RunRef &run, Tasks::UnixMs now,
