Poll a restarted worker at once, and ignore the answers to polls of its former process

Cause: after a restart the worker has no session and is polled, but not while a poll of the former process was unanswered. Until that poll timed out, the new process had seen no fencing token, and any former leader's order that was still on its way passed. The answer to that old poll also counted as an acknowledgement by the new process.

Change: a restart makes the poll of the former process obsolete; its answer is ignored, and the new process is polled at once.

LateCall.AnswerOfAnEarlierProcessDoesNotSettleTheEndsOfTheNextOne and LateCall.LatePollOfAnEarlierProcessDoesNotOutliveTheLeadersBound failed before and pass now.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -378,15 +378,18 @@
     }
     worker->pollInFlight = true;
     worker->pollSentAt = now;
+    worker->pollSerial++;
     const Duration timeout = order.wait + this->settings.pollSlack;
     const std::int64_t acknowledgedEnd = order.endsRecorded;
     this->link.renew(worker->entry, order, timeout,
-                     [this, id, acknowledgedEnd, sentAt = now,
+                     [this, id, acknowledgedEnd, sentAt = now, serial = worker->pollSerial,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                         if (generation != this->generation)
+                         Worker *sender
+                             = generation == this->generation ? this->workerOf(id) : nullptr;
+                         // A poll of an earlier process says nothing of the present one.
+                         if (!sender || sender->pollSerial != serial)
                              return;
-                         Worker *sender = this->workerOf(id);
-                         if (sender && answer.outcome == WorkerOutcome::Done)
+                         if (answer.outcome == WorkerOutcome::Done)
                              this->endsAcknowledged(*sender, acknowledgedEnd, at);
                          this->handlePollAnswer(id, answer, sentAt, at);
                      });
@@ -479,6 +482,10 @@
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
     worker.hasSession = false;
+    // The new process has seen no fencing token, so it is polled at once, also if a poll of the former
+    // process is unanswered.
+    worker.pollInFlight = false;
+    worker.pollSerial++;
     worker.consecutiveFailures = 0;
     // The worker's clock restarted too, so the end of an earlier lease is meaningless, also in
     // start orders that are still in flight.
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -140,6 +140,7 @@
         bool pollInFlight = false;
         /// A timer for the end of the pause between two polls is running.
         bool pauseTimerPending = false;
+        std::uint64_t pollSerial = 0; ///< Answers to polls with a lower serial are ignored.
         TimePoint pollSentAt{}; ///< When the last poll was sent.
         Duration pollRetryDelay{};
         std::map<std::pair<std::string, Tasks::TaskRef>, Run> runs;
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -83,6 +83,8 @@
     const bool hasAnswer = worker && answer.outcome != WorkerOutcome::Unknown;
     if (hasAnswer && !this->acceptAnswer(*worker, answer, now))
         answer.outcome = WorkerOutcome::Unknown;
+    if (hasAnswer && !worker->hasSession)
+        this->pollIfNeeded(*worker, now);
     return worker;
 }
 
