--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -482,8 +482,8 @@
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
     worker.hasSession = false;
-    // The new process has seen no fencing token, so it is polled at once, also if a poll of the former
-    // process is unanswered.
+    // The new process has seen no fencing token, so it is polled at once, also if a poll of the
+    // former process is unanswered.
     worker.pollInFlight = false;
     worker.pollSerial++;
     worker.consecutiveFailures = 0;
