Back off from a worker only for failures that were not counted before

After a takeover or a relisting, ends that a former session had counted are reported again, and each failed one took its worker out of use for half a second to eight. Now only the end of a run that the fleet tracked, or one that changes the record, counts.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -339,7 +339,9 @@
                            {"tracked", end.tracked},
                            {"changed", update.changed}},
                           now);
-    if (end.cause == EndCause::Failed)
+    // An end that a former leader has counted says nothing of the worker's present state.
+    const bool isNew = end.tracked || update.changed;
+    if (end.cause == EndCause::Failed && isNew)
         this->fleet.reportFailure(end.worker, now);
     if (end.cause == EndCause::Done)
         this->fleet.reportSuccess(end.worker);
