Don't count a run as lost by a list that is one page of ends

What callers would see: a task that has ended is started again (TWICE). A worker lists 500 ends in one answer; a run that is not listed may have ended as number 501. A full page now decides nothing about missing runs.

WorkerFleetTest.RunMissingFromAListWithOnePageOfEndsIsNotLost.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -602,6 +602,9 @@
 
 void WorkerFleet::checkLease(Worker &worker, TimePoint now)
 {
+    // A run that is missing may have ended; its end may be on the next page.
+    if (!answer.hasAllEnds)
+        return;
     if (now < worker.leaseExpiresAt || worker.runs.empty())
         return;
     std::vector<RunKey> keys;
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -117,6 +117,7 @@
     std::int64_t incarnation = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
+    bool hasAllEnds = true; ///< False if the worker may hold more ends than `ended` lists.
 };
 
 /// Names in log lines.
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -99,14 +99,19 @@
         this->link.renewals.back().handler(answer, start);
     }
 
-    /// Sends start orders that get no answer, and a stop order that the worker accepts; then the
-    /// worker lists nothing.
-    void giveUpRun(const Tasks::RunRef &ref)
+    void assignAndStart(const Tasks::RunRef &ref)
     {
         WorkerFleet::Run run;
         run.ref = ref;
         this->fleet.assign("worker-0", run, start);
         this->fleet.start("worker-0", ref, start);
+    }
+
+    /// Sends start orders that get no answer, and a stop order that the worker accepts; then the
+    /// worker lists nothing.
+    void giveUpRun(const Tasks::RunRef &ref)
+    {
+        this->assignAndStart(ref);
         for (std::size_t i = 0; i < this->link.starts.size(); i++)
             this->link.starts.at(i)({}, start);
         this->link.stops.back()(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
@@ -153,6 +158,36 @@
     EXPECT_FALSE(this->fleet.isRevoking("a", {}));
 }
 
+TEST_F(WorkerFleetTest, StartInFlightAtARestartIsNotGivenUpWhileItMayBeExecuted)
+{
+    // The first attempt is unanswered when the registry shows the restart; the new process does not
+    // answer.
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    this->assignAndStart({"a", {}, 1});
+    this->list(2000);
+    this->link.starts.at(0)({}, start + milliseconds(300));
+    EXPECT_EQ(this->link.starts.size(), 1U);
+    for (Duration passed{}; passed < seconds(19); passed += seconds(1))
+        this->link.renewals.back().handler({}, start + passed);
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->link.renewals.back().handler({}, start + seconds(21));
+    EXPECT_EQ(this->listener.lost.size(), 1U);
+}
+
+TEST_F(WorkerFleetTest, RunMissingFromAListWithOnePageOfEndsIsNotLost)
+{
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    this->assignAndStart({"a", {}, 1});
+    this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    Tasks::WorkerAnswer page = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    page.hasAllEnds = false;
+    this->link.renewals.back().handler(page, start + seconds(1));
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000),
+                                       start + seconds(2));
+    EXPECT_EQ(this->listener.lost.size(), 1U);
+}
+
 TEST_F(WorkerFleetTest, StoppedRunThatWasNeverSeenIsSettledWithoutALongPoll)
 {
     using Tasks::WorkerOutcome;
