Give an unreachable worker no session until it answers a poll

Seen: an idle worker that can't be reached, or whose process died while a run on it was to be stopped, got new runs for as long as its registry entry stayed. A task waited for one lease after another (7.3 s each) on the same dead worker; a gang with a member there ended incomplete on its other workers.

Cause: sendStop reported a run as lost when its lease had expired, but left the session of the worker open. Idle workers are not polled, so nothing showed that the worker was gone, and it looked like the best free one.

Change: settleExpiredRun ends the session and polls the worker. If it does not answer, the run is lost and the worker stays without a session. If it answers, its lists decide, since the run may have ended as done before the end of its lease. Only ending the session, with the run reported as lost at once, was ruled out: the poll then acknowledged such an end as that of an untracked run and the task started again, which WorkerFault.LateStartsDoNotRunAlongsideTheirReplacement showed.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -240,6 +240,8 @@
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
+    void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
+    void settleExpiredRun(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
                           Tasks::WorkerAnswer answer, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -227,9 +227,7 @@
 void WorkerFleet::sendStop(Worker &worker, Run &run, TimePoint now)
 {
     if (now >= worker.leaseExpiresAt) {
-        // The worker has stopped all its runs and rejects late start orders, since their lease is
-        // over.
-        this->reportLostRun(worker, keyOf(run.ref), "the lease has expired", now);
+        this->settleExpiredRun(worker, run, now);
         return;
     }
     run.stopOutstanding = true;
@@ -241,6 +239,22 @@
                     });
 }
 
+/// Handles a run that was not stopped before the end of its lease. The worker has stopped all its
+/// runs by then and rejects late start orders, but the run may have ended in another way before.
+/// The answer to a poll shows that; without one, the run is lost. Until it answers, the worker has
+/// no session, so it gets no new runs and no lease.
+void WorkerFleet::settleExpiredRun(Worker &worker, Run &run, TimePoint now)
+{
+    if (!run.orderConfirmedAt)
+        run.orderConfirmedAt = now;
+    if (std::exchange(worker.hasSession, false))
+        this->pollIfNeeded(worker, now);
+    if (worker.pollInFlight)
+        this->sendStopLater(worker.entry.id, run.ref);
+    else
+        this->reportLostRun(worker, keyOf(run.ref), "the lease has expired", now);
+}
+
 void WorkerFleet::handleStopAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
                                    TimePoint now)
 {
@@ -260,6 +274,11 @@
         this->pollIfNeeded(*worker, now);
         return;
     }
+    this->sendStopLater(id, ref);
+}
+
+void WorkerFleet::sendStopLater(const std::string &id, const RunRef &ref)
+{
     this->timers.after(this->settings.retryDelay,
                        [this, id, ref, generation = this->generation](TimePoint at) {
                            if (generation != this->generation)
