Use an entry only for the worker's process that wrote it

Seen: a worker that started again with half of its accelerators got runs by the capacity of its earlier process, in two cases: its new process had answered a poll before the registry showed the new entry, or an entry of the earlier process reached the registry after that of the new one. On a service whose workers don't check their room the start brings the worker over its capacity.

Cause: workerListed kept the newest incarnation, but took capacity, labels and state from any entry; and a process that was known only from its answer was used with the entry of the one before it.

Change: the fleet notes which process wrote the entry that it holds. An entry of an earlier process than that is ignored and logged. A worker whose present process has no entry yet gets no runs; the entry of its earlier process still gives the address for polls. An entry without a start time counts as that of the present process, as before.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -123,6 +123,15 @@
     Worker &worker = found->second;
     const std::int64_t known = worker.entry.incarnation;
     const bool wasDraining = worker.entry.draining;
+    // The process that wrote this entry is gone, and a later one has its own.
+    if (entry.incarnation != 0 && entry.incarnation < worker.entryWriter) {
+        this->logger.logEvent(LogKind::Dependency, "entry of an earlier process ignored",
+                              {{"worker", entry.id},
+                               {"incarnation", entry.incarnation},
+                               {"known", worker.entryWriter}},
+                              now);
+        return;
+    }
     if (added) {
         worker.leaseExpiresAt = now;
         worker.lastAnswerAt = now;
@@ -130,6 +139,7 @@
     if (known != 0 && entry.incarnation > known)
         this->handleRestart(worker, entry.incarnation, now);
     worker.entry = entry;
+    worker.entryWriter = entry.incarnation;
     // The registry may be older than the incarnation that the worker itself reported.
     worker.entry.incarnation = std::max(known, entry.incarnation);
     worker.listed = true;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -122,6 +122,8 @@
     {
         Tasks::WorkerEntry entry;
         bool listed = false; ///< Has an entry in the platform's registry.
+        /// The worker's process that wrote `entry`; 0 if the entry does not name it.
+        std::int64_t entryWriter = 0;
         bool hasSession = false; ///< Has answered under the current fencing token.
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
@@ -147,9 +149,16 @@
         /// the worker may still execute them.
         std::map<Tasks::RunRef, TimePoint> unansweredStarts;
 
+        /// Whether the entry is that of the worker's present process. Another one may have another
+        /// capacity and other labels.
+        bool hasOwnEntry() const
+        {
+            return this->listed
+                && (this->entryWriter == 0 || this->entryWriter == this->entry.incarnation);
+        }
         bool isUsable(TimePoint now) const
         {
-            return this->listed && this->hasSession && !this->entry.draining
+            return this->hasOwnEntry() && this->hasSession && !this->entry.draining
                 && now >= this->backoffUntil;
         }
         /// Whether the worker runs latency-sensitive and best-effort tasks together.
