Pause between two attempts to revoke a start order

Seen: while a restarted worker refuses connections, each stop order for a start of its earlier process was followed at once by the next one: 5802 new connections in 13 s for one start order. Connections to workers are priced, and the loop keeps the leader's thread busy.

Cause: revokeStart sent the next stop order from the answer of the last one. That paused only if the worker took the full time-out to fail.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -235,6 +235,7 @@
     void handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now);
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
     void revokeStart(const std::string &id, const Tasks::RunRef &ref, TimePoint now);
+    void revokeStartLater(const std::string &id, const Tasks::RunRef &ref);
     void processEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
     RunEnd takeEnd(Worker &worker, const Tasks::EndedTask &ended, TimePoint now);
     void processRunning(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -35,14 +35,23 @@
         return;
     this->link.stop(
         worker->entry, {ref, this->token}, this->settings.orderTimeout,
-        [this, id, ref, generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+        [this, id, ref, generation = this->generation](const WorkerAnswer &answer, TimePoint) {
             const bool revoked = answer.outcome == WorkerOutcome::Done
                 || answer.outcome == WorkerOutcome::Superseded;
             if (generation == this->generation && !revoked)
-                this->revokeStart(id, ref, at);
+                this->revokeStartLater(id, ref);
         });
 }
 
+void WorkerFleet::revokeStartLater(const std::string &id, const RunRef &ref)
+{
+    this->timers.after(this->settings.retryDelay,
+                       [this, id, ref, generation = this->generation](TimePoint at) {
+                           if (generation == this->generation)
+                               this->revokeStart(id, ref, at);
+                       });
+}
+
 void WorkerFleet::start(const std::string &id, const RunRef &ref, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
