Send the pace again while an earlier order may still be executed

Seen: best-effort tasks stood still for good after the tasks that serve users had ended. A pace order got no answer, full pace was then ordered and confirmed, and the worker executed the earlier order after that. The other way round, a late order of full pace would disturb tasks that serve users.

Cause: a newer order that was answered counted as settled, although a call without an answer may be executed seconds later, after newer calls. The worker's lists don't show the pace that it applies, and a pace order carries nothing by which the worker could tell old from new.

Evidence, on the parent commit: LateCall.LatePaceOrderDoesNotReplaceANewerOne throttledTasks() is 4, expected 0

An order that was answered, also with a rejection, causes no such repetition.

Result: the test passes; of the other tests of CoordinationTests, the same 14 fail as before.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -106,6 +106,8 @@
         double load = 0.0; ///< Load that the worker reported; see Tasks::RunningTask::load.
         std::int32_t pace = 100; ///< Pace in percent that was last sent to the worker.
         bool paceConfirmed = true; ///< Whether the worker is known to apply that pace.
+        /// Until then, a pace order that got no answer may still be executed.
+        std::optional<TimePoint> latePaceUntil;
         /// Taken over from a former leader and not yet listed by the worker.
         bool adopted = false;
         bool startOutstanding = false;
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -190,8 +190,10 @@
         if (!run.bestEffort || !run.startConfirmedAt)
             continue;
         const std::int32_t percent = this->paceControl.nextPercent(run.pace, load);
-        if (run.pace == percent && run.paceConfirmed)
+        if (run.pace == percent && run.paceConfirmed && !run.latePaceUntil)
             continue;
+        if (run.latePaceUntil && now > *run.latePaceUntil)
+            run.latePaceUntil.reset();
         this->logger.logEvent(LogKind::Task, "pace set",
                               {{"request", run.ref.job},
                                {"run", Tasks::textOf(run.ref)},
@@ -204,21 +206,25 @@
 }
 
 /// Sends a pace order. If the order fails, it is sent again after the worker's next answer to a
-/// poll.
+/// poll. An order without an answer may be executed after a newer one, so the pace is sent after
+/// each answer to a poll until that can't happen any more.
 void WorkerFleet::sendPace(Worker &worker, Run &run, std::int32_t percent)
 {
     run.pace = percent;
     run.paceConfirmed = true;
     this->link.setPace(worker.entry, {run.ref, percent, this->token}, this->settings.orderTimeout,
                        [this, id = worker.entry.id, ref = run.ref,
-                        generation = this->generation](const WorkerAnswer &answer, TimePoint) {
+                        generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                            if (generation != this->generation
                                || answer.outcome == WorkerOutcome::Done)
                                return;
                            Worker *target = this->workerOf(id);
                            Run *failed = target ? this->runOf(*target, ref) : nullptr;
-                           if (failed)
-                               failed->paceConfirmed = false;
+                           if (!failed)
+                               return;
+                           failed->paceConfirmed = false;
+                           if (answer.outcome == WorkerOutcome::Unknown)
+                               failed->latePaceUntil = at + this->settings.maxStartDelay;
                        });
 }
 
