--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -106,6 +106,8 @@
         double load = 0.0; ///< Load that the worker reported; see Tasks::RunningTask::load.
         std::int32_t pace = 100; ///< Pace in percent that was last sent to the worker.
         bool paceConfirmed = true; ///< Whether the worker is known to apply that pace.
+        /// Until then, a pace order that got no answer may still be executed.
+        std::optional<TimePoint> latePaceUntil;
         /// Taken over from a former leader and not yet listed by the worker.
         bool adopted = false;
         bool startOutstanding = false;
@@ -125,6 +127,8 @@
     {
         Tasks::WorkerEntry entry;
         bool listed = false; ///< Has an entry in the platform's registry.
+        /// The worker's process that wrote `entry`; 0 if the entry does not name it.
+        std::int64_t entryWriter = 0;
         bool hasSession = false; ///< Has answered under the current fencing token.
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
@@ -151,9 +155,16 @@
         /// the worker may still execute them.
         std::map<Tasks::RunRef, TimePoint> unansweredStarts;
 
+        /// Whether the entry is that of the worker's present process. Another one may have another
+        /// capacity and other labels.
+        bool hasOwnEntry() const
+        {
+            return this->listed
+                && (this->entryWriter == 0 || this->entryWriter == this->entry.incarnation);
+        }
         bool isUsable(TimePoint now) const
         {
-            return this->listed && this->hasSession && !this->entry.draining
+            return this->hasOwnEntry() && this->hasSession && !this->entry.draining
                 && now >= this->backoffUntil;
         }
         /// Whether the worker runs latency-sensitive and best-effort tasks together.
@@ -251,6 +262,8 @@
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
+    void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
+    void settleExpiredRun(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
                           Tasks::WorkerAnswer answer, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -182,8 +182,10 @@
         if (!run.bestEffort || !run.startConfirmedAt)
             continue;
         const std::int32_t percent = this->paceControl.nextPercent(run.pace, load);
-        if (run.pace == percent && run.paceConfirmed)
+        if (run.pace == percent && run.paceConfirmed && !run.latePaceUntil)
             continue;
+        if (run.latePaceUntil && now > *run.latePaceUntil)
+            run.latePaceUntil.reset();
         this->logger.logEvent(LogKind::Task, "pace set",
                               {{"request", run.ref.job},
                                {"run", Tasks::textOf(run.ref)},
@@ -196,21 +198,25 @@
 }
 
 /// Sends a pace order. If the order fails, it is sent again after the worker's next answer to a
-/// poll.
+/// poll. An order without an answer may be executed after a newer one, so the pace is sent after
+/// each answer to a poll until that can't happen any more.
 void WorkerFleet::sendPace(Worker &worker, Run &run, std::int32_t percent)
 {
     run.pace = percent;
     run.paceConfirmed = true;
     this->link.setPace(worker.entry, {run.ref, percent, this->token}, this->settings.orderTimeout,
                        [this, id = worker.entry.id, ref = run.ref,
-                        generation = this->generation](const WorkerAnswer &answer, TimePoint) {
+                        generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                            if (generation != this->generation
                                || answer.outcome == WorkerOutcome::Done)
                                return;
                            Worker *target = this->workerOf(id);
                            Run *failed = target ? this->runOf(*target, ref) : nullptr;
-                           if (failed)
-                               failed->paceConfirmed = false;
+                           if (!failed)
+                               return;
+                           failed->paceConfirmed = false;
+                           if (answer.outcome == WorkerOutcome::Unknown)
+                               failed->latePaceUntil = at + this->settings.maxStartDelay;
                        });
 }
 
@@ -228,9 +234,7 @@
 void WorkerFleet::sendStop(Worker &worker, Run &run, TimePoint now)
 {
     if (now >= worker.leaseExpiresAt) {
-        // The worker has stopped all its runs and rejects late start orders, since their lease is
-        // over.
-        this->reportLostRun(worker, keyOf(run.ref), "the lease has expired", now);
+        this->settleExpiredRun(worker, run, now);
         return;
     }
     run.stopOutstanding = true;
@@ -242,6 +246,22 @@
                     });
 }
 
+/// Handles a run that was not stopped before the end of its lease. The worker has stopped all its
+/// runs by then and rejects late start orders, but the run may have ended in another way before.
+/// The answer to a poll shows that; without one, the run is lost. Until it answers, the worker has
+/// no session, so it gets no new runs and no lease.
+void WorkerFleet::settleExpiredRun(Worker &worker, Run &run, TimePoint now)
+{
+    if (!run.orderConfirmedAt)
+        run.orderConfirmedAt = now;
+    if (std::exchange(worker.hasSession, false))
+        this->pollIfNeeded(worker, now);
+    if (worker.pollInFlight)
+        this->sendStopLater(worker.entry.id, run.ref);
+    else
+        this->reportLostRun(worker, keyOf(run.ref), "the lease has expired", now);
+}
+
 void WorkerFleet::handleStopAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
                                    TimePoint now)
 {
@@ -261,6 +281,11 @@
         this->pollIfNeeded(*worker, now);
         return;
     }
+    this->sendStopLater(id, ref);
+}
+
+void WorkerFleet::sendStopLater(const std::string &id, const RunRef &ref)
+{
     this->timers.after(this->settings.retryDelay,
                        [this, id, ref, generation = this->generation](TimePoint at) {
                            if (generation != this->generation)
