Accept a worker's process that started after its clock was set back

Seen: a worker whose new process reports an earlier start time than the one before it was of no use until the leader changed: its answers and its entry were ignored, and its runs of the earlier process never counted as lost.

Cause: the order of a worker's processes was taken from their start times alone.

Evidence, on the parent commit: LateCall.WorkerWhoseClockWasSetBackStartsItsTasksAgain entry of an earlier process ignored {"incarnation":500,"known":1000} isCompleted(jobId(1)) is false, expected true

Change: a process that answers a poll which was sent after the known process had last shown itself, by an answer or an entry, is the later one, whatever its start time. An entry with an earlier start time is kept aside and causes a poll; the answer decides which of the two is used. The process that was replaced in this way is noted, so that a late entry or answer of it does not count as another restart.

Result: the test passes; of the other tests of CoordinationTests, the same 13 fail as before. The new test LateCall.LateEntryOfTheProcessBeforeTheClockWasSetBackEndsNoRun passes; in a trial without the check for the replaced process it fails with 5 starts instead of 4, since the run of the present process counts as lost.

Open: only the last replaced process is noted. A late order answer of a process before that one, with a higher start time, still counts as a restart.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -123,13 +123,19 @@
     Worker &worker = found->second;
     const std::int64_t known = worker.entry.incarnation;
     const bool wasDraining = worker.entry.draining;
-    // The process that wrote this entry is gone, and a later one has its own.
-    if (entry.incarnation != 0 && entry.incarnation < worker.entryWriter) {
+    // A later process has its own entry, unless the clock was set back; the answer to a poll shows
+    // which of the two runs.
+    const bool startedEarlier
+        = entry.incarnation < worker.entryWriter && entry.incarnation != known;
+    const bool isReplaced = entry.incarnation == worker.replacedProcess;
+    if (entry.incarnation != 0 && (startedEarlier || isReplaced)) {
         this->logger.logEvent(LogKind::Dependency, "entry of an earlier process ignored",
                               {{"worker", entry.id},
                                {"incarnation", entry.incarnation},
                                {"known", worker.entryWriter}},
                               now);
+        worker.otherEntry = entry;
+        this->poll(entry.id, now);
         return;
     }
     if (added) {
@@ -140,6 +146,8 @@
         this->handleRestart(worker, entry.incarnation, now);
     worker.entry = entry;
     worker.entryWriter = entry.incarnation;
+    worker.otherEntry.reset();
+    worker.listedAt = now;
     // The registry may be older than the incarnation that the worker itself reported.
     worker.entry.incarnation = std::max(known, entry.incarnation);
     worker.listed = true;
@@ -156,6 +164,7 @@
     if (!worker)
         return;
     worker->listed = false;
+    worker->otherEntry.reset();
     this->logger.logEvent(LogKind::Dependency, "worker unlisted",
                           {{"worker", id}, {"runs", worker->runs.size()}}, now);
     this->listener.fleetChanged(now);
@@ -445,6 +454,7 @@
     }
     if (std::exchange(worker->pollRetryDelay, Duration{}) != Duration{})
         this->logger.logEvent(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
+    this->acceptEarlierStart(*worker, answer.incarnation, sentAt, now);
     if (!this->acceptAnswer(*worker, answer, now)) {
         this->pollIfNeeded(*worker, now);
         return;
@@ -462,7 +472,9 @@
 {
     // The incarnation is the start time of the worker's process, so a lower one belongs to a
     // process that no longer exists.
-    if (answer.incarnation != 0 && answer.incarnation < worker.entry.incarnation)
+    const bool isGone = answer.incarnation < worker.entry.incarnation
+        || answer.incarnation == worker.replacedProcess;
+    if (answer.incarnation != 0 && isGone)
         return false;
     const bool isRestarted
         = answer.incarnation != 0 && answer.incarnation != worker.entry.incarnation;
@@ -478,6 +490,25 @@
     return true;
 }
 
+/// Accepts a process whose start time is lower than that of the known one, since its machine's
+/// clock was set back: it answers a poll that was sent after the known process had last shown
+/// itself.
+void WorkerFleet::acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
+                                     TimePoint now)
+{
+    const bool startedEarlier = incarnation != 0 && incarnation < worker.entry.incarnation;
+    if (!startedEarlier || sentAt <= std::max(worker.lastAnswerAt, worker.listedAt))
+        return;
+    worker.replacedProcess = worker.entry.incarnation;
+    this->handleRestart(worker, incarnation, now);
+    const std::optional<WorkerEntry> entry = std::exchange(worker.otherEntry, std::nullopt);
+    if (!entry || entry->incarnation != incarnation)
+        return;
+    worker.entry = *entry;
+    worker.entryWriter = incarnation;
+    worker.listed = true;
+}
+
 /// Handles a restart of the worker's process, after which the worker has no runs and no ends of the
 /// earlier process.
 void WorkerFleet::handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now)
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -126,6 +126,12 @@
         bool listed = false; ///< Has an entry in the platform's registry.
         /// The worker's process that wrote `entry`; 0 if the entry does not name it.
         std::int64_t entryWriter = 0;
+        /// Newest entry of a process that started earlier than the known one by its own clock.
+        std::optional<Tasks::WorkerEntry> otherEntry;
+        /// A process that ended although its start time is higher than the known one; 0 if there is
+        /// none.
+        std::int64_t replacedProcess = 0;
+        TimePoint listedAt{}; ///< When `entry` was read.
         bool hasSession = false; ///< Has answered under the current fencing token.
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
@@ -234,6 +240,8 @@
     /// Updates the worker's incarnation and clock from an answer. Returns false if the answer is
     /// from an earlier incarnation and must be ignored.
     bool acceptAnswer(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    void acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
+                            TimePoint now);
     void handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now);
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
     void revokeStart(const std::string &id, const Tasks::RunRef &ref, TimePoint now);
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -289,6 +289,22 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(LateCall, LateEntryOfTheProcessBeforeTheClockWasSetBackEndsNoRun)
+{
+    // The worker's new process, which reports an earlier start time, is used by its own entry. Then
+    // an entry of the process before it reaches the registry.
+    const Tasks::WorkerEntry former = this->cluster.workers.entryOf("worker-0");
+    this->cluster.putWorker(this->cluster.workers.restart("worker-0", 8, -500));
+    this->cluster.run(seconds(1));
+    this->accept(1, jobBody("5000", 4, 8));
+    this->cluster.run(seconds(1));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 4U);
+    this->cluster.putWorker(former);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+}
+
 TEST_F(LateCall, LatePaceOrderDoesNotReplaceANewerOne)
 {
     // A pace order gets no answer and is carried out after the latency-sensitive tasks have ended
