Make the leader's reports conditional on their own revision

Seen: after a write of the queues' load that the store carried out late, callers read 1 waiting job where 7 were waiting, for as long as the counts did not change. The forecast of waits, by which jobs are refused, was written in the same way.

Cause: TaskDispatcher::publish checked the leader's key alone, so a late write of the same leader still succeeded and replaced a newer text. The leader took the newer text for stored and did not write it again.

Evidence: LateCall.LateReportOfTheLoadDoesNotReplaceANewerOne failed with "reply->pending: Which is: 1", expected 7.

Change: the write also checks the key's revision, which the leader learns from the answer of its last write or from the items of a conflict. After a conflict under its own token it writes the text again, unless that text is stored already. While a write has no answer the stored text counts as unknown, so the next report is written even if it equals the last one that was stored. A new leader's first write of each of the two keys meets one conflict.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -113,7 +113,6 @@
     this->refusals.clear();
     this->runTimes.clear();
     this->published.clear();
-    this->publishing.clear();
     this->fleet.begin(token);
     this->writer.begin(token);
     this->jobWatch.start(now);
@@ -615,24 +614,55 @@
     this->publish(StoreKeys::waits, report.describeWaits(now));
 }
 
+/// The write is conditional on the key's revision, so that an earlier write that the store carries
+/// out late can't replace a newer text.
 void TaskDispatcher::publish(const char *key, const std::string &text)
 {
-    const auto known = this->published.find(key);
-    const bool unchanged = known != this->published.end() && known->second == text;
-    if (unchanged || !this->publishing.insert(key).second)
+    PublishedKey &state = this->published[key];
+    if (state.inFlight || state.text == text)
         return;
+    state.inFlight = true;
+    // Until the answer arrives, any of the texts sent may be the stored one.
+    state.text.reset();
     Tasks::StoreCommit commit;
     commit.checks.push_back({StoreKeys::leader, this->election.token()});
+    commit.checks.push_back({key, state.revision});
     commit.writes.push_back({key, text, 0});
     const auto answerHandler
         = [this, key, text, generation = this->generation](const StoreAnswer &answer, TimePoint) {
               if (generation != this->generation)
                   return;
-              this->publishing.erase(key);
-              if (answer.outcome == StoreOutcome::Done)
-                  this->published[key] = text;
+              PublishedKey &written = this->published[key];
+              written.inFlight = false;
+              if (answer.outcome == StoreOutcome::Conflict)
+                  this->handlePublishConflict(key, text, answer);
+              if (answer.outcome != StoreOutcome::Done)
+                  return;
+              written.text = text;
+              written.revision = answer.revision;
           };
     this->store.commit(commit, this->settings.writer.commitTimeout, answerHandler);
 }
 
+/// Learns the key's revision and writes the text again, unless it is stored already or another
+/// instance has become the leader.
+void TaskDispatcher::handlePublishConflict(const char *key, const std::string &text,
+                                           const StoreAnswer &answer)
+{
+    const auto itemOf = [&answer](std::string_view wanted) {
+        return std::find_if(answer.items.begin(), answer.items.end(),
+                            [wanted](const StoredItem &item) { return item.key == wanted; });
+    };
+    const auto leader = itemOf(StoreKeys::leader);
+    if (leader == answer.items.end() || leader->revision != this->election.token())
+        return;
+    const auto stored = itemOf(key);
+    PublishedKey &state = this->published[key];
+    state.revision = stored == answer.items.end() ? 0 : stored->revision;
+    if (state.revision != 0 && stored->value == text)
+        state.text = text;
+    else
+        this->publish(key, text);
+}
+
 } // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -88,6 +88,14 @@
         TimePoint seenAt{};
     };
 
+    /// A key that all instances read and the leader writes.
+    struct PublishedKey
+    {
+        std::optional<std::string> text; ///< Stored text; empty if it is unknown.
+        std::int64_t revision = 0; ///< Last known revision.
+        bool inFlight = false;
+    };
+
     void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
     void runEnded(const RunEnd &end, TimePoint now) override;
     void runLost(const RunEnd &end, const char *reason, TimePoint now) override;
@@ -129,6 +137,8 @@
     void writeLoad(TimePoint now);
     /// Writes the text of a key that all instances read, if the text has changed.
     void publish(const char *key, const std::string &text);
+    void handlePublishConflict(const char *key, const std::string &text,
+                               const Tasks::StoreAnswer &answer);
 
     Tasks::MetadataStore &store;
     TimerService &timers;
@@ -157,10 +167,7 @@
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
-    /// Last stored text by key.
-    std::map<std::string, std::string> published;
-    /// Keys with a write in flight.
-    std::set<std::string> publishing;
+    std::map<std::string, PublishedKey> published;
     TimePoint loadWrittenAt{};
 };
 
