Let a record that the store refuses hold up its own job only

Seen: once the progress record of one job was longer than the store's values may be, no job of any queue started or ended any more, and the leader sent the same commit every 100 ms.

Cause: RecordWriter writes one commit at a time, with up to seven jobs, and resent a refused commit unchanged and without end. The platform answers 400 and 403 (never) like 429 and 503 (try again).

Evidence: LateCall.RecordThatTheStoreRefusesDoesNotHoldUpOtherJobs failed: the second job was not completed after 20 s. With the former RecordWriter the new LateCall.JobWhoseRecordIsRefusedStartsNothingUntilItIsStored fails too: none of its eight jobs starts.

Change: a commit of several jobs is resent unchanged twice, since smaller commits take more calls of a store that limits their rate, and is then divided; the size of commits doubles again with each success. A job that is refused in a commit of its own stays queued and is sent again, always alone, after a pause: 100 ms at first, and from the fourth refusal on doubled up to 5 s while the store accepts other records, up to 1 s while it accepts none. No other write waits in the first case; in the second all writes pause for 100 ms, as before. No write is dropped, and a handler still runs only once its job's record is stored, so a job whose record is refused starts nothing. The event "record refused by the store" names the job and the record's length; it is logged at refusals 1, 2, 4, 8 and so on. An earlier attempt that got no answer and is carried out late is found by the revision checks as before.

Also new: LateCall.JobsGoOnSoonAfterTheStoreHasRefusedAllRecords, which passes with the former RecordWriter too and keeps the pause after an outage bounded.

Not changed: the runs assigned to a refused job keep their room on the workers, and the ends of a run whose record has become too long are not acknowledged until it is stored.

--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -2,6 +2,7 @@
 #include <Coordination/StoreKeys.h>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace Hibiscus::Coordination {
@@ -15,6 +16,8 @@
 /// Keeps a commit within the store's limit of entries: a job takes one check and one write, or one
 /// check and three removals.
 constexpr std::size_t maxJobsPerCommit = 7;
+/// Number of refusals that are taken for a passing limit of the store's call rate.
+constexpr std::int32_t toleratedRefusals = 3;
 
 } // namespace
 
@@ -31,6 +34,7 @@
 {
     this->stop();
     this->active = true;
+    this->commitSize = maxJobsPerCommit;
     this->token = leaderToken;
 }
 
@@ -42,6 +46,8 @@
     this->queue.clear();
     this->storedHandlers.clear();
     this->inFlight.clear();
+    this->refusedJobs.clear();
+    this->paused = false;
 }
 
 void RecordWriter::setRevision(const std::string &job, std::int64_t revision)
@@ -85,11 +91,11 @@
 
 void RecordWriter::flush(TimePoint now)
 {
-    if (!this->inFlight.empty() || this->queue.empty())
+    if (this->paused || !this->inFlight.empty() || this->queue.empty())
         return;
     this->commit = {};
     this->commit.checks.push_back({StoreKeys::leader, this->token});
-    while (!this->queue.empty() && this->inFlight.size() < maxJobsPerCommit) {
+    while (!this->queue.empty() && this->fitsCommit(this->queue.front())) {
         this->append(this->queue.front());
         this->queue.pop_front();
     }
@@ -97,6 +103,16 @@
     this->send(now);
 }
 
+/// Whether the job may join the commit that is being put together. A job that was refused alone
+/// gets a commit of its own.
+bool RecordWriter::fitsCommit(const std::string &job) const
+{
+    if (this->inFlight.empty())
+        return true;
+    return this->inFlight.size() < this->commitSize && !this->refusedJobs.contains(job)
+        && !this->refusedJobs.contains(this->inFlight.front().job);
+}
+
 void RecordWriter::append(const std::string &job)
 {
     const std::string key = StoreKeys::progressOf(job);
@@ -135,14 +151,108 @@
         this->setReachable(true, now);
         this->handleConflict(answer, now);
         return;
+    case StoreOutcome::Refused:
+        this->handleRefusal(now);
+        return;
     default:
         this->setReachable(false, now);
-        this->timers.after(this->settings.retryDelay,
-                           [this, generation = this->generation](TimePoint at) {
-                               if (generation == this->generation)
-                                   this->send(at);
-                           });
+        this->resendLater();
+    }
+}
+
+void RecordWriter::resendLater()
+{
+    this->timers.after(this->settings.retryDelay,
+                       [this, generation = this->generation](TimePoint at) {
+                           if (generation == this->generation)
+                               this->send(at);
+                       });
+}
+
+void RecordWriter::handleRefusal(TimePoint now)
+{
+    if (this->inFlight.size() == 1) {
+        this->postponeRefusedJob(now);
+        return;
+    }
+    this->setReachable(false, now);
+    // Smaller commits take more calls, so a store that limits the rate of calls gets the whole
+    // commit again first.
+    if (this->attempts < toleratedRefusals) {
+        this->resendLater();
+        return;
+    }
+    this->logCommit("refused commit divided", 0, now);
+    this->commitSize = this->inFlight.size() / 2;
+    this->requeueInFlight();
+    this->pauseWriting();
+}
+
+void RecordWriter::requeueInFlight()
+{
+    std::vector<PendingWrite> writes = std::exchange(this->inFlight, {});
+    for (PendingWrite &entry : writes) {
+        std::vector<StoredHandler> &waiting = this->storedHandlers[entry.job];
+        waiting.insert(waiting.begin(), entry.storedHandlers.begin(), entry.storedHandlers.end());
+        if (std::find(this->queue.begin(), this->queue.end(), entry.job) == this->queue.end())
+            this->queue.push_front(entry.job);
+    }
+}
+
+/// If the store has accepted other commits since the job's last refusal, the record itself is the
+/// likely reason: the job's pause grows and the other jobs go on at once. Otherwise the store may
+/// refuse everything, and all writes pause.
+void RecordWriter::postponeRefusedJob(TimePoint now)
+{
+    const std::string job = this->inFlight.front().job;
+    const std::size_t bytes = this->inFlight.front().value.size();
+    const auto [entry, added] = this->refusedJobs.try_emplace(job);
+    RefusedJob &refused = entry->second;
+    if (added)
+        refused.pause = this->settings.retryDelay;
+    const bool storeAccepts = !added && refused.commitsBefore != this->storedCommits;
+    refused.commitsBefore = this->storedCommits;
+    refused.refusals++;
+    const Duration longest
+        = storeAccepts ? this->settings.maxRefusedPause : this->settings.maxOutagePause;
+    if (refused.refusals > toleratedRefusals && refused.pause < longest)
+        refused.pause = std::min(2 * refused.pause, longest);
+    // The number of lines stays small while the store refuses everything.
+    const bool isLogged = std::has_single_bit(static_cast<std::uint32_t>(refused.refusals));
+    if (isLogged)
+        this->logger.logEvent(Runtime::LogKind::Fault, "record refused by the store",
+                              {{"request", job},
+                               {"bytes", bytes},
+                               {"refusals", refused.refusals},
+                               {"pauseMs", toMs(refused.pause)},
+                               {"token", this->token}},
+                              now);
+    this->requeueInFlight();
+    std::erase(this->queue, job);
+    this->timers.after(refused.pause, [this, job, generation = this->generation](TimePoint at) {
+        if (generation != this->generation)
+            return;
+        this->queue.push_back(job);
+        this->flush(at);
+    });
+    if (storeAccepts) {
+        this->flush(now);
+        return;
     }
+    this->setReachable(false, now);
+    this->pauseWriting();
+}
+
+void RecordWriter::pauseWriting()
+{
+    this->paused = true;
+    this->timers.after(this->settings.retryDelay,
+                       [this, generation = this->generation](TimePoint at) {
+                           if (generation != this->generation)
+                               return;
+                           this->paused = false;
+                           this->flush(at);
+                       });
 }
 
 void RecordWriter::setReachable(bool value, TimePoint now)
@@ -168,8 +278,11 @@
 void RecordWriter::handleCommit(std::int64_t revision, TimePoint now)
 {
     this->logCommit("records stored", revision, now);
+    this->storedCommits++;
+    this->commitSize = std::min(2 * this->commitSize, maxJobsPerCommit);
     const std::vector<PendingWrite> written = std::exchange(this->inFlight, {});
     for (const PendingWrite &entry : written) {
+        this->refusedJobs.erase(entry.job);
         if (entry.value.empty())
             this->revisions.erase(entry.job);
         else
@@ -214,13 +327,7 @@
     }
     this->logCommit("records differ in the store", answer.revision, now);
     // The stored records differ from the ones sent: writes them again with the revisions just read.
-    std::vector<PendingWrite> rejected = std::exchange(this->inFlight, {});
-    for (PendingWrite &entry : rejected) {
-        std::vector<StoredHandler> &waiting = this->storedHandlers[entry.job];
-        waiting.insert(waiting.begin(), entry.storedHandlers.begin(), entry.storedHandlers.end());
-        if (std::find(this->queue.begin(), this->queue.end(), entry.job) == this->queue.end())
-            this->queue.push_front(entry.job);
-    }
+    this->requeueInFlight();
     this->flush(now);
 }
 
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -15,6 +15,11 @@
 /// Writes the progress records of jobs for the leader, one commit at a time. Each commit is
 /// conditional on the leader's key, so a former leader can't write. A commit without an answer is
 /// resent unchanged; its revision checks make it idempotent.
+///
+/// The store may refuse a commit for a while or, because of one record, for good; its answer does
+/// not tell which. The jobs of a refused commit are therefore sent one by one. A job that is
+/// refused alone stays queued and is sent again after a pause, which grows while the store accepts
+/// other records. Its handlers run only once its record is stored.
 class RecordWriter
 {
 public:
@@ -22,6 +27,11 @@
     {
         Duration commitTimeout = milliseconds(700);
         Duration retryDelay = milliseconds(100);
+        /// Longest pause between two attempts to write a record that the store refuses while it
+        /// accepts others.
+        Duration maxRefusedPause = seconds(5);
+        /// The same while the store accepts no records.
+        Duration maxOutagePause = seconds(1);
     };
 
     struct Handlers
@@ -53,7 +63,7 @@
     /// are none.
     void whenStored(const std::string &job, StoredHandler handler, TimePoint now);
 
-    std::size_t waiting() const { return this->queue.size() + this->inFlight.size(); }
+    std::size_t waiting() const { return this->storedHandlers.size() + this->inFlight.size(); }
 
 private:
     struct PendingWrite
@@ -63,12 +73,28 @@
         std::vector<StoredHandler> storedHandlers;
     };
 
+    /// A job whose record the store has refused in a commit of its own.
+    struct RefusedJob
+    {
+        std::int32_t refusals = 0;
+        Duration pause{};
+        std::uint64_t commitsBefore = 0; ///< Value of `storedCommits` at the last refusal.
+    };
+
     void flush(TimePoint now);
+    bool fitsCommit(const std::string &job) const;
     void append(const std::string &job);
     void send(TimePoint now);
     void handleAnswer(const Tasks::StoreAnswer &answer, TimePoint now);
     void handleCommit(std::int64_t revision, TimePoint now);
     void handleConflict(const Tasks::StoreAnswer &answer, TimePoint now);
+    void handleRefusal(TimePoint now);
+    void resendLater();
+    /// Puts the jobs in flight back to the front of the queue.
+    void requeueInFlight();
+    /// Queues the only job in flight again after a pause.
+    void postponeRefusedJob(TimePoint now);
+    void pauseWriting();
     void setReachable(bool value, TimePoint now);
     void logCommit(std::string_view event, std::int64_t revision, TimePoint now);
 
@@ -83,11 +109,17 @@
     std::int64_t token = 0;
     std::map<std::string, std::int64_t> revisions;
     std::deque<std::string> queue; ///< Jobs to write, without duplicates.
-    /// Handlers of the jobs in `queue`.
+    /// Handlers of the jobs that are queued or postponed.
     std::map<std::string, std::vector<StoredHandler>> storedHandlers;
     std::vector<PendingWrite> inFlight;
     Tasks::StoreCommit commit;
     std::int32_t attempts = 0; ///< Number of times that `commit` was sent.
+    /// Jobs that were refused alone and are not stored since.
+    std::map<std::string, RefusedJob> refusedJobs;
+    std::uint64_t storedCommits = 0; ///< Number of commits that the store has accepted.
+    /// Maximum number of jobs in the next commit; halved by refusals, doubled by each success.
+    std::size_t commitSize = 0;
+    bool paused = false; ///< No commit is sent until `retryDelay` after the last refusal.
 };
 
 } // namespace Hibiscus::Coordination
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -279,6 +279,55 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
 }
 
+TEST_F(LateCall, JobWhoseRecordIsRefusedStartsNothingUntilItIsStored)
+{
+    // The store answers the leader slowly while eight jobs arrive, so that records share a commit.
+    // One of them is too long until the store's limit is raised.
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.maxValueBytes = 800;
+    this->cluster.store.instanceLatencies[leader] = milliseconds(50);
+    for (std::uint32_t i = 1; i <= 8; i++)
+        this->accept(i, jobBody("1000", i == 4 ? 28 : 1, 1));
+    this->cluster.run(milliseconds(100));
+    this->cluster.store.instanceLatencies.clear();
+    this->cluster.run(seconds(10));
+    EXPECT_GT(this->cluster.instances.at(leader)->logger.count("refused commit divided"), 0U);
+    EXPECT_GT(this->cluster.instances.at(leader)->logger.count("record refused by the store"), 0U);
+    for (std::uint32_t i = 1; i <= 8; i++) {
+        EXPECT_EQ(this->cluster.isCompleted(jobId(i)), i != 4) << i;
+        EXPECT_EQ(this->cluster.workers.startsOf(jobId(i)), i == 4 ? 0U : 1U) << i;
+    }
+    const std::uint64_t commits = this->cluster.store.commits;
+    this->cluster.run(seconds(20));
+    // Without other records that the store accepts, the pause between two attempts grows to 1 s.
+    EXPECT_LE(this->cluster.store.commits - commits, 22U);
+    this->cluster.store.maxValueBytes = 0;
+    this->cluster.run(seconds(8));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(4)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(4)), 28U);
+}
+
+TEST_F(LateCall, JobsGoOnSoonAfterTheStoreHasRefusedAllRecords)
+{
+    // The store takes no values for four seconds while the leader's lease goes on. Some of the
+    // jobs wait for their first record then, the first one for that of its end.
+    this->accept(1, jobBody("1000", 1, 1));
+    this->cluster.run(milliseconds(500));
+    this->cluster.store.instanceLatencies[this->cluster.leader()] = milliseconds(50);
+    for (std::uint32_t i = 2; i <= 9; i++)
+        this->accept(i, jobBody("1000", 1, 1));
+    this->cluster.store.maxValueBytes = 1;
+    this->cluster.store.instanceLatencies.clear();
+    this->cluster.run(seconds(4));
+    ASSERT_FALSE(this->cluster.isCompleted(jobId(1)));
+    this->cluster.store.maxValueBytes = 0;
+    this->cluster.run(milliseconds(2600));
+    for (std::uint32_t i = 1; i <= 9; i++) {
+        EXPECT_TRUE(this->cluster.isCompleted(jobId(i))) << i;
+        EXPECT_EQ(this->cluster.workers.startsOf(jobId(i)), 1U) << i;
+    }
+}
+
 TEST_F(LateCall, WorkerWhoseClockWasSetBackStartsItsTasksAgain)
 {
     // The worker's new process reports an earlier start time than the one before it.
