Let an earlier call that tries again leave a newer refusal alone

Seen: a client's connection to one instance broke while that instance had no answer from the store; another instance then refused the job for load (the client read that it never runs); the first instance tried again, replaced the stored refusal by the job, and all four tasks ran.

Cause: JobApi::handleSubmitConflict took every refusal under the job's key for an old one that the client's new submission replaces, also if its own earlier attempt had had no answer and the refusal may have been stored since.

Evidence: LateCall.RefusedJobIsNotAcceptedByAnEarlierCallThatTriesAgain failed with 4 starts, expected 0.

Change: only the first attempt of a call may replace a refusal, and only the one that it met. A later attempt that meets another refusal answers "not run", which is true: the key's revision keeps the call's earlier attempts from being carried out. A client that submits a refused job again, and whose first attempt has no answer, may so be refused once more. A conflict that shows the refusal that the submission replaces comes from a new configuration, so the call is routed again under it; before, it was sent again under the old one until the watch reported the new one.

Not changed: a first attempt that the store carries out only after another instance has refused the job still replaces that refusal, and so does a call that is routed again under a new configuration. A refusal's record does not tell when it was stored.

--- a/Coordination/JobApi.cpp
+++ b/Coordination/JobApi.cpp
@@ -48,11 +48,18 @@
     ReplyHandler reply;
     Job job;
     Tasks::AdmissionDecision verdict;
-    /// Revision of an earlier refusal stored under the job's key; 0 if there is none.
+    /// Revision of the refusal under the job's key that this submission replaces; 0 if there is
+    /// none.
     std::int64_t refusalRevision = 0;
     TimePoint receivedAt{};
     int unansweredAttempts = 0;
     int refusedAttempts = 0;
+
+    bool isFirstAnswer() const
+    {
+        return this->unansweredAttempts == 0 && this->refusedAttempts == 0
+            && this->refusalRevision == 0;
+    }
 };
 
 std::string_view nameOf(ReplyKind kind)
@@ -374,9 +381,15 @@
 {
     if (submission.verdict.admitted)
         return {.kind = ReplyKind::Accepted};
+    return this->refusedReply(submission);
+}
+
+ClientReply JobApi::refusedReply(const Submission &submission) const
+{
     ClientReply reply;
     reply.kind = ReplyKind::NotRun;
-    reply.retryAfter = submission.verdict.retryAfter;
+    reply.retryAfter
+        = submission.verdict.admitted ? this->settings.retryAfter : submission.verdict.retryAfter;
     reply.error = "too much work is waiting for the job to start in time";
     return reply;
 }
@@ -401,19 +414,27 @@
     this->retrySubmit(submission, now);
 }
 
+/// Replaces a stored refusal only if the first attempt of the call meets it: the client then
+/// submits a job again that was refused earlier. A refusal that a later attempt meets may have been
+/// stored by another instance in the meantime, for the same client, which may have been told that
+/// the job never runs. The key's revision keeps the earlier attempts of this call from being
+/// carried out.
 void JobApi::handleSubmitConflict(const std::shared_ptr<Submission> &submission,
                                   const StoreAnswer &answer, TimePoint now)
 {
     const StoredItem *stored = itemOf(answer, StoreKeys::job(submission->job.id));
     if (stored && Tasks::isRefusal(stored->value)) {
-        const bool isOwnRefusal
-            = submission->unansweredAttempts > 0 && !submission->verdict.admitted;
-        submission->refusalRevision = stored->revision;
-        if (isOwnRefusal)
-            this->finishSubmit(submission, this->storedReply(*submission), now);
-        else
+        if (submission->isFirstAnswer()) {
+            submission->refusalRevision = stored->revision;
             this->submit(submission, now);
-        return;
+            return;
+        }
+        if (stored->revision != submission->refusalRevision) {
+            this->finishSubmit(submission, this->refusedReply(*submission), now);
+            return;
+        }
+        // The refusal is the known one, so the configuration has changed.
+        stored = nullptr;
     }
     if (stored) {
         const tl::expected<Job, std::string> known = Tasks::decodeJob(stored->value);
--- a/Coordination/JobApi.h
+++ b/Coordination/JobApi.h
@@ -136,6 +136,8 @@
     void checkAdmission(Submission &submission, TimePoint now);
     /// The reply to the client once the submission's record is stored.
     ClientReply storedReply(const Submission &submission) const;
+    /// The reply for a job that was refused for load.
+    ClientReply refusedReply(const Submission &submission) const;
     void updateConfiguration(const Tasks::StoredItem &item, TimePoint now);
     bool isConfigurationFresh(TimePoint now) const;
     std::int64_t configurationAgeMs(TimePoint now) const;
