Start nothing of a job whose progress can't be read

Seen: after a change of leaders, all tasks of a job whose progress record was damaged started again, also those that were running or done.

Cause: TaskDispatcher::restoreJob logged the error and left the job in the table as if it had never started.

Change: the tasks of such a job are blocked in the table, so none starts. The job stays known: its state is answered as unavailable, not as unknown, and its record stays as it is until the job is cancelled, which replaces it. The line "progress record can't be read" gives the record's revision and says that no task of the job starts.

Not changed: a run of such a job that still goes on is stopped as unknown, its end is acknowledged, and the job counts as pending in its queue.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -45,6 +45,14 @@
     return run;
 }
 
+/// Keeps all tasks of a job whose progress is unknown from starting, since each of them may be
+/// running or done. The job's stored record stays as it is until the job is cancelled.
+void blockTasks(TrackedJob &job)
+{
+    for (std::size_t i = 0; i < job.progress.taskCount(); i++)
+        job.progress.at(i).state = TaskState::Failed;
+}
+
 } // namespace
 
 TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
@@ -195,7 +203,12 @@
         = Tasks::decodeProgress(record->second.value, job);
     if (!progress) {
         this->logger.logEvent(LogKind::Fault, "progress record can't be read",
-                              {{"request", job.id}, {"error", progress.error()}}, now);
+                              {{"request", job.id},
+                               {"revision", record->second.revision},
+                               {"error", progress.error()},
+                               {"effect", "no task of the job starts; it can be cancelled"}},
+                              now);
+        blockTasks(*this->jobs.find(job.id));
         return;
     }
     TrackedJob &live = this->jobs.add(job, std::move(*progress), this->wallClock.nowMs());
--- a/UnitTests/Coordination/OddEntryTest.cpp
+++ b/UnitTests/Coordination/OddEntryTest.cpp
@@ -4,6 +4,7 @@
 #include <Coordination/StoreKeys.h>
 #include <Tasks/JobRecord.h>
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace Hibiscus::Coordination::Test {
@@ -98,6 +99,56 @@
     EXPECT_EQ(reply->pending, 0);
 }
 
+TEST(OddRecord, JobWhoseProgressCanNotBeReadStartsNothingAndStaysKnown)
+{
+    // The next leader finds progress records that it can't read: of a job whose tasks are done and
+    // of one with a running task.
+    Cluster cluster(2, 4);
+    const std::string former = cluster.leader();
+    const std::string next = former == "entry-0" ? "entry-1" : "entry-0";
+    const auto accept = [&](std::uint32_t number, const std::string &body) {
+        const std::optional<ClientReply> reply = cluster.submit(next, jobId(number), body);
+        ASSERT_TRUE(reply);
+        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
+    };
+    accept(1, jobBody("300", 2, 1));
+    accept(2, jobBody("20000", 1, 1));
+    cluster.run(seconds(2));
+    ASSERT_TRUE(cluster.isCompleted(jobId(1)));
+    ASSERT_EQ(cluster.workers.startsOf(jobId(2)), 1U);
+    cluster.killInstance(former);
+    cluster.store.put(StoreKeys::progressOf(jobId(1)), "garbage");
+    cluster.store.put(StoreKeys::progressOf(jobId(2)), R"({"record":1,"tasks":[7]})");
+    cluster.run(seconds(10));
+    ASSERT_EQ(cluster.leader(), next);
+    EXPECT_EQ(cluster.workers.startsOf(jobId(1)), 2U);
+    EXPECT_EQ(cluster.workers.startsOf(jobId(2)), 1U);
+    for (const std::uint32_t number : {1U, 2U}) {
+        const std::optional<ClientReply> reply = cluster.state(next, jobId(number));
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(reply->kind, ReplyKind::Unavailable);
+        EXPECT_NE(cluster.instances.at(next)->dispatcher->jobTable().find(jobId(number)), nullptr);
+    }
+    const std::vector<std::string> &events = cluster.instances.at(next)->logger.events;
+    const auto saysThatNothingStarts = [](const std::string &event) {
+        return event.starts_with("progress record can't be read")
+            && event.find("no task of the job starts") != std::string::npos;
+    };
+    EXPECT_EQ(std::count_if(events.begin(), events.end(), saysThatNothingStarts), 2);
+
+    // Other jobs run, and the job can be cancelled.
+    accept(3, jobBody("1000", 1, 1));
+    cluster.cancel(next, jobId(2));
+    cluster.run(seconds(3));
+    EXPECT_TRUE(cluster.isCompleted(jobId(3)));
+    const std::optional<ClientReply> reply = cluster.state(next, jobId(2));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->kind, ReplyKind::State);
+    EXPECT_EQ(reply->state, Tasks::JobState::Cancelled);
+    EXPECT_EQ(cluster.workers.startsOf(jobId(2)), 1U);
+    EXPECT_EQ(cluster.workers.violations, Violations{});
+}
+
 /// A store that answers a list with what the test sets.
 class ListingStore final : public Tasks::MetadataStore
 {
