Hold the report of a worker that is listed again until its job's outcome is stored

What callers would see: the result of a durable job is dropped at its worker before the ledger has it. If the dispatcher is replaced before the keeper has stored the outcome, nobody holds the answer any more.

A worker that leaves the list while its lease is lost takes its session along, and the held reports with it. When it is listed and acquired again, the report of a member that has ended returned before it was held, and the new session acknowledged it at once.

Change: a final report is held also if it was applied before, unless the job is finished and not durable, whose reports are released when it ends.

--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -202,14 +202,18 @@
     DispatchJob *job = this->findJob(task->second.first);
     assert(job);
     Member &member = job->members[task->second.second];
-    if (member.hasEnded() && member.state != MemberState::Lost)
-        return;
-    this->applyState(member, report);
     const bool final = report.state == TaskState::Done || report.state == TaskState::Failed;
-    if (final) {
+    // `finishJob` has released the reports of a finished job that is not durable.
+    const bool released = job->phase == DispatchPhase::Finished && !job->spec.durable;
+    // A session that is new since its worker left the list and came back holds no report yet, so a
+    // report that was applied before is held again.
+    if (final && !released) {
         member.sequence = report.sequence;
         session.holdReport(report.sequence);
     }
+    if (member.hasEnded() && member.state != MemberState::Lost)
+        return;
+    this->applyState(member, report);
     this->advance(*job, now, out);
 }
 
