Don't count a task as never started by a refusal while an earlier Start is unanswered

What callers would see: a job that is not idempotent runs twice, or is answered as "cancelled before it started" and runs after that. An idempotent job runs twice at the same time.

A Start without an answer is repeated. If the worker was full then, the task counted as never started, though the first Start could still be carried out. The same refusal counted while the job was being cancelled, and after the lease was lost. Stale, Leaving and NotDelivered were guarded.

Evidence, before the change, 5 of the 5 new tests fail; the first lines of three:

RefusalAfterAnUnansweredStartDoesNotProveThatTheTaskNeverRuns DispatcherWorkersTest.cpp:57: harness.hasSentAbandonment(): Actual: true, Expected: false IdempotentJobIsNotStartedAgainWhileAnUnansweredStartMayBeCarriedOut DispatcherWorkersTest.cpp:98: harness.take(WorkerVerb::Start): Actual: true, Expected: false RefusalThatArrivesAfterTheLeaseIsLostLeavesAnUnansweredStartInDoubt DispatcherWorkersTest.cpp:131: harness.hasSentAbandonment(): Actual: true, Expected: false

Change: such a refusal ends the attempt by a Stop, as for other faults of a worker. The answer to the Stop says whether the task has run, and no Start of its id is carried out after it. A Start that is carried out between the refusal and the Stop is stopped; a job that is not idempotent then fails as run in part. The Start is not repeated until it is taken, as it is after Leaving, since a worker may stay full for hours.

--- a/Entry/Dispatcher.h
+++ b/Entry/Dispatcher.h
@@ -110,8 +110,10 @@
     void applyState(Member &member, const TaskReport &report);
     void handleTaskReply(DispatchJob &job, std::size_t index, const WorkerRequest &request,
                          const WorkerReply &reply, TimePoint now, EntryActions &out);
-    void handleStartReply(DispatchJob &job, Member &member, const WorkerReply &reply,
-                          TimePoint now);
+    void handleStartReply(DispatchJob &job, Member &member, const WorkerReply &reply, TimePoint now,
+                          EntryActions &out);
+    /// Ends a refused task of which an unanswered Start may still be carried out, by a Stop.
+    void revokeStart(DispatchJob &job, Member &member, TimePoint now, EntryActions &out);
     void setMemberState(Member &member, MemberState state);
     void setMembers(DispatchJob &job, std::vector<Member> members);
     void removeMembers(DispatchJob &job);
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -405,7 +405,7 @@
     if (reported || index >= job.members.size() || job.members[index].task != request.task)
         return;
     if (request.verb == WorkerVerb::Start || request.verb == WorkerVerb::Reserve)
-        this->handleStartReply(job, member, reply, now);
+        this->handleStartReply(job, member, reply, now, out);
     else
         member.retryAt = now + this->settings.resendAfter;
     this->requestTick(job);
@@ -413,7 +413,7 @@
 }
 
 void Dispatcher::handleStartReply(DispatchJob &job, Member &member, const WorkerReply &reply,
-                                  TimePoint now)
+                                  TimePoint now, EntryActions &out)
 {
     const bool starting = member.state == MemberState::Starting;
     switch (reply.status) {
@@ -439,6 +439,10 @@
         }
         break;
     default:
+        if (member.startUnanswered) {
+            this->revokeStart(job, member, now, out);
+            return;
+        }
         break;
     }
     if (!job.faultyWorker && reply.status != WorkerStatus::Leaving)
@@ -446,4 +450,17 @@
     this->setMemberState(member, MemberState::NeverStarted);
 }
 
+void Dispatcher::revokeStart(DispatchJob &job, Member &member, TimePoint now, EntryActions &out)
+{
+    // The refusal answers the latest Start only. Once a Stop is answered, no earlier one can be
+    // carried out any more, and the answer says whether one was.
+    if (job.phase == DispatchPhase::Starting) {
+        this->endJob(job, EndReason::WorkerFault, job.faultyWorker.value_or(member.worker), now,
+                     out);
+        return;
+    }
+    // A job that is ending or in doubt sends Stops by itself.
+    member.retryAt = now + this->settings.resendAfter;
+}
+
 } // namespace Hibiscus
--- a/UnitTests/Entry/DispatcherWorkersTest.cpp
+++ b/UnitTests/Entry/DispatcherWorkersTest.cpp
@@ -4,6 +4,17 @@
 
 namespace {
 
+/// Leaves the first Start unanswered and returns the second one, which is not answered yet.
+WorkerCall repeatUnansweredStart(DispatcherHarness &harness, bool idempotent)
+{
+    const WorkerCall first = harness.submit(idempotent);
+    harness.answer(first, WorkerStatus::NoAnswer);
+    harness.tickAfter(milliseconds(500));
+    WorkerCall second = harness.take(WorkerVerb::Start).value_or(WorkerCall{});
+    EXPECT_EQ(second.request.task, first.request.task);
+    return second;
+}
+
 // The worker leaves the list while its lease is lost, so the dispatcher forgets the session that
 // held the report back. The worker keeps a report until it is acknowledged, and its result with it.
 TEST(DispatcherWorkersTest, ReportOfAWorkerListedAgainIsNotAcknowledgedBeforeItsOutcomeIsStored)
@@ -34,6 +45,92 @@
     EXPECT_EQ(harness.highestAcknowledged(), 2U);
 }
 
+// A worker that is full has not carried out the repeated Start; the first one may still reach it.
+TEST(DispatcherWorkersTest, RefusalAfterAnUnansweredStartDoesNotProveThatTheTaskNeverRuns)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall start = repeatUnansweredStart(harness, false);
+    harness.answer(start, WorkerStatus::Full);
+    for (int i = 0; i < 10; ++i)
+        harness.tickAfter(milliseconds(10));
+    EXPECT_FALSE(harness.hasSentAbandonment());
+
+    // The first Start is carried out now, before the Stop.
+    const WorkerCall stop = harness.answerNext(WorkerVerb::Stop, WorkerStatus::Ok,
+                                               {harness.report(start, 2, TaskState::Stopped)});
+    EXPECT_EQ(stop.request.task, start.request.task);
+    harness.tickAfter(milliseconds(500));
+    EXPECT_FALSE(harness.hasSentAbandonment());
+    EXPECT_FALSE(harness.take(WorkerVerb::Start));
+    ASSERT_TRUE(harness.finalAnswer());
+    EXPECT_EQ(harness.finalAnswer()->status, JobStatus::Failed);
+}
+
+TEST(DispatcherWorkersTest, JobStartsAgainOnceAStopHasProvenThatAnUnansweredStartNeverRuns)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall start = repeatUnansweredStart(harness, false);
+    harness.answer(start, WorkerStatus::Full);
+    harness.answerNext(WorkerVerb::Stop, WorkerStatus::NoAnswer);
+    EXPECT_FALSE(harness.hasSentAbandonment());
+    harness.tickAfter(milliseconds(500));
+    EXPECT_FALSE(harness.hasSentAbandonment());
+    harness.answerNext(WorkerVerb::Stop, WorkerStatus::Ok,
+                       {harness.report(start, 1, TaskState::NeverStarted)});
+    EXPECT_TRUE(harness.hasSentAbandonment());
+    harness.recordAssignment(0);
+    harness.tickAfter(milliseconds(10));
+    harness.recordAssignment(1);
+    const std::optional<WorkerCall> next = harness.take(WorkerVerb::Start);
+    ASSERT_TRUE(next);
+    EXPECT_NE(next->request.task, start.request.task);
+}
+
+TEST(DispatcherWorkersTest, IdempotentJobIsNotStartedAgainWhileAnUnansweredStartMayBeCarriedOut)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall start = repeatUnansweredStart(harness, true);
+    harness.answer(start, WorkerStatus::Full);
+    harness.tickAfter(milliseconds(10));
+    EXPECT_FALSE(harness.take(WorkerVerb::Start));
+    harness.answerNext(WorkerVerb::Stop, WorkerStatus::Ok,
+                       {harness.report(start, 1, TaskState::NeverStarted)});
+    harness.tickAfter(milliseconds(10));
+    EXPECT_TRUE(harness.take(WorkerVerb::Start));
+}
+
+TEST(DispatcherWorkersTest, CancelledJobIsNotAnsweredAsNotRunWhileAnUnansweredStartMayBeCarriedOut)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall start = repeatUnansweredStart(harness, false);
+    CancelJob cancel;
+    cancel.role = JobRole::Dispatcher;
+    cancel.key = harness.key;
+    harness.dispatcher.cancel("keeper", cancel, harness.now, harness.out);
+    harness.answer(start, WorkerStatus::Full);
+    EXPECT_FALSE(harness.finalAnswer());
+
+    harness.answerNext(WorkerVerb::Stop, WorkerStatus::Ok,
+                       {harness.report(start, 2, TaskState::Stopped)});
+    ASSERT_TRUE(harness.finalAnswer());
+    EXPECT_EQ(harness.finalAnswer()->status, JobStatus::Cancelled);
+}
+
+TEST(DispatcherWorkersTest, RefusalThatArrivesAfterTheLeaseIsLostLeavesAnUnansweredStartInDoubt)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall start = repeatUnansweredStart(harness, false);
+    harness.loseLease();
+    harness.answer(start, WorkerStatus::Full);
+    harness.tickAfter(milliseconds(10));
+    EXPECT_FALSE(harness.hasSentAbandonment());
+}
+
 } // namespace
 
 } // namespace Hibiscus::EntryTest
