Repeat an Acknowledge that the worker has not confirmed

What callers would see: nothing. A worker whose Acknowledge was lost kept the results up to it, and reported them again to the next owner, until another of its tasks ended.

Cause: WorkerSession took reports as acknowledged when it sent the Acknowledge.

Evidence, before the change:

WorkerSessionTest.LostAcknowledgeIsRepeatedUntilTheWorkerConfirmsIt WorkerSessionTest.cpp:57: repeated.size(): Which is: 0, expected 1 WorkerSessionTest.AcknowledgeThatWasUnansweredWhenTheLeaseWasLostIsSentUnderTheNextLease WorkerSessionTest.cpp:73: poll(WorkerVerb::Acknowledge, start).size(): Which is: 0, expected 1

Change: reports count as acknowledged once the worker confirms it. An Acknowledge that fails is sent again after the retry interval, and one that was unanswered when the lease was lost under the next lease.

--- a/Entry/WorkerSession.cpp
+++ b/Entry/WorkerSession.cpp
@@ -72,11 +72,12 @@
     }
     const std::uint64_t safeSequence
         = this->heldReports.empty() ? this->highestSequence : *this->heldReports.begin() - 1;
-    if (safeSequence > this->acknowledged) {
+    const std::uint64_t handled = std::max(this->acknowledged, this->acknowledgeSent);
+    if (safeSequence > handled && now >= this->nextAcknowledgeAt) {
         WorkerRequest acknowledge = this->request(WorkerVerb::Acknowledge, {});
         acknowledge.sequence = safeSequence;
         requests.push_back(std::move(acknowledge));
-        this->acknowledged = safeSequence;
+        this->acknowledgeSent = safeSequence;
     }
     if (collecting && !this->collectSentAt) {
         WorkerRequest collect = this->request(WorkerVerb::Collect, {});
@@ -106,11 +107,25 @@
         this->recordSequences(reply.reports);
         return update;
     }
+    case WorkerVerb::Acknowledge:
+        this->handleAcknowledgeReply(request.sequence, reply, now);
+        return {};
     default:
         return {};
     }
 }
 
+void WorkerSession::handleAcknowledgeReply(std::uint64_t sequence, const WorkerReply &reply,
+                                           TimePoint now)
+{
+    if (reply.status == WorkerStatus::Ok) {
+        this->acknowledged = std::max(this->acknowledged, sequence);
+        return;
+    }
+    this->acknowledgeSent = this->acknowledged;
+    this->nextAcknowledgeAt = now + this->settings.retryInterval;
+}
+
 WorkerSession::Update WorkerSession::handleAcquireReply(const WorkerReply &reply, TimePoint now)
 {
     if (!this->callSentAt || this->ownership != State::Acquiring)
@@ -138,6 +153,7 @@
         // A new worker process starts its report numbers again.
         this->highestSequence = 0;
         this->acknowledged = 0;
+        this->acknowledgeSent = 0;
         this->heldReports.clear();
     }
     this->incarnation = reply.incarnation;
@@ -192,6 +208,8 @@
     ++this->epoch;
     this->callSentAt.reset();
     this->collectSentAt.reset();
+    // Replies to calls of the lost lease are ignored, so an unanswered Acknowledge is sent again.
+    this->acknowledgeSent = this->acknowledged;
     this->undeliveredRenewals = 0;
     this->nextAcquireAt = now + retryIn;
     Update update;
--- a/Entry/WorkerSession.h
+++ b/Entry/WorkerSession.h
@@ -69,6 +69,7 @@
     void pollAcquire(TimePoint now, std::vector<WorkerRequest> &requests);
     void pollOwned(bool collecting, TimePoint now, std::vector<WorkerRequest> &requests);
     Update handleAcquireReply(const WorkerReply &reply, TimePoint now);
+    void handleAcknowledgeReply(std::uint64_t sequence, const WorkerReply &reply, TimePoint now);
     Update handleRenewReply(const WorkerReply &reply, TimePoint now);
     Update loseLease(TimePoint now, Duration retryIn);
     void recordSequences(const std::vector<TaskReport> &reports);
@@ -85,7 +86,9 @@
     TimePoint leaseStart{}; ///< When the last granted Acquire or Renew was sent.
     unsigned undeliveredRenewals = 0; ///< Consecutive renewals that did not reach the worker.
     std::uint64_t highestSequence = 0;
-    std::uint64_t acknowledged = 0;
+    std::uint64_t acknowledged = 0; ///< Confirmed by the worker.
+    std::uint64_t acknowledgeSent = 0; ///< Of the last Acknowledge, unless it failed.
+    TimePoint nextAcknowledgeAt{}; ///< Earliest time after an Acknowledge that failed.
     std::set<std::uint64_t> heldReports;
 };
 
