Keep starts and stops while the leader's lease is in doubt

Seen: on a machine that stands still for a moment beside a slow store, an assigned run never started, and the tasks of a cancelled job ran on; the leader stayed the same and logged nothing.

Cause: the bound of the leader's lease by its own clock can pass before the answer to a renewal that was sent in time. TaskDispatcher::startAssigned and stopRuns then returned for good, though the leader had not stepped down and went on after the answer.

Change: the dispatcher keeps such orders and carries them out at the next plan or tick after the renewal (at most 250 ms later), stops before starts; a new term forgets them. The line "orders kept during a renewal are carried out" gives their number.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace Hibiscus::Coordination {
 
@@ -121,6 +122,7 @@
     this->refusals.clear();
     this->runTimes.clear();
     this->published.clear();
+    this->keptOrders.clear();
     this->fleet.begin(token);
     this->writer.begin(token);
     this->jobWatch.start(now);
@@ -328,7 +330,7 @@
     TaskProgress &task = job->progress.task(run.task);
     if (task.run == run.run && task.state == TaskState::Assigned)
         task.state = TaskState::Running;
-    if (job->isFinished() && this->isLeading(now))
+    if (job->isFinished())
         this->stopRuns({&run, 1}, now);
 }
 
@@ -430,24 +432,53 @@
 
 void TaskDispatcher::stopRuns(std::span<const RunRef> runs, TimePoint now)
 {
-    if (!this->isLeading(now))
+    if (this->phase != Phase::Leading)
         return;
-    for (const RunRef &ref : runs) {
-        TrackedJob *job = this->jobs.find(ref.job);
-        if (!job)
-            continue;
-        const std::string worker = job->progress.task(ref.task).worker;
-        const WorkerFleet::Run *run = this->fleet.find(worker, ref);
-        if (!run)
-            continue;
-        const bool neverSent = run->startAttempts == 0 && !run->adopted && !run->startConfirmedAt;
-        if (!neverSent) {
-            this->fleet.requestStop(worker, ref, now);
-            continue;
-        }
-        this->fleet.withdraw(worker, ref, now);
-        job->progress.task(ref.task).state = TaskState::Waiting;
-        this->writer.scheduleWrite(ref.job, nullptr);
+    const bool inDoubt = !this->isLeading(now);
+    for (const RunRef &run : runs) {
+        if (inDoubt)
+            this->keptOrders.push_back({run, {}});
+        else
+            this->stopRun(run, now);
+    }
+}
+
+void TaskDispatcher::stopRun(const RunRef &ref, TimePoint now)
+{
+    TrackedJob *job = this->jobs.find(ref.job);
+    if (!job)
+        return;
+    const std::string worker = job->progress.task(ref.task).worker;
+    const WorkerFleet::Run *run = this->fleet.find(worker, ref);
+    if (!run)
+        return;
+    const bool neverSent = run->startAttempts == 0 && !run->adopted && !run->startConfirmedAt;
+    if (!neverSent) {
+        this->fleet.requestStop(worker, ref, now);
+        return;
+    }
+    this->fleet.withdraw(worker, ref, now);
+    job->progress.task(ref.task).state = TaskState::Waiting;
+    this->writer.scheduleWrite(ref.job, nullptr);
+}
+
+/// The bound of the leader's lease by its own clock may pass before the answer to a renewal
+/// arrives. After the answer the term goes on, and so do the orders that were due in between.
+void TaskDispatcher::carryOutKeptOrders(TimePoint now)
+{
+    std::vector<KeptOrder> orders = std::exchange(this->keptOrders, {});
+    if (orders.empty())
+        return;
+    // A run that was to be stopped meanwhile does not start first.
+    std::stable_partition(orders.begin(), orders.end(),
+                          [](const KeptOrder &order) { return order.worker.empty(); });
+    this->logger.logEvent(LogKind::Leadership, "orders kept during a renewal are carried out",
+                          {{"orders", orders.size()}, {"token", this->election.token()}}, now);
+    for (const KeptOrder &order : orders) {
+        if (order.worker.empty())
+            this->stopRuns({&order.run, 1}, now);
+        else
+            this->startAssigned(order.run, order.worker, now);
     }
 }
 
@@ -509,6 +540,7 @@
 {
     if (!this->isLeading(now))
         return;
+    this->carryOutKeptOrders(now);
     const Tasks::UnixMs wall = this->wallClock.nowMs();
     if (!this->inputs.collect(wall, now))
         return;
@@ -566,8 +598,12 @@
 void TaskDispatcher::startAssigned(const RunRef &run, const std::string &worker, TimePoint now)
 {
     TrackedJob *job = this->jobs.find(run.job);
-    if (!job || !this->isLeading(now))
+    if (!job || this->phase != Phase::Leading)
         return;
+    if (!this->isLeading(now)) {
+        this->keptOrders.push_back({run, worker});
+        return;
+    }
     if (job->isFinished()) {
         this->stopRuns({&run, 1}, now);
         return;
@@ -610,6 +646,7 @@
 {
     if (!this->isLeading(now))
         return;
+    this->carryOutKeptOrders(now);
     this->removeExpired();
     this->removeOldRefusals(now);
     this->fleet.forgetUnlisted(now);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -88,6 +88,13 @@
         TimePoint seenAt{};
     };
 
+    /// An order that waits until the leader's lease is known to hold.
+    struct KeptOrder
+    {
+        Tasks::RunRef run;
+        std::string worker; ///< Worker to start the run on; empty for a stop.
+    };
+
     /// A key that all instances read and the leader writes.
     struct PublishedKey
     {
@@ -119,7 +126,10 @@
     void applyUpdate(TrackedJob &job, const JobUpdate &update,
                      RecordWriter::StoredHandler afterStored, TimePoint now);
     void reportFinishedJob(const TrackedJob &job, TimePoint now);
+    /// Stops the runs, or keeps the orders for later while the leader's lease is in doubt.
     void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
+    void stopRun(const Tasks::RunRef &run, TimePoint now);
+    void carryOutKeptOrders(TimePoint now);
     std::string encodeRecord(const std::string &job);
     void removeExpired();
     void removeOldRefusals(TimePoint now);
@@ -129,6 +139,7 @@
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, TimePoint now);
+    /// Starts the run, or keeps the order for later while the leader's lease is in doubt.
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
     void preempt(const Tasks::RunRef &run, TimePoint now);
 
@@ -168,6 +179,7 @@
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
     std::map<std::string, PublishedKey> published;
+    std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
 };
 
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -451,6 +451,64 @@
     }
 }
 
+/// The store answers the leader after 600 ms, and the leader's machine stands still for 200 ms
+/// while the bound for its lease passes. A renewal that was sent in time is answered after that, so
+/// the leader goes on leading. The parameter is the phase in ms from the start of the test.
+class LeaseInDoubt : public testing::TestWithParam<int>
+{
+protected:
+    LeaseInDoubt() { this->cluster.run(milliseconds(GetParam())); }
+
+    void TearDown() override
+    {
+        EXPECT_EQ(this->leader().count("deposed"), 0U);
+        EXPECT_EQ(this->cluster.workers.violations, Violations{});
+    }
+
+    const RecordingEventLogger &leader() const
+    {
+        return this->cluster.instances.at(this->leaderName)->logger;
+    }
+
+    void slowDownLeader()
+    {
+        this->cluster.store.instanceLatencies[this->leaderName] = milliseconds(300);
+        this->cluster.clock.in(milliseconds(900), [this] {
+            *this->cluster.instances.at(this->leaderName)->suspendedUntil
+                = this->cluster.clock.now() + milliseconds(200);
+        });
+        this->cluster.clock.in(milliseconds(1100),
+                               [this] { this->cluster.store.instanceLatencies.clear(); });
+    }
+
+    Cluster cluster{2, 4};
+    std::string leaderName = this->cluster.leader();
+    std::string follower = this->leaderName == "entry-0" ? "entry-1" : "entry-0";
+};
+
+TEST_P(LeaseInDoubt, RunWhoseAssignmentIsStoredThenStartsLater)
+{
+    this->slowDownLeader();
+    ASSERT_TRUE(this->cluster.submit(this->follower, jobId(1), jobBody("1000", 1, 8)));
+    this->cluster.run(seconds(12));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
+TEST_P(LeaseInDoubt, JobWhoseCancellationIsReadThenIsStoppedLater)
+{
+    ASSERT_TRUE(this->cluster.submit(this->follower, jobId(1), jobBody("60000", 2, 8)));
+    this->cluster.run(seconds(2));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 2U);
+    this->slowDownLeader();
+    this->cluster.run(milliseconds(300));
+    ASSERT_TRUE(this->cluster.cancel(this->follower, jobId(1)));
+    this->cluster.run(seconds(12));
+    EXPECT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Phases, LeaseInDoubt, testing::Range(0, 250, 5));
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
