Leave one odd entry out of the live list and keep the others

What operators would see: after another writer leaves one odd entry in the live list, hibiscusd logs "The live list could not be read; the last one stays in use." on each read and follows no change of the list any more: new workers are not found, leaving ones are not seen, and an instance that starts then never takes calls. The log names no cause.

Cause: parseLiveList read the list as one record and refused it whole for any finding in any entry; a number that no double holds or bytes that are not UTF-8 in one entry made the whole text invalid JSON. Port 0 and fields of any depth that nobody reads were taken.

Change: each entry is decoded by itself; one that can't be used is left out, with its findings in LiveList::leftOut. A text that is not valid JSON is parsed again without the items that can't be parsed. The list is refused if it isn't readable as a list, or if it has entries and none can be used: that is another format rather than an empty fleet, and the present test of findings, whose entries are all odd, asks for it. hibiscusd logs each finding once for as long as it stays at its place (RepeatedFindings), also those of a refused list. The stand-in platform still refuses a list with an odd entry from its operator.

No process was run, and what hibiscusd writes was compiled only; RepeatedFindings is tested.

--- a/Core/Findings.cpp
+++ b/Core/Findings.cpp
@@ -1,5 +1,7 @@
 #include <Core/Findings.h>
 
+#include <algorithm>
+
 namespace Hibiscus {
 
 void Findings::add(std::string_view location, std::string_view message)
@@ -27,4 +29,15 @@
     return text;
 }
 
+std::vector<Finding> RepeatedFindings::takeNew(const Findings &findings)
+{
+    std::vector<Finding> added;
+    for (const Finding &finding : findings.all()) {
+        if (std::ranges::find(this->previous, finding) == this->previous.end())
+            added.push_back(finding);
+    }
+    this->previous = findings.all();
+    return added;
+}
+
 } // namespace Hibiscus
--- a/Core/Findings.h
+++ b/Core/Findings.h
@@ -33,9 +33,23 @@
     /// One finding per line, as "location: message", and the number of those that were not kept.
     std::string toString() const;
 
+    bool operator==(const Findings &) const = default;
+
 private:
     std::vector<Finding> entries;
     std::size_t omitted = 0;
 };
 
+/// Tells which findings of an input that is read again and again are new, so that each is logged
+/// once for as long as it stays.
+class RepeatedFindings
+{
+public:
+    /// Returns the findings of this read that the previous read did not have.
+    std::vector<Finding> takeNew(const Findings &findings);
+
+private:
+    std::vector<Finding> previous;
+};
+
 } // namespace Hibiscus
--- a/Core/JsonText.h
+++ b/Core/JsonText.h
@@ -18,6 +18,14 @@
 /// number that no double holds, or has more than `maxJsonLevels` levels. Does not throw.
 nlohmann::json parseJson(std::string_view text);
 
+/// Replaces by null what `parseJson` can't read among the items of arrays that are fields of the
+/// outermost object. Such a text can then be parsed without those items. A text that is broken
+/// otherwise stays so.
+std::string replaceUnreadableItems(std::string_view text);
+
+/// Whether the value has more than `maxJsonLevels` levels. Does not recurse.
+bool isNestedTooDeeply(const nlohmann::json &value);
+
 /// Replaces the bytes of the text that are not UTF-8 by U+FFFD.
 std::string replaceInvalidUtf8(std::string_view text);
 
--- a/Gateway/LiveList.h
+++ b/Gateway/LiveList.h
@@ -16,12 +16,15 @@
 {
     std::vector<InstanceDescription> instances;
     std::vector<WorkerDescription> workers;
+    Findings leftOut; ///< Of entries of the text that can't be used and are in neither list.
 
     bool operator==(const LiveList &) const = default;
 };
 
 /// Parses a list from JSON text: {"instances": [...], "workers": [...]} with the field names of
-/// InstanceDescription and WorkerDescription. Returns all findings together.
+/// InstanceDescription and WorkerDescription. An entry that can't be used is left out with its
+/// findings, and the others hold. Returns all findings together if the text is not such a list, or
+/// if it has entries and none of them can be used.
 tl::expected<LiveList, Findings> parseLiveList(std::string_view text);
 std::string toJson(const LiveList &list);
 
--- a/Hibiscusd/EntryProcess.cpp
+++ b/Hibiscusd/EntryProcess.cpp
@@ -119,7 +119,12 @@
         });
     };
     this->watch = std::make_unique<StoreWatch>(store, ConfigReplicaSettings{}.prefix, watching);
-    const auto listed = [event](const tl::expected<LiveList, Findings> &list) {
+    const auto listed = [event, repeated = std::make_shared<RepeatedFindings>()](
+                            const tl::expected<LiveList, Findings> &list) {
+        for (const Finding &finding : repeated->takeNew(list ? list->leftOut : list.error()))
+            writeLog(LogLevel::Warn, "platform",
+                     "The live list has a fault at " + finding.location + ": " + finding.message
+                         + ".");
         if (!list)
             return writeLog(LogLevel::Warn, "platform",
                             "The live list could not be read; the last one stays in use.");
--- a/StandIns/PlatformMain.cpp
+++ b/StandIns/PlatformMain.cpp
@@ -35,11 +35,12 @@
     std::ostringstream text;
     text << std::ifstream(file).rdbuf();
     const tl::expected<LiveList, Findings> list = parseLiveList(text.str());
-    if (list)
+    const Findings &findings = list ? list->leftOut : list.error();
+    if (findings.isEmpty())
         server.setLiveList(*list);
     else
-        std::cerr << file << ":\n" << list.error().toString();
-    return list.has_value();
+        std::cerr << file << ":\n" << findings.toString();
+    return findings.isEmpty();
 }
 
 int run(int argc, char **argv)
--- a/StandIns/StandInPlatformServer.cpp
+++ b/StandIns/StandInPlatformServer.cpp
@@ -101,6 +101,8 @@
         const tl::expected<LiveList, Findings> list = parseLiveList(http.body);
         if (!list)
             return sendFindings(response, list.error());
+        if (!list->leftOut.isEmpty())
+            return sendFindings(response, list->leftOut);
         this->setLiveList(*list);
         response.status = httpNoContent;
     });
