--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-using Tasks::JobState;
-
 /// Tests with calls that are carried out late, lost or answered by an earlier process.
 class LateCall : public testing::Test
 {
--- a/UnitTests/Coordination/SimClock.h
+++ b/UnitTests/Coordination/SimClock.h
@@ -33,8 +33,8 @@
 
     /// Runs an event of a process: drops it if the process is dead by then, and defers it while the
     /// process is suspended.
-    void inProcess(Duration delay, std::shared_ptr<const bool> alive,
-                   std::shared_ptr<const std::optional<TimePoint>> suspendedUntil,
+    void inProcess(Duration delay, const std::shared_ptr<const bool> &alive,
+                   const std::shared_ptr<const std::optional<TimePoint>> &suspendedUntil,
                    std::function<void()> event)
     {
         this->in(delay, [this, alive, suspendedUntil, event = std::move(event)] {
