Split the fleet's polls and the dispatcher's plans into files of their own

Functions are moved, none is changed, but for describeRun, which both files of the dispatcher use and which is a static member now.

--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -134,6 +134,7 @@
     void removeExpired();
     void removeOldRefusals(TimePoint now);
 
+    static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
     void plan(TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
--- /dev/null
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -0,0 +1,198 @@
+#include <Coordination/TaskDispatcher.h>
+
+#include <algorithm>
+#include <utility>
+
+// The plans of TaskDispatcher and the orders that follow from them: assignments, starts and stops.
+namespace Hibiscus::Coordination {
+
+using Runtime::LogKind;
+using Tasks::RunRef;
+using Tasks::TaskProgress;
+using Tasks::TaskRef;
+using Tasks::TaskState;
+
+/// Fills in the properties of a run that come from its job. The caller sets the run's reference.
+WorkerFleet::Run TaskDispatcher::describeRun(const TrackedJob &job, const TaskRef &ref)
+{
+    const Tasks::Step &step = job.stepOf(ref);
+    WorkerFleet::Run run;
+    run.need = step.allocatedResources();
+    run.priority = job.job.priority;
+    run.estimate = step.estimate;
+    run.members = step.gang ? step.count : 1;
+    run.checkpoints = step.checkpoints;
+    run.perpetual = step.perpetual;
+    run.bestEffort = step.bestEffortCpu;
+    run.responseTarget = step.responseTarget;
+    run.payload = job.job.payload;
+    run.checkpoint = job.progress.task(ref).checkpoint;
+    run.resumed = !run.checkpoint.empty();
+    return run;
+}
+
+void TaskDispatcher::schedulePlan()
+{
+    if (this->planPending || this->phase != Phase::Leading)
+        return;
+    this->planPending = true;
+    const auto workers = static_cast<Duration::rep>(this->fleet.all().size());
+    const Duration delay = this->settings.planDelay + this->settings.planDelayPerWorker * workers;
+    this->timers.after(delay, [this, generation = this->generation](TimePoint now) {
+        if (generation != this->generation)
+            return;
+        this->planPending = false;
+        this->plan(now);
+    });
+}
+
+void TaskDispatcher::plan(TimePoint now)
+{
+    if (!this->isLeading(now))
+        return;
+    this->carryOutKeptOrders(now);
+    const Tasks::UnixMs wall = this->wallClock.nowMs();
+    if (!this->inputs.collect(wall, now))
+        return;
+    const Tasks::StartPlan plan
+        = this->planner.plan(this->inputs.startRequests(), this->inputs.workerViews(), wall);
+    this->inputs.keepClaims(plan);
+    this->executePlan(plan, now);
+}
+
+void TaskDispatcher::executePlan(const Tasks::StartPlan &plan, TimePoint now)
+{
+    const std::span<const Tasks::StartRequest> requests = this->inputs.startRequests();
+    const std::span<const Tasks::WorkerView> workers = this->inputs.workerViews();
+    // The views refer to the fleet's tables, which the starts below change, so the victims are
+    // copied first.
+    std::vector<RunRef> victims;
+    for (const Tasks::PreemptionChoice &choice : plan.preemptions) {
+        const auto worker = this->fleet.all().find(workers[choice.worker].id);
+        auto run = worker->second.runs.begin();
+        std::advance(run, choice.occupant);
+        victims.push_back(run->second.ref);
+    }
+    for (const Tasks::StartChoice &choice : plan.starts)
+        this->assign(requests[choice.request], choice, std::string(workers[choice.worker].id), now);
+    for (const RunRef &victim : victims)
+        this->preempt(victim, now);
+}
+
+void TaskDispatcher::assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
+                            const std::string &worker, TimePoint now)
+{
+    TrackedJob &job = *this->jobs.find(request.job);
+    const TaskRef ref{request.occurrence, request.stepNumber, choice.index};
+    const std::int64_t incarnation = this->fleet.all().find(worker)->second.entry.incarnation;
+    WorkerFleet::Run run = describeRun(job, ref);
+    run.estimate = request.runTime;
+    run.ref = TrackedJobTable::assign(job, ref, worker, incarnation);
+    if (job.job.permits.required())
+        run.permit = this->permits.permitOf({job.job.id, ref.occurrence, ref.step}, worker, now);
+    const RunRef runRef = run.ref;
+    this->logger.logEvent(LogKind::Task, "run assigned",
+                          {{"request", job.job.id},
+                           {"task", Tasks::textOf(ref)},
+                           {"run", runRef.run},
+                           {"worker", worker},
+                           {"waitedMs", this->wallClock.nowMs() - request.readySince},
+                           {"rank", StartPlanner::rankOf(request, this->wallClock.nowMs())}},
+                          now);
+    this->fleet.assign(worker, std::move(run), now);
+    this->writer.scheduleWrite(job.job.id, [this, runRef, worker](TimePoint at) {
+        this->startAssigned(runRef, worker, at);
+    });
+}
+
+void TaskDispatcher::startAssigned(const RunRef &run, const std::string &worker, TimePoint now)
+{
+    TrackedJob *job = this->jobs.find(run.job);
+    if (!job || this->phase != Phase::Leading)
+        return;
+    if (!this->isLeading(now)) {
+        this->keptOrders.push_back({run, worker});
+        return;
+    }
+    if (job->isFinished()) {
+        this->stopRuns({&run, 1}, now);
+        return;
+    }
+    this->fleet.start(worker, run, now);
+}
+
+void TaskDispatcher::preempt(const RunRef &run, TimePoint now)
+{
+    TrackedJob *job = this->jobs.find(run.job);
+    if (!job)
+        return;
+    std::vector<RunRef> runs;
+    for (const TaskRef &member : job->gangMembers(run.task)) {
+        const TaskProgress &task = job->progress.task(member);
+        if (task.isOnWorker())
+            runs.push_back({run.job, member, task.run});
+    }
+    this->logger.logEvent(LogKind::Task, "run gives way to urgent work",
+                          {{"request", run.job},
+                           {"task", Tasks::textOf(run.task)},
+                           {"run", run.run},
+                           {"runsToStop", runs.size()}},
+                          now);
+    this->stopRuns(runs, now);
+}
+
+void TaskDispatcher::stopRuns(std::span<const RunRef> runs, TimePoint now)
+{
+    if (this->phase != Phase::Leading)
+        return;
+    const bool inDoubt = !this->isLeading(now);
+    for (const RunRef &run : runs) {
+        if (inDoubt)
+            this->keptOrders.push_back({run, {}});
+        else
+            this->stopRun(run, now);
+    }
+}
+
+void TaskDispatcher::stopRun(const RunRef &ref, TimePoint now)
+{
+    TrackedJob *job = this->jobs.find(ref.job);
+    if (!job)
+        return;
+    const std::string worker = job->progress.task(ref.task).worker;
+    const WorkerFleet::Run *run = this->fleet.find(worker, ref);
+    if (!run)
+        return;
+    const bool neverSent = run->startAttempts == 0 && !run->adopted && !run->startConfirmedAt;
+    if (!neverSent) {
+        this->fleet.requestStop(worker, ref, now);
+        return;
+    }
+    this->fleet.withdraw(worker, ref, now);
+    TaskProgress &task = job->progress.task(ref.task);
+    if (task.isOnWorker())
+        task.state = TaskState::Waiting;
+    this->writer.scheduleWrite(ref.job, nullptr);
+}
+
+/// The bound of the leader's lease by its own clock may pass before the answer to a renewal
+/// arrives. After the answer the term goes on, and so do the orders that were due in between.
+void TaskDispatcher::carryOutKeptOrders(TimePoint now)
+{
+    std::vector<KeptOrder> orders = std::exchange(this->keptOrders, {});
+    if (orders.empty())
+        return;
+    // A run that was to be stopped meanwhile does not start first.
+    std::stable_partition(orders.begin(), orders.end(),
+                          [](const KeptOrder &order) { return order.worker.empty(); });
+    this->logger.logEvent(LogKind::Leadership, "orders kept during a renewal are carried out",
+                          {{"orders", orders.size()}, {"token", this->election.token()}}, now);
+    for (const KeptOrder &order : orders) {
+        if (order.worker.empty())
+            this->stopRuns({&order.run, 1}, now);
+        else
+            this->startAssigned(order.run, order.worker, now);
+    }
+}
+
+} // namespace Hibiscus::Coordination
--- /dev/null
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -0,0 +1,355 @@
+#include <Coordination/WorkerFleet.h>
+
+#include <algorithm>
+#include <utility>
+
+// The sessions of WorkerFleet: polls, which renew leases and acknowledge ends, and what their
+// answers show of a worker's process, its runs and its ends.
+namespace Hibiscus::Coordination {
+
+using Runtime::LogKind;
+using Tasks::EndedTask;
+using Tasks::RunningTask;
+using Tasks::RunRef;
+using Tasks::WorkerAnswer;
+using Tasks::WorkerEntry;
+using Tasks::WorkerOutcome;
+
+bool WorkerFleet::needsPoll(const Worker &worker) const
+{
+    if (!worker.hasSession)
+        return worker.listed || !worker.runs.empty();
+    if (worker.recordedUpTo() > worker.acknowledgedEnd)
+        return true;
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+        const Run &run = entry.second;
+        return run.adopted || run.orderConfirmedAt.has_value();
+    });
+}
+
+void WorkerFleet::pollIfNeeded(Worker &worker, TimePoint now)
+{
+    if (worker.pollInFlight || !this->needsPoll(worker))
+        return;
+    const bool pauses = worker.hasSession && !worker.unrecordedEnds.empty()
+        && now < worker.pollSentAt + this->settings.maxPollPause;
+    if (pauses)
+        this->pollAfterPause(worker, now);
+    else
+        this->poll(worker.entry.id, now);
+}
+
+void WorkerFleet::pollAfterPause(Worker &worker, TimePoint now)
+{
+    if (std::exchange(worker.pauseTimerPending, true))
+        return;
+    const Duration left = worker.pollSentAt + this->settings.maxPollPause - now;
+    this->timers.after(
+        left, [this, id = worker.entry.id, generation = this->generation](TimePoint at) {
+            Worker *paused = generation == this->generation ? this->workerOf(id) : nullptr;
+            if (!paused)
+                return;
+            paused->pauseTimerPending = false;
+            this->pollIfNeeded(*paused, at);
+        });
+}
+
+/// A run whose order was answered and which was not seen yet waits for the worker's list: it may
+/// have no end that would make the worker answer.
+Duration WorkerFleet::pollWaitOf(const Worker &worker) const
+{
+    const bool hasUnsettledRun
+        = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+              return entry.second.orderConfirmedAt && !entry.second.startConfirmedAt;
+          });
+    if (hasUnsettledRun)
+        return Duration{};
+    return worker.isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
+}
+
+void WorkerFleet::poll(const std::string &id, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!this->active || !worker || worker->pollInFlight || worker->entry.address.empty())
+        return;
+    if (!this->canRenew(now))
+        return;
+    Tasks::RenewOrder order;
+    order.fencingToken = this->token;
+    order.endsRecorded = worker->recordedUpTo();
+    const bool hasSession = worker->hasSession;
+    // A worker that does not answer gets no lease extension, so that its runs end.
+    const bool answering = worker->pollRetryDelay == Duration{};
+    if (hasSession && answering && !worker->runs.empty()) {
+        order.leaseUntil = this->extendLease(*worker, now);
+        order.wait = this->pollWaitOf(*worker);
+    }
+    worker->pollInFlight = true;
+    worker->pollSentAt = now;
+    worker->pollSerial++;
+    const Duration timeout = order.wait + this->settings.pollSlack;
+    const std::int64_t acknowledgedEnd = order.endsRecorded;
+    this->link.renew(worker->entry, order, timeout,
+                     [this, id, acknowledgedEnd, sentAt = now, serial = worker->pollSerial,
+                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+                         Worker *sender
+                             = generation == this->generation ? this->workerOf(id) : nullptr;
+                         // A poll of an earlier process says nothing of the present one.
+                         if (!sender || sender->pollSerial != serial)
+                             return;
+                         if (answer.outcome == WorkerOutcome::Done)
+                             this->endsAcknowledged(*sender, acknowledgedEnd, at);
+                         this->handlePollAnswer(id, answer, sentAt, at);
+                     });
+}
+
+void WorkerFleet::endsAcknowledged(Worker &worker, std::int64_t number, TimePoint now)
+{
+    if (number <= worker.acknowledgedEnd)
+        return;
+    this->logger.logEvent(LogKind::Record, "ends acknowledged",
+                          {{"worker", worker.entry.id},
+                           {"incarnation", worker.entry.incarnation},
+                           {"after", worker.acknowledgedEnd},
+                           {"upTo", number}},
+                          now);
+    worker.acknowledgedEnd = number;
+}
+
+void WorkerFleet::handlePollAnswer(const std::string &id, const WorkerAnswer &answer,
+                                   TimePoint sentAt, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    if (!worker)
+        return;
+    worker->pollInFlight = false;
+    if (answer.outcome == WorkerOutcome::Fenced) {
+        this->listener.fenced(now);
+        return;
+    }
+    if (answer.outcome != WorkerOutcome::Done) {
+        if (worker->pollRetryDelay == Duration{})
+            this->logger.logEvent(LogKind::Dependency, "worker does not answer",
+                                  {{"worker", id}, {"runs", worker->runs.size()}}, now);
+        worker->backoffUntil = std::max(worker->backoffUntil, now + this->settings.maxRetryDelay);
+        worker->pollRetryDelay = std::clamp(worker->pollRetryDelay * 2, this->settings.retryDelay,
+                                            this->settings.maxRetryDelay);
+        this->checkLease(*worker, now);
+        this->timers.after(worker->pollRetryDelay,
+                           [this, id, generation = this->generation](TimePoint at) {
+                               if (generation != this->generation)
+                                   return;
+                               if (Worker *again = this->workerOf(id))
+                                   this->pollIfNeeded(*again, at);
+                           });
+        return;
+    }
+    if (std::exchange(worker->pollRetryDelay, Duration{}) != Duration{})
+        this->logger.logEvent(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
+    this->acceptEarlierStart(*worker, answer.incarnation, sentAt, now);
+    if (!this->acceptAnswer(*worker, answer, now)) {
+        this->pollIfNeeded(*worker, now);
+        return;
+    }
+    const bool first = !std::exchange(worker->hasSession, true);
+    this->processEnds(*worker, answer, now);
+    this->processRunning(*worker, answer, sentAt, now);
+    this->adjustPaces(*worker, now);
+    if (first)
+        this->listener.fleetChanged(now);
+    this->pollIfNeeded(*worker, now);
+}
+
+bool WorkerFleet::acceptAnswer(Worker &worker, const WorkerAnswer &answer, TimePoint now)
+{
+    // The incarnation is the start time of the worker's process, so a lower one belongs to a
+    // process that no longer exists.
+    const bool isGone = answer.incarnation < worker.entry.incarnation
+        || answer.incarnation == worker.replacedProcess;
+    if (answer.incarnation != 0 && isGone)
+        return false;
+    const bool isRestarted
+        = answer.incarnation != 0 && answer.incarnation != worker.entry.incarnation;
+    if (isRestarted && worker.entry.incarnation != 0)
+        this->handleRestart(worker, answer.incarnation, now);
+    if (isRestarted)
+        worker.entry.incarnation = answer.incarnation;
+    worker.lastAnswerAt = now;
+    if (answer.clock != 0) {
+        worker.clock = answer.clock;
+        worker.clockReadAt = now;
+    }
+    return true;
+}
+
+/// Accepts a process whose start time is lower than that of the known one, since its machine's
+/// clock was set back: it answers a poll that was sent after the known process had last shown
+/// itself.
+void WorkerFleet::acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
+                                     TimePoint now)
+{
+    const bool startedEarlier = incarnation != 0 && incarnation < worker.entry.incarnation;
+    if (!startedEarlier || sentAt <= std::max(worker.lastAnswerAt, worker.listedAt))
+        return;
+    worker.replacedProcess = worker.entry.incarnation;
+    this->handleRestart(worker, incarnation, now);
+    const std::optional<WorkerEntry> entry = std::exchange(worker.otherEntry, std::nullopt);
+    if (!entry || entry->incarnation != incarnation)
+        return;
+    worker.entry = *entry;
+    worker.entryWriter = incarnation;
+    worker.listed = true;
+}
+
+/// Handles a restart of the worker's process, after which the worker has no runs and no ends of the
+/// earlier process.
+void WorkerFleet::handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now)
+{
+    this->logger.logEvent(LogKind::Dependency, "worker started anew",
+                          {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
+    worker.entry.incarnation = incarnation;
+    worker.lastEnd = 0;
+    worker.acknowledgedEnd = 0;
+    worker.unrecordedEnds.clear();
+    worker.hasSession = false;
+    // The new process has seen no fencing token, so it is polled at once, also if a poll of the
+    // former process is unanswered.
+    worker.pollInFlight = false;
+    worker.pollSerial++;
+    worker.consecutiveFailures = 0;
+    worker.clock = 0;
+    worker.clockReadAt = now;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.startOutstanding)
+            worker.unansweredStarts[run.ref] = now;
+    }
+    // The worker's clock restarted too, so the end of an earlier lease is meaningless, also in
+    // start orders that are still in flight.
+    worker.leaseExpiresAt = this->latestStart(worker, now) + this->longestLease();
+    std::vector<RunKey> lost;
+    for (const auto &[key, run] : worker.runs) {
+        // The new process may execute a start order that is still in flight; its answer decides.
+        if (!this->mayStillStart(worker, run.ref, now))
+            lost.push_back(key);
+    }
+    for (const RunKey &key : lost)
+        this->reportLostRun(worker, key, "the worker restarted", now);
+    this->revokeUnansweredStarts(worker, now);
+}
+
+/// Unanswered start orders may still reach the restarted process, which does not know their runs.
+/// They are revoked with stop orders, and their runs count as lost only after that, also those that
+/// counted as lost in the former process; otherwise a task could run twice.
+void WorkerFleet::revokeUnansweredStarts(Worker &worker, TimePoint now)
+{
+    const std::map<RunRef, TimePoint> open = worker.unansweredStarts;
+    for (const auto &[ref, givenUpAt] : open) {
+        if (!this->mayStillStart(worker, ref, now))
+            continue;
+        Run *run = this->runOf(worker, ref);
+        if (!run) {
+            this->revokeStart(worker, ref, now);
+            continue;
+        }
+        // The answer to the only attempt shows whether the new process has executed it.
+        if (run->startOutstanding && run->startAttempts == 1)
+            continue;
+        run->startConfirmedAt.reset();
+        run->orderConfirmedAt.reset();
+        run->stopWanted = true;
+        if (!run->stopOutstanding && !run->startOutstanding)
+            this->sendStop(worker, *run, now);
+    }
+}
+
+/// Reports new ends to the listener, also those of runs that this fleet does not track: only the
+/// listener knows whether a job's record depends on an end, for example on one that was listed
+/// before the worker left the registry and came back.
+void WorkerFleet::processEnds(Worker &worker, const WorkerAnswer &answer, TimePoint now)
+{
+    std::vector<RunEnd> ends;
+    for (const EndedTask &ended : answer.ended) {
+        if (ended.number <= worker.lastEnd)
+            continue;
+        worker.lastEnd = ended.number;
+        worker.unrecordedEnds.insert(ended.number);
+        ends.push_back(this->takeEnd(worker, ended, now));
+    }
+    for (const RunEnd &end : ends)
+        this->listener.runEnded(end, now);
+}
+
+/// Removes the run of a listed end if the fleet tracks it, and describes the end.
+RunEnd WorkerFleet::takeEnd(Worker &worker, const EndedTask &ended, TimePoint now)
+{
+    RunEnd end{ended.run,        worker.entry.id, ended.cause,
+               ended.checkpoint, ended.number,    worker.entry.incarnation};
+    const Run *run = this->runOf(worker, ended.run);
+    if (!run)
+        return end;
+    if (end.checkpoint.empty())
+        end.checkpoint = run->checkpoint;
+    if (run->startConfirmedAt && !run->resumed)
+        end.runTime = now - *run->startConfirmedAt;
+    end.tracked = true;
+    this->removeRun(worker, keyOf(ended.run), now);
+    return end;
+}
+
+void WorkerFleet::processRunning(Worker &worker, const WorkerAnswer &answer, TimePoint sentAt,
+                                 TimePoint now)
+{
+    std::set<RunRef> seen;
+    std::vector<RunRef> confirmed;
+    for (const RunningTask &running : answer.running) {
+        seen.insert(running.run);
+        Run *run = this->runOf(worker, running.run);
+        if (!run) {
+            this->stopUnknownRun(worker, running.run, now);
+            continue;
+        }
+        if (!running.checkpoint.empty())
+            run->checkpoint = running.checkpoint;
+        run->percent = running.percent;
+        run->load = running.load;
+        run->adopted = false;
+        if (!run->startConfirmedAt) {
+            run->startConfirmedAt = now;
+            run->orderConfirmedAt = now;
+            confirmed.push_back(running.run);
+        }
+    }
+    for (const RunRef &run : confirmed)
+        this->listener.runConfirmed(run, now);
+    // A run that is missing may have ended; its end may be on the next page.
+    if (!answer.hasAllEnds)
+        return;
+    std::vector<RunKey> missing;
+    for (const auto &[key, run] : worker.runs) {
+        if (seen.contains(run.ref))
+            continue;
+        // The worker's answer under this token fences off orders of former leaders, so an adopted
+        // run that is not listed can't start any more.
+        const bool settled
+            = run.orderConfirmedAt && *run.orderConfirmedAt <= sentAt && !run.startOutstanding;
+        if (run.adopted || settled)
+            missing.push_back(key);
+    }
+    for (const RunKey &key : missing)
+        this->reportLostRun(worker, key, "the worker does not list the run", now);
+}
+
+void WorkerFleet::checkLease(Worker &worker, TimePoint now)
+{
+    if (now < worker.leaseExpiresAt || worker.runs.empty())
+        return;
+    std::vector<RunKey> keys;
+    for (const auto &[key, run] : worker.runs)
+        keys.push_back(key);
+    for (const RunKey &key : keys)
+        this->reportLostRun(worker, key, "the lease has expired and the worker does not answer",
+                            now);
+    worker.hasSession = false;
+}
+
+} // namespace Hibiscus::Coordination
