--- a/UnitTests/Coordination/TrackedJobTableTest.cpp
+++ b/UnitTests/Coordination/TrackedJobTableTest.cpp
@@ -9,8 +9,6 @@
 using Tasks::EndCause;
 using Tasks::JobState;
 using Tasks::RunRef;
-using Tasks::TaskRef;
-using Tasks::TaskState;
 
 constexpr Tasks::UnixMs now = 1'700'000'000'000;
 
