--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -30,11 +30,21 @@
     return room;
 }
 
+/// All resources of the worker, also those in use.
+Resources resourcesOf(const WorkerView &worker)
+{
+    Resources all = worker.free;
+    for (const OccupantView &occupant : worker.occupants)
+        all += occupant.need;
+    return all;
+}
+
 } // namespace
 
 PlanPass::PlanPass(const StartPlanner::Settings &settings, std::span<const StartRequest> requests,
                    std::span<const WorkerView> workers, UnixMs now)
     : settings(settings)
+    , rackWait(settings)
     , requests(requests)
     , workers(workers)
     , now(now)
@@ -47,7 +57,7 @@
     this->capacity.preempted.resize(workers.size());
     this->orders.resize(workers.size());
     this->groupWorkers();
-    this->countEmptyWorkers();
+    this->countWorkers();
 }
 
 void PlanPass::groupWorkers()
@@ -58,7 +68,7 @@
         this->racks[rackOf(this->workers[worker])].push_back(worker);
 }
 
-void PlanPass::countEmptyWorkers()
+void PlanPass::countWorkers()
 {
     std::map<std::string_view, std::size_t> usable;
     for (const std::size_t worker : this->allWorkers) {
@@ -66,6 +76,8 @@
         if (!view.usable)
             continue;
         usable[view.service]++;
+        this->acceleratorUse[view.service].all += resourcesOf(view).accelerators;
+        this->acceleratorUse[view.service].free += view.free.accelerators;
         if (this->isEmpty(worker))
             this->emptyWorkers[view.service]++;
     }
@@ -196,19 +208,26 @@
     return limit == 0 || taken < static_cast<std::size_t>(limit);
 }
 
-/// Whether the request's tasks may start only in the rack of their data. A request waits for that
-/// rack for at most half of the run time that its tasks would lose elsewhere.
+bool PlanPass::isServiceMostlyIdle(const StartRequest &request) const
+{
+    const auto use = this->acceleratorUse.find(request.service);
+    return use != this->acceleratorUse.end() && 2 * use->second.free > use->second.all;
+}
+
+bool PlanPass::isRackWaitOver(const StartRequest &request) const
+{
+    return this->rackWait.isOver(request, this->isServiceMostlyIdle(request), this->now);
+}
+
 bool PlanPass::requiresDataRack(const StartRequest &request) const
 {
-    if (request.step->dataRack.empty())
-        return false;
-    const double lostMs
-        = static_cast<double>(toMs(request.runTime)) * (this->settings.remoteDataFactor - 1);
-    double maxWaitMs = lostMs / 2;
-    if (request.priority <= this->settings.maxPreemptingPriority)
-        maxWaitMs
-            = std::min(maxWaitMs, static_cast<double>(toMs(this->settings.maxUrgentRackWait)));
-    return static_cast<double>(this->now - request.readySince) < maxWaitMs;
+    return !request.step->dataRack.empty() && !this->isRackWaitOver(request);
+}
+
+bool PlanPass::requiresOneRack(const StartRequest &request) const
+{
+    return request.step->gang && request.step->sameRack && !this->isRackWaitOver(request)
+        && this->fitsIntoOneEmptyRack(request);
 }
 
 bool PlanPass::isAllowed(const StartRequest &request, std::size_t worker) const
@@ -306,9 +325,7 @@
         for (const std::size_t worker : members) {
             if (!this->isEligible(request, worker))
                 continue;
-            Resources room = this->workers[worker].free;
-            for (const OccupantView &occupant : this->workers[worker].occupants)
-                room += occupant.need;
+            Resources room = resourcesOf(this->workers[worker]);
             std::int64_t here = 0;
             while (request.step->allocatedResources().fitsInto(room)
                    && here < request.step->count) {
@@ -333,7 +350,7 @@
         if (std::optional<WorkerList> chosen = this->placeAllTasks(request, members))
             return chosen;
     }
-    if (this->fitsIntoOneEmptyRack(request))
+    if (this->requiresOneRack(request))
         return std::nullopt;
     return this->placeAllTasks(request, this->allWorkers);
 }
@@ -437,7 +454,7 @@
         return;
     const std::size_t kept = std::min(tasks, left);
     this->reservations += kept;
-    if (request.step->gang && request.step->sameRack)
+    if (this->requiresOneRack(request))
         this->reserveRoomInOneRack(request);
     else
         this->reserveRoomOn(request, kept, this->allWorkers);
@@ -547,7 +564,8 @@
 }
 
 /// Preempts for all tasks of a gang or for none, since a part of a gang can't start. A gang that
-/// has to run in one rack needs all of its room in that rack.
+/// runs faster in one rack gets its room across racks only if no rack can give it and the wait for
+/// one is over.
 bool PlanPass::preemptForGang(std::size_t number)
 {
     const StartRequest &request = this->requests[number];
@@ -568,12 +586,12 @@
         }
         this->capacity = before;
     };
-    if (request.step->sameRack && this->fitsIntoOneEmptyRack(request)) {
+    if (request.step->sameRack) {
         for (const auto &[rack, members] : this->racks)
             consider(members);
-    } else {
-        consider(this->allWorkers);
     }
+    if (chosen.empty() && !this->requiresOneRack(request))
+        consider(this->allWorkers);
     this->capacity = best;
     this->planPreemptions(before);
     this->addClaims(number, chosen);
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Tasks/RackWait.h>
 #include <Tasks/StartPlanner.h>
 
 #include <map>
@@ -32,7 +33,7 @@
     };
 
     void groupWorkers();
-    void countEmptyWorkers();
+    void countWorkers();
     bool isEmpty(std::size_t worker) const;
     bool mayUseEmptyWorker(const StartRequest &request) const;
     void placeTask(const StartRequest &request, std::size_t worker);
@@ -44,7 +45,12 @@
     bool isEligible(const StartRequest &request, std::size_t worker) const;
     bool hasRoom(const StartRequest &request, std::size_t worker) const;
     bool isBelowWorkerLimit(const StartRequest &request, std::size_t taken) const;
+    bool isServiceMostlyIdle(const StartRequest &request) const;
+    bool isRackWaitOver(const StartRequest &request) const;
+    /// Whether the request's tasks may start only in the rack of their data.
     bool requiresDataRack(const StartRequest &request) const;
+    /// Whether the gang may start only with all of its tasks in one rack.
+    bool requiresOneRack(const StartRequest &request) const;
     /// Whether the worker is eligible and, while the request requires its data's rack, in that
     /// rack.
     bool isAllowed(const StartRequest &request, std::size_t worker) const;
@@ -101,6 +107,7 @@
     void planPreemptions(const Capacity &before);
 
     const StartPlanner::Settings &settings;
+    RackWait rackWait;
     std::span<const StartRequest> requests;
     std::span<const WorkerView> workers;
     UnixMs now;
@@ -108,6 +115,14 @@
     mutable std::vector<OccupantOrders> orders;
     std::vector<const StartRequest *> unplaced; ///< Requests for whose tasks no worker has room.
     std::vector<std::size_t> allWorkers;
+    /// Accelerators of the usable workers of a service.
+    struct AcceleratorUse
+    {
+        std::int64_t all = 0;
+        std::int64_t free = 0;
+    };
+
+    std::map<std::string_view, AcceleratorUse> acceleratorUse; ///< At the start of the pass.
     std::map<std::string_view, std::size_t> emptyWorkers; ///< Usable empty workers, by service.
     /// Number of empty workers that only urgent work may take, by service.
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -109,9 +109,11 @@
         double remoteDataFactor = 3.0;
         /// Requests with a priority number up to this may preempt other tasks.
         std::int32_t maxPreemptingPriority = 0;
-        /// How long a request that may preempt other tasks waits for the rack of its data at most.
+        /// How long a request that may preempt other tasks waits for a suitable rack at most.
         /// The platform requires that it starts within a bound.
         Duration maxUrgentRackWait = milliseconds(1200);
+        /// The same bound for requests whose service is mostly idle.
+        Duration maxIdleRackWait = milliseconds(1500);
         /// Share of a service's workers that only urgent work may take while they are empty. Urgent
         /// work that has to wait for a preemption would be late already.
         double emptyShareForUrgentWork = 0.06;
