--- a/Coordination/LeaderElection.cpp
+++ b/Coordination/LeaderElection.cpp
@@ -1,6 +1,8 @@
 #include <Coordination/LeaderElection.h>
 #include <Coordination/StoreKeys.h>
 
+#include <utility>
+
 namespace Hibiscus::Coordination {
 
 using Runtime::LogKind;
@@ -142,6 +144,7 @@
         return;
     }
     this->leading = true;
+    this->inDoubt = false;
     this->leaderToken = token;
     this->logger.logEvent(LogKind::Leadership, "elected", {{"token", token}}, now);
     this->scheduleStep(this->settings.renewInterval, &LeaderElection::renew);
@@ -150,10 +153,7 @@
 
 void LeaderElection::renew(TimePoint now)
 {
-    if (!this->isLeading(now)) {
-        this->stepDown("the lease could not be renewed in time", now);
-        return;
-    }
+    this->noteDoubt(now);
     const auto answerHandler = [this, generation = this->generation, now](const StoreAnswer &answer,
                                                                           TimePoint answeredAt) {
         if (generation == this->generation)
@@ -163,14 +163,30 @@
     this->scheduleStep(this->settings.renewInterval, &LeaderElection::renew);
 }
 
+/// The store may pause its leases during an outage, or may just answer late. So the term is not
+/// over yet: only the answer to a renewal shows whether the lease has ended.
+void LeaderElection::noteDoubt(TimePoint now)
+{
+    if (now < this->validUntil || std::exchange(this->inDoubt, true))
+        return;
+    this->logger.logEvent(
+        LogKind::Leadership, "term in doubt",
+        {{"reason", "the lease could not be renewed in time"}, {"token", this->leaderToken}}, now);
+}
+
 void LeaderElection::handleRenewal(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
 {
     if (answer.outcome == StoreOutcome::Absent) {
         this->stepDown("the store has ended the lease", now);
         return;
     }
-    if (answer.outcome == StoreOutcome::Done)
-        this->validUntil = std::max(this->validUntil, sentAt + this->settings.leaseDuration);
+    if (answer.outcome != StoreOutcome::Done)
+        return;
+    this->validUntil = std::max(this->validUntil, sentAt + this->settings.leaseDuration);
+    if (!this->isLeading(now) || !std::exchange(this->inDoubt, false))
+        return;
+    this->logger.logEvent(LogKind::Leadership, "term goes on", {{"token", this->leaderToken}}, now);
+    this->handlers.termConfirmed(now);
 }
 
 void LeaderElection::handleOtherLeader(TimePoint now)
--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -11,8 +11,9 @@
 
 namespace Hibiscus::Coordination {
 
-/// Elects one instance as the leader with a leased key in the platform's store. The leader steps
-/// down by its own clock before the store expires its lease.
+/// Elects one instance as the leader with a leased key in the platform's store. The leader stops
+/// leading by its own clock before the store expires its lease. It goes on in the same term if a
+/// later renewal succeeds, and steps down once it learns that the lease has ended.
 class LeaderElection
 {
 public:
@@ -43,6 +44,9 @@
         /// each leader.
         std::function<void(std::int64_t token, TimePoint)> elected;
         std::function<void()> deposed;
+        /// A renewal succeeded after the lease had run out by this instance's clock. The leader's
+        /// key was there all the while, so there was no other leader.
+        std::function<void(TimePoint)> termConfirmed;
     };
 
     LeaderElection(Tasks::MetadataStore &store, TimerService &timers, EventLogger &logger,
@@ -71,6 +75,7 @@
     void handleKeyWrite(const Tasks::StoreAnswer &answer, TimePoint now);
     void becomeLeader(std::int64_t token, TimePoint now);
     void renew(TimePoint now);
+    void noteDoubt(TimePoint now);
     void handleRenewal(const Tasks::StoreAnswer &answer, TimePoint sentAt, TimePoint now);
     void stepDown(const char *reason, TimePoint now);
     void endTerm(TimePoint now);
@@ -85,6 +90,7 @@
     std::uint64_t generation = 0; ///< Answers and timers of earlier generations are ignored.
     bool leading = false;
     bool resigned = false;
+    bool inDoubt = false; ///< The current term's lease ran out by this instance's clock.
     std::int64_t lease = 0;
     std::int64_t leaderToken = 0;
     std::string candidateId; ///< Value of the leader's key; unique for each campaign.
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -118,6 +118,14 @@
     this->workerWatch.stop();
 }
 
+void TaskDispatcher::termConfirmed(TimePoint now)
+{
+    if (this->phase != Phase::Leading)
+        return;
+    this->fleet.resumePolls(now);
+    this->plan(now);
+}
+
 void TaskDispatcher::listProgress(const std::string &after)
 {
     const auto answerHandler = [this, after, generation = this->generation](
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -60,6 +60,8 @@
 
     void elected(std::int64_t token, TimePoint now);
     void deposed();
+    /// The leader's term goes on after its lease had been in doubt.
+    void termConfirmed(TimePoint now);
 
     const TrackedJobTable &jobTable() const { return this->jobs; }
     const WorkerFleet &workerFleet() const { return this->fleet; }
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -45,6 +45,12 @@
         this->poll(id, now);
 }
 
+void WorkerFleet::resumePolls(TimePoint now)
+{
+    for (auto &[id, worker] : this->workers)
+        this->pollIfNeeded(worker, now);
+}
+
 void WorkerFleet::stop()
 {
     this->generation++;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -192,6 +192,8 @@
     /// that arrives before its run is known would be lost.
     void begin(std::int64_t token);
     void openSessions(TimePoint now);
+    /// Polls again the workers whose polls ceased when the grace time for renewals was over.
+    void resumePolls(TimePoint now);
     void stop();
     void workerListed(const Tasks::WorkerEntry &entry, TimePoint now);
     void workerUnlisted(const std::string &id, TimePoint now);
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -127,7 +127,8 @@
     , jobApi(store, timers, wallClock, logger, jobApiSettings(site), jobApiDecoders())
     , election(store, timers, logger, electionSettings(site),
                {[this](std::int64_t token, TimePoint now) { this->dispatcher.elected(token, now); },
-                [this] { this->dispatcher.deposed(); }})
+                [this] { this->dispatcher.deposed(); },
+                [this](TimePoint now) { this->dispatcher.termConfirmed(now); }})
     , dispatcher(
           store, workers, timers, wallClock, logger, election, placement, dispatcherSettings(site),
           [](std::string_view key, std::string_view value) {
@@ -314,7 +315,7 @@
 NodeMetrics::Readings NodeProcess::readMetrics(TimePoint now) const
 {
     NodeMetrics::Readings readings;
-    readings.isLeading = this->dispatcher.isReady();
+    readings.isLeading = this->dispatcher.isReady() && this->election.isLeading(now);
     readings.jobs = this->dispatcher.jobTable().all().size();
     readings.workers = this->dispatcher.workerFleet().all().size();
     readings.storeCalls = this->store.callsMade();
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -188,7 +188,8 @@
         *this->store, *this->timers, this->logger, electionSettings,
         LeaderElection::Handlers{
             [this](std::int64_t token, TimePoint now) { this->dispatcher->elected(token, now); },
-            [this] { this->dispatcher->deposed(); }});
+            [this] { this->dispatcher->deposed(); },
+            [this](TimePoint now) { this->dispatcher->termConfirmed(now); }});
     TaskDispatcher::Settings dispatcherSettings;
     dispatcherSettings.workerRegistry = registryPrefix;
     this->dispatcher = std::make_unique<TaskDispatcher>(
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -185,6 +185,36 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
 }
 
+TEST_F(Failover, RunOfAWorkerThatIsLostDuringAStoreOutageWaitsForItsOwnLeaseOnly)
+{
+    // Day m31004: workers leave while the store is down, and their tasks waited for the longest
+    // lease that an unknown former leader might have granted.
+    this->accept(1, jobBody("3000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    this->cluster.store.failFor(seconds(6));
+    this->cluster.run(milliseconds(300));
+    this->cluster.workers.kill(worker);
+    this->cluster.removeWorkerEntry(worker);
+    this->cluster.run(milliseconds(7200));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+    this->cluster.run(seconds(4));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(Failover, WorkersAreRenewedAgainAfterAnOutageLongerThanTheGraceTime)
+{
+    // The leases of all runs end during the outage, and their ends are listed after it.
+    this->accept(1, jobBody("30000", 4, 8));
+    this->cluster.run(milliseconds(500));
+    this->cluster.store.failFor(seconds(14));
+    this->cluster.run(seconds(16));
+    EXPECT_EQ(this->cluster.workers.runningTasksOf(jobId(1)), 4U);
+    this->cluster.run(seconds(35));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 8U);
+}
+
 TEST_F(Failover, LostStoreAnswersCauseNoDuplicateStarts)
 {
     this->cluster.store.defaultBehavior = StoreBehavior::LosesAnswers;
--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+void FakeStore::failFor(Duration span)
+{
+    this->defaultBehavior = StoreBehavior::Unresponsive;
+    for (auto &[id, lease] : this->leases)
+        lease.endsAt += span;
+    this->clock.in(span, [this] { this->defaultBehavior = StoreBehavior::Normal; });
+}
+
 void FakeStore::expire(std::int64_t id)
 {
     const auto lease = this->leases.find(id);
--- a/UnitTests/Coordination/FakeStore.h
+++ b/UnitTests/Coordination/FakeStore.h
@@ -41,6 +41,8 @@
     std::map<std::string, Tasks::StoredItem> itemsWithPrefix(const std::string &prefix) const;
     /// Compacts the history: watches from earlier revisions are answered with HistoryGone.
     void compactHistory();
+    /// Starts an outage for all instances during which leases do not run.
+    void failFor(Duration span);
     /// By instance; `defaultBehavior` applies to the others.
     std::map<std::string, StoreBehavior> behaviors;
     StoreBehavior defaultBehavior = StoreBehavior::Normal;
--- a/UnitTests/Coordination/LeaderElectionTest.cpp
+++ b/UnitTests/Coordination/LeaderElectionTest.cpp
@@ -98,6 +98,34 @@
     EXPECT_NE(cluster.leader(), former);
 }
 
+TEST(LeaderElection, LeaderGoesOnAfterAnOutageThatItsLeaseSurvives)
+{
+    // The store is down for all and its leases do not run meanwhile, so no other instance can have
+    // been elected.
+    Cluster cluster(3, 2);
+    const std::string leader = cluster.leader();
+    const std::int64_t token = cluster.instances.at(leader)->election->token();
+    cluster.store.failFor(seconds(7));
+    cluster.run(seconds(2));
+    EXPECT_EQ(cluster.leader(), "");
+    cluster.run(milliseconds(5400));
+    EXPECT_EQ(cluster.leader(), leader);
+    EXPECT_EQ(cluster.instances.at(leader)->election->token(), token);
+}
+
+TEST(LeaderElection, LeaderIsReplacedAfterAnOutageThatItsLeaseDoesNotSurvive)
+{
+    Cluster cluster(3, 2);
+    const std::string leader = cluster.leader();
+    const std::int64_t token = cluster.instances.at(leader)->election->token();
+    cluster.store.defaultBehavior = StoreBehavior::Unresponsive;
+    cluster.run(seconds(7));
+    cluster.store.defaultBehavior = StoreBehavior::Normal;
+    cluster.run(seconds(2));
+    ASSERT_NE(cluster.leader(), "");
+    EXPECT_GT(cluster.instances.at(cluster.leader())->election->token(), token);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
