--- a/Coordination/JobApi.cpp
+++ b/Coordination/JobApi.cpp
@@ -30,15 +30,6 @@
 constexpr double maxAgeFraction = 0.6;
 constexpr NumberRange durationRange{0, toMs(maxDuration)}; ///< In ms.
 
-const StoredItem *itemOf(const StoreAnswer &answer, std::string_view key)
-{
-    for (const StoredItem &item : answer.items) {
-        if (item.key == key && item.revision != 0)
-            return &item;
-    }
-    return nullptr;
-}
-
 } // namespace
 
 /// A submission whose record is not yet known to be stored.
@@ -422,7 +413,7 @@
 void JobApi::handleSubmitConflict(const std::shared_ptr<Submission> &submission,
                                   const StoreAnswer &answer, TimePoint now)
 {
-    const StoredItem *stored = itemOf(answer, StoreKeys::job(submission->job.id));
+    const StoredItem *stored = answer.find(StoreKeys::job(submission->job.id));
     if (stored && Tasks::isRefusal(stored->value)) {
         if (submission->isFirstAnswer()) {
             submission->refusalRevision = stored->revision;
@@ -443,7 +434,7 @@
             submission, {.kind = sameCustomer ? ReplyKind::Accepted : ReplyKind::ForeignJob}, now);
         return;
     }
-    if (const StoredItem *item = itemOf(answer, this->settings.configurationKey))
+    if (const StoredItem *item = answer.find(this->settings.configurationKey))
         this->updateConfiguration(*item, now);
     // Every earlier attempt requires the older configuration revision, so none of them can succeed
     // any more. The request is routed again under the new configuration.
--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -301,24 +301,19 @@
 /// answer was lost.
 void RecordWriter::handleConflict(const StoreAnswer &answer, TimePoint now)
 {
-    std::map<std::string, const StoredItem *> present;
-    for (const StoredItem &item : answer.items)
-        present[item.key] = &item;
-    const auto leader = present.find(StoreKeys::leader);
-    if (leader == present.end() || leader->second->revision != this->token) {
+    const StoredItem *leader = answer.find(StoreKeys::leader);
+    if (!leader || leader->revision != this->token) {
         this->handlers.fenced(now);
         return;
     }
     bool allMatch = true;
     std::int64_t committedRevision = 0;
     for (const PendingWrite &entry : this->inFlight) {
-        const auto found = present.find(StoreKeys::progressOf(entry.job));
-        const StoredItem *item = found == present.end() ? nullptr : found->second;
-        const bool exists = item && item->revision != 0;
-        const bool matches = entry.value.empty() ? !exists : exists && item->value == entry.value;
+        const StoredItem *item = answer.find(StoreKeys::progressOf(entry.job));
+        const bool matches = entry.value.empty() ? !item : item && item->value == entry.value;
         allMatch = allMatch && matches;
-        this->revisions[entry.job] = exists ? item->revision : 0;
-        if (exists)
+        this->revisions[entry.job] = item ? item->revision : 0;
+        if (item)
             committedRevision = std::max(committedRevision, item->revision);
     }
     if (allMatch) {
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -473,7 +473,6 @@
 {
     if (!this->isLeading(now))
         return;
-    this->carryOutKeptOrders(now);
     this->removeExpired();
     this->removeOldRefusals(now);
     this->fleet.forgetUnlisted(now);
@@ -526,17 +525,13 @@
 void TaskDispatcher::handlePublishConflict(const char *key, const std::string &text,
                                            const StoreAnswer &answer)
 {
-    const auto itemOf = [&answer](std::string_view wanted) {
-        return std::find_if(answer.items.begin(), answer.items.end(),
-                            [wanted](const StoredItem &item) { return item.key == wanted; });
-    };
-    const auto leader = itemOf(StoreKeys::leader);
-    if (leader == answer.items.end() || leader->revision != this->election.token())
+    const StoredItem *leader = answer.find(StoreKeys::leader);
+    if (!leader || leader->revision != this->election.token())
         return;
-    const auto stored = itemOf(key);
+    const StoredItem *stored = answer.find(key);
     PublishedKey &state = this->published[key];
-    state.revision = stored == answer.items.end() ? 0 : stored->revision;
-    if (state.revision != 0 && stored->value == text)
+    state.revision = stored ? stored->revision : 0;
+    if (stored && stored->value == text)
         state.text = text;
     else
         this->publish(key, text);
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -170,7 +170,6 @@
     this->logger.logEvent(LogKind::Dependency, "worker unlisted",
                           {{"worker", id}, {"runs", worker->runs.size()}}, now);
     this->listener.fleetChanged(now);
-    this->forgetUnlisted(now);
 }
 
 /// Removes the workers that have left the registry, unless a run may exist on them or a start order
--- a/Tasks/MetadataStore.h
+++ b/Tasks/MetadataStore.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Hibiscus::Tasks {
@@ -61,6 +62,9 @@
     bool truncated = false; ///< The list has more items after the last one of this page.
     std::int64_t lease = 0;
     Duration leaseTerm{};
+
+    /// The item of a key that exists; null if the answer has none.
+    const StoredItem *find(std::string_view key) const;
 };
 
 using StoreHandler = std::function<void(const StoreAnswer &, TimePoint now)>;
