--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -45,7 +45,7 @@
     this->revisions.clear();
     this->queue.clear();
     this->storedHandlers.clear();
-    this->inFlight.clear();
+    this->batches.clear();
     this->refusedJobs.clear();
     this->paused = false;
 }
@@ -64,11 +64,8 @@
         entry->second.push_back(std::move(handler));
     if (added)
         this->queue.push_back(job);
-    if (this->inFlight.empty())
-        this->timers.after(Duration{}, [this, generation = this->generation](TimePoint at) {
-            if (generation == this->generation)
-                this->flush(at);
-        });
+    if (this->batches.empty())
+        this->flushAfter(Duration{});
 }
 
 void RecordWriter::whenStored(const std::string &job, StoredHandler handler, TimePoint now)
@@ -80,118 +77,195 @@
         queued->second.push_back(std::move(handler));
         return;
     }
-    for (PendingWrite &entry : this->inFlight) {
-        if (entry.job == job) {
-            entry.storedHandlers.push_back(std::move(handler));
-            return;
+    for (auto &[id, batch] : this->batches) {
+        for (PendingWrite &entry : batch.writes) {
+            if (entry.job == job) {
+                entry.storedHandlers.push_back(std::move(handler));
+                return;
+            }
         }
     }
     handler(now);
 }
 
+void RecordWriter::flushAfter(Duration delay)
+{
+    this->timers.after(delay, [this, generation = this->generation](TimePoint at) {
+        if (generation == this->generation)
+            this->flush(at);
+    });
+}
+
 void RecordWriter::flush(TimePoint now)
 {
-    if (this->paused || !this->inFlight.empty() || this->queue.empty())
+    if (this->queue.empty() || !this->mayOpenBatch(now))
+        return;
+    Batch batch = this->takeBatch(now);
+    if (batch.writes.empty())
         return;
-    this->commit = {};
-    this->commit.checks.push_back({StoreKeys::leader, this->token});
-    while (!this->queue.empty() && this->fitsCommit(this->queue.front())) {
-        this->append(this->queue.front());
-        this->queue.pop_front();
+    const BatchId id = this->nextBatch++;
+    this->batches.emplace(id, std::move(batch));
+    this->send(id, now);
+    this->flushAfter(this->settings.batchDelay);
+}
+
+/// Another batch is opened only beside batches whose answers are late. While the store answers
+/// quickly, waiting for the answer gathers records for the next commit.
+bool RecordWriter::mayOpenBatch(TimePoint now) const
+{
+    if (this->paused || this->batches.size() >= this->settings.maxBatches)
+        return false;
+    return this->batches.empty()
+        || now >= this->batches.rbegin()->second.openedAt + this->settings.batchDelay;
+}
+
+bool RecordWriter::isInFlight(const std::string &job) const
+{
+    return std::any_of(this->batches.begin(), this->batches.end(), [&job](const auto &entry) {
+        const std::vector<PendingWrite> &writes = entry.second.writes;
+        return std::any_of(writes.begin(), writes.end(),
+                           [&job](const PendingWrite &write) { return write.job == job; });
+    });
+}
+
+/// Takes the jobs of the next commit from the queue, in its order. Jobs that are in flight stay
+/// queued, since the revision of their record is not known yet.
+RecordWriter::Batch RecordWriter::takeBatch(TimePoint now)
+{
+    Batch batch;
+    batch.openedAt = now;
+    batch.commitsBefore = this->storedCommits;
+    batch.commit.checks.push_back({StoreKeys::leader, this->token});
+    for (auto job = this->queue.begin(); job != this->queue.end();) {
+        if (this->isInFlight(*job)) {
+            ++job;
+            continue;
+        }
+        if (!this->fitsBatch(batch, *job))
+            break;
+        this->append(batch, *job);
+        job = this->queue.erase(job);
     }
-    this->attempts = 0;
-    this->send(now);
+    return batch;
 }
 
-/// Whether the job may join the commit that is being put together. A job that was refused alone
-/// gets a commit of its own.
-bool RecordWriter::fitsCommit(const std::string &job) const
+/// Whether the job may join the batch. A job that was refused alone gets a commit of its own.
+bool RecordWriter::fitsBatch(const Batch &batch, const std::string &job) const
 {
-    if (this->inFlight.empty())
+    if (batch.writes.empty())
         return true;
-    return this->inFlight.size() < this->commitSize && !this->refusedJobs.contains(job)
-        && !this->refusedJobs.contains(this->inFlight.front().job);
+    return batch.writes.size() < this->commitSize && !this->refusedJobs.contains(job)
+        && !this->refusedJobs.contains(batch.writes.front().job);
 }
 
-void RecordWriter::append(const std::string &job)
+void RecordWriter::append(Batch &batch, const std::string &job)
 {
     const std::string key = StoreKeys::progressOf(job);
     std::string value = this->handlers.encode(job);
-    this->commit.checks.push_back({key, this->revisions[job]});
+    batch.commit.checks.push_back({key, this->revisions[job]});
     if (value.empty()) {
-        this->commit.removals.push_back(key);
-        this->commit.removals.push_back(StoreKeys::job(job));
-        this->commit.removals.push_back(StoreKeys::cancellation(job));
+        batch.commit.removals.push_back(key);
+        batch.commit.removals.push_back(StoreKeys::job(job));
+        batch.commit.removals.push_back(StoreKeys::cancellation(job));
     } else {
-        this->commit.writes.push_back({key, value, 0});
+        batch.commit.writes.push_back({key, value, 0});
     }
-    auto storedHandlers = this->storedHandlers.extract(job);
-    this->inFlight.push_back({job, std::move(value), std::move(storedHandlers.mapped())});
+    auto waiting = this->storedHandlers.extract(job);
+    batch.writes.push_back({job, std::move(value), std::move(waiting.mapped())});
+}
+
+/// A lost answer is noticed by the usual time of answers, not by the longest. A store that has just
+/// become slow gets more time with each attempt.
+Duration RecordWriter::timeoutOf(const Batch &batch) const
+{
+    constexpr int answerTimes = 8;
+    constexpr std::int32_t maxDoublings = 4;
+    const Duration usual
+        = std::max(answerTimes * this->answerTime, this->settings.minCommitTimeout);
+    const Duration backedOff = usual * (1 << std::min(batch.attempts - 1, maxDoublings));
+    return std::min(backedOff, this->settings.commitTimeout);
+}
+
+void RecordWriter::recordAnswerTime(const Batch &batch, TimePoint now)
+{
+    constexpr int averagedAnswers = 8;
+    this->answerTime += (now - batch.sentAt - this->answerTime) / averagedAnswers;
 }
 
-void RecordWriter::send(TimePoint)
+void RecordWriter::send(BatchId id, TimePoint now)
 {
-    this->attempts++;
+    Batch &batch = this->batches.at(id);
+    batch.attempts++;
+    batch.sentAt = now;
     const auto handler
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+        = [this, id, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
               if (generation == this->generation)
-                  this->handleAnswer(answer, now);
+                  this->handleAnswer(id, answer, now);
           };
-    this->store.commit(this->commit, this->settings.commitTimeout, handler);
+    this->store.commit(batch.commit, this->timeoutOf(batch), handler);
 }
 
-void RecordWriter::handleAnswer(const StoreAnswer &answer, TimePoint now)
+void RecordWriter::handleAnswer(BatchId id, const StoreAnswer &answer, TimePoint now)
 {
+    if (answer.outcome == StoreOutcome::Done || answer.outcome == StoreOutcome::Conflict)
+        this->recordAnswerTime(this->batches.at(id), now);
     switch (answer.outcome) {
     case StoreOutcome::Done:
         this->setReachable(true, now);
-        this->handleCommit(answer.revision, now);
+        this->handleCommit(id, answer.revision, now);
         return;
     case StoreOutcome::Conflict:
         this->setReachable(true, now);
-        this->handleConflict(answer, now);
+        this->handleConflict(id, answer, now);
         return;
     case StoreOutcome::Refused:
-        this->handleRefusal(now);
+        this->handleRefusal(id, now);
         return;
     default:
-        this->setReachable(false, now);
-        this->resendLater();
+        this->handleSilence(id, now);
     }
 }
 
-void RecordWriter::resendLater()
+void RecordWriter::handleSilence(BatchId id, TimePoint now)
+{
+    if (this->batches.at(id).commitsBefore == this->storedCommits)
+        this->setReachable(false, now);
+    this->resendLater(id);
+}
+
+void RecordWriter::resendLater(BatchId id)
 {
     this->timers.after(this->settings.retryDelay,
-                       [this, generation = this->generation](TimePoint at) {
+                       [this, id, generation = this->generation](TimePoint at) {
                            if (generation == this->generation)
-                               this->send(at);
+                               this->send(id, at);
                        });
 }
 
-void RecordWriter::handleRefusal(TimePoint now)
+void RecordWriter::handleRefusal(BatchId id, TimePoint now)
 {
-    if (this->inFlight.size() == 1) {
-        this->postponeRefusedJob(now);
+    const Batch &batch = this->batches.at(id);
+    if (batch.writes.size() == 1) {
+        this->postponeRefusedJob(id, now);
         return;
     }
     this->setReachable(false, now);
     // Smaller commits take more calls, so a store that limits the rate of calls gets the whole
     // commit again first.
-    if (this->attempts < toleratedRefusals) {
-        this->resendLater();
+    if (batch.attempts < toleratedRefusals) {
+        this->resendLater(id);
         return;
     }
-    this->logCommit("refused commit divided", 0, now);
-    this->commitSize = this->inFlight.size() / 2;
-    this->requeueInFlight();
+    this->logCommit("refused commit divided", batch, 0, now);
+    this->commitSize = batch.writes.size() / 2;
+    this->requeue(id);
     this->pauseWriting();
 }
 
-void RecordWriter::requeueInFlight()
+void RecordWriter::requeue(BatchId id)
 {
-    std::vector<PendingWrite> writes = std::exchange(this->inFlight, {});
-    for (PendingWrite &entry : writes) {
+    const auto batch = this->batches.extract(id);
+    for (PendingWrite &entry : batch.mapped().writes) {
         std::vector<StoredHandler> &waiting = this->storedHandlers[entry.job];
         waiting.insert(waiting.begin(), entry.storedHandlers.begin(), entry.storedHandlers.end());
         if (std::find(this->queue.begin(), this->queue.end(), entry.job) == this->queue.end())
@@ -202,10 +276,11 @@
 /// If the store has accepted other commits since the job's last refusal, the record itself is the
 /// likely reason: the job's pause grows and the other jobs go on at once. Otherwise the store may
 /// refuse everything, and all writes pause.
-void RecordWriter::postponeRefusedJob(TimePoint now)
+void RecordWriter::postponeRefusedJob(BatchId id, TimePoint now)
 {
-    const std::string job = this->inFlight.front().job;
-    const std::size_t bytes = this->inFlight.front().value.size();
+    const PendingWrite &write = this->batches.at(id).writes.front();
+    const std::string job = write.job;
+    const std::size_t bytes = write.value.size();
     const auto [entry, added] = this->refusedJobs.try_emplace(job);
     RefusedJob &refused = entry->second;
     if (added)
@@ -227,7 +302,7 @@
                                {"pauseMs", toMs(refused.pause)},
                                {"token", this->token}},
                               now);
-    this->requeueInFlight();
+    this->requeue(id);
     std::erase(this->queue, job);
     this->timers.after(refused.pause, [this, job, generation = this->generation](TimePoint at) {
         if (generation != this->generation)
@@ -261,27 +336,30 @@
         this->handlers.reachability(value, now);
 }
 
-void RecordWriter::logCommit(std::string_view event, std::int64_t revision, TimePoint now)
+void RecordWriter::logCommit(std::string_view event, const Batch &batch, std::int64_t revision,
+                             TimePoint now)
 {
     std::vector<std::string> jobs;
-    for (const PendingWrite &entry : this->inFlight)
+    for (const PendingWrite &entry : batch.writes)
         jobs.push_back(entry.job);
     this->logger.logEvent(Runtime::LogKind::Record, event,
                           {{"requests", jobs},
                            {"revision", revision},
                            {"token", this->token},
-                           {"attempts", this->attempts},
+                           {"attempts", batch.attempts},
+                           {"inFlight", this->batches.size()},
                            {"queued", this->queue.size()}},
                           now);
 }
 
-void RecordWriter::handleCommit(std::int64_t revision, TimePoint now)
+void RecordWriter::handleCommit(BatchId id, std::int64_t revision, TimePoint now)
 {
-    this->logCommit("records stored", revision, now);
+    const auto node = this->batches.extract(id);
+    const Batch &batch = node.mapped();
+    this->logCommit("records stored", batch, revision, now);
     this->storedCommits++;
     this->commitSize = std::min(2 * this->commitSize, maxJobsPerCommit);
-    const std::vector<PendingWrite> written = std::exchange(this->inFlight, {});
-    for (const PendingWrite &entry : written) {
+    for (const PendingWrite &entry : batch.writes) {
         this->refusedJobs.erase(entry.job);
         if (entry.value.empty())
             this->revisions.erase(entry.job);
@@ -289,7 +367,7 @@
             this->revisions[entry.job] = revision;
     }
     const std::uint64_t before = this->generation;
-    for (const PendingWrite &entry : written) {
+    for (const PendingWrite &entry : batch.writes) {
         for (const StoredHandler &handler : entry.storedHandlers)
             handler(now);
     }
@@ -299,7 +377,7 @@
 
 /// Distinguishes a real conflict from a resent commit whose first attempt succeeded while its
 /// answer was lost.
-void RecordWriter::handleConflict(const StoreAnswer &answer, TimePoint now)
+void RecordWriter::handleConflict(BatchId id, const StoreAnswer &answer, TimePoint now)
 {
     const StoredItem *leader = answer.find(StoreKeys::leader);
     if (!leader || leader->revision != this->token) {
@@ -308,7 +386,7 @@
     }
     bool allMatch = true;
     std::int64_t committedRevision = 0;
-    for (const PendingWrite &entry : this->inFlight) {
+    for (const PendingWrite &entry : this->batches.at(id).writes) {
         const StoredItem *item = answer.find(StoreKeys::progressOf(entry.job));
         const bool matches = entry.value.empty() ? !item : item && item->value == entry.value;
         allMatch = allMatch && matches;
@@ -317,12 +395,12 @@
             committedRevision = std::max(committedRevision, item->revision);
     }
     if (allMatch) {
-        this->handleCommit(committedRevision, now);
+        this->handleCommit(id, committedRevision, now);
         return;
     }
-    this->logCommit("records differ in the store", answer.revision, now);
+    this->logCommit("records differ in the store", this->batches.at(id), answer.revision, now);
     // The stored records differ from the ones sent: writes them again with the revisions just read.
-    this->requeueInFlight();
+    this->requeue(id);
     this->flush(now);
 }
 
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -12,9 +12,13 @@
 
 namespace Hibiscus::Coordination {
 
-/// Writes the progress records of jobs for the leader, one commit at a time. Each commit is
-/// conditional on the leader's key, so a former leader can't write. A commit without an answer is
-/// resent unchanged; its revision checks make it idempotent.
+/// Writes the progress records of jobs for the leader. Each commit is conditional on the leader's
+/// key, so a former leader can't write. A commit without an answer is resent unchanged; its
+/// revision checks make it idempotent.
+///
+/// Records that are scheduled while a commit is in flight share the next one, which saves calls. A
+/// commit that is answered late or not at all does not hold up the records of other jobs: after
+/// `batchDelay` the next commit is sent beside it. Each job is in at most one commit in flight.
 ///
 /// The store may refuse a commit for a while or, because of one record, for good; its answer does
 /// not tell which. The jobs of a refused commit are therefore sent one by one. A job that is
@@ -25,8 +29,12 @@
 public:
     struct Settings
     {
-        Duration commitTimeout = milliseconds(700);
+        Duration commitTimeout = milliseconds(700); ///< Longest time to wait for an answer.
+        Duration minCommitTimeout = milliseconds(200);
         Duration retryDelay = milliseconds(100);
+        /// How long records wait for the answer to the newest commit at most.
+        Duration batchDelay = milliseconds(50);
+        std::size_t maxBatches = 16; ///< Commits in flight at the same time.
         /// Longest pause between two attempts to write a record that the store refuses while it
         /// accepts others.
         Duration maxRefusedPause = seconds(5);
@@ -63,8 +71,6 @@
     /// are none.
     void whenStored(const std::string &job, StoredHandler handler, TimePoint now);
 
-    std::size_t waiting() const { return this->storedHandlers.size() + this->inFlight.size(); }
-
 private:
     struct PendingWrite
     {
@@ -73,6 +79,18 @@
         std::vector<StoredHandler> storedHandlers;
     };
 
+    /// A commit in flight.
+    struct Batch
+    {
+        Tasks::StoreCommit commit;
+        std::vector<PendingWrite> writes;
+        std::int32_t attempts = 0; ///< Number of times that the commit was sent.
+        TimePoint openedAt{};
+        TimePoint sentAt{}; ///< Of the last attempt.
+        std::uint64_t commitsBefore = 0; ///< Value of `storedCommits` when it was opened.
+    };
+    using BatchId = std::uint64_t; ///< Ids increase in the order in which batches are opened.
+
     /// A job whose record the store has refused in a commit of its own.
     struct RefusedJob
     {
@@ -81,22 +99,30 @@
         std::uint64_t commitsBefore = 0; ///< Value of `storedCommits` at the last refusal.
     };
 
+    void flushAfter(Duration delay);
     void flush(TimePoint now);
-    bool fitsCommit(const std::string &job) const;
-    void append(const std::string &job);
-    void send(TimePoint now);
-    void handleAnswer(const Tasks::StoreAnswer &answer, TimePoint now);
-    void handleCommit(std::int64_t revision, TimePoint now);
-    void handleConflict(const Tasks::StoreAnswer &answer, TimePoint now);
-    void handleRefusal(TimePoint now);
-    void resendLater();
-    /// Puts the jobs in flight back to the front of the queue.
-    void requeueInFlight();
-    /// Queues the only job in flight again after a pause.
-    void postponeRefusedJob(TimePoint now);
+    bool mayOpenBatch(TimePoint now) const;
+    bool isInFlight(const std::string &job) const;
+    Batch takeBatch(TimePoint now);
+    bool fitsBatch(const Batch &batch, const std::string &job) const;
+    void append(Batch &batch, const std::string &job);
+    void send(BatchId id, TimePoint now);
+    Duration timeoutOf(const Batch &batch) const;
+    void recordAnswerTime(const Batch &batch, TimePoint now);
+    void handleAnswer(BatchId id, const Tasks::StoreAnswer &answer, TimePoint now);
+    void handleCommit(BatchId id, std::int64_t revision, TimePoint now);
+    void handleConflict(BatchId id, const Tasks::StoreAnswer &answer, TimePoint now);
+    void handleRefusal(BatchId id, TimePoint now);
+    void handleSilence(BatchId id, TimePoint now);
+    void resendLater(BatchId id);
+    /// Puts the batch's jobs back to the front of the queue.
+    void requeue(BatchId id);
+    /// Queues the only job of the batch again after a pause.
+    void postponeRefusedJob(BatchId id, TimePoint now);
     void pauseWriting();
     void setReachable(bool value, TimePoint now);
-    void logCommit(std::string_view event, std::int64_t revision, TimePoint now);
+    void logCommit(std::string_view event, const Batch &batch, std::int64_t revision,
+                   TimePoint now);
 
     Tasks::MetadataStore &store;
     TimerService &timers;
@@ -111,11 +137,11 @@
     std::deque<std::string> queue; ///< Jobs to write, without duplicates.
     /// Handlers of the jobs that are queued or postponed.
     std::map<std::string, std::vector<StoredHandler>> storedHandlers;
-    std::vector<PendingWrite> inFlight;
-    Tasks::StoreCommit commit;
-    std::int32_t attempts = 0; ///< Number of times that `commit` was sent.
+    std::map<BatchId, Batch> batches; ///< Commits in flight.
+    BatchId nextBatch = 1;
     /// Jobs that were refused alone and are not stored since.
     std::map<std::string, RefusedJob> refusedJobs;
+    Duration answerTime{}; ///< Running mean of the time that the store takes to answer a commit.
     std::uint64_t storedCommits = 0; ///< Number of commits that the store has accepted.
     /// Maximum number of jobs in the next commit; halved by refusals, doubled by each success.
     std::size_t commitSize = 0;
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -215,6 +215,24 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 8U);
 }
 
+TEST_F(Failover, UrgentJobsStartInTimeWhileHalfOfTheStoreAnswersAreLost)
+{
+    // Day m31002: the store carries out commits and does not answer half of them for eleven
+    // seconds. Records that waited for each lost answer in turn held up all jobs.
+    constexpr std::uint32_t jobs = 60;
+    this->cluster.store.behaviors[this->cluster.leader()] = StoreBehavior::LosesCommitAnswers;
+    for (std::uint32_t i = 1; i <= jobs; i++)
+        this->accept(i, withFields(jobBody("20000", 1, 1), {{"priority", 0}}));
+    // Urgent work starts within this time by the brief.
+    this->cluster.run(milliseconds(2200));
+    EXPECT_EQ(this->cluster.workers.runningTasks(), jobs);
+    this->cluster.run(seconds(30));
+    for (std::uint32_t i = 1; i <= jobs; i++) {
+        EXPECT_TRUE(this->cluster.isCompleted(jobId(i))) << i;
+        EXPECT_EQ(this->cluster.workers.startsOf(jobId(i)), 1U) << i;
+    }
+}
+
 TEST_F(Failover, LostStoreAnswersCauseNoDuplicateStarts)
 {
     this->cluster.store.defaultBehavior = StoreBehavior::LosesAnswers;
--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -175,6 +175,9 @@
             StoreBehavior behavior = target.behaviorOf(name);
             if (behavior == StoreBehavior::DropsCommits)
                 behavior = isCommit ? StoreBehavior::Unresponsive : StoreBehavior::Normal;
+            if (behavior == StoreBehavior::LosesCommitAnswers)
+                behavior = isCommit && target.commits % 2 == 0 ? StoreBehavior::LosesAnswers
+                                                               : StoreBehavior::Normal;
             if (behavior == StoreBehavior::ExecutesCommitsLate)
                 behavior = isCommit ? StoreBehavior::ExecutesLate : StoreBehavior::Normal;
             StoreAnswer result;
@@ -235,6 +238,7 @@
             const StoreBehavior behavior = target.behaviorOf(name);
             const bool answers = behavior == StoreBehavior::Normal
                 || behavior == StoreBehavior::DropsCommits
+                || behavior == StoreBehavior::LosesCommitAnswers
                 || behavior == StoreBehavior::ExecutesCommitsLate;
             if (!answers) {
                 const bool refused = behavior == StoreBehavior::Rejecting;
@@ -257,6 +261,7 @@
                 const StoreBehavior current = target.behaviorOf(name);
                 const bool isAnswered = current == StoreBehavior::Normal
                     || current == StoreBehavior::DropsCommits
+                    || current == StoreBehavior::LosesCommitAnswers
                     || current == StoreBehavior::ExecutesCommitsLate;
                 if (!isAnswered)
                     answer = {};
--- a/UnitTests/Coordination/FakeStore.h
+++ b/UnitTests/Coordination/FakeStore.h
@@ -20,6 +20,8 @@
     Unresponsive, ///< Calls do not reach the store.
     Rejecting, ///< Calls are refused.
     LosesAnswers, ///< Calls are executed but not answered.
+    /// Every second commit is executed but not answered; other calls are answered.
+    LosesCommitAnswers,
     DropsCommits, ///< Commits do not reach the store; other calls are executed and answered.
     ExecutesLate, ///< Calls are executed two seconds late and not answered.
     /// Commits are executed two seconds late and not answered; other calls are answered.
