--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -151,7 +151,7 @@
         view.labels = worker.entry.labels;
         view.free = worker.entry.capacity;
         view.free -= worker.used;
-        view.usable = worker.isUsable(now);
+        view.usable = this->fleet.isUsable(worker, now);
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -56,6 +56,7 @@
     this->generation++;
     this->active = false;
     this->workers.clear();
+    this->reach.clear();
     this->revocations.clear();
 }
 
@@ -302,11 +303,15 @@
 
 /// Upper bound, by the leader's clock, of the time from an order to the end of the lease that it
 /// grants.
+Duration WorkerFleet::boundOfLease(Duration lease) const
+{
+    const double rounded = static_cast<double>(lease.count()) / minClockRate;
+    return Duration(static_cast<Duration::rep>(rounded)) + this->settings.leaseSlack;
+}
+
 Duration WorkerFleet::longestLease() const
 {
-    const double maxLease = static_cast<double>(this->settings.maxLeaseDuration.count());
-    return Duration(static_cast<Duration::rep>(maxLease / minClockRate))
-        + this->settings.leaseSlack;
+    return this->boundOfLease(this->settings.maxLeaseDuration);
 }
 
 /// Whether a start order of the run is without an answer and may still be executed.
@@ -328,13 +333,63 @@
 }
 
 /// Returns the end of a lease granted now, by the worker's clock, and updates the time at which the
-/// lease has certainly expired.
-std::int64_t WorkerFleet::extendLease(Worker &worker, TimePoint now)
+/// lease has certainly expired. The end counts from the latest time that the worker's clock may
+/// show. A clock that is behind makes the lease longer by that much; workers shorten a lease that
+/// is longer than the longest one.
+std::int64_t WorkerFleet::extendLease(Worker &worker, Duration lease, TimePoint now)
+{
+    const std::int64_t passedMs = toMs(now - worker.clockReadAt);
+    const double clockLagMs = static_cast<double>(passedMs) * (1.0 - minClockRate);
+    const Duration longest = std::min(lease + milliseconds(static_cast<std::int64_t>(clockLagMs)),
+                                      this->settings.maxLeaseDuration);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->boundOfLease(longest));
+    return worker.clock + passedMs + toMs(lease);
+}
+
+/// While nothing comes from a whole data centre, its workers get no new work. Work that runs there
+/// is left alone.
+void WorkerFleet::noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now)
 {
-    const double passed = static_cast<double>(toMs(now - worker.clockReadAt)) * minClockRate;
-    const std::int64_t earliestClock = worker.clock + static_cast<std::int64_t>(passed);
-    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->longestLease());
-    return earliestClock + toMs(this->settings.maxLeaseDuration);
+    const std::string dataCenter = worker.entry.dataCenter;
+    if (!this->reach.noteSilence(dataCenter, sentAt))
+        return;
+    this->logger.logEvent(LogKind::Dependency, "data centre does not answer",
+                          {{"dataCenter", dataCenter}, {"worker", worker.entry.id}}, now);
+    this->probe(dataCenter, now);
+}
+
+void WorkerFleet::noteAnswer(const Worker &worker, TimePoint now)
+{
+    if (!this->reach.noteAnswer(worker.entry.dataCenter, now))
+        return;
+    this->logger.logEvent(LogKind::Dependency, "data centre answers again",
+                          {{"dataCenter", worker.entry.dataCenter}, {"worker", worker.entry.id}},
+                          now);
+    this->listener.fleetChanged(now);
+}
+
+/// Polls a few workers of a data centre that is out of reach. Idle workers answer a poll at once.
+void WorkerFleet::probe(const std::string &dataCenter, TimePoint now)
+{
+    if (!this->reach.isOutOfReach(dataCenter))
+        return;
+    std::vector<std::string> idle;
+    std::vector<std::string> busy;
+    for (const auto &[id, worker] : this->workers) {
+        const bool mayAnswer = worker.listed && worker.entry.dataCenter == dataCenter
+            && !worker.pollInFlight && worker.pollRetryDelay == Duration{};
+        if (mayAnswer)
+            (worker.runs.empty() ? idle : busy).push_back(id);
+    }
+    idle.insert(idle.end(), busy.begin(), busy.end());
+    idle.resize(std::min(idle.size(), this->settings.probedWorkers));
+    for (const std::string &id : idle)
+        this->poll(id, now);
+    this->timers.after(this->settings.probeInterval,
+                       [this, dataCenter, generation = this->generation](TimePoint at) {
+                           if (generation == this->generation)
+                               this->probe(dataCenter, at);
+                       });
 }
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Coordination/DataCenterReach.h>
 #include <Coordination/EventLogger.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/PaceController.h>
@@ -55,6 +56,9 @@
     struct Settings
     {
         Duration maxLeaseDuration = seconds(6); ///< Longest lease that workers accept.
+        /// Lease that a start order asks for; the next poll extends it. A start order without an
+        /// answer holds up its task until its lease is over.
+        Duration startLease = seconds(3);
         /// Workers answer a poll when a run ends, or after this time.
         Duration pollWait = seconds(2);
         /// Added to the wait of a poll for its timeout.
@@ -77,6 +81,9 @@
         /// How long after the end of its own lease a former leader keeps renewing the leases of
         /// runs, so that they survive an outage of the store.
         Duration renewalGrace = seconds(5);
+        /// Interval between probes of a data centre that is out of reach.
+        Duration probeInterval = milliseconds(500);
+        std::size_t probedWorkers = 3; ///< Workers of a data centre that are probed at a time.
         /// Replaces `pollWait` on workers that run latency-sensitive and best-effort tasks
         /// together.
         Duration mixedPollWait = milliseconds(400);
@@ -219,6 +226,11 @@
     void reportFailure(const std::string &worker, TimePoint now);
 
     const std::map<std::string, Worker, std::less<>> &all() const { return this->workers; }
+    /// Whether the worker may get new runs.
+    bool isUsable(const Worker &worker, TimePoint now) const
+    {
+        return worker.isUsable(now) && !this->reach.isOutOfReach(worker.entry.dataCenter);
+    }
     /// Longest time since the last answer among workers with runs; empty if no worker has runs.
     std::optional<Duration> oldestAnswerAge(TimePoint now) const;
     const Run *find(std::string_view worker, const Tasks::RunRef &ref) const;
@@ -241,7 +253,11 @@
     Duration longestLease() const;
     bool mayStillStart(const Worker &worker, const Tasks::RunRef &ref, TimePoint now) const;
     TimePoint latestStart(const Worker &worker, TimePoint now) const;
-    std::int64_t extendLease(Worker &worker, TimePoint now);
+    Duration boundOfLease(Duration lease) const;
+    std::int64_t extendLease(Worker &worker, Duration lease, TimePoint now);
+    void noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now);
+    void noteAnswer(const Worker &worker, TimePoint now);
+    void probe(const std::string &dataCenter, TimePoint now);
     Duration pollWaitOf(const Worker &worker) const;
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
@@ -268,7 +284,7 @@
     void sendStart(Worker &worker, Run &run, TimePoint now);
     Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
-                           Tasks::WorkerAnswer answer, TimePoint now);
+                           Tasks::WorkerAnswer answer, TimePoint sentAt, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
@@ -293,6 +309,7 @@
     bool active = false;
     std::int64_t token = 0;
     std::map<std::string, Worker, std::less<>> workers;
+    DataCenterReach reach;
     std::multiset<RunKey> revocations; ///< Tasks of the runs with `isRevocation`.
 };
 
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -54,13 +54,13 @@
     order.payload = run.payload;
     order.checkpoint = run.checkpoint;
     order.permit = run.permit;
-    order.leaseUntil = this->extendLease(worker, now);
+    order.leaseUntil = this->extendLease(worker, this->settings.startLease, now);
     order.fencingToken = this->token;
     this->link.start(worker.entry, order, this->settings.orderTimeout,
-                     [this, id = worker.entry.id, ref = run.ref,
+                     [this, id = worker.entry.id, ref = run.ref, sentAt = now,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                          if (generation == this->generation)
-                             this->handleStartAnswer(id, ref, answer, at);
+                             this->handleStartAnswer(id, ref, answer, sentAt, at);
                      });
 }
 
@@ -83,7 +83,7 @@
 }
 
 void WorkerFleet::handleStartAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
-                                    TimePoint now)
+                                    TimePoint sentAt, TimePoint now)
 {
     Worker *worker = this->acceptOrderAnswer(id, answer, now);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
@@ -111,7 +111,9 @@
                                {"worker", id},
                                {"try", run->startAttempts}},
                               now);
+        // A data centre is probed before the start is given up for it.
         this->handleUnansweredStart(*worker, *run, now);
+        this->noteSilence(*worker, sentAt, now);
         return;
     case WorkerOutcome::NotPermitted:
         this->listener.permitRejected(ref, id);
@@ -157,7 +159,8 @@
 void WorkerFleet::handleUnansweredStart(Worker &worker, Run &run, TimePoint now)
 {
     const bool retries = run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted
-        && worker.hasSession && this->hasAuthority(now);
+        && worker.hasSession && this->hasAuthority(now)
+        && !this->reach.isOutOfReach(worker.entry.dataCenter);
     if (retries) {
         this->sendStart(worker, run, now);
         return;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -81,7 +81,7 @@
     // A worker that does not answer gets no lease extension, so that its runs end.
     const bool answering = worker->pollRetryDelay == Duration{};
     if (hasSession && answering && !worker->runs.empty()) {
-        order.leaseUntil = this->extendLease(*worker, now);
+        order.leaseUntil = this->extendLease(*worker, this->settings.maxLeaseDuration, now);
         order.wait = this->pollWaitOf(*worker);
     }
     worker->pollInFlight = true;
@@ -128,6 +128,8 @@
         return;
     }
     if (answer.outcome != WorkerOutcome::Done) {
+        if (answer.outcome == WorkerOutcome::Unknown)
+            this->noteSilence(*worker, sentAt, now);
         if (worker->pollRetryDelay == Duration{})
             this->logger.logEvent(LogKind::Dependency, "worker does not answer",
                                   {{"worker", id}, {"runs", worker->runs.size()}}, now);
@@ -175,6 +177,7 @@
     if (isRestarted)
         worker.entry.incarnation = answer.incarnation;
     worker.lastAnswerAt = now;
+    this->noteAnswer(worker, now);
     if (answer.clock != 0) {
         worker.clock = answer.clock;
         worker.clockReadAt = now;
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -70,6 +70,7 @@
 {
     return json{{"incarnation", entry.incarnation},
                 {"labels", entry.labels},
+                {"dataCenter", entry.dataCenter},
                 {"draining", entry.draining},
                 {"accelerators", entry.capacity.accelerators}}
         .dump();
@@ -85,6 +86,7 @@
     entry.id = key.substr(std::string_view(registryPrefix).size());
     entry.address = entry.id + ":1";
     entry.service = "blend";
+    entry.dataCenter = value.value("dataCenter", "");
     entry.labels = value.at("labels").get<std::vector<std::string>>();
     entry.capacity = {32000, 65536, value.at("accelerators").get<std::int64_t>()};
     entry.draining = value.at("draining").get<bool>();
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -90,7 +90,7 @@
 class Cluster
 {
 public:
-    /// Assigns the workers to racks of four.
+    /// Assigns the workers to racks of four. Each rack is a data centre of its own.
     Cluster(std::size_t instances, std::size_t workerCount);
 
     void run(Duration span) { this->clock.run(span); }
--- /dev/null
+++ b/UnitTests/Coordination/DataCenterReachTest.cpp
@@ -0,0 +1,70 @@
+#include "Cluster.h"
+
+#include <Coordination/DataCenterReach.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+const std::string dataCenter = "attica-1";
+constexpr TimePoint start{seconds(100)};
+
+TEST(DataCenterReach, SilenceOfOneWorkerAmongAnswersOfOthersSaysNothing)
+{
+    DataCenterReach reach;
+    reach.noteAnswer(dataCenter, start + milliseconds(200));
+    EXPECT_FALSE(reach.noteSilence(dataCenter, start));
+    EXPECT_FALSE(reach.isOutOfReach(dataCenter));
+}
+
+TEST(DataCenterReach, DataCenterWithoutAnyAnswerIsOutOfReachUntilTheNextOne)
+{
+    DataCenterReach reach;
+    reach.noteAnswer(dataCenter, start);
+    EXPECT_TRUE(reach.noteSilence(dataCenter, start + milliseconds(1)));
+    EXPECT_FALSE(reach.noteSilence(dataCenter, start + milliseconds(2)));
+    EXPECT_TRUE(reach.isOutOfReach(dataCenter));
+    EXPECT_FALSE(reach.isOutOfReach("attica-2"));
+    EXPECT_TRUE(reach.noteAnswer(dataCenter, start + seconds(1)));
+    EXPECT_FALSE(reach.isOutOfReach(dataCenter));
+}
+
+TEST(DataCenterReach, WorkersOfAnUnknownDataCenterSayNothingAboutEachOther)
+{
+    DataCenterReach reach;
+    EXPECT_FALSE(reach.noteSilence("", start));
+    EXPECT_FALSE(reach.isOutOfReach(""));
+}
+
+TEST(DataCenterReach, UrgentJobsAvoidADataCenterThatIsCutOff)
+{
+    // Both instances lose the first data centre, whose workers would be chosen first. One job meets
+    // the cut; those that follow must not lose their time there one after the other.
+    Cluster cluster(2, 8);
+    std::set<std::string> lost;
+    for (int i = 0; i < 4; i++)
+        lost.insert("worker-" + std::to_string(i));
+    for (const auto &[name, instance] : cluster.instances)
+        cluster.workers.unreachableWorkers[name] = lost;
+    const std::string body = withFields(jobBody("200", 1, 8), {{"priority", 0}});
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(1), body));
+    cluster.run(milliseconds(500));
+    for (std::uint32_t number = 2; number <= 5; number++) {
+        ASSERT_TRUE(cluster.submit("entry-0", jobId(number), body));
+        cluster.run(milliseconds(100));
+        EXPECT_EQ(cluster.workers.startsOf(jobId(number)), 1U) << number;
+    }
+    cluster.workers.unreachableWorkers.clear();
+    cluster.run(seconds(4));
+    // The workers are used again.
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(6), jobBody("1000", 8, 8)));
+    cluster.run(milliseconds(500));
+    EXPECT_EQ(cluster.workers.startsOf(jobId(6)), 8U);
+    EXPECT_EQ(cluster.workers.violations, Violations{});
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -50,6 +50,7 @@
     machine.entry.address = id + ":1";
     machine.entry.service = "blend";
     machine.entry.labels = {"kind-a", rack};
+    machine.entry.dataCenter = rack;
     machine.entry.capacity = {32000, 65536, 8};
     machine.entry.incarnation = 1000;
     WorkerEntry entry = machine.entry;
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -164,6 +164,31 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(WorkerFault, TaskWhoseStartIsNotAnsweredStartsElsewhereAfterAShortLease)
+{
+    // The worker has no other runs, so that only the start order could have given it a lease. The
+    // task waits for less than the longest lease, which is 6 s.
+    const std::string worker = "worker-0";
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {worker};
+    this->accept(1, jobBody("2000", 1, 8));
+    this->cluster.run(seconds(6));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+    this->cluster.workers.unreachableWorkers.clear();
+    this->cluster.run(seconds(5));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+TEST_F(WorkerFault, StartOnAWorkerThatWasIdleForLongIsAccepted)
+{
+    // The lease of a start order is a time on the worker's clock, which may be 2 % slow.
+    this->cluster.run(std::chrono::minutes(20));
+    this->accept(1, jobBody("2000", 4, 8));
+    this->cluster.run(seconds(3));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.instances.begin()->second->logger.count("start rejected"), 0U);
+}
+
 TEST_F(WorkerFault, UnreachableWorkerCausesNoDuplicateRuns)
 {
     this->accept(1, jobBody("20000", 2, 8));
