--- a/Coordination/JobApi.cpp
+++ b/Coordination/JobApi.cpp
@@ -23,7 +23,7 @@
 
 /// Unanswered attempts to store a submission before the client is told to retry: another instance
 /// may be able to reach the store.
-constexpr int maxUnansweredAttempts = 2;
+constexpr int maxUnansweredAttempts = 3;
 /// Attempts to store a submission that the store may refuse before the job is refused.
 constexpr int maxRefusedAttempts = 2;
 /// Maximum age of the configuration as a fraction of the revocation bound.
@@ -75,6 +75,7 @@
     , logger(logger)
     , settings(settings)
     , decoders(std::move(decoders))
+    , submitTimeout(settings.submitTimeout)
     , watch(
           store, timers, {.prefix = settings.configurationKey},
           {[this](const StoredItem &item, TimePoint now) { this->updateConfiguration(item, now); },
@@ -346,7 +347,9 @@
 
 void JobApi::submit(const std::shared_ptr<Submission> &submission, TimePoint now)
 {
-    const Duration timeout = this->storeTime(submission->call.deadline, now);
+    const Duration timeout
+        = std::min(this->submitTimeout.ofAttempt(submission->unansweredAttempts + 1),
+                   this->timeLeft(submission->call.deadline, now));
     if (timeout <= Duration{}) {
         this->retrySubmit(submission, now);
         return;
@@ -363,7 +366,9 @@
         = admitted ? Tasks::encodeJob(submission->job) : Tasks::encodeRefusal();
     commit.writes.push_back({key, record, 0});
     this->store.commit(commit, timeout,
-                       [this, submission](const StoreAnswer &answer, TimePoint at) {
+                       [this, submission, sentAt = now](const StoreAnswer &answer, TimePoint at) {
+                           if (answer.outcome != StoreOutcome::Unknown)
+                               this->submitTimeout.recordAnswer(at - sentAt);
                            this->handleSubmitAnswer(submission, answer, at);
                        });
 }
--- a/Coordination/JobApi.h
+++ b/Coordination/JobApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Coordination/AnswerTimeout.h>
 #include <Coordination/EventLogger.h>
 #include <Coordination/PrefixWatch.h>
 #include <Tasks/SystemConfiguration.h>
@@ -75,6 +76,7 @@
         /// Longest time for which a revoked API key may still be served.
         Duration revocationBound = seconds(5);
         Duration storeTimeout = milliseconds(700);
+        AnswerTimeout::Settings submitTimeout; ///< For the write that accepts or refuses a job.
         /// Part of the client's deadline that is reserved for sending the reply.
         Duration answerReserve = milliseconds(40);
         Duration retryDelay = milliseconds(60);
@@ -174,6 +176,7 @@
     EventLogger &logger;
     Settings settings;
     Decoders decoders;
+    AnswerTimeout submitTimeout;
     PrefixWatch watch;
     PrefixWatch forecastWatch;
     /// By queue; a queue without an entry has a short wait.
--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -28,6 +28,7 @@
     , logger(logger)
     , settings(settings)
     , handlers(std::move(handlers))
+    , commitTimeout(settings.commitTimeout)
 {}
 
 void RecordWriter::begin(std::int64_t leaderToken)
@@ -174,24 +175,6 @@
     batch.writes.push_back({job, std::move(value), std::move(waiting.mapped())});
 }
 
-/// A lost answer is noticed by the usual time of answers, not by the longest. A store that has just
-/// become slow gets more time with each attempt.
-Duration RecordWriter::timeoutOf(const Batch &batch) const
-{
-    constexpr int answerTimes = 8;
-    constexpr std::int32_t maxDoublings = 4;
-    const Duration usual
-        = std::max(answerTimes * this->answerTime, this->settings.minCommitTimeout);
-    const Duration backedOff = usual * (1 << std::min(batch.attempts - 1, maxDoublings));
-    return std::min(backedOff, this->settings.commitTimeout);
-}
-
-void RecordWriter::recordAnswerTime(const Batch &batch, TimePoint now)
-{
-    constexpr int averagedAnswers = 8;
-    this->answerTime += (now - batch.sentAt - this->answerTime) / averagedAnswers;
-}
-
 void RecordWriter::send(BatchId id, TimePoint now)
 {
     Batch &batch = this->batches.at(id);
@@ -202,13 +185,13 @@
               if (generation == this->generation)
                   this->handleAnswer(id, answer, now);
           };
-    this->store.commit(batch.commit, this->timeoutOf(batch), handler);
+    this->store.commit(batch.commit, this->commitTimeout.ofAttempt(batch.attempts), handler);
 }
 
 void RecordWriter::handleAnswer(BatchId id, const StoreAnswer &answer, TimePoint now)
 {
     if (answer.outcome == StoreOutcome::Done || answer.outcome == StoreOutcome::Conflict)
-        this->recordAnswerTime(this->batches.at(id), now);
+        this->commitTimeout.recordAnswer(now - this->batches.at(id).sentAt);
     switch (answer.outcome) {
     case StoreOutcome::Done:
         this->setReachable(true, now);
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Coordination/AnswerTimeout.h>
 #include <Coordination/EventLogger.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/MetadataStore.h>
@@ -29,8 +30,7 @@
 public:
     struct Settings
     {
-        Duration commitTimeout = milliseconds(700); ///< Longest time to wait for an answer.
-        Duration minCommitTimeout = milliseconds(200);
+        AnswerTimeout::Settings commitTimeout;
         Duration retryDelay = milliseconds(100);
         /// How long records wait for the answer to the newest commit at most.
         Duration batchDelay = milliseconds(50);
@@ -107,8 +107,6 @@
     bool fitsBatch(const Batch &batch, const std::string &job) const;
     void append(Batch &batch, const std::string &job);
     void send(BatchId id, TimePoint now);
-    Duration timeoutOf(const Batch &batch) const;
-    void recordAnswerTime(const Batch &batch, TimePoint now);
     void handleAnswer(BatchId id, const Tasks::StoreAnswer &answer, TimePoint now);
     void handleCommit(BatchId id, std::int64_t revision, TimePoint now);
     void handleConflict(BatchId id, const Tasks::StoreAnswer &answer, TimePoint now);
@@ -141,7 +139,7 @@
     BatchId nextBatch = 1;
     /// Jobs that were refused alone and are not stored since.
     std::map<std::string, RefusedJob> refusedJobs;
-    Duration answerTime{}; ///< Running mean of the time that the store takes to answer a commit.
+    AnswerTimeout commitTimeout;
     std::uint64_t storedCommits = 0; ///< Number of commits that the store has accepted.
     /// Maximum number of jobs in the next commit; halved by refusals, doubled by each success.
     std::size_t commitSize = 0;
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -453,7 +453,7 @@
         commit.checks.push_back({StoreKeys::job(id), refusal.revision});
         commit.removals.push_back(StoreKeys::job(id));
         refusal.seenAt = now;
-        this->store.commit(commit, this->settings.writer.commitTimeout,
+        this->store.commit(commit, this->settings.writer.commitTimeout.longest,
                            [](const StoreAnswer &, TimePoint) {});
     }
 }
@@ -517,7 +517,7 @@
               written.text = text;
               written.revision = answer.revision;
           };
-    this->store.commit(commit, this->settings.writer.commitTimeout, answerHandler);
+    this->store.commit(commit, this->settings.writer.commitTimeout.longest, answerHandler);
 }
 
 /// Learns the key's revision and writes the text again, unless it is stored already or another
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -233,6 +233,19 @@
     }
 }
 
+TEST_F(Failover, SubmissionWhoseFirstStoreAnswerIsLostIsAcceptedWithinHalfASecond)
+{
+    // An urgent job that is accepted later has lost most of the time that its caller allows.
+    this->cluster.store.behaviors["entry-0"] = StoreBehavior::LosesAnswers;
+    this->cluster.clock.in(milliseconds(100), [this] { this->cluster.store.behaviors.clear(); });
+    const TimePoint sentAt = this->cluster.clock.now();
+    this->accept(1, withFields(jobBody("500", 2, 1), {{"priority", 0}}));
+    EXPECT_LE(this->cluster.clock.now() - sentAt, milliseconds(500));
+    this->cluster.run(seconds(2));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
 TEST_F(Failover, LostStoreAnswersCauseNoDuplicateStarts)
 {
     this->cluster.store.defaultBehavior = StoreBehavior::LosesAnswers;
