--- a/Node/LoopTimers.cpp
+++ b/Node/LoopTimers.cpp
@@ -23,7 +23,11 @@
 
 std::int64_t SystemWallClock::nowMs() const
 {
-    return Runtime::wallClockMs();
+    const TimePoint now = Runtime::monotonicNow();
+    const std::int64_t filtered = this->filter.filter(Runtime::wallClockMs(), now);
+    if (const std::optional<Duration> jump = this->filter.newJump())
+        this->jumped(*jump, now);
+    return filtered;
 }
 
 } // namespace Hibiscus::Node
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -120,6 +120,10 @@
     , loop(1)
     , signals(loop, SIGTERM, SIGHUP, SIGINT)
     , timers(loop)
+    , wallClock([this](Duration jump, TimePoint now) {
+        this->logger.logEvent(LogKind::Fault, "machine's clock has jumped",
+                              {{"byMs", toMs(jump)}, {"effect", "not followed at once"}}, now);
+    })
     , logger({.instance = site.instance})
     , store(loop, site.storeAddress, Runtime::monotonicNow)
     , workers(loop, Runtime::monotonicNow)
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -246,6 +246,51 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
 }
 
+TEST_F(Failover, UrgentJobsStartInTimeWhileWorkersAndInstancesJoin)
+{
+    // All workers are busy with batch work when three instances and 24 workers join within half a
+    // second, together with urgent jobs. Midway the leader fails.
+    this->accept(1, jobBody("60000", 8, 8));
+    this->cluster.run(seconds(1));
+    constexpr std::uint32_t jobs = 20;
+    for (std::uint32_t i = 0; i < jobs; i++) {
+        this->accept(10 + i, withFields(jobBody("20000", 2, 4), {{"priority", 0}}));
+        this->cluster.putWorker(this->cluster.workers.add("joined-" + std::to_string(i), "rack-8"));
+        if (i % 8 == 0)
+            this->cluster.startInstance("joined-" + std::to_string(i));
+        if (i == jobs / 2)
+            this->cluster.killInstance(this->cluster.leader());
+        this->cluster.run(milliseconds(25));
+    }
+    // Urgent work starts within this time by the brief.
+    this->cluster.run(milliseconds(2200));
+    for (std::uint32_t i = 0; i < jobs; i++)
+        EXPECT_EQ(this->cluster.workers.runningTasksOf(jobId(10 + i)), 2U) << i;
+}
+
+TEST_F(Failover, JobThatIsHandedInAgainAfterALostAnswerRunsOnce)
+{
+    // The job is stored, runs and ends while its caller knows nothing of it. The caller hands it in
+    // again at another instance, and later at the first one.
+    this->cluster.store.behaviors["entry-0"] = StoreBehavior::LosesAnswers;
+    const std::string body = jobBody("500", 2, 1);
+    const std::optional<ClientReply> first = this->cluster.submit("entry-0", jobId(1), body);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->kind, ReplyKind::Undecided);
+    this->cluster.run(seconds(2));
+    this->cluster.store.behaviors.clear();
+    this->cluster.run(seconds(2));
+    for (const std::string instance : {"entry-1", "entry-0"}) {
+        const std::optional<ClientReply> again = this->cluster.submit(instance, jobId(1), body);
+        ASSERT_TRUE(again);
+        EXPECT_EQ(again->kind, ReplyKind::Accepted);
+        const std::optional<ClientReply> state = this->cluster.state(instance, jobId(1));
+        ASSERT_TRUE(state);
+        EXPECT_EQ(state->state, JobState::Completed);
+    }
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
 TEST_F(Failover, LostStoreAnswersCauseNoDuplicateStarts)
 {
     this->cluster.store.defaultBehavior = StoreBehavior::LosesAnswers;
