--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -57,6 +57,7 @@
     this->active = false;
     this->workers.clear();
     this->reach.clear();
+    this->probedDataCenters.clear();
     this->revocations.clear();
 }
 
@@ -351,11 +352,15 @@
 void WorkerFleet::noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now)
 {
     const std::string dataCenter = worker.entry.dataCenter;
-    if (!this->reach.noteSilence(dataCenter, sentAt))
+    // A refused connection fails at once, before another worker could have answered.
+    const TimePoint since = std::min(sentAt, now - this->settings.orderTimeout);
+    if (!this->reach.noteSilence(dataCenter, since))
         return;
     this->logger.logEvent(LogKind::Dependency, "data centre does not answer",
                           {{"dataCenter", dataCenter}, {"worker", worker.entry.id}}, now);
     this->probe(dataCenter, now);
+    if (this->probedDataCenters.insert(dataCenter).second)
+        this->probeLater(dataCenter);
 }
 
 void WorkerFleet::noteAnswer(const Worker &worker, TimePoint now)
@@ -371,8 +376,6 @@
 /// Polls a few workers of a data centre that is out of reach. Idle workers answer a poll at once.
 void WorkerFleet::probe(const std::string &dataCenter, TimePoint now)
 {
-    if (!this->reach.isOutOfReach(dataCenter))
-        return;
     std::vector<std::string> idle;
     std::vector<std::string> busy;
     for (const auto &[id, worker] : this->workers) {
@@ -385,10 +388,20 @@
     idle.resize(std::min(idle.size(), this->settings.probedWorkers));
     for (const std::string &id : idle)
         this->poll(id, now);
+}
+
+void WorkerFleet::probeLater(const std::string &dataCenter)
+{
     this->timers.after(this->settings.probeInterval,
                        [this, dataCenter, generation = this->generation](TimePoint at) {
-                           if (generation == this->generation)
-                               this->probe(dataCenter, at);
+                           if (generation != this->generation)
+                               return;
+                           if (!this->reach.isOutOfReach(dataCenter)) {
+                               this->probedDataCenters.erase(dataCenter);
+                               return;
+                           }
+                           this->probe(dataCenter, at);
+                           this->probeLater(dataCenter);
                        });
 }
 
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -258,6 +258,7 @@
     void noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now);
     void noteAnswer(const Worker &worker, TimePoint now);
     void probe(const std::string &dataCenter, TimePoint now);
+    void probeLater(const std::string &dataCenter);
     Duration pollWaitOf(const Worker &worker) const;
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
@@ -310,6 +311,7 @@
     std::int64_t token = 0;
     std::map<std::string, Worker, std::less<>> workers;
     DataCenterReach reach;
+    std::set<std::string> probedDataCenters; ///< Have a timer for their next probe.
     std::multiset<RunKey> revocations; ///< Tasks of the runs with `isRevocation`.
 };
 
--- a/UnitTests/Coordination/DataCenterReachTest.cpp
+++ b/UnitTests/Coordination/DataCenterReachTest.cpp
@@ -65,6 +65,25 @@
     EXPECT_EQ(cluster.workers.violations, Violations{});
 }
 
+TEST(DataCenterReach, RefusedConnectionsOfOneWorkerDoNotStopWorkInItsDataCenter)
+{
+    // A refused call fails at once; the other workers of the data centre answer all the while.
+    Cluster cluster(2, 4);
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(1), jobBody("20000", 3, 8)));
+    cluster.run(milliseconds(500));
+    for (std::uint32_t number = 2; number <= 9; number++) {
+        ASSERT_TRUE(cluster.submit("entry-0", jobId(number), jobBody("1", 1, 1)));
+        cluster.run(milliseconds(100));
+    }
+    cluster.workers.closedWorkers = {"worker-3"};
+    for (std::uint32_t number = 10; number <= 13; number++) {
+        ASSERT_TRUE(cluster.submit("entry-0", jobId(number), jobBody("1", 1, 1)));
+        cluster.run(milliseconds(100));
+    }
+    for (const auto &[name, instance] : cluster.instances)
+        EXPECT_EQ(instance->logger.count("data centre does not answer"), 0U) << name;
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
