--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -476,6 +476,7 @@
     this->removeExpired();
     this->removeOldRefusals(now);
     this->fleet.forgetUnlisted(now);
+    this->fleet.refreshClocks(now);
     this->writeLoad(now);
     this->plan(now);
 }
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -335,16 +335,29 @@
 
 /// Returns the end of a lease granted now, by the worker's clock, and updates the time at which the
 /// lease has certainly expired. The end counts from the latest time that the worker's clock may
-/// show. A clock that is behind makes the lease longer by that much; workers shorten a lease that
-/// is longer than the longest one.
+/// show; a clock that is behind makes the lease longer by that much. It is limited, since the next
+/// leader knows of no lease that outlasts the longest one by more than the grace time.
 std::int64_t WorkerFleet::extendLease(Worker &worker, Duration lease, TimePoint now)
 {
     const std::int64_t passedMs = toMs(now - worker.clockReadAt);
-    const double clockLagMs = static_cast<double>(passedMs) * (1.0 - minClockRate);
-    const Duration longest = std::min(lease + milliseconds(static_cast<std::int64_t>(clockLagMs)),
-                                      this->settings.maxLeaseDuration);
+    const auto lag = milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(passedMs) * (1.0 - minClockRate)));
+    const Duration limit = this->settings.maxLeaseDuration + this->settings.renewalGrace;
+    const Duration longest = std::min<Duration>(lease + lag, limit);
     worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->boundOfLease(longest));
-    return worker.clock + passedMs + toMs(lease);
+    return worker.clock + passedMs + toMs(longest - lag);
+}
+
+/// Polls idle workers whose clock was read long ago, so that the ends of leases stay exact.
+void WorkerFleet::refreshClocks(TimePoint now)
+{
+    for (auto &[id, worker] : this->workers) {
+        const bool isDue = worker.listed && worker.hasSession && worker.runs.empty()
+            && !worker.pollInFlight && worker.pollRetryDelay == Duration{}
+            && now >= worker.clockReadAt + this->settings.maxClockAge;
+        if (isDue)
+            this->poll(id, now);
+    }
 }
 
 /// While nothing comes from a whole data centre, its workers get no new work. Work that runs there
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -81,6 +81,8 @@
         /// How long after the end of its own lease a former leader keeps renewing the leases of
         /// runs, so that they survive an outage of the store.
         Duration renewalGrace = seconds(5);
+        /// An idle worker whose clock was read longer ago is polled for it.
+        Duration maxClockAge = seconds(90);
         /// Interval between probes of a data centre that is out of reach.
         Duration probeInterval = milliseconds(500);
         std::size_t probedWorkers = 3; ///< Workers of a data centre that are probed at a time.
@@ -206,6 +208,7 @@
     void workerUnlisted(const std::string &id, TimePoint now);
     /// Removes workers that have left the registry and are not needed any more.
     void forgetUnlisted(TimePoint now);
+    void refreshClocks(TimePoint now);
 
     /// Reserves room on the worker for a run. `start` follows once the assignment is stored.
     void assign(const std::string &worker, Run run, TimePoint now);
