--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -119,7 +119,7 @@
         std::optional<TimePoint> latePaceUntil;
         /// Taken over from a former leader and not yet listed by the worker.
         bool adopted = false;
-        bool startOutstanding = false;
+        bool startOutstanding = false; ///< Sent without an answer yet, or about to be sent again.
         bool stopOutstanding = false;
         bool stopWanted = false;
         /// Not assigned by this leader's plan, but tracked because its late start order has to be
@@ -289,7 +289,9 @@
     Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
                            Tasks::WorkerAnswer answer, TimePoint sentAt, TimePoint now);
-    void handleUnansweredStart(Worker &worker, Run &run, TimePoint now);
+    void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
+    bool mayRetryStart(const Worker &worker, TimePoint now) const;
+    void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
     void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -112,7 +112,7 @@
                                {"try", run->startAttempts}},
                               now);
         // A data centre is probed before the start is given up for it.
-        this->handleUnansweredStart(*worker, *run, now);
+        this->handleUnansweredStart(*worker, *run, sentAt, now);
         this->noteSilence(*worker, sentAt, now);
         return;
     case WorkerOutcome::NotPermitted:
@@ -156,13 +156,12 @@
     this->reportLostRun(worker, keyOf(run.ref), "the worker rejected the start order", now);
 }
 
-void WorkerFleet::handleUnansweredStart(Worker &worker, Run &run, TimePoint now)
+void WorkerFleet::handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now)
 {
     const bool retries = run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted
-        && worker.hasSession && this->hasAuthority(now)
-        && !this->reach.isOutOfReach(worker.entry.dataCenter);
+        && this->mayRetryStart(worker, now);
     if (retries) {
-        this->sendStart(worker, run, now);
+        this->retryStart(worker, run, sentAt, now);
         return;
     }
     this->backOff(worker, now);
@@ -170,6 +169,40 @@
     this->sendStop(worker, run, now);
 }
 
+bool WorkerFleet::mayRetryStart(const Worker &worker, TimePoint now) const
+{
+    return worker.hasSession && this->hasAuthority(now)
+        && !this->reach.isOutOfReach(worker.entry.dataCenter);
+}
+
+/// A connection that is refused or reset fails at once. All attempts would be used up within a few
+/// milliseconds, so the next one waits until an attempt without any answer would be over.
+void WorkerFleet::retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now)
+{
+    const TimePoint dueAt = sentAt + this->settings.orderTimeout;
+    if (now >= dueAt) {
+        this->sendStart(worker, run, now);
+        return;
+    }
+    run.startOutstanding = true;
+    this->timers.after(
+        dueAt - now,
+        [this, id = worker.entry.id, ref = run.ref, generation = this->generation](TimePoint at) {
+            Worker *again = generation == this->generation ? this->workerOf(id) : nullptr;
+            Run *waiting = again ? this->runOf(*again, ref) : nullptr;
+            if (!waiting)
+                return;
+            waiting->startOutstanding = false;
+            if (!waiting->stopWanted && this->mayRetryStart(*again, at)) {
+                this->sendStart(*again, *waiting, at);
+                return;
+            }
+            waiting->stopWanted = true;
+            if (!waiting->stopOutstanding)
+                this->sendStop(*again, *waiting, at);
+        });
+}
+
 /// Slows down best-effort runs while the response times of other runs on the worker approach their
 /// targets.
 void WorkerFleet::adjustPaces(Worker &worker, TimePoint now)
--- a/UnitTests/Coordination/DataCenterReachTest.cpp
+++ b/UnitTests/Coordination/DataCenterReachTest.cpp
@@ -67,19 +67,26 @@
 
 TEST(DataCenterReach, RefusedConnectionsOfOneWorkerDoNotStopWorkInItsDataCenter)
 {
-    // A refused call fails at once; the other workers of the data centre answer all the while.
+    // Calls to one worker fail at once. The others answer all the while, since small jobs start and
+    // end there.
     Cluster cluster(2, 4);
-    ASSERT_TRUE(cluster.submit("entry-0", jobId(1), jobBody("20000", 3, 8)));
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(1), jobBody("20000", 3, 7)));
     cluster.run(milliseconds(500));
-    for (std::uint32_t number = 2; number <= 9; number++) {
-        ASSERT_TRUE(cluster.submit("entry-0", jobId(number), jobBody("1", 1, 1)));
-        cluster.run(milliseconds(100));
+    cluster.workers.closedWorkers = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    for (int i = 0; i < 4; i++) {
+        const std::string worker = "worker-" + std::to_string(i);
+        if (cluster.workers.runningOn(worker) > 0)
+            cluster.workers.closedWorkers.erase(worker);
     }
-    cluster.workers.closedWorkers = {"worker-3"};
-    for (std::uint32_t number = 10; number <= 13; number++) {
-        ASSERT_TRUE(cluster.submit("entry-0", jobId(number), jobBody("1", 1, 1)));
-        cluster.run(milliseconds(100));
+    ASSERT_EQ(cluster.workers.closedWorkers.size(), 1U);
+    for (std::uint32_t number = 2; number <= 41; number++) {
+        if (number == 20)
+            ASSERT_TRUE(cluster.submit("entry-0", jobId(99), jobBody("20000", 1, 8)));
+        ASSERT_TRUE(cluster.submit("entry-0", jobId(number),
+                                   withFields(jobBody("1", 1, 1), {{"priority", 0}})));
+        cluster.run(milliseconds(50));
     }
+    EXPECT_GT(cluster.workers.refusedConnections, 0U);
     for (const auto &[name, instance] : cluster.instances)
         EXPECT_EQ(instance->logger.count("data centre does not answer"), 0U) << name;
 }
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -179,6 +179,20 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(WorkerFault, GangStartsOnceAWorkerThatRefusesConnectionsTakesThemAgain)
+{
+    // Incident inc-47bc: all attempts to start were used up within 23 ms of refused connections,
+    // and the urgent gang started 3.6 s later.
+    this->cluster.workers.closedWorkers = {"worker-0"};
+    this->cluster.clock.in(milliseconds(700),
+                           [this] { this->cluster.workers.closedWorkers.clear(); });
+    this->accept(1, withFields(jobBody("500,gang=4", 4, 8, true), {{"priority", 0}}));
+    this->cluster.run(milliseconds(1500));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 4U);
+    this->cluster.run(milliseconds(700));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 TEST_F(WorkerFault, StartOnAWorkerThatWasIdleForLongIsAccepted)
 {
     // The lease of a start order is a time on the worker's clock, which may be 2 % slow.
