--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -63,10 +63,10 @@
     const auto [entry, added] = this->storedHandlers.try_emplace(job);
     if (handler)
         entry->second.push_back(std::move(handler));
-    if (added)
-        this->queue.push_back(job);
-    if (this->batches.empty())
-        this->flushAfter(Duration{});
+    if (!added)
+        return;
+    this->queue.push_back(job);
+    this->flushAfter(Duration{});
 }
 
 void RecordWriter::whenStored(const std::string &job, StoredHandler handler, TimePoint now)
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -233,6 +233,22 @@
     }
 }
 
+TEST_F(Failover, JobThatArrivesBesideAnUnansweredCommitStartsAtOnce)
+{
+    // The first job's commit does not reach the store and is sent again after 300 ms.
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.behaviors[leader] = StoreBehavior::DropsCommits;
+    this->accept(1, jobBody("2000", 1, 1));
+    this->cluster.run(milliseconds(100));
+    this->cluster.store.behaviors.clear();
+    this->accept(2, jobBody("2000", 1, 1));
+    this->cluster.run(milliseconds(50));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 0U);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(2)), 1U);
+    this->cluster.run(seconds(4));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 TEST_F(Failover, SubmissionWhoseFirstStoreAnswerIsLostIsAcceptedWithinHalfASecond)
 {
     // An urgent job that is accepted later has lost most of the time that its caller allows.
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -107,13 +107,17 @@
         this->fleet.start("worker-0", ref, start);
     }
 
-    /// Sends start orders that get no answer, and a stop order that the worker accepts; then the
-    /// worker lists nothing.
+    /// Sends start orders that time out, and a stop order that the worker accepts; then the worker
+    /// lists nothing.
     void giveUpRun(const Tasks::RunRef &ref)
     {
         this->assignAndStart(ref);
-        for (std::size_t i = 0; i < this->link.starts.size(); i++)
-            this->link.starts.at(i)({}, start);
+        TimePoint now = start;
+        for (std::size_t i = 0; i < this->link.starts.size(); i++) {
+            now += WorkerFleet::Settings{}.orderTimeout;
+            this->link.starts.at(i)({}, now);
+        }
+        ASSERT_FALSE(this->link.stops.empty());
         this->link.stops.back()(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
         this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
     }
@@ -196,10 +200,11 @@
     run.ref = {"a", {}, 1};
     this->fleet.assign("worker-0", run, start);
     this->fleet.start("worker-0", run.ref, start);
-    this->link.starts.at(0)({}, start);
-    this->link.starts.at(1)(answerOf(WorkerOutcome::Unhealthy, 1000), start);
+    const TimePoint now = start + WorkerFleet::Settings{}.orderTimeout;
+    this->link.starts.at(0)({}, now);
+    this->link.starts.at(1)(answerOf(WorkerOutcome::Unhealthy, 1000), now);
     const std::size_t polls = this->link.renewals.size();
-    this->link.stops.at(0)(answerOf(WorkerOutcome::Done, 1000), start);
+    this->link.stops.at(0)(answerOf(WorkerOutcome::Done, 1000), now);
     ASSERT_EQ(this->link.renewals.size(), polls + 1);
     EXPECT_EQ(this->link.renewals.back().order.wait, Duration{});
 }
