--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 #include <utility>
 
 namespace Hibiscus::Coordination {
@@ -386,20 +387,30 @@
     this->listener.fleetChanged(now);
 }
 
-/// Polls a few workers of a data centre that is out of reach. Idle workers answer a poll at once.
+/// Polls a few workers of a data centre that is out of reach. Workers that have not failed to
+/// answer yet come first, then those whose last poll was sent earliest: in a long cut all have
+/// failed.
 void WorkerFleet::probe(const std::string &dataCenter, TimePoint now)
 {
-    std::vector<std::string> idle;
-    std::vector<std::string> busy;
+    std::vector<const Worker *> candidates;
     for (const auto &[id, worker] : this->workers) {
-        const bool mayAnswer = worker.listed && worker.entry.dataCenter == dataCenter
-            && !worker.pollInFlight && worker.pollRetryDelay == Duration{};
-        if (mayAnswer)
-            (worker.runs.empty() ? idle : busy).push_back(id);
+        if (worker.listed && worker.entry.dataCenter == dataCenter && !worker.pollInFlight)
+            candidates.push_back(&worker);
     }
-    idle.insert(idle.end(), busy.begin(), busy.end());
-    idle.resize(std::min(idle.size(), this->settings.probedWorkers));
-    for (const std::string &id : idle)
+    const auto isBetter = [](const Worker *left, const Worker *right) {
+        const auto rank = [](const Worker &worker) {
+            // An idle worker answers a poll at once.
+            return std::tuple(worker.pollRetryDelay != Duration{}, !worker.runs.empty(),
+                              worker.pollSentAt);
+        };
+        return rank(*left) < rank(*right);
+    };
+    std::sort(candidates.begin(), candidates.end(), isBetter);
+    candidates.resize(std::min(candidates.size(), this->settings.probedWorkers));
+    std::vector<std::string> ids;
+    for (const Worker *worker : candidates)
+        ids.push_back(worker->entry.id);
+    for (const std::string &id : ids)
         this->poll(id, now);
 }
 
--- a/UnitTests/Coordination/DataCenterReachTest.cpp
+++ b/UnitTests/Coordination/DataCenterReachTest.cpp
@@ -65,6 +65,26 @@
     EXPECT_EQ(cluster.workers.violations, Violations{});
 }
 
+TEST(DataCenterReach, DataCenterIsUsedAgainAfterALongCut)
+{
+    // The cut lasts until each worker of the data centre has been probed without an answer. The one
+    // that was to run a task leaves meanwhile and the others are idle, so that nothing but a probe
+    // can show the end of the cut.
+    Cluster cluster(2, 8);
+    for (const auto &[name, instance] : cluster.instances)
+        cluster.workers.unreachableWorkers[name] = {"worker-0", "worker-1", "worker-2", "worker-3"};
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(1), jobBody("200", 1, 8)));
+    cluster.run(seconds(10));
+    cluster.removeWorkerEntry("worker-0");
+    cluster.run(seconds(10));
+    cluster.workers.unreachableWorkers.clear();
+    cluster.run(seconds(3));
+    ASSERT_TRUE(cluster.submit("entry-0", jobId(2), jobBody("1000", 7, 8)));
+    cluster.run(milliseconds(500));
+    EXPECT_EQ(cluster.workers.startsOf(jobId(2)), 7U);
+    EXPECT_EQ(cluster.workers.violations, Violations{});
+}
+
 TEST(DataCenterReach, RefusedConnectionsOfOneWorkerDoNotStopWorkInItsDataCenter)
 {
     // Calls to one worker fail at once. The others answer all the while, since small jobs start and
