--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -408,6 +408,7 @@
     std::sort(candidates.begin(), candidates.end(), isBetter);
     candidates.resize(std::min(candidates.size(), this->settings.probedWorkers));
     std::vector<std::string> ids;
+    ids.reserve(candidates.size());
     for (const Worker *worker : candidates)
         ids.push_back(worker->entry.id);
     for (const std::string &id : ids)
