--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -179,6 +179,23 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+TEST_F(WorkerFault, TaskOfAWorkerThatHasLeftStartsElsewhereWithinThreeSeconds)
+{
+    // Generated day 3-079: a worker announces that it leaves, answers polls until then, and takes
+    // its runs with it. A task whose turn has come may wait three seconds in a mostly idle service.
+    this->accept(1, jobBody("20000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    Tasks::WorkerEntry draining = this->cluster.workers.entryOf(worker);
+    draining.draining = true;
+    this->cluster.putWorker(draining);
+    this->cluster.run(seconds(6));
+    this->cluster.workers.kill(worker);
+    this->cluster.removeWorkerEntry(worker);
+    this->cluster.run(seconds(3));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
 TEST_F(WorkerFault, GangStartsOnceAWorkerThatRefusesConnectionsTakesThemAgain)
 {
     // Incident inc-47bc: all attempts to start were used up within 23 ms of refused connections,
