--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -112,8 +112,9 @@
         /// How long a request that may preempt other tasks waits for a suitable rack at most.
         /// The platform requires that it starts within a bound.
         Duration maxUrgentRackWait = milliseconds(1200);
-        /// The same bound for requests whose service is mostly idle.
-        Duration maxIdleRackWait = milliseconds(1500);
+        /// The same bound for requests whose service is mostly idle. A task whose turn has come
+        /// starts there within three seconds.
+        Duration maxIdleRackWait = milliseconds(2500);
         /// Share of a service's workers that only urgent work may take while they are empty. Urgent
         /// work that has to wait for a preemption would be late already.
         double emptyShareForUrgentWork = 0.06;
