--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -289,6 +289,72 @@
                        + "40 s after they were accepted");
 }
 
+/// LOST: a task that needs a whole worker never starts beside two idle workers.
+int runEmpty(Site &site)
+{
+    const std::string prefix = "/lohu930/";
+    const std::string bulk = "/pule252/";
+    const std::string keyA = "d4a3hwrr6x73d3zji9n7";
+    const std::string keyB = "3hh2b9wu3fexd9dnn2ct";
+    constexpr int workers = 36;
+    constexpr int lasting = 33;
+    site.configure({{"r-lasting", prefix, 1, 2, 3.0, 1000}, {"r-bulk", bulk, 1, 2, 3.0, 3000}},
+                   {{"kaje80", keyA, 0}, {"veto31", keyB, 0}});
+    const auto nameOf = [](int number) {
+        return std::string("i-00") + (number < 10 ? "0" : "") + std::to_string(number);
+    };
+    for (int i = 1; i <= workers; i++)
+        site.startWorker(nameOf(i), i - 1);
+    site.startNodes(3);
+    if (!site.waitReady())
+        return giveUp(site, "the nodes don't get ready");
+    const json lastingSpec = {{"cpu", 2000},
+                              {"memMb", 4000},
+                              {"gpu", 1},
+                              {"lasts", true},
+                              {"failAfterMs", json::array()}};
+    const json lastingSteps = {{{"count", lasting},
+                                {"cpu", 2000},
+                                {"memMb", 4000},
+                                {"gpu", 1},
+                                {"estimateMs", 1000},
+                                {"perpetual", true},
+                                {"maxPerServer", 1}}};
+    const std::string first = site.newJobId();
+    if (site.submit(prefix, first, keyA, lastingSpec, lastingSteps) != 200)
+        return giveUp(site, "the job that lasts isn't accepted");
+    sleepMs(5000);
+    std::set<std::string> idle;
+    for (int i = 1; i <= workers; i++)
+        idle.insert(nameOf(i));
+    for (const RunSeen &run : readRuns(site.folder + "/record.txt"))
+        idle.erase(run.worker);
+    if (idle.size() != workers - lasting)
+        return giveUp(site, "not 3 workers are idle, but " + std::to_string(idle.size()));
+    if (hasTrouble())
+        site.killWorker(*idle.begin());
+    // The entry of the lost worker is removed after three heartbeats of silence.
+    sleepMs(8000);
+    const json spec = {{"cpu", 8000}, {"memMb", 16000}, {"gpu", 8}, {"workMs", 2000}};
+    const json steps
+        = {{{"count", 1}, {"cpu", 8000}, {"memMb", 16000}, {"gpu", 8}, {"estimateMs", 2000}}};
+    const std::string second = site.newJobId();
+    if (site.submit(bulk, second, keyB, spec, steps) != 200)
+        return giveUp(site, "the job isn't accepted");
+    sleepMs(40000);
+    const std::string state = site.state(bulk, second, keyB);
+    int starts = 0;
+    for (const RunSeen &run : readRuns(site.folder + "/record.txt"))
+        starts += run.task.starts_with(second) ? 1 : 0;
+    if (!site.nodesRun())
+        return verdict(site, true, "a node has ended by itself");
+    return verdict(site, state != "completed",
+                   "40 s after it was accepted the job is " + state + " after "
+                       + std::to_string(starts) + " starts, with "
+                       + std::to_string(idle.size() - (hasTrouble() ? 1 : 0))
+                       + " workers that run nothing");
+}
+
 int runWorker(char **words, Record &record)
 {
     Worker::Settings settings;
@@ -317,8 +383,11 @@
         std::cerr << "usage: review-case case NAME ROOT FOLDER\n";
         return couldNotRun;
     }
-    const std::map<std::string, int (*)(Site &)> cases
-        = {{"reborn", runReborn}, {"gang", runGang}, {"lasting", runLasting}, {"wide", runWide}};
+    const std::map<std::string, int (*)(Site &)> cases = {{"reborn", runReborn},
+                                                          {"gang", runGang},
+                                                          {"lasting", runLasting},
+                                                          {"wide", runWide},
+                                                          {"empty", runEmpty}};
     const auto found = cases.find(words[2]);
     if (found == cases.end())
         return couldNotRun;
