--- a/review/standins/base.hh
+++ b/review/standins/base.hh
@@ -4,6 +4,8 @@
 #include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
--- a/review/standins/store.hh
+++ b/review/standins/store.hh
@@ -5,6 +5,7 @@
 #include "base.hh"
 #include "http.hh"
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 
--- a/review/standins/worker.hh
+++ b/review/standins/worker.hh
@@ -11,7 +11,9 @@
 #include "base.hh"
 #include "http.hh"
 
+#include <algorithm>
 #include <condition_variable>
+#include <utility>
 
 namespace review {
 
