Review case 2: a late start order reaches the worker's next process

A start order that got no answer is carried out seconds late by the process that the worker has started under its id since; the task, done and acknowledged, is done again.

--- a/review/standins/site.hh
+++ b/review/standins/site.hh
@@ -158,10 +158,45 @@
             {this->self, "worker", id, ip, std::to_string(this->workerPorts[id]), zone,
              "r1-" + std::to_string(1 + number / 6),
              this->storeIp + ":" + std::to_string(this->beatServer->port()),
-             this->folder + "/record.txt"},
+             this->folder + "/record.txt", this->advertisedAddress(id, ip)},
             (this->scratch / (id + ".log")).string());
     }
 
+    /// From now on the worker's registered address is a proxy in this process. It passes each call
+    /// on, but keeps the start orders that `holds` selects, which get no answer.
+    void putProxyBefore(const std::string &id, int number, std::function<bool(const json &)> holds)
+    {
+        const std::string ip = this->network + std::to_string(50 + number);
+        this->workerPorts[id] = freePort(ip);
+        const std::string target = ip + ":" + std::to_string(this->workerPorts[id]);
+        this->proxies[id] = std::make_unique<Server>(
+            ip, 0, [this, target, holds = std::move(holds)](const Request &request) -> Response {
+                const bool isStart = request.path == "/run-start";
+                if (isStart && holds(json::parse(request.body, nullptr, false))) {
+                    this->record.line("proxy: a start order gets no answer: " + request.body);
+                    const std::lock_guard lock(this->mutex);
+                    this->heldOrders.push_back({target, request});
+                    return {0, ""};
+                }
+                return forward(target, request);
+            });
+    }
+
+    /// Delivers the first start order that was kept, seconds late.
+    void deliverHeldOrder()
+    {
+        std::pair<std::string, Request> held;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->heldOrders.empty())
+                return;
+            held = this->heldOrders.front();
+        }
+        const Response answer = forward(held.first, held.second);
+        this->record.line("proxy: the first of these orders is delivered late -> "
+                          + std::to_string(answer.status) + " " + answer.body);
+    }
+
     void killWorker(const std::string &id)
     {
         this->record.line("driver: SIGKILL to worker " + id);
@@ -275,6 +310,26 @@
     Record record;
 
 private:
+    static Response forward(const std::string &target, const Request &request)
+    {
+        std::map<std::string, std::string> headers;
+        const auto expected = request.headers.find("Expect-Instance");
+        if (expected != request.headers.end())
+            headers["Expect-Instance"] = expected->second;
+        const Answer answer = call(target, request.method, request.path, request.body, headers,
+                                   std::chrono::milliseconds(5000));
+        return {answer.status == 0 ? 502 : answer.status,
+                answer.body.is_discarded() ? std::string() : answer.body.dump()};
+    }
+
+    std::string advertisedAddress(const std::string &id, const std::string &ip)
+    {
+        const auto proxy = this->proxies.find(id);
+        const unsigned short port
+            = proxy == this->proxies.end() ? this->workerPorts.at(id) : proxy->second->port();
+        return ip + ":" + std::to_string(port);
+    }
+
     Response takeBeat(const Request &request)
     {
         const std::string id = request.path.substr(std::string("/beat/").size());
@@ -301,6 +356,8 @@
     std::vector<std::string> readies;
     std::map<std::string, pid_t> workers;
     std::map<std::string, unsigned short> workerPorts;
+    std::map<std::string, std::unique_ptr<Server>> proxies;
+    std::vector<std::pair<std::string, Request>> heldOrders;
     std::size_t nextFront = 0;
 };
 
--- a/review/standins/worker.hh
+++ b/review/standins/worker.hh
@@ -29,6 +29,7 @@
         std::string rack;
         std::string service;
         std::string store; ///< Where its heartbeats go.
+        std::string address; ///< The registered one, its own or that of a proxy before it.
         std::int64_t stopMs = 400;
         std::int64_t cpu = 32000;
         std::int64_t memMb = 65536;
@@ -79,23 +80,22 @@
     void beatLoop()
     {
         for (std::int64_t seq = 1;; seq++) {
-            const json entry
-                = {{"backend", this->settings.service},
-                   {"address", this->settings.ip + ":" + std::to_string(this->settings.port)},
-                   {"zone", this->settings.zone},
-                   {"version", "v1"},
-                   {"slots", 8},
-                   {"state", "ready"},
-                   {"coldRemainingMs", 0},
-                   {"machine", "m-" + this->settings.id},
-                   {"capacity",
-                    {{"cpu", this->settings.cpu},
-                     {"memMb", this->settings.memMb},
-                     {"gpu", this->settings.gpu}}},
-                   {"labels", {"a", this->settings.rack}},
-                   {"clockMs", this->clock()},
-                   {"born", this->born},
-                   {"seq", seq}};
+            const json entry = {{"backend", this->settings.service},
+                                {"address", this->settings.address},
+                                {"zone", this->settings.zone},
+                                {"version", "v1"},
+                                {"slots", 8},
+                                {"state", "ready"},
+                                {"coldRemainingMs", 0},
+                                {"machine", "m-" + this->settings.id},
+                                {"capacity",
+                                 {{"cpu", this->settings.cpu},
+                                  {"memMb", this->settings.memMb},
+                                  {"gpu", this->settings.gpu}}},
+                                {"labels", {"a", this->settings.rack}},
+                                {"clockMs", this->clock()},
+                                {"born", this->born},
+                                {"seq", seq}};
             const Answer answer = call(this->settings.store, "POST", "/beat/" + this->settings.id,
                                        entry.dump(), {}, std::chrono::milliseconds(1000));
             if (seq == 1 || answer.status != 200)
