Don't count runs of an unnoticed new process as lost

A worker that started again under its id, unnoticed, ran a task; a second later the task ran on another worker too, for about 300 ms.

Cause: answers to orders name no process. When a list or the registry showed the restart, WorkerFleet::handleRestart reported all confirmed runs lost, also one that this very list showed at work.

Change: a run that no list of the former process has shown waits for the list of the new one. A start order answered by a clock that is behind that of the known process makes the leader poll at once and count the lease as the longest, since the new process grants that for a time on the former clock. Fakes and the soak's stand-ins name the process in lists only, as workers do.

Ruled out: Expect-Instance (names the id, which the new process has too).

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -349,6 +349,14 @@
     return worker.clock + passedMs + toMs(longest - lag);
 }
 
+std::int64_t WorkerFleet::earliestClock(const Worker &worker, TimePoint now)
+{
+    if (worker.clock == 0)
+        return 0;
+    const auto passedMs = static_cast<double>(toMs(now - worker.clockReadAt));
+    return worker.clock + static_cast<std::int64_t>(passedMs * minClockRate);
+}
+
 /// Polls idle workers whose clock was read long ago, so that the ends of leases stay exact.
 void WorkerFleet::refreshClocks(TimePoint now)
 {
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -127,6 +127,8 @@
         bool isRevocation = false;
         std::int32_t startAttempts = 0; ///< Number of times that the start order was sent.
         std::optional<TimePoint> startConfirmedAt; ///< When the worker first confirmed the start.
+        /// The worker's known process has listed the run. Answers to orders do not name a process.
+        bool listedByProcess = false;
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
         std::optional<TimePoint> orderConfirmedAt;
@@ -258,6 +260,8 @@
     TimePoint latestStart(const Worker &worker, TimePoint now) const;
     Duration boundOfLease(Duration lease) const;
     std::int64_t extendLease(Worker &worker, Duration lease, TimePoint now);
+    /// Lowest value in ms that the clock of the worker's known process may show; 0 if unknown.
+    static std::int64_t earliestClock(const Worker &worker, TimePoint now);
     void noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now);
     void noteAnswer(const Worker &worker, TimePoint now);
     void probe(const std::string &dataCenter, TimePoint now);
@@ -276,6 +280,8 @@
     void acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
                             TimePoint now);
     void handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now);
+    bool mayBelongToNextProcess(const Worker &worker, const Run &run, TimePoint now) const;
+    void suspectRestart(Worker &worker, TimePoint now);
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
     void revokeStart(Worker &worker, const Tasks::RunRef &ref, TimePoint now);
     void processEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
@@ -289,6 +295,8 @@
     Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
                            Tasks::WorkerAnswer answer, TimePoint sentAt, TimePoint now);
+    void checkClock(const std::string &id, const Tasks::WorkerAnswer &answer,
+                    std::int64_t clockAtSending, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     bool mayRetryStart(const Worker &worker, TimePoint now) const;
     void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -58,12 +58,26 @@
     order.fencingToken = this->token;
     this->link.start(worker.entry, order, this->settings.orderTimeout,
                      [this, id = worker.entry.id, ref = run.ref, sentAt = now,
+                      clockAtSending = earliestClock(worker, now),
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                         if (generation == this->generation)
-                             this->handleStartAnswer(id, ref, answer, sentAt, at);
+                         if (generation != this->generation)
+                             return;
+                         this->checkClock(id, answer, clockAtSending, at);
+                         this->handleStartAnswer(id, ref, answer, sentAt, at);
                      });
 }
 
+/// An answer to an order names no process. A clock that is behind its value at the sending of the
+/// order belongs to a process that has started since.
+void WorkerFleet::checkClock(const std::string &id, const WorkerAnswer &answer,
+                             std::int64_t clockAtSending, TimePoint now)
+{
+    Worker *worker = this->workerOf(id);
+    const bool isBehind = answer.clock != 0 && answer.clock < clockAtSending;
+    if (worker && worker->hasSession && isBehind)
+        this->suspectRestart(*worker, now);
+}
+
 /// Handles the common part of all answers to orders. Returns null if the worker is unknown or has
 /// fenced this leader off.
 WorkerFleet::Worker *WorkerFleet::acceptOrderAnswer(const std::string &id, WorkerAnswer &answer,
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -230,16 +230,39 @@
     // start orders that are still in flight.
     worker.leaseExpiresAt = this->latestStart(worker, now) + this->longestLease();
     std::vector<RunKey> lost;
-    for (const auto &[key, run] : worker.runs) {
-        // The new process may execute a start order that is still in flight; its answer decides.
-        if (!this->mayStillStart(worker, run.ref, now))
+    for (auto &[key, run] : worker.runs) {
+        if (!this->mayBelongToNextProcess(worker, run, now))
             lost.push_back(key);
+        run.listedByProcess = false;
     }
     for (const RunKey &key : lost)
         this->reportLostRun(worker, key, "the worker restarted", now);
     this->revokeUnansweredStarts(worker, now);
 }
 
+/// Polls a worker whose process seems to have restarted; the answer names the process. The end of a
+/// lease in the answered order was a time on the clock of the former process, so the new one may
+/// have granted the longest lease.
+void WorkerFleet::suspectRestart(Worker &worker, TimePoint now)
+{
+    this->logger.logEvent(LogKind::Dependency, "worker may have started anew",
+                          {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->longestLease());
+    worker.hasSession = false;
+    worker.pollInFlight = false;
+    worker.pollSerial++;
+    this->pollIfNeeded(worker, now);
+}
+
+/// Whether a run that the former process held, or was told to start, may be one of the worker's
+/// next process. The new process may execute a start order that is still in flight, and it may have
+/// executed one whose answer was taken for that of the former process. Its lists decide.
+bool WorkerFleet::mayBelongToNextProcess(const Worker &worker, const Run &run, TimePoint now) const
+{
+    const bool isConfirmedByOrder = run.startConfirmedAt && !run.listedByProcess;
+    return isConfirmedByOrder || this->mayStillStart(worker, run.ref, now);
+}
+
 /// Unanswered start orders may still reach the restarted process, which does not know their runs.
 /// They are revoked with stop orders, and their runs count as lost only after that, also those that
 /// counted as lost in the former process; otherwise a task could run twice.
@@ -316,6 +339,7 @@
         run->percent = running.percent;
         run->load = running.load;
         run->adopted = false;
+        run->listedByProcess = true;
         if (!run->startConfirmedAt) {
             run->startConfirmedAt = now;
             run->orderConfirmedAt = now;
--- a/Soak/StandInWire.cpp
+++ b/Soak/StandInWire.cpp
@@ -167,10 +167,12 @@
     for (const Tasks::EndedTask &task : answer.ended)
         ended.push_back({task.number, Platform::taskName(task.run), task.run.run,
                          wireNameOf(task.cause), task.checkpoint});
-    return {{"clockMs", answer.clock},
-            {"born", answer.incarnation},
-            {"running", std::move(running)},
-            {"ended", std::move(ended)}};
+    json body{
+        {"clockMs", answer.clock}, {"running", std::move(running)}, {"ended", std::move(ended)}};
+    // Only an answer with the worker's lists names its process.
+    if (answer.incarnation != 0)
+        body["born"] = answer.incarnation;
+    return body;
 }
 
 Tasks::WorkerHandler makeAnswerHandler(const HttpResponder &responder)
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -135,7 +135,6 @@
 bool FakeWorkers::isFenced(Machine &machine, std::int64_t token, WorkerAnswer &answer)
 {
     answer.clock = this->clockOf(machine);
-    answer.incarnation = machine.entry.incarnation;
     if (token < machine.token) {
         answer.outcome = WorkerOutcome::Fenced;
         return true;
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -71,6 +71,25 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 3U);
 }
 
+// Guards against a second run of a task on a worker whose process restarted before its entry in the
+// registry showed it.
+TEST_F(WorkerFault, RunStartedByAProcessWhoseEntryIsLateRunsOnce)
+{
+    this->accept(1, jobBody("500", 4, 8));
+    this->cluster.run(seconds(3));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    std::vector<Tasks::WorkerEntry> entries;
+    for (int i = 0; i < 4; i++)
+        entries.push_back(this->cluster.workers.restart("worker-" + std::to_string(i)));
+    this->accept(2, jobBody("5000", 2, 8));
+    this->cluster.run(seconds(3));
+    for (const Tasks::WorkerEntry &entry : entries)
+        this->cluster.putWorker(entry);
+    this->cluster.run(seconds(4));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(2)), 2U);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
+}
+
 TEST_F(WorkerFault, StartInFlightDuringAWorkerRestartRunsOnce)
 {
     // The start order is in flight when the worker restarts, so the new process executes the order.
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -99,12 +99,28 @@
         this->link.renewals.back().handler(answer, start);
     }
 
-    void assignAndStart(const Tasks::RunRef &ref)
+    void assignAndStart(const Tasks::RunRef &ref, TimePoint now = start)
     {
         WorkerFleet::Run run;
         run.ref = ref;
-        this->fleet.assign("worker-0", run, start);
-        this->fleet.start("worker-0", ref, start);
+        this->fleet.assign("worker-0", run, now);
+        this->fleet.start("worker-0", ref, now);
+    }
+
+    /// Starts a run on the worker, whose answer names no process.
+    void startRun(const Tasks::RunRef &ref)
+    {
+        this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+        this->assignAndStart(ref);
+        this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Done, 0), start);
+    }
+
+    /// Answers the newest poll with a list of one run.
+    void answerWithRun(std::int64_t incarnation, const Tasks::RunRef &ref)
+    {
+        Tasks::WorkerAnswer answer = answerOf(Tasks::WorkerOutcome::Done, incarnation);
+        answer.running.push_back({ref, "", 0, 0.0});
+        this->link.renewals.back().handler(answer, start + seconds(1));
     }
 
     /// Sends start orders that time out, and a stop order that the worker accepts; then the worker
@@ -178,6 +194,59 @@
     EXPECT_EQ(this->listener.lost.size(), 1U);
 }
 
+// Guards against a second run of a task that the worker's new process runs: the list that shows the
+// restart shows the run too.
+TEST_F(WorkerFleetTest, RunThatTheNewProcessListsIsNotLostByTheRestart)
+{
+    this->startRun({"a", {}, 1});
+    this->answerWithRun(2000, {"a", {}, 1});
+    EXPECT_TRUE(this->listener.lost.empty());
+    EXPECT_TRUE(this->link.stops.empty());
+}
+
+// Guards against the same when the registry shows the restart first.
+TEST_F(WorkerFleetTest, RunThatNoProcessHasListedWaitsForTheListOfTheNewProcess)
+{
+    this->startRun({"a", {}, 1});
+    this->list(2000);
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->answerWithRun(2000, {"a", {}, 1});
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->list(3000);
+    EXPECT_EQ(this->listener.lost.size(), 1U);
+}
+
+TEST_F(WorkerFleetTest, RunOfTheFormerProcessIsLostOnceTheNewOneDoesNotListIt)
+{
+    this->startRun({"a", {}, 1});
+    this->list(2000);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 2000),
+                                       start + seconds(1));
+    EXPECT_EQ(this->listener.lost.size(), 1U);
+}
+
+// Guards against a second run while the first one holds a lease that a process with another clock
+// has granted.
+TEST_F(WorkerFleetTest, LeaseOfAProcessWithAnotherClockCountsAsTheLongestOne)
+{
+    Tasks::WorkerAnswer first = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    first.clock = 50'000;
+    this->link.renewals.back().handler(first, start);
+    this->assignAndStart({"a", {}, 1});
+    Tasks::WorkerAnswer started = answerOf(Tasks::WorkerOutcome::Done, 0);
+    started.clock = 50'002;
+    this->link.starts.at(0)(started, start + milliseconds(2));
+    const std::size_t polls = this->link.renewals.size();
+    this->assignAndStart({"b", {}, 1}, start + milliseconds(1900));
+    started.clock = 500;
+    this->link.starts.at(1)(started, start + milliseconds(1902));
+    EXPECT_EQ(this->link.renewals.size(), polls + 1);
+    this->link.renewals.back().handler({}, start + seconds(7));
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->link.renewals.back().handler({}, start + seconds(9));
+    EXPECT_EQ(this->listener.lost.size(), 2U);
+}
+
 TEST_F(WorkerFleetTest, RunMissingFromAListWithOnePageOfEndsIsNotLost)
 {
     this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
