Reserve room for a gang only if all of its members get room

A gang of 7 whole workers had lost one of them for good; the 6 left stayed idle, and no job of another customer started on them.

Cause: PlanPass::reserveRoomOn deducted the room of one worker after the other and kept it when a later member found none. Shown by the planner alone: GangThatTheWorkersCanNotHoldKeepsNoRoomFromOtherWork gives no start on six empty workers before, ten after.

Change: room is reserved for a gang only if all members get room from what is free and from occupants that are expected to end. That covers gangs wider than the 24 tasks that a plan reserves for, and gangs behind perpetual tasks, which giving the room back on failure would not. Reservations heed the limit of tasks per worker. One function decides that limit in place of three loops.

--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Time of an event that is not expected to happen, such as the end of a perpetual task.
+constexpr UnixMs never = std::numeric_limits<UnixMs>::max();
+
 bool hasLabel(const WorkerView &worker, std::string_view label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -202,10 +205,11 @@
         && this->isAllowed(request, worker);
 }
 
-bool PlanPass::isBelowWorkerLimit(const StartRequest &request, std::size_t taken) const
+bool PlanPass::isBelowWorkerLimit(const StartRequest &request, std::size_t worker,
+                                  const WorkerList &taken)
 {
     const std::int32_t limit = request.step->maxPerWorker;
-    return limit == 0 || taken < static_cast<std::size_t>(limit);
+    return limit == 0 || std::count(taken.begin(), taken.end(), worker) < limit;
 }
 
 bool PlanPass::isServiceMostlyIdle(const StartRequest &request) const
@@ -285,11 +289,8 @@
     for (const std::size_t worker : candidates) {
         if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmpty(worker)))
             continue;
-        if (request.step->maxPerWorker > 0) {
-            const auto there = std::count(taken.begin(), taken.end(), worker);
-            if (!this->isBelowWorkerLimit(request, static_cast<std::size_t>(there)))
-                continue;
-        }
+        if (!isBelowWorkerLimit(request, worker, taken))
+            continue;
         const double cost = this->placementCost(request, worker);
         if (cost < lowestCost) {
             lowestCost = cost;
@@ -318,25 +319,27 @@
     return chosen;
 }
 
+std::size_t PlanPass::tasksThatFit(const StartRequest &request, Resources room)
+{
+    const Step &step = *request.step;
+    const std::int32_t limit = step.maxPerWorker > 0 ? step.maxPerWorker : step.count;
+    std::size_t tasks = 0;
+    while (tasks < static_cast<std::size_t>(limit) && step.allocatedResources().fitsInto(room)) {
+        room -= step.allocatedResources();
+        tasks++;
+    }
+    return tasks;
+}
+
 bool PlanPass::fitsIntoOneEmptyRack(const StartRequest &request) const
 {
     for (const auto &[rack, members] : this->racks) {
-        std::int64_t tasks = 0;
+        std::size_t tasks = 0;
         for (const std::size_t worker : members) {
-            if (!this->isEligible(request, worker))
-                continue;
-            Resources room = resourcesOf(this->workers[worker]);
-            std::int64_t here = 0;
-            while (request.step->allocatedResources().fitsInto(room)
-                   && here < request.step->count) {
-                room -= request.step->allocatedResources();
-                here++;
-            }
-            if (request.step->maxPerWorker > 0)
-                here = std::min<std::int64_t>(here, request.step->maxPerWorker);
-            tasks += here;
+            if (this->isEligible(request, worker))
+                tasks += tasksThatFit(request, resourcesOf(this->workers[worker]));
         }
-        if (tasks >= static_cast<std::int64_t>(request.indexes.size()))
+        if (tasks >= request.indexes.size())
             return true;
     }
     return false;
@@ -391,17 +394,17 @@
         room += occupant.need;
         at = std::max(at, occupant.stopping ? this->now : occupant.expectedEnd);
     }
-    return request.step->allocatedResources().fitsInto(room) ? at
-                                                             : std::numeric_limits<UnixMs>::max();
+    return request.step->allocatedResources().fitsInto(room) ? at : never;
 }
 
 std::optional<std::size_t> PlanPass::earliestWorker(const StartRequest &request,
-                                                    std::span<const std::size_t> candidates) const
+                                                    std::span<const std::size_t> candidates,
+                                                    const WorkerList &taken) const
 {
     std::optional<std::size_t> best;
-    UnixMs earliest = std::numeric_limits<UnixMs>::max();
+    UnixMs earliest = never;
     for (const std::size_t worker : candidates) {
-        if (!this->isAllowed(request, worker))
+        if (!this->isAllowed(request, worker) || !isBelowWorkerLimit(request, worker, taken))
             continue;
         const UnixMs at = this->roomAvailableAt(request, worker);
         if (at < earliest) {
@@ -415,23 +418,49 @@
 UnixMs PlanPass::reserveRoomOn(const StartRequest &request, std::size_t tasks,
                                std::span<const std::size_t> candidates)
 {
-    constexpr UnixMs never = std::numeric_limits<UnixMs>::max();
+    WorkerList taken = request.assignedWorkers;
     UnixMs latest = this->now;
     for (std::size_t i = 0; i < tasks; i++) {
-        const std::optional<std::size_t> worker = this->earliestWorker(request, candidates);
+        const std::optional<std::size_t> worker = this->earliestWorker(request, candidates, taken);
         if (!worker)
             return never;
         latest = std::max(latest, this->roomAvailableAt(request, *worker));
         this->capacity.free[*worker] -= request.step->allocatedResources();
+        taken.push_back(*worker);
     }
     return latest;
 }
 
+/// Whether all of the request's tasks together get room once the occupants that are expected to end
+/// have ended. The present workers may be too few for the whole gang, or other reservations or
+/// perpetual tasks may hold what it needs.
+bool PlanPass::getsRoomForAllTasks(const StartRequest &request) const
+{
+    std::size_t tasks = 0;
+    for (const std::size_t worker : this->allWorkers) {
+        if (this->isAllowed(request, worker))
+            tasks += tasksThatFit(request, this->roomInTime(worker));
+        if (tasks >= request.indexes.size())
+            return true;
+    }
+    return false;
+}
+
+Resources PlanPass::roomInTime(std::size_t number) const
+{
+    Resources room = this->capacity.free[number];
+    for (const OccupantView &occupant : this->workers[number].occupants) {
+        if (occupant.stopping || occupant.expectedEnd < never)
+            room += occupant.need;
+    }
+    return room;
+}
+
 void PlanPass::reserveRoomInOneRack(const StartRequest &request)
 {
     const Capacity before = this->capacity;
     Capacity best = before;
-    UnixMs earliest = std::numeric_limits<UnixMs>::max();
+    UnixMs earliest = never;
     for (const auto &[rack, members] : this->racks) {
         const UnixMs at = this->reserveRoomOn(request, request.indexes.size(), members);
         if (at < earliest) {
@@ -452,6 +481,9 @@
     const std::size_t left = this->settings.maxReservations - this->reservations;
     if (!reserves || left == 0)
         return;
+    // A part of a gang can't start, so room for a part would stay unused.
+    if (request.step->gang && !this->getsRoomForAllTasks(request))
+        return;
     const std::size_t kept = std::min(tasks, left);
     this->reservations += kept;
     if (this->requiresOneRack(request))
@@ -529,9 +561,7 @@
     while (covered.size() < tasks) {
         Preemption best;
         for (const std::size_t worker : candidates) {
-            const auto there = std::count(taken.begin(), taken.end(), worker);
-            if (!this->isAllowed(request, worker)
-                || !this->isBelowWorkerLimit(request, static_cast<std::size_t>(there)))
+            if (!this->isAllowed(request, worker) || !isBelowWorkerLimit(request, worker, taken))
                 continue;
             Preemption option = this->cheapestPreemption(request, worker);
             if (option.cost < best.cost)
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -44,7 +44,10 @@
 
     bool isEligible(const StartRequest &request, std::size_t worker) const;
     bool hasRoom(const StartRequest &request, std::size_t worker) const;
-    bool isBelowWorkerLimit(const StartRequest &request, std::size_t taken) const;
+    /// Whether the worker may take one more task of the request's step. `taken` are the workers of
+    /// its other tasks.
+    static bool isBelowWorkerLimit(const StartRequest &request, std::size_t worker,
+                                   const WorkerList &taken);
     bool isServiceMostlyIdle(const StartRequest &request) const;
     bool isRackWaitOver(const StartRequest &request) const;
     /// Whether the request's tasks may start only in the rack of their data.
@@ -60,6 +63,8 @@
                                           std::span<const std::size_t> candidates,
                                           const WorkerList &taken) const;
     double placementCost(const StartRequest &request, std::size_t worker) const;
+    /// Number of the request's tasks that fit into the room of one worker.
+    static std::size_t tasksThatFit(const StartRequest &request, Resources room);
     std::optional<WorkerList> placeAllTasks(const StartRequest &request,
                                             std::span<const std::size_t> candidates);
     std::optional<WorkerList> placeGang(const StartRequest &request);
@@ -75,12 +80,17 @@
 
     void reserveRoom(const StartRequest &request, std::size_t tasks);
     void reserveRoomInOneRack(const StartRequest &request);
+    bool getsRoomForAllTasks(const StartRequest &request) const;
+    /// Room of the worker once all occupants that are expected to end have ended, less claims and
+    /// reservations.
+    Resources roomInTime(std::size_t worker) const;
     /// Reserves room for each task on the worker that has room first. Returns the time at which the
     /// last task has room.
     UnixMs reserveRoomOn(const StartRequest &request, std::size_t tasks,
                          std::span<const std::size_t> candidates);
     std::optional<std::size_t> earliestWorker(const StartRequest &request,
-                                              std::span<const std::size_t> candidates) const;
+                                              std::span<const std::size_t> candidates,
+                                              const WorkerList &taken) const;
     UnixMs roomAvailableAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayPreempt(const StartRequest &request) const;
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 #include <gtest/gtest.h>
+#include <limits>
 #include <set>
 
 namespace Hibiscus::Tasks {
@@ -120,6 +121,69 @@
     EXPECT_EQ(startsOf(plan, 1), 4U);
 }
 
+// Guards against idle workers that are kept for a gang which has lost one of its workers for good.
+TEST_F(StartPlannerTest, GangThatTheWorkersCanNotHoldKeepsNoRoomFromOtherWork)
+{
+    this->addWorkers(6);
+    StartRequest &gang = this->request(0, 7, 8);
+    gang.guaranteed = true;
+    this->stepOf(0).gang = true;
+    this->request(1, 5, 1);
+    this->request(2, 5, 1);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(startsOf(plan, 0), 0U);
+    EXPECT_EQ(startsOf(plan, 1), 5U);
+    EXPECT_EQ(startsOf(plan, 2), 5U);
+}
+
+// Guards against the same for a gang of more tasks than one plan reserves room for.
+TEST_F(StartPlannerTest, WideGangThatTheWorkersCanNotHoldKeepsNoRoomFromOtherWork)
+{
+    this->addWorkers(30);
+    StartRequest &gang = this->request(0, 31, 8);
+    gang.guaranteed = true;
+    this->stepOf(0).gang = true;
+    this->request(1, 200, 1);
+    EXPECT_EQ(startsOf(this->plan(), 1), 200U);
+}
+
+// Guards against the same for a gang that waits for room which a perpetual task keeps.
+TEST_F(StartPlannerTest, GangBehindAPerpetualTaskKeepsNoRoomFromOtherWork)
+{
+    this->addWorkers(3);
+    this->occupy(0, {1000, 1000, 1}, 0, 0, 0.0);
+    this->views[0].occupants.back().expectedEnd = std::numeric_limits<UnixMs>::max();
+    StartRequest &gang = this->request(0, 3, 8);
+    gang.guaranteed = true;
+    this->stepOf(0).gang = true;
+    this->request(1, 8, 1);
+    EXPECT_EQ(startsOf(this->plan(), 1), 8U);
+}
+
+// Guards against room that is kept for a task which its limit per worker keeps out.
+TEST_F(StartPlannerTest, TaskAboveItsLimitOnAllWorkersKeepsNoRoomFromOtherWork)
+{
+    this->addWorkers(2);
+    StartRequest &limited = this->request(0, 3, 8);
+    limited.guaranteed = true;
+    this->stepOf(0).maxPerWorker = 1;
+    limited.indexes = {2};
+    limited.assignedWorkers = {0, 1};
+    this->request(1, 16, 1);
+    EXPECT_EQ(startsOf(this->plan(), 1), 16U);
+}
+
+TEST_F(StartPlannerTest, RoomIsReservedForAGangThatWaitsForRunningTasks)
+{
+    this->addWorkers(3);
+    this->occupy(0, {1000, 1000, 1}, 0, 2000, 0.0);
+    StartRequest &gang = this->request(0, 3, 8);
+    gang.guaranteed = true;
+    this->stepOf(0).gang = true;
+    this->request(1, 8, 1);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
 TEST_F(StartPlannerTest, UrgentWorkPreemptsTheCheapestWork)
 {
     this->addWorkers(2);
