Count one lease for runs of a leader that is known to be gone

Workers are lost, the leader is killed 1.7 s later, and the tasks of these workers stand still for 11.4 s after the takeover.

Cause: a leader that adopts a run counts with renewals by its predecessor for the grace time, 5 s, and with one lease after that, also when the predecessor's process is gone.

Ruled out: reservations for gangs (the tasks are in no plan, their former runs hold them) and the registry (the workers are unlisted from 28.96 s on).

Change: hibiscus/term names the newest leader beyond its lease, whether its process has ended, and whether the leaders before it have ceased to renew ("settled", 5.5 s after its election). A process that finds its instance's key of a former process ends that term at once. If both are known, adopted runs count for one lease from the takeover. Without the record all stays.

Tests: Failover.TaskOfAWorkerLostWithTheLeader... fails without the record, Failover.TaskIsNotReplacedWhileALeaderBeforeTheLastOne... fails (two runs at a time) if "settled" is ignored.

--- a/Coordination/LeaderElection.cpp
+++ b/Coordination/LeaderElection.cpp
@@ -5,6 +5,13 @@
 
 namespace Hibiscus::Coordination {
 
+namespace {
+
+/// Stands between the instance and the lease in the value of the leader's key.
+constexpr char candidateSeparator = '#';
+
+} // namespace
+
 using Runtime::LogKind;
 using Tasks::StoreAnswer;
 using Tasks::StoredItem;
@@ -62,9 +69,85 @@
         this->becomeLeader(item.revision, now);
         return;
     }
+    // This process has not campaigned yet, so the key is that of the instance's former process.
+    if (this->candidateId.empty() && this->isOfThisInstance(item.value)) {
+        this->readTerm([this, item](TimePoint) { this->endFormerTerm(item); });
+        return;
+    }
     this->watchLeader(answer.revision != 0 ? answer.revision : item.revision);
 }
 
+bool LeaderElection::isOfThisInstance(const std::string &leader) const
+{
+    return leader.starts_with(this->settings.instance + candidateSeparator);
+}
+
+/// Reads the record of the newest term, then takes the next step.
+void LeaderElection::readTerm(std::function<void(TimePoint)> next)
+{
+    this->knownTerm.reset();
+    const auto answerHandler = [this, reading = ++this->termReadings,
+                                next = std::move(next)](const StoreAnswer &answer, TimePoint now) {
+        if (reading != this->termReadings)
+            return;
+        if (answer.outcome == StoreOutcome::Absent)
+            this->knownTerm = KnownTerm{};
+        if (const StoredItem *item = answer.find(StoreKeys::term)) {
+            this->knownTerm = KnownTerm{item->revision, decodeTerm(item->value)};
+            if (!this->knownTerm->record)
+                this->logger.logEvent(
+                    LogKind::Fault, "term record can't be read",
+                    {{"revision", item->revision}, {"effect", "former leaders count as alive"}},
+                    now);
+        }
+        next(now);
+    };
+    this->store.read(StoreKeys::term, this->settings.callTimeout, answerHandler);
+}
+
+/// Ends the term of the instance's former process: it is gone, so nobody has to wait for its lease,
+/// and the next leader need not count with leases that it might renew.
+void LeaderElection::endFormerTerm(const StoredItem &leader)
+{
+    TermRecord record{leader.value, true, false};
+    Tasks::StoreCommit commit;
+    commit.checks.push_back({StoreKeys::leader, leader.revision});
+    if (this->knownTerm) {
+        const std::optional<TermRecord> &known = this->knownTerm->record;
+        record.settled = known && known->leader == leader.value && known->settled;
+        commit.checks.push_back({StoreKeys::term, this->knownTerm->revision});
+    }
+    commit.writes.push_back({StoreKeys::term, encodeTerm(record), 0});
+    const auto answerHandler = [this, generation = this->generation, record,
+                                lease = leader.lease](const StoreAnswer &answer, TimePoint now) {
+        if (generation != this->generation)
+            return;
+        const bool isDone = answer.outcome == StoreOutcome::Done;
+        this->logger.logEvent(
+            LogKind::Leadership, "former term ended",
+            {{"leader", record.leader}, {"settled", record.settled}, {"stored", isDone}}, now);
+        if (isDone)
+            this->store.revokeLease(lease, this->settings.callTimeout,
+                                    [this, generation](const StoreAnswer &, TimePoint at) {
+                                        if (generation == this->generation)
+                                            this->readLeaderKey(at);
+                                    });
+        else
+            this->scheduleStep(this->settings.retryDelay, &LeaderElection::readLeaderKey);
+    };
+    this->store.commit(commit, this->settings.callTimeout, answerHandler);
+}
+
+/// Whether all former leaders have certainly ceased to renew leases. A former term of this instance
+/// has ended: its process is gone, or it is this one, which drops all it knew at its election.
+bool LeaderElection::haveFormersEnded() const
+{
+    if (!this->knownTerm || !this->knownTerm->record)
+        return false;
+    const TermRecord &former = *this->knownTerm->record;
+    return former.settled && (former.ended || this->isOfThisInstance(former.leader));
+}
+
 void LeaderElection::watchLeader(std::int64_t revision)
 {
     const auto answerHandler
@@ -86,6 +169,8 @@
 
 void LeaderElection::scheduleCampaign()
 {
+    // The answer comes during the delay, or before the campaign's lease is granted.
+    this->readTerm([](TimePoint) {});
     const auto maxJitter = static_cast<std::uint32_t>(this->settings.maxCampaignJitter.count());
     this->scheduleStep(this->settings.fixedCampaignDelay + Duration(this->random(maxJitter)),
                        &LeaderElection::campaign);
@@ -112,10 +197,15 @@
     const Duration term
         = answer.leaseTerm.count() > 0 ? answer.leaseTerm : this->settings.leaseDuration;
     this->validUntil = sentAt + term;
-    this->candidateId = this->settings.instance + "#" + std::to_string(answer.lease);
+    this->candidateId = this->settings.instance + candidateSeparator + std::to_string(answer.lease);
+    this->formersEnded = this->haveFormersEnded();
     Tasks::StoreCommit commit;
     commit.checks.push_back({StoreKeys::leader, 0});
+    if (this->knownTerm)
+        commit.checks.push_back({StoreKeys::term, this->knownTerm->revision});
     commit.writes.push_back({StoreKeys::leader, this->candidateId, this->lease});
+    commit.writes.push_back(
+        {StoreKeys::term, encodeTerm({this->candidateId, false, this->formersEnded}), 0});
     const auto answerHandler
         = [this, generation = this->generation](const StoreAnswer &reply, TimePoint now) {
               if (generation == this->generation)
@@ -146,9 +236,31 @@
     this->leading = true;
     this->inDoubt = false;
     this->leaderToken = token;
-    this->logger.logEvent(LogKind::Leadership, "elected", {{"token", token}}, now);
+    this->logger.logEvent(LogKind::Leadership, "elected",
+                          {{"token", token}, {"formersEnded", this->formersEnded}}, now);
     this->scheduleStep(this->settings.renewInterval, &LeaderElection::renew);
-    this->handlers.elected(token, now);
+    if (!this->formersEnded)
+        this->scheduleStep(this->settings.renewalGrace + this->settings.settleSlack,
+                           &LeaderElection::settleTerm);
+    this->handlers.elected({token, this->formersEnded}, now);
+}
+
+/// Records that the leaders before this one have ceased to renew leases, since their grace time is
+/// over: they stopped leading before this one was elected.
+void LeaderElection::settleTerm(TimePoint)
+{
+    Tasks::StoreCommit commit;
+    commit.checks.push_back({StoreKeys::leader, this->leaderToken});
+    commit.checks.push_back({StoreKeys::term, this->leaderToken});
+    commit.writes.push_back({StoreKeys::term, encodeTerm({this->candidateId, false, true}), 0});
+    const auto answerHandler
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint) {
+              const bool isOpen = answer.outcome == StoreOutcome::Unknown
+                  || answer.outcome == StoreOutcome::Refused;
+              if (generation == this->generation && isOpen)
+                  this->scheduleStep(this->settings.retryDelay, &LeaderElection::settleTerm);
+          };
+    this->store.commit(commit, this->settings.callTimeout, answerHandler);
 }
 
 void LeaderElection::renew(TimePoint now)
--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <Coordination/EventLogger.h>
+#include <Coordination/TermRecord.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/MetadataStore.h>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <pcg_random.hpp>
 #include <string>
 
@@ -19,6 +21,7 @@
 public:
     struct Settings
     {
+        /// Name that no two processes bear at the same time.
         std::string instance;
         std::uint64_t seed = 0;
         /// Duration of the leader's lease. After a leader fails, nothing is started until its lease
@@ -36,13 +39,23 @@
         /// Constant delay before a campaign, so that machines with more resources are elected
         /// first.
         Duration fixedCampaignDelay{};
+        /// Time after an election in which former leaders may still renew leases of runs.
+        Duration renewalGrace = defaultRenewalGrace;
+        /// Added to `renewalGrace`, for clocks that run at different rates.
+        Duration settleSlack = milliseconds(500);
+    };
+
+    struct Term
+    {
+        /// Fencing token: the revision of the leader's key, which increases with each leader.
+        std::int64_t token = 0;
+        /// No former leader renews leases of runs any more.
+        bool formersEnded = false;
     };
 
     struct Handlers
     {
-        /// `token` is the fencing token: the revision of the leader's key, which increases with
-        /// each leader.
-        std::function<void(std::int64_t token, TimePoint)> elected;
+        std::function<void(const Term &term, TimePoint)> elected;
         std::function<void()> deposed;
         /// A renewal succeeded after the lease had run out by this instance's clock. The leader's
         /// key was there all the while, so there was no other leader.
@@ -66,8 +79,20 @@
     TimePoint leaseEnd() const { return this->leading ? this->validUntil : this->lastTermEnd; }
 
 private:
+    /// The newest term as read from the store.
+    struct KnownTerm
+    {
+        std::int64_t revision = 0; ///< 0: the store has no record.
+        std::optional<TermRecord> record; ///< Absent if the store has none that can be read.
+    };
+
     void readLeaderKey(TimePoint now);
     void handleLeaderKey(const Tasks::StoreAnswer &answer, TimePoint now);
+    bool isOfThisInstance(const std::string &leader) const;
+    void readTerm(std::function<void(TimePoint)> next);
+    void endFormerTerm(const Tasks::StoredItem &leader);
+    bool haveFormersEnded() const;
+    void settleTerm(TimePoint now);
     void watchLeader(std::int64_t revision);
     void scheduleCampaign();
     void campaign(TimePoint now);
@@ -94,6 +119,9 @@
     std::int64_t lease = 0;
     std::int64_t leaderToken = 0;
     std::string candidateId; ///< Value of the leader's key; unique for each campaign.
+    std::uint64_t termReadings = 0; ///< Answers to earlier readings of the term are ignored.
+    std::optional<KnownTerm> knownTerm; ///< As of the last reading; absent without an answer.
+    bool formersEnded = false; ///< As stated in the last campaign.
     TimePoint validUntil{}; ///< Of the lease of the current term or campaign.
     TimePoint lastTermEnd{};
 };
--- a/Coordination/StoreKeys.h
+++ b/Coordination/StoreKeys.h
@@ -7,6 +7,8 @@
 namespace Hibiscus::Coordination::StoreKeys {
 
 inline constexpr const char *leader = "hibiscus/leader";
+/// Key of the newest leader's TermRecord, which outlives its lease.
+inline constexpr const char *term = "hibiscus/term";
 /// Prefix of accepted jobs and their cancellations, so that one watch reports both.
 inline constexpr const char *jobs = "hibiscus/job/";
 inline constexpr const char *progress = "hibiscus/progress/";
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -85,7 +85,7 @@
     return leading;
 }
 
-void TaskDispatcher::elected(std::int64_t token, TimePoint now)
+void TaskDispatcher::elected(const LeaderElection::Term &term, TimePoint now)
 {
     this->generation++;
     this->phase = Phase::Loading;
@@ -102,8 +102,8 @@
     this->runTimes.clear();
     this->published.clear();
     this->keptOrders.clear();
-    this->fleet.begin(token);
-    this->writer.begin(token);
+    this->fleet.begin(term.token, term.formersEnded);
+    this->writer.begin(term.token);
     this->jobWatch.start(now);
     this->workerWatch.start(now);
     this->listProgress({});
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -58,7 +58,7 @@
                    Tasks::PlacementService &placement, const Settings &settings,
                    EntryDecoder decoder, GuaranteeLookup guarantees);
 
-    void elected(std::int64_t token, TimePoint now);
+    void elected(const LeaderElection::Term &term, TimePoint now);
     void deposed();
     /// The leader's term goes on after its lease had been in doubt.
     void termConfirmed(TimePoint now);
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -30,10 +30,11 @@
     , paceControl(settings.pace)
 {}
 
-void WorkerFleet::begin(std::int64_t leaderToken)
+void WorkerFleet::begin(std::int64_t leaderToken, bool haveFormersEnded)
 {
     this->stop();
     this->token = leaderToken;
+    this->formersEnded = haveFormersEnded;
 }
 
 void WorkerFleet::openSessions(TimePoint now)
@@ -221,10 +222,10 @@
     run.paceConfirmed = !run.bestEffort;
     // The former leader may have sent the start order without receiving an answer.
     worker.unansweredStarts[run.ref] = now;
-    // A former leader may have renewed the longest lease until the end of its grace time.
+    // A former leader may renew the longest lease until the end of its grace time.
     const bool restarted = worker.entry.incarnation != incarnation;
-    const TimePoint lastGrant
-        = restarted ? this->latestStart(worker, now) : now + this->settings.renewalGrace;
+    const Duration grace = this->formersEnded ? Duration{} : this->settings.renewalGrace;
+    const TimePoint lastGrant = restarted ? this->latestStart(worker, now) : now + grace;
     worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, lastGrant + this->longestLease());
     this->assign(id, std::move(run), now);
     this->timers.after(worker.leaseExpiresAt - now,
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -2,6 +2,7 @@
 
 #include <Coordination/DataCenterReach.h>
 #include <Coordination/EventLogger.h>
+#include <Coordination/TermRecord.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/PaceController.h>
 #include <Tasks/WorkerLink.h>
@@ -80,7 +81,7 @@
         Duration leaseSlack = milliseconds(300);
         /// How long after the end of its own lease a former leader keeps renewing the leases of
         /// runs, so that they survive an outage of the store.
-        Duration renewalGrace = seconds(5);
+        Duration renewalGrace = defaultRenewalGrace;
         /// An idle worker whose clock was read longer ago is polled for it.
         Duration maxClockAge = seconds(90);
         /// Interval between probes of a data centre that is out of reach.
@@ -200,8 +201,9 @@
                 const Settings &settings, FleetListener &listener, AuthorityEnd authorityEnd);
 
     /// Starts to accept workers and runs of former leaders without calling any worker yet: an end
-    /// that arrives before its run is known would be lost.
-    void begin(std::int64_t token);
+    /// that arrives before its run is known would be lost. `formersEnded` tells that no former
+    /// leader renews leases any more.
+    void begin(std::int64_t token, bool formersEnded);
     void openSessions(TimePoint now);
     /// Polls again the workers whose polls ceased when the grace time for renewals was over.
     void resumePolls(TimePoint now);
@@ -322,6 +324,7 @@
     std::uint64_t generation = 0; ///< Answers to calls of earlier generations are ignored.
     bool active = false;
     std::int64_t token = 0;
+    bool formersEnded = false; ///< No former leader renews leases any more.
     std::map<std::string, Worker, std::less<>> workers;
     DataCenterReach reach;
     std::set<std::string> probedDataCenters; ///< Have a timer for their next probe.
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -78,7 +78,8 @@
 Coordination::LeaderElection::Settings electionSettings(const Tasks::SiteSettings &site)
 {
     Coordination::LeaderElection::Settings settings;
-    settings.instance = site.instance;
+    // A process campaigns after it has bound this address, so a former one with the same is gone.
+    settings.instance = site.instance + "@" + site.callersAddress;
     settings.seed = seedOf(site.instance);
     settings.leaseDuration = std::max(settings.leaseDuration, site.minStoreLease);
     settings.fixedCampaignDelay = campaignDelay(site);
@@ -130,7 +131,9 @@
     , placement(loop, site.placementAddress, Runtime::monotonicNow)
     , jobApi(store, timers, wallClock, logger, jobApiSettings(site), jobApiDecoders())
     , election(store, timers, logger, electionSettings(site),
-               {[this](std::int64_t token, TimePoint now) { this->dispatcher.elected(token, now); },
+               {[this](const Coordination::LeaderElection::Term &term, TimePoint now) {
+                    this->dispatcher.elected(term, now);
+                },
                 [this] { this->dispatcher.deposed(); },
                 [this](TimePoint now) { this->dispatcher.termConfirmed(now); }})
     , dispatcher(
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -188,10 +188,11 @@
     electionSettings.seed = std::hash<std::string>()(name);
     this->election = std::make_unique<LeaderElection>(
         *this->store, *this->timers, this->logger, electionSettings,
-        LeaderElection::Handlers{
-            [this](std::int64_t token, TimePoint now) { this->dispatcher->elected(token, now); },
-            [this] { this->dispatcher->deposed(); },
-            [this](TimePoint now) { this->dispatcher->termConfirmed(now); }});
+        LeaderElection::Handlers{[this](const LeaderElection::Term &term, TimePoint now) {
+                                     this->dispatcher->elected(term, now);
+                                 },
+                                 [this] { this->dispatcher->deposed(); },
+                                 [this](TimePoint now) { this->dispatcher->termConfirmed(now); }});
     TaskDispatcher::Settings dispatcherSettings;
     dispatcherSettings.workerRegistry = registryPrefix;
     this->dispatcher = std::make_unique<TaskDispatcher>(
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -15,6 +15,12 @@
     {
         for (const std::string &violation : this->cluster.workers.violations)
             ADD_FAILURE() << violation;
+        if (!HasFailure())
+            return;
+        for (const auto &[name, instance] : this->cluster.instances) {
+            for (const std::string &event : instance->logger.events)
+                std::cout << name << " " << event << "\n";
+        }
     }
 
     void accept(std::uint32_t number, const std::string &body)
@@ -202,6 +208,54 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+// Guards against tasks that stand still beside free workers for the longest lease and the grace
+// time of a leader whose process is known to be gone.
+TEST_F(Failover, TaskOfAWorkerLostWithTheLeaderWaitsForItsOwnLeaseOnly)
+{
+    this->cluster.run(seconds(7));
+    this->accept(1, jobBody("3000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    this->cluster.workers.kill(worker);
+    this->cluster.removeWorkerEntry(worker);
+    const std::string former = this->cluster.leader();
+    this->cluster.killInstance(former);
+    this->cluster.run(milliseconds(500));
+    this->cluster.startInstance(former);
+    this->cluster.run(seconds(7));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+    this->cluster.run(seconds(4));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
+// Guards against a second run beside one whose lease an earlier leader renews, which is cut off
+// from the store and from the leaders after it.
+TEST_F(Failover, TaskIsNotReplacedWhileALeaderBeforeTheLastOneRenewsItsLease)
+{
+    this->cluster.run(seconds(7));
+    this->accept(1, jobBody("60000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    const std::string first = this->cluster.leader();
+    for (const auto &[name, instance] : this->cluster.instances) {
+        if (name != first)
+            this->cluster.workers.unreachableWorkers[name] = {worker};
+    }
+    this->cluster.store.behaviors[first] = StoreBehavior::Unresponsive;
+    this->cluster.run(milliseconds(1500));
+    const std::string second = this->cluster.leader();
+    ASSERT_NE(second, "");
+    ASSERT_NE(second, first);
+    this->cluster.killInstance(second);
+    this->cluster.run(milliseconds(300));
+    this->cluster.startInstance(second);
+    this->cluster.run(milliseconds(9500));
+    EXPECT_EQ(this->cluster.workers.runningOn(worker), 1U);
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+    this->cluster.run(seconds(5));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
 TEST_F(Failover, WorkersAreRenewedAgainAfterAnOutageLongerThanTheGraceTime)
 {
     // The leases of all runs end during the outage, and their ends are listed after it.
--- a/UnitTests/Coordination/LeaderElectionTest.cpp
+++ b/UnitTests/Coordination/LeaderElectionTest.cpp
@@ -98,6 +98,17 @@
     EXPECT_NE(cluster.leader(), former);
 }
 
+TEST(LeaderElection, RestartedProcessOfTheLeaderDoesNotWaitForItsFormerLease)
+{
+    Cluster cluster(3, 2);
+    const std::string former = cluster.leader();
+    cluster.killInstance(former);
+    cluster.run(milliseconds(100));
+    cluster.startInstance(former);
+    cluster.run(milliseconds(300));
+    EXPECT_NE(cluster.leader(), "");
+}
+
 TEST(LeaderElection, LeaderGoesOnAfterAnOutageThatItsLeaseSurvives)
 {
     // The store is down for all and its leases do not run meanwhile, so no other instance can have
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -75,7 +75,7 @@
 protected:
     WorkerFleetTest()
     {
-        this->fleet.begin(7);
+        this->fleet.begin(7, false);
         this->list(1000);
         this->fleet.openSessions(start);
     }
