Tell the next leader which workers were silent, and withhold leases there

Another instance is elected, and nobody can tell whether the former leader is gone or cut off and renewing.

Change: the leader stores which workers with runs did not answer two polls in a row, and extends no lease on them from before that record is stored until one without them is. The next leader counts one lease from its takeover for runs on these workers, if the leaders before were settled. The write is conditional on the leader's key and the record's own revision, so a late one can't bring back an old record.

Ruled out: a shorter grace time, which would cost the runs that now survive an outage of the store.

Tests: Failover.TaskOfAWorkerThatTheLostLeaderFoundSilent... fails without the record, Failover.FormerLeaderRenewsNoLeaseOnAWorkerThatItRecorded... fails (two runs at a time) if leases are not withheld, both tried.

--- a/Coordination/LeaderElection.cpp
+++ b/Coordination/LeaderElection.cpp
@@ -148,6 +148,13 @@
     return former.settled && (former.ended || this->isOfThisInstance(former.leader));
 }
 
+std::string LeaderElection::lastLeader() const
+{
+    const bool isSettled
+        = this->knownTerm && this->knownTerm->record && this->knownTerm->record->settled;
+    return isSettled ? this->knownTerm->record->leader : std::string();
+}
+
 void LeaderElection::watchLeader(std::int64_t revision)
 {
     const auto answerHandler
@@ -198,14 +205,14 @@
         = answer.leaseTerm.count() > 0 ? answer.leaseTerm : this->settings.leaseDuration;
     this->validUntil = sentAt + term;
     this->candidateId = this->settings.instance + candidateSeparator + std::to_string(answer.lease);
-    this->formersEnded = this->haveFormersEnded();
+    this->term = {0, this->haveFormersEnded(), this->lastLeader()};
     Tasks::StoreCommit commit;
     commit.checks.push_back({StoreKeys::leader, 0});
     if (this->knownTerm)
         commit.checks.push_back({StoreKeys::term, this->knownTerm->revision});
     commit.writes.push_back({StoreKeys::leader, this->candidateId, this->lease});
     commit.writes.push_back(
-        {StoreKeys::term, encodeTerm({this->candidateId, false, this->formersEnded}), 0});
+        {StoreKeys::term, encodeTerm({this->candidateId, false, this->term.formersEnded}), 0});
     const auto answerHandler
         = [this, generation = this->generation](const StoreAnswer &reply, TimePoint now) {
               if (generation == this->generation)
@@ -237,12 +244,13 @@
     this->inDoubt = false;
     this->leaderToken = token;
     this->logger.logEvent(LogKind::Leadership, "elected",
-                          {{"token", token}, {"formersEnded", this->formersEnded}}, now);
+                          {{"token", token}, {"formersEnded", this->term.formersEnded}}, now);
     this->scheduleStep(this->settings.renewInterval, &LeaderElection::renew);
-    if (!this->formersEnded)
+    if (!this->term.formersEnded)
         this->scheduleStep(this->settings.renewalGrace + this->settings.settleSlack,
                            &LeaderElection::settleTerm);
-    this->handlers.elected({token, this->formersEnded}, now);
+    this->term.token = token;
+    this->handlers.elected(this->term, now);
 }
 
 /// Records that the leaders before this one have ceased to renew leases, since their grace time is
--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -51,6 +51,8 @@
         std::int64_t token = 0;
         /// No former leader renews leases of runs any more.
         bool formersEnded = false;
+        /// The last leader, if those before it renew no leases any more; otherwise empty.
+        std::string lastLeader;
     };
 
     struct Handlers
@@ -75,6 +77,8 @@
     /// Whether this instance is the leader and its lease is valid by its own clock.
     bool isLeading(TimePoint now) const { return this->leading && now < this->validUntil; }
     std::int64_t token() const { return this->leaderToken; }
+    /// Value of the leader's key in this instance's current or last term.
+    const std::string &termName() const { return this->candidateId; }
     /// End of this instance's current or last term as the leader, by its own clock.
     TimePoint leaseEnd() const { return this->leading ? this->validUntil : this->lastTermEnd; }
 
@@ -92,6 +96,7 @@
     void readTerm(std::function<void(TimePoint)> next);
     void endFormerTerm(const Tasks::StoredItem &leader);
     bool haveFormersEnded() const;
+    std::string lastLeader() const;
     void settleTerm(TimePoint now);
     void watchLeader(std::int64_t revision);
     void scheduleCampaign();
@@ -121,7 +126,7 @@
     std::string candidateId; ///< Value of the leader's key; unique for each campaign.
     std::uint64_t termReadings = 0; ///< Answers to earlier readings of the term are ignored.
     std::optional<KnownTerm> knownTerm; ///< As of the last reading; absent without an answer.
-    bool formersEnded = false; ///< As stated in the last campaign.
+    Term term; ///< As stated in the last campaign.
     TimePoint validUntil{}; ///< Of the lease of the current term or campaign.
     TimePoint lastTermEnd{};
 };
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -95,6 +95,9 @@
     this->jobsListed = false;
     this->workersListed = false;
     this->progressComplete = false;
+    this->silenceRead = false;
+    this->lastLeader = term.lastLeader;
+    this->sentSilence.clear();
     this->planPending = false;
     this->inputs.clear();
     this->permits.clear();
@@ -107,6 +110,7 @@
     this->jobWatch.start(now);
     this->workerWatch.start(now);
     this->listProgress({});
+    this->readSilence();
 }
 
 void TaskDispatcher::deposed()
@@ -158,9 +162,39 @@
         this->progressComplete = true;
 }
 
+void TaskDispatcher::readSilence()
+{
+    const auto answerHandler
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+              if (generation == this->generation)
+                  this->handleSilence(answer, now);
+          };
+    this->store.read(StoreKeys::silence, this->settings.listTimeout, answerHandler);
+}
+
+/// Takes the last leader's record of silent workers. Without an answer, the leases on these workers
+/// are counted for longer.
+void TaskDispatcher::handleSilence(const StoreAnswer &answer, TimePoint now)
+{
+    this->silenceRead = true;
+    if (const StoredItem *item = answer.find(StoreKeys::silence)) {
+        this->published[StoreKeys::silence].revision = item->revision;
+        std::optional<SilenceRecord> record = decodeSilence(item->value);
+        if (!record)
+            this->logger.logEvent(LogKind::Fault, "silence record can't be read",
+                                  {{"revision", item->revision},
+                                   {"effect", "former leaders may renew leases on all workers"}},
+                                  now);
+        else if (!this->lastLeader.empty() && record->leader == this->lastLeader)
+            this->fleet.setSilentBefore(std::move(record->workers));
+    }
+    this->beginWhenLoaded(now);
+}
+
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
-    const bool loaded = this->jobsListed && this->workersListed && this->progressComplete;
+    const bool loaded
+        = this->jobsListed && this->workersListed && this->progressComplete && this->silenceRead;
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
@@ -393,6 +427,12 @@
     this->schedulePlan();
 }
 
+void TaskDispatcher::silenceEnded(TimePoint now)
+{
+    if (this->isLeading(now))
+        this->writeSilence();
+}
+
 void TaskDispatcher::applyUpdate(TrackedJob &job, const JobUpdate &update,
                                  RecordWriter::StoredHandler afterStored, TimePoint now)
 {
@@ -478,9 +518,29 @@
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
     this->writeLoad(now);
+    this->writeSilence();
     this->plan(now);
 }
 
+/// Keeps the stored record of silent workers up to date. Leases are withheld on all workers that
+/// may stand in the stored record: those of the last one that was stored, and of all sent since.
+void TaskDispatcher::writeSilence()
+{
+    const PublishedKey &state = this->published[StoreKeys::silence];
+    if (state.inFlight)
+        return;
+    if (state.text)
+        this->fleet.withholdLeasesOnly(this->sentSilence);
+    std::set<std::string> silent = this->fleet.silentWorkers();
+    const bool isStored = state.text || !this->fleet.withholdsLeases();
+    if (isStored && silent == this->sentSilence)
+        return;
+    this->fleet.withholdLeases(silent);
+    const std::string text = encodeSilence({this->election.termName(), silent});
+    this->sentSilence = std::move(silent);
+    this->publish(StoreKeys::silence, text);
+}
+
 void TaskDispatcher::writeLoad(TimePoint now)
 {
     if (now < this->loadWrittenAt + this->settings.loadInterval)
@@ -505,19 +565,21 @@
     commit.checks.push_back({StoreKeys::leader, this->election.token()});
     commit.checks.push_back({key, state.revision});
     commit.writes.push_back({key, text, 0});
-    const auto answerHandler
-        = [this, key, text, generation = this->generation](const StoreAnswer &answer, TimePoint) {
-              if (generation != this->generation)
-                  return;
-              PublishedKey &written = this->published[key];
-              written.inFlight = false;
-              if (answer.outcome == StoreOutcome::Conflict)
-                  this->handlePublishConflict(key, text, answer);
-              if (answer.outcome != StoreOutcome::Done)
-                  return;
-              written.text = text;
-              written.revision = answer.revision;
-          };
+    const auto answerHandler =
+        [this, key, text, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+            if (generation != this->generation)
+                return;
+            PublishedKey &written = this->published[key];
+            written.inFlight = false;
+            if (answer.outcome == StoreOutcome::Conflict)
+                this->handlePublishConflict(key, text, answer);
+            if (answer.outcome != StoreOutcome::Done)
+                return;
+            written.text = text;
+            written.revision = answer.revision;
+            if (std::string_view(key) == StoreKeys::silence && this->isLeading(now))
+                this->writeSilence();
+        };
     this->store.commit(commit, this->settings.writer.commitTimeout.longest, answerHandler);
 }
 
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -111,10 +111,13 @@
     void permitRejected(const Tasks::RunRef &run, std::string_view worker) override;
     void fenced(TimePoint now) override;
     void fleetChanged(TimePoint now) override;
+    void silenceEnded(TimePoint now) override;
 
     bool isLeading(TimePoint now);
     void listProgress(const std::string &after);
     void handleProgressPage(const Tasks::StoreAnswer &answer);
+    void readSilence();
+    void handleSilence(const Tasks::StoreAnswer &answer, TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -149,6 +152,7 @@
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
+    void writeSilence();
     /// Writes the text of a key that all instances read, if the text has changed.
     void publish(const char *key, const std::string &text);
     void handlePublishConflict(const char *key, const std::string &text,
@@ -176,12 +180,15 @@
     bool jobsListed = false;
     bool workersListed = false;
     bool progressComplete = false;
+    bool silenceRead = false;
+    std::string lastLeader; ///< See LeaderElection::Term.
     std::map<std::string, LoadedRecord> records; ///< Used only while loading.
     std::set<std::string> cancelledIds; ///< Used only while loading.
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
     std::map<std::string, PublishedKey> published;
+    std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
 };
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -35,6 +35,29 @@
     this->stop();
     this->token = leaderToken;
     this->formersEnded = haveFormersEnded;
+    this->silentBefore.clear();
+    this->withheld.clear();
+}
+
+std::set<std::string> WorkerFleet::silentWorkers() const
+{
+    std::set<std::string> silent;
+    for (const auto &[id, worker] : this->workers) {
+        if (!worker.runs.empty() && worker.pollRetryDelay > this->settings.retryDelay)
+            silent.insert(id);
+    }
+    return silent;
+}
+
+void WorkerFleet::withholdLeases(const std::set<std::string> &silent)
+{
+    this->withheld.insert(silent.begin(), silent.end());
+}
+
+/// Whether a former leader that is alive and cut off may renew leases on the worker.
+bool WorkerFleet::mayBeRenewedByOthers(const std::string &worker) const
+{
+    return !this->formersEnded && !this->silentBefore.contains(worker);
 }
 
 void WorkerFleet::openSessions(TimePoint now)
@@ -224,7 +247,8 @@
     worker.unansweredStarts[run.ref] = now;
     // A former leader may renew the longest lease until the end of its grace time.
     const bool restarted = worker.entry.incarnation != incarnation;
-    const Duration grace = this->formersEnded ? Duration{} : this->settings.renewalGrace;
+    const Duration grace
+        = this->mayBeRenewedByOthers(id) ? this->settings.renewalGrace : Duration{};
     const TimePoint lastGrant = restarted ? this->latestStart(worker, now) : now + grace;
     worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, lastGrant + this->longestLease());
     this->assign(id, std::move(run), now);
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Hibiscus::Coordination {
 
@@ -47,6 +48,8 @@
     virtual void fenced(TimePoint now) = 0;
     /// Free room or the set of workers has changed.
     virtual void fleetChanged(TimePoint now) = 0;
+    /// A worker whose leases are withheld has answered.
+    virtual void silenceEnded(TimePoint now) = 0;
 };
 
 /// The leader's sessions with all workers: renews the leases of runs, receives their ends, and
@@ -87,6 +90,9 @@
         /// Interval between probes of a data centre that is out of reach.
         Duration probeInterval = milliseconds(500);
         std::size_t probedWorkers = 3; ///< Workers of a data centre that are probed at a time.
+        /// Replaces `pollWait` on workers whose leases are withheld, so that they are renewed soon
+        /// after that is over.
+        Duration withheldPollWait = milliseconds(50);
         /// Replaces `pollWait` on workers that run latency-sensitive and best-effort tasks
         /// together.
         Duration mixedPollWait = milliseconds(400);
@@ -204,6 +210,15 @@
     /// that arrives before its run is known would be lost. `formersEnded` tells that no former
     /// leader renews leases any more.
     void begin(std::int64_t token, bool formersEnded);
+    /// The last leader extended no lease on these workers any more, nor did those before it.
+    void setSilentBefore(std::set<std::string> silent) { this->silentBefore = std::move(silent); }
+    /// Workers with runs that did not answer at least two polls in a row.
+    std::set<std::string> silentWorkers() const;
+    /// Extends no lease on these workers either.
+    void withholdLeases(const std::set<std::string> &silent);
+    /// Extends leases on all but these workers.
+    void withholdLeasesOnly(std::set<std::string> silent) { this->withheld = std::move(silent); }
+    bool withholdsLeases() const { return !this->withheld.empty(); }
     void openSessions(TimePoint now);
     /// Polls again the workers whose polls ceased when the grace time for renewals was over.
     void resumePolls(TimePoint now);
@@ -236,7 +251,8 @@
     /// Whether the worker may get new runs.
     bool isUsable(const Worker &worker, TimePoint now) const
     {
-        return worker.isUsable(now) && !this->reach.isOutOfReach(worker.entry.dataCenter);
+        return worker.isUsable(now) && !this->isWithheld(worker.entry.id)
+            && !this->reach.isOutOfReach(worker.entry.dataCenter);
     }
     /// Longest time since the last answer among workers with runs; empty if no worker has runs.
     std::optional<Duration> oldestAnswerAge(TimePoint now) const;
@@ -251,6 +267,8 @@
 private:
     using RunKey = std::pair<std::string, Tasks::TaskRef>;
 
+    bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
+    bool mayBeRenewedByOthers(const std::string &worker) const;
     static RunKey keyOf(const Tasks::RunRef &ref);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
@@ -325,6 +343,8 @@
     bool active = false;
     std::int64_t token = 0;
     bool formersEnded = false; ///< No former leader renews leases any more.
+    std::set<std::string> silentBefore; ///< Workers on which no former leader renews leases.
+    std::set<std::string> withheld; ///< Workers on which this leader extends no lease.
     std::map<std::string, Worker, std::less<>> workers;
     DataCenterReach reach;
     std::set<std::string> probedDataCenters; ///< Have a timer for their next probe.
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -41,7 +41,9 @@
 {
     Worker *worker = this->workerOf(id);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
-    if (run)
+    if (run && this->isWithheld(id))
+        this->reportLostRun(*worker, keyOf(ref), "the worker fell silent before the start", now);
+    else if (run)
         this->sendStart(*worker, *run, now);
 }
 
@@ -185,7 +187,7 @@
 
 bool WorkerFleet::mayRetryStart(const Worker &worker, TimePoint now) const
 {
-    return worker.hasSession && this->hasAuthority(now)
+    return worker.hasSession && this->hasAuthority(now) && !this->isWithheld(worker.entry.id)
         && !this->reach.isOutOfReach(worker.entry.dataCenter);
 }
 
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -64,6 +64,8 @@
           });
     if (hasUnsettledRun)
         return Duration{};
+    if (this->isWithheld(worker.entry.id))
+        return this->settings.withheldPollWait;
     return worker.isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
 }
 
@@ -81,8 +83,9 @@
     // A worker that does not answer gets no lease extension, so that its runs end.
     const bool answering = worker->pollRetryDelay == Duration{};
     if (hasSession && answering && !worker->runs.empty()) {
-        order.leaseUntil = this->extendLease(*worker, this->settings.maxLeaseDuration, now);
         order.wait = this->pollWaitOf(*worker);
+        if (!this->isWithheld(id))
+            order.leaseUntil = this->extendLease(*worker, this->settings.maxLeaseDuration, now);
     }
     worker->pollInFlight = true;
     worker->pollSentAt = now;
@@ -148,6 +151,8 @@
     }
     if (std::exchange(worker->pollRetryDelay, Duration{}) != Duration{})
         this->logger.logEvent(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
+    if (this->isWithheld(id))
+        this->listener.silenceEnded(now);
     this->acceptEarlierStart(*worker, answer.incarnation, sentAt, now);
     if (!this->acceptAnswer(*worker, answer, now)) {
         this->pollIfNeeded(*worker, now);
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -228,6 +228,53 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
+// Guards against the same if the leader's machine is lost, after it has noticed the silence.
+TEST_F(Failover, TaskOfAWorkerThatTheLostLeaderFoundSilentWaitsForOneLeaseOnly)
+{
+    this->cluster.run(seconds(7));
+    this->accept(1, jobBody("3000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    this->cluster.workers.kill(worker);
+    this->cluster.removeWorkerEntry(worker);
+    this->cluster.run(milliseconds(3500));
+    this->cluster.killInstance(this->cluster.leader());
+    this->cluster.run(milliseconds(8500));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
+// Guards against a second run beside one whose lease the former leader, cut off from the store,
+// renews on a worker that it had found silent.
+TEST_F(Failover, FormerLeaderRenewsNoLeaseOnAWorkerThatItRecordedAsSilent)
+{
+    this->cluster.run(seconds(7));
+    this->accept(1, jobBody("60000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    const std::string former = this->cluster.leader();
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {worker};
+    this->cluster.run(milliseconds(3500));
+    this->cluster.store.behaviors[former] = StoreBehavior::Unresponsive;
+    this->cluster.workers.unreachableWorkers.erase(former);
+    this->cluster.run(seconds(30));
+    EXPECT_GE(this->cluster.workers.startsOf(jobId(1)), 2U);
+}
+
+TEST_F(Failover, RunOfAWorkerThatIsSilentForAWhileGoesOn)
+{
+    this->accept(1, jobBody("15000", 1, 8));
+    this->cluster.run(milliseconds(500));
+    const std::string worker = this->busyWorker();
+    for (const auto &[name, instance] : this->cluster.instances)
+        this->cluster.workers.unreachableWorkers[name] = {worker};
+    this->cluster.run(milliseconds(3900));
+    this->cluster.workers.unreachableWorkers.clear();
+    this->cluster.run(seconds(14));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+}
+
 // Guards against a second run beside one whose lease an earlier leader renews, which is cut off
 // from the store and from the leaders after it.
 TEST_F(Failover, TaskIsNotReplacedWhileALeaderBeforeTheLastOneRenewsItsLease)
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -51,6 +51,7 @@
     void permitRejected(const Tasks::RunRef &, std::string_view) override {}
     void fenced(TimePoint) override {}
     void fleetChanged(TimePoint) override {}
+    void silenceEnded(TimePoint) override {}
 
     std::vector<RunEnd> ends;
     std::vector<RunEnd> lost;
