Let work take a kept empty worker after a limited wait

A task that needs a whole worker waits without limit beside two empty workers that are kept for urgent work.

Cause: PlanPass::mayUseEmptyWorker keeps up to 6 % of the workers without a limit in time. The planner alone shows it on 35 workers.

Change: after maxIdleWait (2.5 s) work may take a kept worker if its service is mostly idle, a perpetual task in any service. The planner remembers apart which requests found no room on used workers only, since such a request hid later ones that may take an empty worker.

--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -99,11 +99,22 @@
 {
     if (request.priority <= this->settings.maxPreemptingPriority)
         return true;
+    if (this->isReserveWaitOver(request))
+        return true;
     const auto empty = this->emptyWorkers.find(request.service);
     const auto kept = this->reservedEmptyWorkers.find(request.service);
     return empty != this->emptyWorkers.end() && empty->second > kept->second;
 }
 
+/// Whether the request has waited for so long that it may take an empty worker that is kept for
+/// urgent work, which then has to preempt it. A task that needs a whole worker would otherwise wait
+/// beside empty ones for as long as perpetual tasks hold a part of each other worker.
+bool PlanPass::isReserveWaitOver(const StartRequest &request) const
+{
+    const bool isLimited = request.step->perpetual || this->isServiceMostlyIdle(request);
+    return isLimited && this->now - request.readySince >= toMs(this->settings.maxIdleWait);
+}
+
 void PlanPass::placeTask(const StartRequest &request, std::size_t worker)
 {
     if (this->isEmpty(worker))
@@ -251,15 +262,21 @@
             && failed->step->requiredLabel == request.step->requiredLabel
             && failed->step->allocatedResources().fitsInto(request.step->allocatedResources());
     };
-    return std::any_of(this->unplaced.begin(), this->unplaced.end(), failedWithLessDemand);
+    const auto isAmong = [&failedWithLessDemand](const RequestList &failed) {
+        return std::any_of(failed.begin(), failed.end(), failedWithLessDemand);
+    };
+    return isAmong(this->unplaced)
+        || (!this->mayUseEmptyWorker(request) && isAmong(this->unplacedOnUsedWorkers));
 }
 
 void PlanPass::recordUnplaced(const StartRequest &request)
 {
     const bool failedForRoomOnly
         = request.step->maxPerWorker == 0 && !request.permitted && !this->requiresDataRack(request);
-    if (failedForRoomOnly && !this->isKnownNotToFit(request))
-        this->unplaced.push_back(&request);
+    if (!failedForRoomOnly || this->isKnownNotToFit(request))
+        return;
+    const bool triedAll = this->mayUseEmptyWorker(request);
+    (triedAll ? this->unplaced : this->unplacedOnUsedWorkers).push_back(&request);
 }
 
 /// Capacity that the worker has left after the task is placed, in cores, plus a penalty if the
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -23,6 +23,7 @@
 
 private:
     using WorkerList = std::vector<std::size_t>; ///< Worker indexes, one entry a task.
+    using RequestList = std::vector<const StartRequest *>;
 
     /// Sorted indexes of a worker's occupants. They are computed on first use.
     struct OccupantOrders
@@ -36,6 +37,7 @@
     void countWorkers();
     bool isEmpty(std::size_t worker) const;
     bool mayUseEmptyWorker(const StartRequest &request) const;
+    bool isReserveWaitOver(const StartRequest &request) const;
     void placeTask(const StartRequest &request, std::size_t worker);
     const OccupantOrders &occupantOrdersOf(std::size_t worker) const;
     void planRequest(std::size_t request);
@@ -123,7 +125,9 @@
     UnixMs now;
     Capacity capacity;
     mutable std::vector<OccupantOrders> orders;
-    std::vector<const StartRequest *> unplaced; ///< Requests for whose tasks no worker has room.
+    RequestList unplaced; ///< Requests for whose tasks no worker has room.
+    /// The same for requests that must not take an empty worker.
+    RequestList unplacedOnUsedWorkers;
     std::vector<std::size_t> allWorkers;
     /// Accelerators of the usable workers of a service.
     struct AcceleratorUse
--- a/Tasks/RackWait.cpp
+++ b/Tasks/RackWait.cpp
@@ -18,7 +18,7 @@
     if (request.priority <= this->settings.maxPreemptingPriority)
         limitTo(this->settings.maxUrgentRackWait);
     if (serviceMostlyIdle)
-        limitTo(this->settings.maxIdleRackWait);
+        limitTo(this->settings.maxIdleWait);
     return static_cast<double>(now - request.readySince) >= maxWaitMs;
 }
 
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -112,11 +112,12 @@
         /// How long a request that may preempt other tasks waits for a suitable rack at most.
         /// The platform requires that it starts within a bound.
         Duration maxUrgentRackWait = milliseconds(1200);
-        /// The same bound for requests whose service is mostly idle. A task whose turn has come
-        /// starts there within three seconds.
-        Duration maxIdleRackWait = milliseconds(2500);
+        /// The same bound for requests whose service is mostly idle, also for empty workers that
+        /// are kept for urgent work. A task whose turn has come starts there within three seconds.
+        Duration maxIdleWait = milliseconds(2500);
         /// Share of a service's workers that only urgent work may take while they are empty. Urgent
-        /// work that has to wait for a preemption would be late already.
+        /// work that has to wait for a preemption would be late already. Other work may take them
+        /// after `maxIdleWait` if the service is mostly idle, and perpetual tasks in any case.
         double emptyShareForUrgentWork = 0.06;
         std::size_t maxReservations = 24; ///< Tasks for which room is reserved in one plan.
     };
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -388,6 +388,33 @@
     EXPECT_EQ(startsOf(this->plan(), 1), 3U);
 }
 
+// Guards against a task that waits without limit beside empty workers which are kept for urgent
+// work.
+TEST_F(StartPlannerTest, TaskThatNeedsAnEmptyWorkerGetsAKeptOneAfterALimitedTime)
+{
+    this->addWorkers(35);
+    for (std::size_t worker = 0; worker < 33; worker++)
+        this->occupy(worker, {1000, 1000, 1}, 1, 60'000, 0.0);
+    this->request(1, 1, 8);
+    EXPECT_TRUE(this->plan().starts.empty());
+    // A younger request of the same need must not hide the older one.
+    this->request(1, 1, 8).readySince = now - 2500;
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(startsOf(plan, 0), 0U);
+    EXPECT_EQ(startsOf(plan, 1), 1U);
+}
+
+TEST_F(StartPlannerTest, PerpetualTaskThatNeedsAnEmptyWorkerGetsAKeptOneInABusyService)
+{
+    this->addWorkers(35);
+    for (std::size_t worker = 0; worker < 33; worker++)
+        this->occupy(worker, {7000, 7000, 7}, 1, 60'000, 0.0);
+    this->request(1, 1, 8).readySince = now - 2500;
+    EXPECT_TRUE(this->plan().starts.empty());
+    this->stepOf(0).perpetual = true;
+    EXPECT_EQ(startsOf(this->plan(), 0), 1U);
+}
+
 TEST_F(StartPlannerTest, BatchWorkDoesNotStarveALateLargeTask)
 {
     this->addWorkers(1);
