Don't add up failures of perpetual tasks that had been at work

Tasks that last and fail now and then were not restarted for 9 to 29 s beside free workers.

Cause: each failed run backs its worker off, doubled up to 8 s; only a run that ends with success sets the count back, which a perpetual task never is.

Change: after a failure of a perpetual task that had been at work, its worker pauses for the shortest backoff and the count stays. A perpetual run that reaches its work sets the count back. The value 100 percent has one constant.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -31,12 +31,11 @@
 /// Whether the task is at work: its worker reports the run at 100 percent and no stop is requested.
 bool isFullyRunning(const WorkerFleet &fleet, const TrackedJob &job, const TaskRef &ref)
 {
-    constexpr std::int32_t completePercent = 100;
     const TaskProgress &task = job.progress.task(ref);
     if (!task.isOnWorker())
         return false;
     const WorkerFleet::Run *run = fleet.find(task.worker, {job.job.id, ref, task.run});
-    return run && !run->stopWanted && run->percent >= completePercent;
+    return run && !run->stopWanted && run->percent >= Tasks::completePercent;
 }
 
 /// Adds the runs of the step that must not be displaced, in all occurrences of the job.
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -377,7 +377,7 @@
     // An end that a former leader has counted says nothing of the worker's present state.
     const bool isNew = end.tracked || update.changed;
     if (end.cause == EndCause::Failed && isNew)
-        this->fleet.reportFailure(end.worker, now);
+        this->fleet.reportFailure(end.worker, end.wasAtWork, now);
     if (end.cause == EndCause::Done)
         this->fleet.reportSuccess(end.worker);
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -308,9 +308,14 @@
         worker->consecutiveFailures = 0;
 }
 
-void WorkerFleet::reportFailure(const std::string &id, TimePoint now)
+/// A perpetual task that fails after it has been at work says nothing of its worker. Such tasks
+/// never end with success, so their failures must not add up.
+void WorkerFleet::reportFailure(const std::string &id, bool wasAtWork, TimePoint now)
 {
-    if (Worker *worker = this->workerOf(id))
+    Worker *worker = this->workerOf(id);
+    if (worker && wasAtWork)
+        this->pause(*worker, this->settings.minBackoff, now);
+    else if (worker)
         this->backOff(*worker, now);
 }
 
@@ -320,7 +325,13 @@
     const Duration span
         = this->settings.minBackoff * (1 << std::min(worker.consecutiveFailures, maxDoublings));
     worker.consecutiveFailures++;
-    worker.backoffUntil = now + std::min(span, this->settings.maxBackoff);
+    this->pause(worker, std::min(span, this->settings.maxBackoff), now);
+}
+
+/// Assigns nothing to the worker for a time.
+void WorkerFleet::pause(Worker &worker, Duration span, TimePoint now)
+{
+    worker.backoffUntil = std::max(worker.backoffUntil, now + span);
     this->timers.after(worker.backoffUntil - now,
                        [this, generation = this->generation](TimePoint at) {
                            if (generation == this->generation)
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -29,6 +29,7 @@
     std::int64_t number = 0;
     std::int64_t incarnation = 0; ///< The worker's process that reported the end.
     bool tracked = false; ///< Whether the fleet held the run as assigned to the worker.
+    bool wasAtWork = false; ///< Of a perpetual task that its worker has reported at work.
     /// Run time observed by this leader; 0 if unknown or if the run resumed from a checkpoint.
     Duration runTime{};
 };
@@ -243,9 +244,9 @@
     void endRecorded(const RunEnd &end, TimePoint now);
     /// A run on the worker succeeded: resets its failure count.
     void reportSuccess(const std::string &worker);
-    /// A run on the worker failed: assigns nothing to it for a backoff that doubles with each
-    /// consecutive failure.
-    void reportFailure(const std::string &worker, TimePoint now);
+    /// A run on the worker failed: assigns nothing to it for a backoff. It doubles with each
+    /// consecutive failure, except of runs that had been at work.
+    void reportFailure(const std::string &worker, bool wasAtWork, TimePoint now);
 
     const std::map<std::string, Worker, std::less<>> &all() const { return this->workers; }
     /// Whether the worker may get new runs.
@@ -327,6 +328,7 @@
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
                           Tasks::WorkerAnswer answer, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
+    void pause(Worker &worker, Duration span, TimePoint now);
     void adjustPaces(Worker &worker, TimePoint now);
     void sendPace(Worker &worker, Run &run, std::int32_t percent);
     bool hasAuthority(TimePoint now) const;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -323,6 +323,7 @@
     if (run->startConfirmedAt && !run->resumed)
         end.runTime = now - *run->startConfirmedAt;
     end.tracked = true;
+    end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
     this->removeRun(worker, keyOf(ended.run), now);
     return end;
 }
@@ -341,6 +342,10 @@
         }
         if (!running.checkpoint.empty())
             run->checkpoint = running.checkpoint;
+        const bool reachesWork = run->perpetual && run->percent < Tasks::completePercent
+            && running.percent >= Tasks::completePercent;
+        if (reachesWork)
+            worker.consecutiveFailures = 0;
         run->percent = running.percent;
         run->load = running.load;
         run->adopted = false;
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -79,11 +79,14 @@
     GangIncomplete, ///< The other members of the gang did not start in time.
 };
 
+/// Progress of a task that has done all its work, or of a perpetual task that is at work.
+inline constexpr std::int32_t completePercent = 100;
+
 struct RunningTask
 {
     RunRef run;
     std::string checkpoint;
-    std::int32_t percent = 0; ///< Share of the work done; 100 for a perpetual task that is up.
+    std::int32_t percent = 0; ///< Share of the work done; see completePercent.
     /// Load over the last half second: the tail response time in ms of a task with a response time
     /// target, the cores in use of any other task.
     double load = 0.0;
--- a/UnitTests/Coordination/JobKindsTest.cpp
+++ b/UnitTests/Coordination/JobKindsTest.cpp
@@ -66,6 +66,28 @@
     EXPECT_EQ(this->cluster.workers.runningTasks(), 0U);
 }
 
+// Guards against failures of tasks that add up to long backoffs of sound workers.
+TEST_F(JobKinds, PerpetualTasksThatFailAgainAndAgainRestartSoonBesideFreeWorkers)
+{
+    constexpr std::uint32_t jobs = 6;
+    constexpr Duration step = milliseconds(100);
+    for (std::uint32_t i = 1; i <= jobs; i++)
+        this->accept(i,
+                     withFields(jobBody(std::to_string(2000 + 1000 * i) + ",fail,again", 1, 4),
+                                {{"perpetual", true}}));
+    std::map<std::uint32_t, Duration> away;
+    Duration longest{};
+    for (Duration passed{}; passed < seconds(120); passed += step) {
+        this->cluster.run(step);
+        for (std::uint32_t i = 1; i <= jobs; i++) {
+            const bool isAtWork = this->cluster.workers.runningTasksOf(jobId(i)) > 0;
+            away[i] = isAtWork ? Duration{} : away[i] + step;
+            longest = std::max(longest, away[i]);
+        }
+    }
+    EXPECT_LE(longest, seconds(6));
+}
+
 TEST_F(JobKinds, OldPerpetualTasksRestartAfterAWorkerRestart)
 {
     // The job is much older than its objective when two of its workers restart. Its tasks have to
