--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -215,9 +215,9 @@
     void setSilentBefore(std::set<std::string> silent) { this->silentBefore = std::move(silent); }
     /// Workers with runs that did not answer at least two polls in a row.
     std::set<std::string> silentWorkers() const;
-    /// Extends no lease on these workers either.
+    /// Extends no lease on these workers, in addition to those withheld already.
     void withholdLeases(const std::set<std::string> &silent);
-    /// Extends leases on all but these workers.
+    /// Extends no lease on these workers, and leases on all others again.
     void withholdLeasesOnly(std::set<std::string> silent) { this->withheld = std::move(silent); }
     bool withholdsLeases() const { return !this->withheld.empty(); }
     void openSessions(TimePoint now);
@@ -270,6 +270,7 @@
 
     bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
     bool mayBeRenewedByOthers(const std::string &worker) const;
+
     static RunKey keyOf(const Tasks::RunRef &ref);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
--- a/UnitTests/Coordination/FailoverTest.cpp
+++ b/UnitTests/Coordination/FailoverTest.cpp
@@ -42,6 +42,15 @@
         return {};
     }
 
+    /// Starts a job of one task once the leader's term is settled. Returns the task's worker.
+    std::string startTaskInASettledTerm(const std::string &payload)
+    {
+        this->cluster.run(seconds(7));
+        this->accept(1, jobBody(payload, 1, 8));
+        this->cluster.run(milliseconds(500));
+        return this->busyWorker();
+    }
+
     /// The worker of the newest assignment by the instance.
     std::string assignedWorker(const std::string &instance) const
     {
@@ -212,10 +221,7 @@
 // time of a leader whose process is known to be gone.
 TEST_F(Failover, TaskOfAWorkerLostWithTheLeaderWaitsForItsOwnLeaseOnly)
 {
-    this->cluster.run(seconds(7));
-    this->accept(1, jobBody("3000", 1, 8));
-    this->cluster.run(milliseconds(500));
-    const std::string worker = this->busyWorker();
+    const std::string worker = this->startTaskInASettledTerm("3000");
     this->cluster.workers.kill(worker);
     this->cluster.removeWorkerEntry(worker);
     const std::string former = this->cluster.leader();
@@ -231,10 +237,7 @@
 // Guards against the same if the leader's machine is lost, after it has noticed the silence.
 TEST_F(Failover, TaskOfAWorkerThatTheLostLeaderFoundSilentWaitsForOneLeaseOnly)
 {
-    this->cluster.run(seconds(7));
-    this->accept(1, jobBody("3000", 1, 8));
-    this->cluster.run(milliseconds(500));
-    const std::string worker = this->busyWorker();
+    const std::string worker = this->startTaskInASettledTerm("3000");
     this->cluster.workers.kill(worker);
     this->cluster.removeWorkerEntry(worker);
     this->cluster.run(milliseconds(3500));
@@ -247,10 +250,7 @@
 // renews on a worker that it had found silent.
 TEST_F(Failover, FormerLeaderRenewsNoLeaseOnAWorkerThatItRecordedAsSilent)
 {
-    this->cluster.run(seconds(7));
-    this->accept(1, jobBody("60000", 1, 8));
-    this->cluster.run(milliseconds(500));
-    const std::string worker = this->busyWorker();
+    const std::string worker = this->startTaskInASettledTerm("60000");
     const std::string former = this->cluster.leader();
     for (const auto &[name, instance] : this->cluster.instances)
         this->cluster.workers.unreachableWorkers[name] = {worker};
@@ -279,10 +279,7 @@
 // from the store and from the leaders after it.
 TEST_F(Failover, TaskIsNotReplacedWhileALeaderBeforeTheLastOneRenewsItsLease)
 {
-    this->cluster.run(seconds(7));
-    this->accept(1, jobBody("60000", 1, 8));
-    this->cluster.run(milliseconds(500));
-    const std::string worker = this->busyWorker();
+    const std::string worker = this->startTaskInASettledTerm("60000");
     const std::string first = this->cluster.leader();
     for (const auto &[name, instance] : this->cluster.instances) {
         if (name != first)
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -79,6 +79,7 @@
     this->cluster.run(seconds(3));
     ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
     std::vector<Tasks::WorkerEntry> entries;
+    entries.reserve(4);
     for (int i = 0; i < 4; i++)
         entries.push_back(this->cluster.workers.restart("worker-" + std::to_string(i)));
     this->accept(2, jobBody("5000", 2, 8));
