--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -3,6 +3,7 @@
 #include <Tasks/RackWait.h>
 #include <Tasks/StartPlanner.h>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
--- /dev/null
+++ b/Tasks/PlanPassPlacement.cpp
@@ -0,0 +1,194 @@
+#include <Tasks/PlanPass.h>
+
+#include <algorithm>
+#include <limits>
+
+// Where PlanPass places tasks: which workers a request may use, and which of them suits it best.
+namespace Hibiscus::Tasks {
+
+namespace {
+
+bool hasLabel(const WorkerView &worker, std::string_view label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+} // namespace
+
+bool PlanPass::isEligible(const StartRequest &request, std::size_t number) const
+{
+    const WorkerView &worker = this->workers[number];
+    if (!worker.usable || worker.service != request.service)
+        return false;
+    const bool permitted = !request.permitted
+        || std::binary_search(request.permitted->begin(), request.permitted->end(), number);
+    const std::string &label = request.step->requiredLabel;
+    return permitted && (label.empty() || hasLabel(worker, label));
+}
+
+bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
+{
+    return request.step->allocatedResources().fitsInto(this->capacity.free[worker])
+        && this->isAllowed(request, worker);
+}
+
+bool PlanPass::isBelowWorkerLimit(const StartRequest &request, std::size_t worker,
+                                  const WorkerList &taken)
+{
+    const std::int32_t limit = request.step->maxPerWorker;
+    return limit == 0 || std::count(taken.begin(), taken.end(), worker) < limit;
+}
+
+bool PlanPass::isServiceMostlyIdle(const StartRequest &request) const
+{
+    const auto use = this->acceleratorUse.find(request.service);
+    return use != this->acceleratorUse.end() && 2 * use->second.free > use->second.all;
+}
+
+bool PlanPass::isRackWaitOver(const StartRequest &request) const
+{
+    return this->rackWait.isOver(request, this->isServiceMostlyIdle(request), this->now);
+}
+
+bool PlanPass::requiresDataRack(const StartRequest &request) const
+{
+    return !request.step->dataRack.empty() && !this->isRackWaitOver(request);
+}
+
+bool PlanPass::requiresOneRack(const StartRequest &request) const
+{
+    return request.step->gang && request.step->sameRack && !this->isRackWaitOver(request)
+        && this->fitsIntoOneEmptyRack(request);
+}
+
+bool PlanPass::isAllowed(const StartRequest &request, std::size_t worker) const
+{
+    return this->isEligible(request, worker)
+        && (!this->requiresDataRack(request)
+            || hasLabel(this->workers[worker], request.step->dataRack));
+}
+
+/// Whether an earlier request of the pass with at most the same demand and the same eligible
+/// workers found no room. Free capacity only shrinks during a pass, so this request finds none
+/// either.
+bool PlanPass::isKnownNotToFit(const StartRequest &request) const
+{
+    const auto failedWithLessDemand = [&request](const StartRequest *failed) {
+        return failed->service == request.service
+            && failed->step->requiredLabel == request.step->requiredLabel
+            && failed->step->allocatedResources().fitsInto(request.step->allocatedResources());
+    };
+    const auto isAmong = [&failedWithLessDemand](const RequestList &failed) {
+        return std::any_of(failed.begin(), failed.end(), failedWithLessDemand);
+    };
+    return isAmong(this->unplaced)
+        || (!this->mayUseEmptyWorker(request) && isAmong(this->unplacedOnUsedWorkers));
+}
+
+void PlanPass::recordUnplaced(const StartRequest &request)
+{
+    const bool failedForRoomOnly
+        = request.step->maxPerWorker == 0 && !request.permitted && !this->requiresDataRack(request);
+    if (!failedForRoomOnly || this->isKnownNotToFit(request))
+        return;
+    const bool triedAll = this->mayUseEmptyWorker(request);
+    (triedAll ? this->unplaced : this->unplacedOnUsedWorkers).push_back(&request);
+}
+
+/// Capacity that the worker has left after the task is placed, in cores, plus a penalty if the
+/// worker is outside the rack of the task's data. The worker with the lowest cost is chosen.
+double PlanPass::placementCost(const StartRequest &request, std::size_t worker) const
+{
+    Resources left = this->capacity.free[worker];
+    left -= request.step->allocatedResources();
+    const bool offRack = !request.step->dataRack.empty()
+        && !hasLabel(this->workers[worker], request.step->dataRack);
+    constexpr double offRackCost = 1e6;
+    // Accelerators are the scarce resource, so they have the higher weight. Preferring the fuller
+    // worker keeps other workers empty.
+    return static_cast<double>(left.accelerators) * coresPerAccelerator
+        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0);
+}
+
+std::optional<std::size_t> PlanPass::bestWorker(const StartRequest &request,
+                                                std::span<const std::size_t> candidates,
+                                                const WorkerList &taken) const
+{
+    if (this->isKnownNotToFit(request))
+        return std::nullopt;
+    std::optional<std::size_t> best;
+    double lowestCost = std::numeric_limits<double>::infinity();
+    const bool mayUseEmpty = this->mayUseEmptyWorker(request);
+    for (const std::size_t worker : candidates) {
+        if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmpty(worker)))
+            continue;
+        if (!isBelowWorkerLimit(request, worker, taken))
+            continue;
+        const double cost = this->placementCost(request, worker);
+        if (cost < lowestCost) {
+            lowestCost = cost;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+std::optional<PlanPass::WorkerList> PlanPass::placeAllTasks(const StartRequest &request,
+                                                            std::span<const std::size_t> candidates)
+{
+    const std::vector<Resources> before = this->capacity.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
+    WorkerList chosen;
+    for (std::size_t i = 0; i < request.indexes.size(); i++) {
+        const std::optional<std::size_t> worker = this->bestWorker(request, candidates, chosen);
+        if (!worker) {
+            this->capacity.free = before;
+            this->emptyWorkers = emptyBefore;
+            return std::nullopt;
+        }
+        this->placeTask(request, *worker);
+        chosen.push_back(*worker);
+    }
+    return chosen;
+}
+
+std::size_t PlanPass::tasksThatFit(const StartRequest &request, Resources room)
+{
+    const Step &step = *request.step;
+    const std::int32_t limit = step.maxPerWorker > 0 ? step.maxPerWorker : step.count;
+    std::size_t tasks = 0;
+    while (tasks < static_cast<std::size_t>(limit) && step.allocatedResources().fitsInto(room)) {
+        room -= step.allocatedResources();
+        tasks++;
+    }
+    return tasks;
+}
+
+bool PlanPass::fitsIntoOneEmptyRack(const StartRequest &request) const
+{
+    for (const auto &[rack, members] : this->racks) {
+        std::size_t tasks = 0;
+        for (const std::size_t worker : members) {
+            if (this->isEligible(request, worker))
+                tasks += tasksThatFit(request, this->workers[worker].capacity());
+        }
+        if (tasks >= request.indexes.size())
+            return true;
+    }
+    return false;
+}
+
+std::optional<PlanPass::WorkerList> PlanPass::placeGang(const StartRequest &request)
+{
+    if (!request.step->sameRack)
+        return this->placeAllTasks(request, this->allWorkers);
+    for (const auto &[rack, members] : this->racks) {
+        if (std::optional<WorkerList> chosen = this->placeAllTasks(request, members))
+            return chosen;
+    }
+    if (this->requiresOneRack(request))
+        return std::nullopt;
+    return this->placeAllTasks(request, this->allWorkers);
+}
+
+} // namespace Hibiscus::Tasks
--- /dev/null
+++ b/Tasks/PlanPassReservations.cpp
@@ -0,0 +1,151 @@
+#include <Tasks/PlanPass.h>
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+// How requests of PlanPass wait: room that becomes free is reserved for those that need much of it.
+namespace Hibiscus::Tasks {
+
+namespace {
+
+/// Time of an event that is not expected to happen, such as the end of a perpetual task.
+constexpr UnixMs never = std::numeric_limits<UnixMs>::max();
+
+} // namespace
+
+const PlanPass::OccupantOrders &PlanPass::occupantOrdersOf(std::size_t number) const
+{
+    OccupantOrders &known = this->orders[number];
+    if (known.sorted)
+        return known;
+    known.sorted = true;
+    const std::vector<OccupantView> &occupants = this->workers[number].occupants;
+    known.byEnd.resize(occupants.size());
+    std::iota(known.byEnd.begin(), known.byEnd.end(), std::size_t{0});
+    known.byCost = known.byEnd;
+    const auto endsEarlier = [&occupants](std::size_t left, std::size_t right) {
+        return occupants[left].expectedEnd < occupants[right].expectedEnd;
+    };
+    const auto isCheaperVictim = [&occupants](std::size_t left, std::size_t right) {
+        const OccupantView &a = occupants[left];
+        const OccupantView &b = occupants[right];
+        return a.priority != b.priority ? a.priority > b.priority
+                                        : a.preemptionCost < b.preemptionCost;
+    };
+    std::stable_sort(known.byEnd.begin(), known.byEnd.end(), endsEarlier);
+    std::stable_sort(known.byCost.begin(), known.byCost.end(), isCheaperVictim);
+    return known;
+}
+
+UnixMs PlanPass::roomAvailableAt(const StartRequest &request, std::size_t number) const
+{
+    const WorkerView &worker = this->workers[number];
+    Resources room = this->capacity.free[number];
+    UnixMs at = this->now;
+    for (const std::size_t place : this->occupantOrdersOf(number).byEnd) {
+        if (request.step->allocatedResources().fitsInto(room))
+            return at;
+        const OccupantView &occupant = worker.occupants[place];
+        room += occupant.need;
+        at = std::max(at, occupant.stopping ? this->now : occupant.expectedEnd);
+    }
+    return request.step->allocatedResources().fitsInto(room) ? at : never;
+}
+
+std::optional<std::size_t> PlanPass::earliestWorker(const StartRequest &request,
+                                                    std::span<const std::size_t> candidates,
+                                                    const WorkerList &taken) const
+{
+    std::optional<std::size_t> best;
+    UnixMs earliest = never;
+    for (const std::size_t worker : candidates) {
+        if (!this->isAllowed(request, worker) || !isBelowWorkerLimit(request, worker, taken))
+            continue;
+        const UnixMs at = this->roomAvailableAt(request, worker);
+        if (at < earliest) {
+            earliest = at;
+            best = worker;
+        }
+    }
+    return best;
+}
+
+UnixMs PlanPass::reserveRoomOn(const StartRequest &request, std::size_t tasks,
+                               std::span<const std::size_t> candidates)
+{
+    WorkerList taken = request.assignedWorkers;
+    UnixMs latest = this->now;
+    for (std::size_t i = 0; i < tasks; i++) {
+        const std::optional<std::size_t> worker = this->earliestWorker(request, candidates, taken);
+        if (!worker)
+            return never;
+        latest = std::max(latest, this->roomAvailableAt(request, *worker));
+        this->capacity.free[*worker] -= request.step->allocatedResources();
+        taken.push_back(*worker);
+    }
+    return latest;
+}
+
+/// Whether all of the request's tasks together get room once the occupants that are expected to end
+/// have ended. The present workers may be too few for the whole gang, or other reservations or
+/// perpetual tasks may hold what it needs.
+bool PlanPass::getsRoomForAllTasks(const StartRequest &request) const
+{
+    std::size_t tasks = 0;
+    for (const std::size_t worker : this->allWorkers) {
+        if (this->isAllowed(request, worker))
+            tasks += tasksThatFit(request, this->roomInTime(worker));
+        if (tasks >= request.indexes.size())
+            return true;
+    }
+    return false;
+}
+
+Resources PlanPass::roomInTime(std::size_t number) const
+{
+    Resources room = this->capacity.free[number];
+    for (const OccupantView &occupant : this->workers[number].occupants) {
+        if (occupant.stopping || occupant.expectedEnd < never)
+            room += occupant.need;
+    }
+    return room;
+}
+
+void PlanPass::reserveRoomInOneRack(const StartRequest &request)
+{
+    const Capacity before = this->capacity;
+    Capacity best = before;
+    UnixMs earliest = never;
+    for (const auto &[rack, members] : this->racks) {
+        const UnixMs at = this->reserveRoomOn(request, request.indexes.size(), members);
+        if (at < earliest) {
+            earliest = at;
+            best = this->capacity;
+        }
+        this->capacity = before;
+    }
+    this->capacity = best;
+}
+
+/// Reserves the room that becomes free first, so that requests of lower rank can't take it. Without
+/// reservations a stream of small tasks would starve a large one.
+void PlanPass::reserveRoom(const StartRequest &request, std::size_t tasks)
+{
+    constexpr int firstRankWithoutReservation = 5;
+    const bool reserves = StartPlanner::rankOf(request, this->now) < firstRankWithoutReservation;
+    const std::size_t left = this->settings.maxReservations - this->reservations;
+    if (!reserves || left == 0)
+        return;
+    // A part of a gang can't start, so room for a part would stay unused.
+    if (request.step->gang && !this->getsRoomForAllTasks(request))
+        return;
+    const std::size_t kept = std::min(tasks, left);
+    this->reservations += kept;
+    if (this->requiresOneRack(request))
+        this->reserveRoomInOneRack(request);
+    else
+        this->reserveRoomOn(request, kept, this->allWorkers);
+}
+
+} // namespace Hibiscus::Tasks
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -5,6 +5,14 @@
 
 namespace Hibiscus::Tasks {
 
+Resources WorkerView::capacity() const
+{
+    Resources all = this->free;
+    for (const OccupantView &occupant : this->occupants)
+        all += occupant.need;
+    return all;
+}
+
 bool isLate(const StartRequest &request, UnixMs now)
 {
     if (request.step->perpetual)
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -30,7 +30,14 @@
     std::span<const std::string> labels;
     Resources free;
     bool usable = false; ///< May start new tasks.
+    /// Ratio of the worker's run times to those of the service's typical worker.
+    double slowness = 1.0;
+    /// Probability that a run which is started now ends with a failure of the worker.
+    double failureRisk = 0.0;
     std::vector<OccupantView> occupants;
+
+    /// All resources of the worker, also those in use.
+    Resources capacity() const;
 };
 
 /// Request to start the waiting tasks of one step of one occurrence of a job.
