Evacuate data centres on an operator's request

Change: the leader mirrors the requests (EvacuationWatch) where the settings bound an evacuation; workers of such a data centre are not usable, a stored assignment that was not sent is given up with its gang, start orders are not repeated, and nothing starts while the requests are not known freshly enough. A watch asks at once after an outage.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -151,6 +151,7 @@
         view.free = worker.entry.capacity;
         view.free -= worker.used;
         view.usable = this->fleet.isUsable(worker, now);
+        view.evacuated = this->fleet.isEvacuated(worker);
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Coordination/PrefixWatch.cpp
+++ b/Coordination/PrefixWatch.cpp
@@ -34,6 +34,16 @@
     this->fresh.reset();
 }
 
+void PrefixWatch::refresh(TimePoint now)
+{
+    this->generation++;
+    this->reachable = false;
+    if (this->fresh)
+        this->watchNext(now);
+    else
+        this->listPage({}, now);
+}
+
 void PrefixWatch::listPage(const std::string &after, TimePoint now)
 {
     if (after.empty()) {
@@ -92,7 +102,9 @@
         if (generation == this->generation)
             this->handleWatchAnswer(answer, now, answeredAt);
     };
-    this->store.watch(this->settings.prefix, this->revision, this->settings.wait, answerHandler);
+    // After an outage the answer comes at once, so that what is known is soon fresh again.
+    const Duration wait = this->reachable ? this->settings.wait : Duration{};
+    this->store.watch(this->settings.prefix, this->revision, wait, answerHandler);
 }
 
 void PrefixWatch::handleWatchAnswer(const StoreAnswer &answer, TimePoint sentAt, TimePoint now)
--- a/Coordination/PrefixWatch.h
+++ b/Coordination/PrefixWatch.h
@@ -40,6 +40,9 @@
 
     void start(TimePoint now);
     void stop();
+    /// Asks the store at once, also while a call is in flight: it may have been sent during an
+    /// outage and never be answered.
+    void refresh(TimePoint now);
 
     /// All changes that the store acknowledged before this time have been reported.
     std::optional<TimePoint> freshAt() const { return this->fresh; }
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -72,6 +72,10 @@
                this->beginWhenLoaded(now);
            },
            [](bool, TimePoint) {}})
+    , evacuations(
+          store, timers, logger, settings.evacuations,
+          [this](TimePoint now) { this->evacuationsChanged(now); },
+          [this](TimePoint now) { this->beginWhenLoaded(now); })
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
     , inputs(jobs, fleet, runTimes, permits, std::move(guarantees), settings.inputs)
@@ -85,6 +89,20 @@
     return leading;
 }
 
+bool TaskDispatcher::mayStart(TimePoint now)
+{
+    return this->isLeading(now) && this->evacuations.isCurrent(now);
+}
+
+/// Runs in an evacuated data centre go on: stopping them would throw work away, and nothing asks
+/// for it. Its workers count as unusable from now on, so that plans, reservations and claims leave
+/// them alone.
+void TaskDispatcher::evacuationsChanged(TimePoint)
+{
+    this->fleet.setEvacuated(this->evacuations.dataCenters());
+    this->schedulePlan();
+}
+
 void TaskDispatcher::elected(const LeaderElection::Term &term, TimePoint now)
 {
     this->generation++;
@@ -109,6 +127,7 @@
     this->writer.begin(term.token);
     this->jobWatch.start(now);
     this->workerWatch.start(now);
+    this->evacuations.start(now);
     this->listProgress({});
     this->readSilence();
 }
@@ -120,6 +139,7 @@
     this->writer.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
+    this->evacuations.stop();
 }
 
 void TaskDispatcher::termConfirmed(TimePoint now)
@@ -127,6 +147,7 @@
     if (this->phase != Phase::Leading)
         return;
     this->fleet.resumePolls(now);
+    this->evacuations.refresh(now);
     this->plan(now);
 }
 
@@ -193,8 +214,8 @@
 
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
-    const bool loaded
-        = this->jobsListed && this->workersListed && this->progressComplete && this->silenceRead;
+    const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
+        && this->silenceRead && this->evacuations.isListed();
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Coordination/EvacuationWatch.h>
 #include <Coordination/LeaderElection.h>
 #include <Coordination/PermitCache.h>
 #include <Coordination/PlanInputs.h>
@@ -43,6 +44,7 @@
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
+        EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
     };
 
@@ -114,6 +116,9 @@
     void silenceEnded(TimePoint now) override;
 
     bool isLeading(TimePoint now);
+    /// Whether start orders may be sent: leads, and knows which data centres are evacuated.
+    bool mayStart(TimePoint now);
+    void evacuationsChanged(TimePoint now);
     void listProgress(const std::string &after);
     void handleProgressPage(const Tasks::StoreAnswer &answer);
     void readSilence();
@@ -148,6 +153,9 @@
     /// Starts the run, or keeps the order for later while the leader's lease is in doubt.
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
     void preempt(const Tasks::RunRef &run, TimePoint now);
+    /// Stops the run and the other members of its gang.
+    void stopGang(const TrackedJob &job, const Tasks::RunRef &run, const char *event,
+                  TimePoint now);
 
     void scheduleTick();
     void tick(TimePoint now);
@@ -170,6 +178,7 @@
     RecordWriter writer;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
+    EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
     PermitCache permits;
     PlanInputs inputs;
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -51,6 +51,8 @@
     if (!this->isLeading(now))
         return;
     this->carryOutKeptOrders(now);
+    if (!this->evacuations.isCurrent(now))
+        return;
     const Tasks::UnixMs wall = this->wallClock.nowMs();
     if (!this->inputs.collect(wall, now))
         return;
@@ -110,7 +112,7 @@
     TrackedJob *job = this->jobs.find(run.job);
     if (!job || this->phase != Phase::Leading)
         return;
-    if (!this->isLeading(now)) {
+    if (!this->mayStart(now)) {
         this->keptOrders.push_back({run, worker});
         return;
     }
@@ -118,21 +120,29 @@
         this->stopRuns({&run, 1}, now);
         return;
     }
+    if (this->fleet.isEvacuated(worker)) {
+        this->stopGang(*job, run, "run given up in an evacuated data centre", now);
+        return;
+    }
     this->fleet.start(worker, run, now);
 }
 
 void TaskDispatcher::preempt(const RunRef &run, TimePoint now)
 {
-    TrackedJob *job = this->jobs.find(run.job);
-    if (!job)
-        return;
+    if (const TrackedJob *job = this->jobs.find(run.job))
+        this->stopGang(*job, run, "run gives way to urgent work", now);
+}
+
+void TaskDispatcher::stopGang(const TrackedJob &job, const RunRef &run, const char *event,
+                              TimePoint now)
+{
     std::vector<RunRef> runs;
-    for (const TaskRef &member : job->gangMembers(run.task)) {
-        const TaskProgress &task = job->progress.task(member);
+    for (const TaskRef &member : job.gangMembers(run.task)) {
+        const TaskProgress &task = job.progress.task(member);
         if (task.isOnWorker())
             runs.push_back({run.job, member, task.run});
     }
-    this->logger.logEvent(LogKind::Task, "run gives way to urgent work",
+    this->logger.logEvent(LogKind::Task, event,
                           {{"request", run.job},
                            {"task", Tasks::textOf(run.task)},
                            {"run", run.run},
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -37,6 +37,7 @@
     this->formersEnded = haveFormersEnded;
     this->silentBefore.clear();
     this->withheld.clear();
+    this->evacuated.clear();
 }
 
 std::set<std::string> WorkerFleet::silentWorkers() const
@@ -128,6 +129,12 @@
                                                                              : &run->second;
 }
 
+bool WorkerFleet::isEvacuated(std::string_view id) const
+{
+    const auto found = this->workers.find(id);
+    return found != this->workers.end() && this->isEvacuated(found->second);
+}
+
 bool WorkerFleet::Worker::isMixed() const
 {
     const auto serves = [](const auto &entry) { return entry.second.responseTarget > Duration{}; };
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -253,8 +253,18 @@
     bool isUsable(const Worker &worker, TimePoint now) const
     {
         return worker.isUsable(now) && !this->isWithheld(worker.entry.id)
-            && !this->reach.isOutOfReach(worker.entry.dataCenter);
+            && !this->reach.isOutOfReach(worker.entry.dataCenter) && !this->isEvacuated(worker);
     }
+    /// Starts nothing on the workers of these data centres.
+    void setEvacuated(std::set<std::string, std::less<>> dataCenters)
+    {
+        this->evacuated = std::move(dataCenters);
+    }
+    bool isEvacuated(const Worker &worker) const
+    {
+        return this->evacuated.contains(worker.entry.dataCenter);
+    }
+    bool isEvacuated(std::string_view worker) const;
     /// Longest time since the last answer among workers with runs; empty if no worker has runs.
     std::optional<Duration> oldestAnswerAge(TimePoint now) const;
     const Run *find(std::string_view worker, const Tasks::RunRef &ref) const;
@@ -350,6 +360,7 @@
     std::set<std::string> withheld; ///< Workers on which this leader extends no lease.
     std::map<std::string, Worker, std::less<>> workers;
     DataCenterReach reach;
+    std::set<std::string, std::less<>> evacuated; ///< Data centres; see setEvacuated.
     std::set<std::string> probedDataCenters; ///< Have a timer for their next probe.
     std::multiset<RunKey> revocations; ///< Tasks of the runs with `isRevocation`.
 };
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -188,7 +188,7 @@
 bool WorkerFleet::mayRetryStart(const Worker &worker, TimePoint now) const
 {
     return worker.hasSession && this->hasAuthority(now) && !this->isWithheld(worker.entry.id)
-        && !this->reach.isOutOfReach(worker.entry.dataCenter);
+        && !this->reach.isOutOfReach(worker.entry.dataCenter) && !this->isEvacuated(worker);
 }
 
 /// A connection that is refused or reset fails at once. All attempts would be used up within a few
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -93,6 +93,10 @@
     settings.statusRetention = site.statusRetention;
     settings.planner.remoteDataFactor = site.remoteDataFactor;
     settings.fleet.maxLeaseDuration = site.maxWorkerLease;
+    if (site.evacuationBound > Duration{}) {
+        settings.evacuations.prefix = Platform::evacuationPrefix;
+        settings.evacuations.maxAge = site.evacuationBound * 3 / 5;
+    }
     return settings;
 }
 
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -51,6 +51,11 @@
     std::iota(this->allWorkers.begin(), this->allWorkers.end(), std::size_t{0});
     for (const std::size_t worker : this->allWorkers)
         this->racks[rackOf(this->workers[worker])].push_back(worker);
+    const auto isEvacuated = [this](std::size_t worker) { return this->workers[worker].evacuated; };
+    for (const auto &[rack, members] : this->racks) {
+        if (std::all_of(members.begin(), members.end(), isEvacuated))
+            this->evacuatedRacks.insert(rack);
+    }
 }
 
 void PlanPass::countWorkers()
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -142,6 +143,7 @@
     /// Number of empty workers that only urgent work may take, by service.
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
     std::map<std::string_view, std::vector<std::size_t>> racks;
+    std::set<std::string_view> evacuatedRacks; ///< All of their workers are evacuated.
     std::size_t reservations = 0;
     StartPlan plan;
 };
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -52,7 +52,8 @@
 
 bool PlanPass::requiresDataRack(const StartRequest &request) const
 {
-    return !request.step->dataRack.empty() && !this->isRackWaitOver(request);
+    const std::string &rack = request.step->dataRack;
+    return !rack.empty() && !this->evacuatedRacks.contains(rack) && !this->isRackWaitOver(request);
 }
 
 bool PlanPass::requiresOneRack(const StartRequest &request) const
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -23,6 +23,8 @@
     Duration maxWorkerLease = seconds(6); ///< Longest lease that a worker grants to its tasks.
     Duration stopGracePeriod = seconds(6); ///< Between the termination signal and the kill.
     Duration maxRevocationDelay = seconds(5); ///< Until a revoked API key must be rejected.
+    /// Until nothing starts in an evacuated data centre any more; zero: none is ever evacuated.
+    Duration evacuationBound{};
     Duration statusRetention = seconds(120); ///< How long an ended job's state stays readable.
     /// Ratio of a task's run time outside the rack of its data to its run time inside.
     double remoteDataFactor = 3.0;
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -30,6 +30,8 @@
     std::span<const std::string> labels;
     Resources free;
     bool usable = false; ///< May start new tasks.
+    /// Its data centre is evacuated, so it stays unusable for long.
+    bool evacuated = false;
     /// Ratio of the worker's run times to those of the service's typical worker.
     double slowness = 1.0;
     /// Probability that a run which is started now ends with a failure of the worker.
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -11,6 +11,7 @@
 
 constexpr const char *configurationKey = "operator/configuration";
 constexpr const char *registryPrefix = "registry/";
+constexpr const char *evacuationPrefix = "operator/evacuate/";
 constexpr Duration clientTimeout = seconds(3);
 
 // Configuration, submissions and registry entries use simple formats of these tests. The platform's
@@ -195,6 +196,7 @@
                                  [this](TimePoint now) { this->dispatcher->termConfirmed(now); }});
     TaskDispatcher::Settings dispatcherSettings;
     dispatcherSettings.workerRegistry = registryPrefix;
+    dispatcherSettings.evacuations.prefix = evacuationPrefix;
     this->dispatcher = std::make_unique<TaskDispatcher>(
         *this->store, *this->link, *this->timers, clock, this->logger, *this->election, placement,
         dispatcherSettings, decodeEntry, [this](std::string_view customer) {
@@ -246,6 +248,18 @@
     this->store.remove(registryPrefix + id);
 }
 
+void Cluster::evacuate(const std::string &dataCenter)
+{
+    this->store.put(evacuationPrefix + dataCenter, "{}");
+    this->workers.evacuatedAt[dataCenter] = this->clock.now();
+}
+
+void Cluster::takeBack(const std::string &dataCenter)
+{
+    this->store.remove(evacuationPrefix + dataCenter);
+    this->workers.evacuatedAt.erase(dataCenter);
+}
+
 void Cluster::setKeys(const std::vector<std::string> &keys)
 {
     this->configurationVersion++;
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -99,6 +99,9 @@
     void putWorker(const Tasks::WorkerEntry &entry);
     /// Removes the worker's registry entry, as when its heartbeats don't reach the store.
     void removeWorkerEntry(const std::string &id);
+    /// Asks for the evacuation of a data centre, or takes the request back.
+    void evacuate(const std::string &dataCenter);
+    void takeBack(const std::string &dataCenter);
     void setKeys(const std::vector<std::string> &keys);
 
     /// Returns the reply, or nothing if none arrives within the client's timeout of three seconds.
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -191,6 +191,11 @@
     if (cancel != this->cancelledAt.end()
         && this->clock.now() > cancel->second + this->cancellationBound)
         this->violations.push_back(describe(run) + " starts after its job was cancelled");
+    const auto evacuation = this->evacuatedAt.find(this->machines[id].entry.dataCenter);
+    // An order that the worker itself delayed may have been sent before the evacuation.
+    if (evacuation != this->evacuatedAt.end() && !this->delayedWorkers.contains(id)
+        && this->clock.now() > evacuation->second + this->evacuationBound)
+        this->violations.push_back(describe(run) + " starts in an evacuated data centre");
 }
 
 WorkerAnswer FakeWorkers::start(const std::string &id, const Tasks::StartOrder &order)
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -72,6 +72,10 @@
     /// Longest time after the acknowledgement of a cancellation for which tasks of the job may
     /// still start.
     Duration cancellationBound = seconds(3);
+    /// When the evacuation of a data centre was acknowledged, until it is taken back.
+    std::map<std::string, TimePoint> evacuatedAt;
+    /// Longest time after that for which tasks may still start there.
+    Duration evacuationBound = seconds(5);
     /// Returns whether a start order that needs a permit is accepted.
     std::function<bool(const std::string &worker, const Tasks::StartOrder &)> permitCheck;
     /// Response time in ms of a latency-sensitive task without best-effort tasks on its worker.
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -455,6 +455,20 @@
     EXPECT_EQ(first.preemptions, second.preemptions);
 }
 
+// Load: a data centre is evacuated while work arrives whose data lies there.
+TEST_F(StartPlannerTest, TaskDoesNotWaitForTheRackOfItsDataInAnEvacuatedDataCentre)
+{
+    this->addWorkers(4);
+    this->views[2].usable = this->views[3].usable = false;
+    this->views[2].evacuated = this->views[3].evacuated = true;
+    this->request(1, 1, 8);
+    this->stepOf(0).dataRack = "rack-1";
+    EXPECT_EQ(startsOf(this->plan(), 0), 1U);
+    // Workers that are unusable for another reason may be back in a moment.
+    this->views[2].evacuated = false;
+    EXPECT_EQ(startsOf(this->plan(), 0), 0U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Tasks
