Check a configuration of hibiscus-node before it is sent

Cause: the operators ask for a check of errors, entries that never match, limits that contradict each other, and the differences from the version in force; a version with a shadowed queue or a shared key was taken without a word.

--- a/Hibiscusctl/Command.h
+++ b/Hibiscusctl/Command.h
@@ -28,6 +28,7 @@
     Drain,
     Key,
     Explain,
+    CheckConfiguration,
 };
 
 /// Exit codes of `hibiscusctl`, which are part of its interface.
@@ -46,6 +47,8 @@
     CommandKind kind = CommandKind::Help;
     std::string argument; ///< A request id, a file or a name, depending on `kind`.
     std::vector<std::string> logFiles; ///< Log files to read, for Explain.
+    std::string
+        inForceFile; ///< Configuration to compare with, for CheckConfiguration; may be empty.
     std::string host;
     std::uint16_t port = 0;
     std::string key; ///< "name.secret"
--- a/Hibiscusctl/CommandLine.cpp
+++ b/Hibiscusctl/CommandLine.cpp
@@ -29,6 +29,7 @@
 Commands that make no call to an instance:
   key NAME             Print a new secret and its stored form
   explain ID FILE...   Show the events of one request in instances' log files
+  check FILE [OLD]     Check a configuration of hibiscus-node, and compare it with the one in force
 )";
 
 constexpr std::string_view exitCodes = R"(
@@ -65,6 +66,7 @@
     CommandWords{"drain", "", CommandKind::Drain, false},
     CommandWords{"key", "", CommandKind::Key, true},
     CommandWords{"explain", "", CommandKind::Explain, true},
+    CommandWords{"check", "", CommandKind::CheckConfiguration, true},
 };
 
 using Words = std::vector<std::string>;
@@ -190,6 +192,18 @@
     command.logFiles.assign(words.begin() + 2, words.end());
 }
 
+void readCheck(const Words &words, Command &command, Findings &findings)
+{
+    constexpr std::size_t mostWords = 3;
+    if (words.size() < 2 || words.size() > mostWords) {
+        findings.add("check", "needs one file, or two to compare; see --help");
+        return;
+    }
+    command.argument = words[1];
+    if (words.size() == mostWords)
+        command.inForceFile = words[2];
+}
+
 void readWords(const Words &words, Command &command, Findings &findings)
 {
     const CommandWords *entry = findCommand(words);
@@ -202,6 +216,10 @@
         readExplain(words, command, findings);
         return;
     }
+    if (entry->kind == CommandKind::CheckConfiguration) {
+        readCheck(words, command, findings);
+        return;
+    }
     const std::size_t named = entry->second.empty() ? 1 : 2;
     const std::size_t expected = named + (entry->takesArgument ? 1 : 0);
     if (words.size() > expected)
@@ -215,8 +233,9 @@
 // Ids and names become parts of paths and keys, so they are checked; file names may be arbitrary.
 void checkArgument(const Command &command, Findings &findings)
 {
-    const bool isFile
-        = command.kind == CommandKind::CustomerPut || command.kind == CommandKind::PresetPut;
+    const bool isFile = command.kind == CommandKind::CustomerPut
+        || command.kind == CommandKind::PresetPut
+        || command.kind == CommandKind::CheckConfiguration;
     if (!isFile && !command.argument.empty())
         checkName(command.argument, command.argument, findings);
 }
@@ -294,7 +313,8 @@
         readSubmit(reader, command);
     if (command.kind == CommandKind::Key)
         readRole(reader, command);
-    else if (command.kind != CommandKind::Explain)
+    else if (command.kind != CommandKind::Explain
+             && command.kind != CommandKind::CheckConfiguration)
         readConnection(reader, environmentKey, command);
     readChange(reader, command);
     if (!reader.findings.isEmpty())
--- a/Hibiscusctl/main.cpp
+++ b/Hibiscusctl/main.cpp
@@ -1,6 +1,7 @@
 #include <Config/Authenticator.h>
 #include <Hibiscusctl/ApiClient.h>
 #include <Hibiscusctl/ApiRequest.h>
+#include <Hibiscusctl/CheckReport.h>
 #include <Hibiscusctl/CommandLine.h>
 #include <Hibiscusctl/Explain.h>
 #include <Hibiscusctl/Outcome.h>
@@ -108,6 +109,21 @@
     return ExitCode::Success;
 }
 
+ExitCode checkConfiguration(const Command &command)
+{
+    const auto text = readFile(command.argument);
+    if (!text)
+        return reportUsageError(text.error());
+    tl::expected<std::string, Findings> inForce;
+    if (!command.inForceFile.empty())
+        inForce = readFile(command.inForceFile);
+    if (!inForce)
+        return reportUsageError(inForce.error());
+    const CheckReport report = checkConfigurationText(*text, *inForce);
+    std::cout << renderReport(report, command.json);
+    return report.isSound() ? ExitCode::Success : ExitCode::Refused;
+}
+
 ExitCode run(const Command &command)
 {
     switch (command.kind) {
@@ -121,6 +137,8 @@
         return printKey(command);
     case CommandKind::Explain:
         return explain(command);
+    case CommandKind::CheckConfiguration:
+        return checkConfiguration(command);
     default:
         return callInstance(command);
     }
--- a/Tasks/SystemConfiguration.h
+++ b/Tasks/SystemConfiguration.h
@@ -48,6 +48,7 @@
     std::int64_t revision = 0; ///< Revision of the store's key that holds the configuration.
     std::vector<Queue> queues;
     std::vector<Customer> customers;
+    std::vector<std::string> services; ///< Names of the pools of workers.
     HttpLimits limits;
 };
 
