--- a/UnitTests/Coordination/EvacuationTest.cpp
+++ b/UnitTests/Coordination/EvacuationTest.cpp
@@ -1,39 +1,16 @@
-#include "Cluster.h"
-
-#include <gtest/gtest.h>
+#include "ClusterTest.h"
 
 namespace Hibiscus::Coordination::Test {
 
 namespace {
 
 /// Three instances and two data centres, rack-0 and rack-1, with four workers each.
-class Evacuation : public testing::Test
+class Evacuation : public ClusterTest
 {
 protected:
-    void TearDown() override
-    {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
-        if (!HasFailure())
-            return;
-        for (const auto &[name, instance] : this->cluster.instances) {
-            for (const std::string &event : instance->logger.events)
-                std::cout << name << " " << event << "\n";
-        }
-    }
-
-    void accept(std::uint32_t number, const std::string &body)
-    {
-        // The last instance that does not lead, since the leader's store may be slow.
-        auto last = this->cluster.instances.rbegin();
-        if (last->first == this->cluster.leader())
-            ++last;
-        const std::string &instance = last->first;
-        const std::optional<ClientReply> reply
-            = this->cluster.submit(instance, jobId(number), body);
-        ASSERT_TRUE(reply);
-        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
-    }
+    Evacuation()
+        : ClusterTest(3, 8)
+    {}
 
     std::size_t runningIn(int rack) const
     {
@@ -47,12 +24,11 @@
     void offerWork(Duration span)
     {
         for (Duration passed{}; passed < span; passed += milliseconds(250)) {
-            this->accept(this->nextJob++, jobBody("600", 2, 8));
+            this->acceptAt(this->follower(), this->nextJob++, jobBody("600", 2, 8));
             this->cluster.run(milliseconds(250));
         }
     }
 
-    Cluster cluster{3, 8};
     std::uint32_t nextJob = 100;
 };
 
@@ -60,7 +36,7 @@
 {
     this->cluster.evacuate("rack-0");
     this->cluster.run(seconds(2));
-    this->accept(1, jobBody("3000", 8, 8));
+    this->acceptAt(this->follower(), 1, jobBody("3000", 8, 8));
     this->cluster.run(seconds(2));
     EXPECT_EQ(this->runningIn(0), 0U);
     EXPECT_EQ(this->runningIn(1), 4U);
@@ -73,7 +49,7 @@
 
 TEST_F(Evacuation, RunsThatAreThereGoOn)
 {
-    this->accept(1, jobBody("4000", 8, 8));
+    this->acceptAt(this->follower(), 1, jobBody("4000", 8, 8));
     this->cluster.run(seconds(1));
     ASSERT_EQ(this->runningIn(0), 4U);
     this->cluster.evacuate("rack-0");
@@ -89,7 +65,7 @@
     this->cluster.evacuate("rack-0");
     this->cluster.evacuate("rack-1");
     this->cluster.run(seconds(2));
-    this->accept(1, jobBody("500", 2, 8));
+    this->acceptAt(this->follower(), 1, jobBody("500", 2, 8));
     this->cluster.run(seconds(8));
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 0U);
     this->cluster.takeBack("rack-1");
@@ -104,7 +80,7 @@
     const std::string leader = this->cluster.leader();
     this->cluster.workers.evacuationBound = milliseconds(300);
     this->cluster.store.behaviors[leader] = StoreBehavior::ExecutesCommitsLate;
-    this->accept(1, jobBody("500,gang=4", 4, 8, true));
+    this->acceptAt(this->follower(), 1, jobBody("500,gang=4", 4, 8, true));
     this->cluster.run(milliseconds(60));
     this->cluster.evacuate("rack-0");
     this->cluster.run(seconds(1));
--- a/UnitTests/Coordination/JobKindsTest.cpp
+++ b/UnitTests/Coordination/JobKindsTest.cpp
@@ -1,6 +1,4 @@
-#include "Cluster.h"
-
-#include <gtest/gtest.h>
+#include "ClusterTest.h"
 
 namespace Hibiscus::Coordination::Test {
 
@@ -9,28 +7,12 @@
 using Tasks::JobState;
 
 /// Tests of special kinds of jobs: perpetual, repeated, best-effort and with permits.
-class JobKinds : public testing::Test
+class JobKinds : public ClusterTest
 {
 protected:
-    void TearDown() override
-    {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
-        if (!HasFailure())
-            return;
-        for (const auto &[name, instance] : this->cluster.instances) {
-            for (const std::string &event : instance->logger.events)
-                std::cout << name << " " << event << "\n";
-        }
-    }
-
-    void accept(std::uint32_t number, const std::string &body)
-    {
-        const std::optional<ClientReply> reply
-            = this->cluster.submit("entry-0", jobId(number), body);
-        ASSERT_TRUE(reply);
-        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
-    }
+    JobKinds()
+        : ClusterTest(2, 4)
+    {}
 
     JobState stateOf(std::uint32_t number)
     {
@@ -45,8 +27,6 @@
         this->cluster.placement.permittedWorkers = permittedWorkers;
         this->cluster.run(milliseconds(100));
     }
-
-    Cluster cluster{2, 4};
 };
 
 TEST_F(JobKinds, PerpetualTasksRestartAfterSuccessAndFailure)
--- a/UnitTests/Coordination/LateCallTest.cpp
+++ b/UnitTests/Coordination/LateCallTest.cpp
@@ -1,39 +1,20 @@
-#include "Cluster.h"
-
-#include <gtest/gtest.h>
+#include "ClusterTest.h"
 
 namespace Hibiscus::Coordination::Test {
 
 namespace {
 
 /// Tests with calls that are carried out late, lost or answered by an earlier process.
-class LateCall : public testing::Test
+class LateCall : public ClusterTest
 {
 protected:
-    void TearDown() override
-    {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
-        if (!HasFailure())
-            return;
-        for (const auto &[name, instance] : this->cluster.instances) {
-            for (const std::string &event : instance->logger.events)
-                std::cout << name << " " << event << "\n";
-        }
-    }
+    LateCall()
+        : ClusterTest(2, 4)
+    {}
 
     void accept(std::uint32_t number, const std::string &body)
     {
-        const std::optional<ClientReply> reply
-            = this->cluster.submit(this->follower(), jobId(number), body);
-        ASSERT_TRUE(reply);
-        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
-    }
-
-    /// An instance that is not the leader.
-    std::string follower() const
-    {
-        return this->cluster.leader() == "entry-0" ? "entry-1" : "entry-0";
+        this->acceptAt(this->follower(), number, body);
     }
 
     /// The worker of the leader's newest assignment.
@@ -74,8 +55,6 @@
         this->cluster.clock.at(renewedAt + milliseconds(1170),
                                [this] { this->cluster.store.instanceLatencies.clear(); });
     }
-
-    Cluster cluster{2, 4};
 };
 
 TEST_F(LateCall, LateReportOfTheLoadDoesNotReplaceANewerOne)
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -1,6 +1,4 @@
-#include "Cluster.h"
-
-#include <gtest/gtest.h>
+#include "ClusterTest.h"
 
 namespace Hibiscus::Coordination::Test {
 
@@ -8,36 +6,12 @@
 
 using Tasks::JobState;
 
-class WorkerFault : public testing::Test
+class WorkerFault : public ClusterTest
 {
 protected:
-    void TearDown() override
-    {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
-        if (!HasFailure())
-            return;
-        for (const std::string &event : this->cluster.instances.at("entry-0")->logger.events)
-            std::cout << event << "\n";
-    }
-
-    void accept(std::uint32_t number, const std::string &body)
-    {
-        const std::optional<ClientReply> reply
-            = this->cluster.submit("entry-0", jobId(number), body);
-        ASSERT_TRUE(reply);
-        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
-    }
-
-    std::string busyWorker() const
-    {
-        for (int i = 0; i < 4; i++) {
-            std::string id = "worker-" + std::to_string(i);
-            if (this->cluster.workers.runningOn(id) > 0)
-                return id;
-        }
-        return {};
-    }
+    WorkerFault()
+        : ClusterTest(1, 4)
+    {}
 
     /// The worker of the newest assignment.
     std::string assignedWorker() const
@@ -56,8 +30,6 @@
         this->cluster.workers.unhealthyWorkers.clear();
         this->cluster.run(seconds(20));
     }
-
-    Cluster cluster{1, 4};
 };
 
 TEST_F(WorkerFault, TasksOfARestartedWorkerAreRescheduledImmediately)
