Bound what clients outside the limits can make a process hold

Cause: a request's header and body were bounded, the connection's buffer was not, so trailers and chunk extensions without end were kept. The sum over connections was not bounded either, nor the number of connections by the machine's descriptors; a header of tiny fields took over 20 times its bytes; and accepting without a free descriptor was tried again at once and for ever. HttpClient read responses of workers and the store in the same way.

Change: the buffer is bounded; Runtime/ConnectionTable decides which connection makes room when connections, descriptors or bytes are used up; HttpServer counts the memory of each part as soon as it is parsed. Limits follow from limits.memoryMb and limits.maxFds of the settings.

--- a/Node/NodeMetrics.cpp
+++ b/Node/NodeMetrics.cpp
@@ -77,6 +77,12 @@
     for (const auto &[event, count] : logger.counts())
         text << "hibiscus_events_total{event=\"" << event << "\"} " << count << "\n";
     text << "hibiscus_log_lines_dropped_total " << logger.droppedLines() << "\n";
+    text << "hibiscus_caller_connections " << readings.callerConnections << "\n";
+    text << "hibiscus_caller_held_bytes " << readings.callerHeldBytes << "\n";
+    for (std::size_t i = 0; i < readings.closedConnections.size(); i++)
+        text << "hibiscus_caller_connections_closed_total{reason=\""
+             << nameOf(static_cast<Runtime::CloseReason>(i)) << "\"} "
+             << readings.closedConnections[i] << "\n";
     text << "hibiscus_store_calls_total " << readings.storeCalls << "\n";
     text << "hibiscus_worker_calls_total " << readings.workerCalls << "\n";
     text << "hibiscus_worker_connections_total " << readings.workerConnections << "\n";
--- a/Node/NodeMetrics.h
+++ b/Node/NodeMetrics.h
@@ -3,6 +3,7 @@
 #include <Coordination/JobApi.h>
 #include <Core/Histogram.h>
 #include <Node/ProcessEventLogger.h>
+#include <Runtime/HttpServer.h>
 
 #include <map>
 #include <sstream>
@@ -29,6 +30,9 @@
         bool isLeading = false;
         std::size_t jobs = 0;
         std::size_t workers = 0;
+        std::size_t callerConnections = 0;
+        std::uint64_t callerHeldBytes = 0; ///< Of requests and responses that are not finished.
+        Runtime::HttpServer::CloseCounts closedConnections{};
         std::uint64_t storeCalls = 0;
         std::uint64_t workerCalls = 0;
         std::uint64_t workerConnections = 0;
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -100,6 +100,35 @@
     return settings;
 }
 
+/// Limits for callers, whom nobody controls, as shares of the machine. The rest is for the
+/// process's own work and its connections to the store and to workers.
+Runtime::HttpServer::Settings callerLimits(const Tasks::SiteSettings &site)
+{
+    constexpr std::int64_t descriptorsForFiles = 200; ///< Set aside by the platform.
+    constexpr std::int64_t bytesPerMiB = std::int64_t{1024} * 1024;
+    /// What a connection takes without a request, with the bytes that the kernel holds for it.
+    constexpr std::int64_t bytesPerConnection = std::int64_t{24} * 1024;
+    constexpr std::int64_t fewestConnections = 16;
+    const std::int64_t memory = site.memoryMiB * bytesPerMiB;
+    const std::int64_t byDescriptors = (site.maxDescriptors - descriptorsForFiles) * 2 / 3;
+    const std::int64_t byMemory = memory / 3 / bytesPerConnection;
+    Runtime::HttpServer::Settings limits;
+    limits.maxConnections
+        = static_cast<std::size_t>(std::max(fewestConnections, std::min(byDescriptors, byMemory)));
+    limits.maxHeldBytes = static_cast<std::uint64_t>(memory / 8);
+    return limits;
+}
+
+/// Limits for readiness checks and for readers of metrics, of which there are few.
+Runtime::HttpServer::Settings monitoringLimits()
+{
+    Runtime::HttpServer::Settings limits;
+    limits.maxConnections = 16;
+    limits.maxHeldBytes = std::uint64_t{1024} * 1024;
+    limits.bodyLimitBytes = 1024;
+    return limits;
+}
+
 std::string readText(const std::string &file)
 {
     const std::ifstream stream(file, std::ios::binary);
@@ -177,13 +206,13 @@
         [this](HttpRequest request, const HttpResponder &responder) {
             this->serveCaller(std::move(request), responder);
         },
-        Runtime::HttpServer::Settings{});
+        callerLimits(this->site));
     this->readiness.emplace(
         this->loop, *Runtime::parseAddress(this->site.readinessAddress),
         [this](const HttpRequest &, const HttpResponder &responder) {
             this->serveReadiness(responder);
         },
-        Runtime::HttpServer::Settings{});
+        monitoringLimits());
     if (this->settings.metricsPort != 0) {
         const asio::ip::tcp::endpoint address(asio::ip::make_address(this->site.ip),
                                               this->settings.metricsPort);
@@ -192,7 +221,7 @@
             [this](const HttpRequest &, const HttpResponder &responder) {
                 this->serveMetrics(responder);
             },
-            Runtime::HttpServer::Settings{});
+            monitoringLimits());
     }
     this->awaitSignals();
     this->jobApi.start(now);
@@ -264,6 +293,7 @@
 void NodeProcess::checkSettings(TimePoint now)
 {
     this->reloadSettings("change", now);
+    this->logClosedConnections(now);
     this->timers.after(this->settings.settingsCheckInterval,
                        [this](TimePoint at) { this->checkSettings(at); });
 }
@@ -329,6 +359,9 @@
     readings.isLeading = this->dispatcher.isReady() && this->election.isLeading(now);
     readings.jobs = this->dispatcher.jobTable().all().size();
     readings.workers = this->dispatcher.workerFleet().all().size();
+    readings.callerConnections = this->callers->connectionCount();
+    readings.callerHeldBytes = this->callers->heldBytes();
+    readings.closedConnections = this->callers->closeCounts();
     readings.storeCalls = this->store.callsMade();
     readings.workerCalls = this->workers.callsMade();
     readings.workerConnections = this->workers.connectionsMade();
@@ -343,7 +376,7 @@
 
 void NodeProcess::applyLimits(const Tasks::SystemConfiguration &configuration)
 {
-    Runtime::HttpServer::Settings limits;
+    Runtime::HttpServer::Settings limits = callerLimits(this->site);
     limits.headerLimitBytes = configuration.limits.headerBytes;
     limits.bodyLimitBytes = configuration.limits.bodyBytes;
     limits.idleTimeout = configuration.limits.idleTimeout;
@@ -352,4 +385,21 @@
         this->callers->setLimits(limits);
 }
 
+void NodeProcess::logClosedConnections(TimePoint now)
+{
+    const Runtime::HttpServer::CloseCounts &counts = this->callers->closeCounts();
+    if (counts == this->loggedCloses)
+        return;
+    Runtime::LogFields fields;
+    for (std::size_t i = 0; i < counts.size(); i++) {
+        if (counts[i] > this->loggedCloses[i])
+            fields[std::string(nameOf(static_cast<Runtime::CloseReason>(i)))]
+                = counts[i] - this->loggedCloses[i];
+    }
+    fields["connections"] = this->callers->connectionCount();
+    fields["heldBytes"] = this->callers->heldBytes();
+    this->loggedCloses = counts;
+    this->logger.logEvent(LogKind::Refusal, "connections of callers closed", fields, now);
+}
+
 } // namespace Hibiscus::Node
--- a/Node/NodeProcess.h
+++ b/Node/NodeProcess.h
@@ -56,6 +56,8 @@
     void serveMetrics(const Runtime::HttpResponder &responder);
     NodeMetrics::Readings readMetrics(TimePoint now) const;
     void applyLimits(const Tasks::SystemConfiguration &configuration);
+    /// Logs how many connections of callers were closed for each reason since the last call.
+    void logClosedConnections(TimePoint now);
 
     Settings settings;
     Tasks::SiteSettings site;
@@ -74,6 +76,7 @@
     std::optional<Runtime::HttpServer> readiness;
     std::optional<Runtime::HttpServer> metricsServer;
     NodeMetrics metrics;
+    Runtime::HttpServer::CloseCounts loggedCloses{};
     std::string settingsText; ///< Contents of the settings file when last read.
     bool draining = false;
     TimePoint stopDeadline{};
--- a/Runtime/HttpClient.cpp
+++ b/Runtime/HttpClient.cpp
@@ -37,6 +37,7 @@
         : shared(std::move(shared))
         , handler(std::move(handler))
         , deadline(std::chrono::steady_clock::now() + timeout)
+        , buffer(this->shared->settings.headerLimitBytes + this->shared->settings.framingLimitBytes)
         , repeatable(call.repeatable)
     {
         this->request.method(call.verb);
@@ -117,6 +118,7 @@
     void receive()
     {
         this->parser.emplace();
+        this->parser->header_limit(this->shared->settings.headerLimitBytes);
         this->parser->body_limit(this->shared->settings.responseLimitBytes);
         http::async_read(*this->stream, this->buffer, *this->parser,
                          [self = this->shared_from_this()](error_code error, std::size_t) {
--- a/Runtime/HttpClient.h
+++ b/Runtime/HttpClient.h
@@ -47,7 +47,11 @@
     {
         std::size_t maxIdleConnections = 4; ///< Idle connections that are kept for reuse.
         Duration connectTimeout = milliseconds(600);
-        std::uint64_t responseLimitBytes = std::uint64_t{16} * 1024 * 1024;
+        std::uint64_t responseLimitBytes = std::uint64_t{16} * 1024 * 1024; ///< Of the body.
+        std::uint32_t headerLimitBytes = 8 * 1024;
+        /// For a chunk's extensions, and for all trailers together. A response over a limit counts
+        /// as none.
+        std::size_t framingLimitBytes = std::size_t{64} * 1024;
     };
 
     HttpClient(boost::asio::io_context &loop, const std::string &address, const Settings &settings);
--- a/Runtime/HttpServer.h
+++ b/Runtime/HttpServer.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <Core/Time.h>
+#include <Runtime/ConnectionTable.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
@@ -21,7 +24,9 @@
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
 /// Accepts HTTP/1.1 connections on one address and passes their requests to a handler, one request
-/// at a time for each connection.
+/// at a time for each connection. What it holds is bounded whatever clients send: a request that is
+/// malformed or over a limit is answered with 400, 413 or 431, and under pressure connections are
+/// closed without a response, which promises nothing. The handler sees neither of these requests.
 class HttpServer
 {
 public:
@@ -32,7 +37,10 @@
         Duration idleTimeout = seconds(15); ///< Between two requests of a connection.
         Duration readTimeout = seconds(5); ///< From a request's first byte to its last.
         Duration writeTimeout = seconds(5); ///< For a response that the client does not read.
-        std::size_t maxConnections = 3000; ///< Further connections are closed when accepted.
+        /// Beyond it, the connection that is the least loss is closed for each new one.
+        std::size_t maxConnections = 3000;
+        /// Sum over all connections of the bytes of requests and responses that are not finished.
+        std::uint64_t maxHeldBytes = std::uint64_t{16} * 1024 * 1024;
     };
 
     /// Throws boost::system::system_error if the address can't be bound.
@@ -51,15 +59,21 @@
     unsigned short port() const;
     std::size_t connectionCount() const;
     std::size_t requestsInProgress() const;
+    std::uint64_t heldBytes() const;
+    /// Connections closed or refused so far, by CloseReason.
+    using CloseCounts = std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::Count)>;
+    const CloseCounts &closeCounts() const;
 
 private:
     class Connection;
     struct Shared;
 
     void acceptNext();
+    void acceptLater();
 
     std::shared_ptr<Shared> shared;
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
 };
 
 } // namespace Hibiscus::Runtime
--- a/Soak/ChildProcess.cpp
+++ b/Soak/ChildProcess.cpp
@@ -3,7 +3,9 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -66,4 +68,12 @@
     return 0;
 }
 
+std::size_t ChildProcess::descriptorCount() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(this->id) + "/fd",
+                                                   error);
+    return this->hasEnded || error ? 0 : std::distance(begin(open), end(open));
+}
+
 } // namespace Hibiscus::Soak
--- a/Soak/ChildProcess.h
+++ b/Soak/ChildProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -25,6 +26,8 @@
     int status() const { return this->endStatus; }
     /// Peak resident memory in KiB; 0 if the process has ended.
     long peakMemoryKiB() const;
+    /// Number of open descriptors; 0 if the process has ended.
+    std::size_t descriptorCount() const;
 
 private:
     pid_t id = 0;
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -153,9 +153,10 @@
     instance.callers
         = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint(ip, callersPort));
     const std::string host = ip.to_string() + ":";
-    std::ofstream(instance.settingsFile) << encodeSettings(
-        {instance.name, host + std::to_string(callersPort), host + std::to_string(readinessPort),
-         addressOf(instance.store->port())});
+    std::ofstream(instance.settingsFile)
+        << encodeSettings({instance.name, host + std::to_string(callersPort),
+                           host + std::to_string(readinessPort), addressOf(instance.store->port())})
+        << this->settings.moreSettings;
     this->startInstance(number);
 }
 
@@ -164,6 +165,11 @@
     return addressOf(this->instances[instance].callers->port());
 }
 
+asio::ip::tcp::endpoint SoakSite::directAddress(std::size_t instance) const
+{
+    return {instanceAddress(this->settings.seed, instance), callersPort};
+}
+
 void SoakSite::startInstance(std::size_t number)
 {
     Instance &instance = this->instances[number];
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -35,6 +35,7 @@
         std::string folder; ///< Existing folder for settings files and logs.
         std::size_t instances = 3;
         std::size_t workers = 8;
+        std::string moreSettings; ///< Appended to each instance's settings file.
     };
 
     SoakSite(boost::asio::io_context &loop, const Settings &settings);
@@ -44,6 +45,9 @@
     std::size_t workerCount() const { return this->machines.size(); }
     /// Address at which clients reach the instance.
     std::string callersAddress(std::size_t instance) const;
+    /// Address on which the instance itself listens for clients, without the proxy.
+    boost::asio::ip::tcp::endpoint directAddress(std::size_t instance) const;
+    ChildProcess &process(std::size_t instance) { return *this->instances[instance].process; }
 
     void startInstance(std::size_t number);
     void signalInstance(std::size_t number, int signal);
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -19,6 +19,8 @@
     std::string placementAddress; ///< IP:port of the placement service; empty: no such service.
     double cores = 0.25; ///< Cores of this machine that the process may use.
     double linkMbps = 1000.0;
+    std::int64_t memoryMiB = 120; ///< The process is ended above it.
+    std::int64_t maxDescriptors = 3075; ///< That the process may have open.
     Duration minStoreLease = seconds(1); ///< Shortest lease that the store grants.
     Duration maxWorkerLease = seconds(6); ///< Longest lease that a worker grants to its tasks.
     Duration stopGracePeriod = seconds(6); ///< Between the termination signal and the kill.
--- /dev/null
+++ b/UnitTests/Hostile/HostileClientsTest.cpp
@@ -0,0 +1,248 @@
+#include "HostileClient.h"
+
+#include <Runtime/HttpClient.h>
+#include <Soak/SoakSite.h>
+#include <Soak/StandInWire.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace Hibiscus::Test {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::uint64_t siteSeed = 40'000; ///< Its addresses are used by no other test.
+constexpr long memoryMiB = 48; ///< Memory of the instance's machine.
+constexpr std::size_t fewDescriptors = 256;
+constexpr std::size_t manyDescriptors = 1200;
+constexpr std::size_t mebibyte = 1024 * 1024;
+/// Ends a test whose process hangs. No test passes or fails by the time that it takes.
+constexpr Duration hangTime = seconds(180);
+
+constexpr const char *chunkedHeader = "POST /p2/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n"
+                                      "Authorization: Bearer key-1\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n";
+
+/// One instance of the program with a small machine, and a crowd of clients that nobody controls.
+class HostileClients : public testing::Test
+{
+protected:
+    void startInstance(std::size_t maxDescriptors)
+    {
+        namespace fs = std::filesystem;
+        this->maxDescriptors = maxDescriptors;
+        fs::remove_all(LOG_FOLDER);
+        fs::create_directories(LOG_FOLDER);
+        Soak::SoakSite::Settings settings;
+        settings.seed = siteSeed;
+        settings.program = HIBISCUS_NODE;
+        settings.folder = LOG_FOLDER;
+        settings.instances = 1;
+        settings.workers = 2;
+        settings.moreSettings = "[limits]\nmemoryMb = " + std::to_string(memoryMiB)
+            + "\nmaxFds = " + std::to_string(maxDescriptors) + "\n";
+        this->site.emplace(this->loop, settings);
+        this->site->configure({"key-1"});
+        const asio::ip::tcp::endpoint address = this->site->directAddress(0);
+        this->address = address.address().to_string() + ":" + std::to_string(address.port());
+        ASSERT_TRUE(this->answersOrdinaryCaller());
+    }
+
+    void addCrowd(int size, const HostileScript &script)
+    {
+        for (int i = 0; i < size; i++) {
+            this->crowd.push_back(std::make_shared<HostileClient>(this->loop, script));
+            this->crowd.back()->start(this->site->directAddress(0));
+        }
+    }
+
+    /// Runs until each client of the crowd has sent its script or lost its connection.
+    void playCrowd()
+    {
+        this->runUntil([this] {
+            return std::all_of(this->crowd.begin(), this->crowd.end(),
+                               [](const auto &client) { return client->isDone(); });
+        });
+    }
+
+    /// What has to hold whatever clients send.
+    void expectSound()
+    {
+        Soak::ChildProcess &process = this->site->process(0);
+        EXPECT_TRUE(this->answersOrdinaryCaller());
+        EXPECT_TRUE(process.isRunning());
+        EXPECT_GT(process.peakMemoryKiB(), 0);
+        EXPECT_LT(process.peakMemoryKiB(), memoryMiB * 1024);
+        EXPECT_LE(this->mostDescriptors, this->maxDescriptors);
+    }
+
+    /// Whether a caller who submits a job, and again after 502 to 504 or no answer, has it
+    /// accepted.
+    bool answersOrdinaryCaller()
+    {
+        const std::string body = Soak::encodeJob("work", 1, 0, false, false);
+        bool accepted = false;
+        constexpr int maxTries = 100;
+        for (int tries = 0; tries < maxTries && !accepted && this->site->process(0).isRunning();
+             tries++) {
+            Runtime::HttpClient caller(this->loop, this->address, {});
+            const auto answer = std::make_shared<std::optional<Runtime::HttpResult>>();
+            caller.call(
+                {.verb = http::verb::post,
+                 .target = "/p0/00000000000000" + std::to_string(10 + this->jobs),
+                 .headers = {{"Host", Soak::configurationHost}, {"Authorization", "Bearer key-1"}},
+                 .body = body},
+                seconds(20), [answer](Runtime::HttpResult result) { *answer = result; });
+            this->runUntil([&answer] { return answer->has_value(); });
+            accepted = *answer && (*answer)->status == 200;
+            if (!accepted)
+                this->loop.run_for(milliseconds(50));
+        }
+        this->jobs++;
+        return accepted;
+    }
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint end = this->site->now() + hangTime;
+        while (!done() && this->site->process(0).isRunning() && this->site->now() < end) {
+            this->loop.run_for(milliseconds(20));
+            this->mostDescriptors
+                = std::max(this->mostDescriptors, this->site->process(0).descriptorCount());
+        }
+        EXPECT_TRUE(done());
+    }
+
+    asio::io_context loop{1};
+    std::optional<Soak::SoakSite> site;
+    std::string address;
+    std::vector<std::shared_ptr<HostileClient>> crowd;
+    std::size_t maxDescriptors = 0;
+    std::size_t mostDescriptors = 0;
+    int jobs = 0;
+};
+
+std::string blockOf(const std::string &text, std::size_t bytes)
+{
+    std::string block;
+    while (block.size() < bytes)
+        block += text;
+    return block;
+}
+
+TEST_F(HostileClients, TrailersWithoutEnd)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(4,
+                   {.opening = std::string(chunkedHeader) + "0\r\n",
+                    .repeated = blockOf("Field: value\r\n", 16'384),
+                    .maxBytes = 32 * mebibyte});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ChunkExtensionWithoutEnd)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(4,
+                   {.opening = std::string(chunkedHeader) + "1",
+                    .repeated = blockOf(";name=value", 16'384),
+                    .maxBytes = 32 * mebibyte});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, HeaderWithoutEnd)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(4,
+                   {.opening = "GET /p0/ HTTP/1.1\r\n",
+                    .repeated = blockOf("Field: value\r\n", 16'384),
+                    .maxBytes = 32 * mebibyte});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ManyNearlyFullBodies)
+{
+    this->startInstance(manyDescriptors);
+    constexpr std::size_t limit = 256 * 1024;
+    this->addCrowd(300,
+                   {.opening = "POST /p2/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n"
+                               "Authorization: Bearer key-1\r\nContent-Length: "
+                        + std::to_string(limit) + "\r\n\r\n" + std::string(limit - 1, ' ')});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ManyHeadersOfTinyFields)
+{
+    this->startInstance(manyDescriptors);
+    this->addCrowd(300,
+                   {.opening = "POST /p2/00000000000000aa HTTP/1.1\r\nContent-Length: 2\r\n"
+                        + blockOf("a:\r\n", 16'000) + "\r\n "});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ManyIdleConnections)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(400, {});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ManyUnfinishedHeaders)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(400, {.opening = "GET /p0/ HTTP/1.1\r\nHost: jobs"});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ResponsesThatAreNotRead)
+{
+    this->startInstance(fewDescriptors);
+    this->addCrowd(30,
+                   {.repeated = blockOf("GET /none HTTP/1.1\r\nHost: jobs.example\r\n\r\n", 16'384),
+                    .maxBytes = 64 * mebibyte,
+                    .reads = false});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, DeeplyNestedBodies)
+{
+    this->startInstance(fewDescriptors);
+    const std::string body(200 * 1024, '[');
+    this->addCrowd(20,
+                   {.repeated = "POST /p2/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n"
+                                "Authorization: Bearer key-1\r\nContent-Length: "
+                        + std::to_string(body.size()) + "\r\n\r\n" + body,
+                    .maxBytes = mebibyte});
+    this->playCrowd();
+    this->expectSound();
+}
+
+TEST_F(HostileClients, ManyUnknownKeysAndIds)
+{
+    this->startInstance(fewDescriptors);
+    std::string requests;
+    for (int i = 0; i < 2000; i++)
+        requests += "GET /p0/" + std::to_string(1'000'000'000'000'000 + i)
+            + " HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer " + std::to_string(i)
+            + std::string(2000, 'k') + "\r\n\r\n";
+    this->addCrowd(20, {.opening = requests});
+    this->playCrowd();
+    this->expectSound();
+}
+
+} // namespace
+
+} // namespace Hibiscus::Test
