Work under a guarantee loses its rank once it is of no use; short leases on draining workers

LOST: the same reservations. Ruled out: to drop only the reservation; the order would still prefer the old work. Change: guaranteed work that is of no use any more ranks as other such work. The guarantee holds for 5 s in any case, since the bound for the start does not depend on a task's length.

Cause: a worker that drains takes its runs with it, and these count until the longest lease is over. Change: polls ask draining workers for leases of 2.5 s and wait 1 s. Leases of before still count.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -94,6 +94,12 @@
         /// Replaces `pollWait` on workers whose leases are withheld, so that they are renewed soon
         /// after that is over.
         Duration withheldPollWait = milliseconds(50);
+        /// Replaces `maxLeaseDuration` on workers that drain. When such a worker leaves, its runs
+        /// end without a report, and they count until their lease is over.
+        Duration drainingLease = milliseconds(2500);
+        /// Replaces `pollWait` on workers that drain. A poll without an answer may be repeated
+        /// within `drainingLease`.
+        Duration drainingPollWait = seconds(1);
         /// Replaces `pollWait` on workers that run latency-sensitive and best-effort tasks
         /// together.
         Duration mixedPollWait = milliseconds(400);
@@ -299,6 +305,8 @@
     void probe(const std::string &dataCenter, TimePoint now);
     void probeLater(const std::string &dataCenter);
     Duration pollWaitOf(const Worker &worker) const;
+    /// Length of the lease that a poll asks for.
+    Duration leaseOf(const Worker &worker) const;
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
                           TimePoint sentAt, TimePoint now);
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -66,7 +66,18 @@
         return Duration{};
     if (this->isWithheld(worker.entry.id))
         return this->settings.withheldPollWait;
-    return worker.isMixed() ? this->settings.mixedPollWait : this->settings.pollWait;
+    if (worker.isMixed())
+        return this->settings.mixedPollWait;
+    return worker.entry.draining ? this->settings.drainingPollWait : this->settings.pollWait;
+}
+
+/// A worker that drains takes its runs with it when it leaves, at a time that is not known exactly.
+/// Its absence proves nothing, since a worker that is cut off looks the same and runs on. Only a
+/// short lease lets its tasks start elsewhere soon.
+Duration WorkerFleet::leaseOf(const Worker &worker) const
+{
+    const Duration longest = this->settings.maxLeaseDuration;
+    return worker.entry.draining ? std::min(this->settings.drainingLease, longest) : longest;
 }
 
 void WorkerFleet::poll(const std::string &id, TimePoint now)
@@ -85,7 +96,7 @@
     if (hasSession && answering && !worker->runs.empty()) {
         order.wait = this->pollWaitOf(*worker);
         if (!this->isWithheld(id))
-            order.leaseUntil = this->extendLease(*worker, this->settings.maxLeaseDuration, now);
+            order.leaseUntil = this->extendLease(*worker, this->leaseOf(*worker), now);
     }
     worker->pollInFlight = true;
     worker->pollSentAt = now;
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -25,9 +25,13 @@
 {
     constexpr int expiredRank = 7;
     constexpr int ranksOfPriority[3][2] = {{1, 2}, {3, 4}, {5, 6}};
-    if (request.guaranteed)
+    const bool isExpired = now >= request.usefulUntil;
+    // Work that is of no use any more must not delay other work under a guarantee. The bound within
+    // which guaranteed work has to start also holds for tasks whose use ends sooner.
+    constexpr UnixMs longestGuaranteeMs = 5000;
+    if (request.guaranteed && (!isExpired || now - request.readySince < longestGuaranteeMs))
         return 0;
-    if (now >= request.usefulUntil)
+    if (isExpired)
         return expiredRank;
     const int priority = std::clamp(request.priority, 0, 2);
     return ranksOfPriority[priority][isLate(request, now) ? 1 : 0];
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -56,7 +56,8 @@
     UnixMs readySince = 0;
     UnixMs objectiveAt = 0; ///< A job that ends by then is in time.
     UnixMs usefulUntil = 0; ///< A job that ends later is of no use to its caller.
-    bool guaranteed = false; ///< Covered by its customer's guarantee; has to start promptly.
+    /// Covered by its customer's guarantee; has to start promptly, while it is of use.
+    bool guaranteed = false;
     std::vector<std::int32_t> indexes; ///< Indexes of the waiting tasks; of a gang, of all tasks.
     /// Workers of the step's tasks that are assigned already, one entry a task.
     std::vector<std::size_t> assignedWorkers;
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -184,6 +184,55 @@
     EXPECT_TRUE(this->plan().starts.empty());
 }
 
+TEST_F(StartPlannerTest, NoRoomIsReservedForAGuaranteedGangThatIsOfNoUseAnyMore)
+{
+    // The gang gets room on all workers once the running task ends, but it would end too late
+    // for its caller, and the empty workers would be idle until then.
+    this->addWorkers(3);
+    this->occupy(0, {1000, 1000, 1}, 0, 2000, 0.0);
+    StartRequest &gang = this->request(0, 3, 8);
+    gang.guaranteed = true;
+    gang.readySince = now - 30'000;
+    gang.objectiveAt = now - 20'000;
+    gang.usefulUntil = now - 1;
+    this->stepOf(0).gang = true;
+    this->request(1, 8, 1);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(startsOf(plan, 1), 8U);
+    EXPECT_TRUE(plan.preemptions.empty());
+}
+
+TEST_F(StartPlannerTest, FreshGuaranteedTaskStartsBeforeOnesThatAreOfNoUseAnyMore)
+{
+    // Most workers are lost and urgent work fills the others, so nothing may be preempted. The
+    // worker that becomes free first went to the work that had waited for the longest time.
+    this->addWorkers(1);
+    StartRequest &old = this->request(0, 1, 8);
+    old.guaranteed = true;
+    old.readySince = now - 40'000;
+    old.objectiveAt = now - 35'000;
+    old.usefulUntil = now - 25'000;
+    this->request(0, 1, 8).guaranteed = true;
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts.front().request, 1U);
+}
+
+TEST_F(StartPlannerTest, GuaranteeOfAShortTaskOutlastsItsUse)
+{
+    // The platform's bound for the start of guaranteed work does not depend on its length.
+    this->addWorkers(1);
+    this->request(0, 1, 8);
+    StartRequest &brief = this->request(0, 1, 8);
+    brief.guaranteed = true;
+    brief.readySince = now - 2500;
+    brief.objectiveAt = now - 2000;
+    brief.usefulUntil = now - 1000;
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.starts.size(), 1U);
+    EXPECT_EQ(plan.starts.front().request, 1U);
+}
+
 TEST_F(StartPlannerTest, UrgentWorkPreemptsTheCheapestWork)
 {
     this->addWorkers(2);
