Keep gangs off workers that failed or restarted lately

A gang loses its whole run to one member, and a worker that fails what it starts is always free, so that gangs met it again and again. WorkerRisks keeps what failures and restarts say of each worker, RiskPlacement weighs it against the work of the whole gang. A stopped gang frees the room of all its members, which the planner did not see: it stopped a gang for each member.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -59,11 +59,12 @@
 } // namespace
 
 PlanInputs::PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-                       const Tasks::RunTimeEstimator &runTimes, PermitCache &permits,
-                       GuaranteeLookup guarantees, const Settings &settings)
+                       const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerRisks &risks,
+                       PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings)
     : jobs(jobs)
     , fleet(fleet)
     , runTimes(runTimes)
+    , risks(risks)
     , permits(permits)
     , guarantees(std::move(guarantees))
     , settings(settings)
@@ -82,6 +83,7 @@
     if (this->requests.empty())
         return false;
     this->collectWorkers(wall, now);
+    this->groupGangs();
     this->markFixedOccupants();
     this->markGuaranteed();
     for (StartRequest &request : this->requests) {
@@ -152,6 +154,7 @@
         view.free -= worker.used;
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
+        view.failureRisk = this->risks.riskOf(id, now);
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
@@ -177,6 +180,22 @@
     return view;
 }
 
+/// Numbers the gangs on the workers from 1.
+void PlanInputs::groupGangs()
+{
+    std::map<StepRef, std::size_t> groups;
+    for (WorkerView &view : this->workers) {
+        auto occupant = view.occupants.begin();
+        for (const auto &[key, run] : this->fleet.all().find(view.id)->second.runs) {
+            if (run.members > 1) {
+                const StepRef step{run.ref.job, run.ref.task.occurrence, run.ref.task.step};
+                occupant->group = groups.try_emplace(step, groups.size() + 1).first->second;
+            }
+            ++occupant;
+        }
+    }
+}
+
 /// Marks the runs that must not be preempted. A step may limit how many of its tasks are not at
 /// work; up to that limit, the tasks with the lowest indexes may be displaced, and all others are
 /// fixed.
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -5,6 +5,7 @@
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
+#include <Tasks/WorkerRisks.h>
 
 #include <functional>
 #include <map>
@@ -29,8 +30,8 @@
     };
 
     PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-               const Tasks::RunTimeEstimator &runTimes, PermitCache &permits,
-               GuaranteeLookup guarantees, const Settings &settings);
+               const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerRisks &risks,
+               PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings);
 
     void clear();
     /// Rebuilds the snapshot; returns false if no step is waiting to start.
@@ -47,6 +48,7 @@
     void collectWorkers(Tasks::UnixMs wall, TimePoint now);
     Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
                                TimePoint now) const;
+    void groupGangs();
     void markFixedOccupants();
     void markGuaranteed();
     void findSiblings(Tasks::StartRequest &request) const;
@@ -57,6 +59,7 @@
     const TrackedJobTable &jobs;
     const WorkerFleet &fleet;
     const Tasks::RunTimeEstimator &runTimes;
+    const Tasks::WorkerRisks &risks;
     PermitCache &permits;
     GuaranteeLookup guarantees;
     Settings settings;
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -78,7 +78,8 @@
           [this](TimePoint now) { this->beginWhenLoaded(now); })
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , inputs(jobs, fleet, runTimes, permits, std::move(guarantees), settings.inputs)
+    , risks(settings.risks)
+    , inputs(jobs, fleet, runTimes, risks, permits, std::move(guarantees), settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -121,6 +122,7 @@
     this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
+    this->risks.clear();
     this->published.clear();
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
@@ -399,8 +401,12 @@
     const bool isNew = end.tracked || update.changed;
     if (end.cause == EndCause::Failed && isNew)
         this->fleet.reportFailure(end.worker, end.wasAtWork, now);
-    if (end.cause == EndCause::Done)
+    if (end.cause == EndCause::Failed && isNew && !end.wasAtWork)
+        this->noteFailure(end, now);
+    if (end.cause == EndCause::Done) {
         this->fleet.reportSuccess(end.worker);
+        this->risks.recordSuccess(end.worker, now);
+    }
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
         this->runTimes.recordRun(job->job.queue, end.runTime);
     const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
@@ -412,6 +418,17 @@
         this->writer.whenStored(end.run.job, recorded, now);
 }
 
+void TaskDispatcher::noteFailure(const RunEnd &end, TimePoint now)
+{
+    const bool wasTooRisky
+        = this->risks.riskOf(end.worker, now) > this->settings.planner.maxGangRisk;
+    this->risks.recordFailure(end.worker, end.run, now);
+    const double risk = this->risks.riskOf(end.worker, now);
+    if (!wasTooRisky && risk > this->settings.planner.maxGangRisk)
+        this->logger.logEvent(LogKind::Dependency, "worker too risky for gangs",
+                              {{"worker", end.worker}, {"risk", risk}}, now);
+}
+
 void TaskDispatcher::runLost(const RunEnd &end, const char *reason, TimePoint now)
 {
     if (this->phase != Phase::Leading)
@@ -538,6 +555,7 @@
     this->removeOldRefusals(now);
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
+    this->risks.forgetOld(now);
     this->writeLoad(now);
     this->writeSilence();
     this->plan(now);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -11,6 +11,7 @@
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
+#include <Tasks/WorkerRisks.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -44,6 +45,7 @@
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
+        Tasks::WorkerRisks::Settings risks;
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
     };
@@ -115,6 +117,8 @@
     void fleetChanged(TimePoint now) override;
     void silenceEnded(TimePoint now) override;
 
+    /// Takes a failed run into account in the risk of its worker.
+    void noteFailure(const RunEnd &end, TimePoint now);
     bool isLeading(TimePoint now);
     /// Whether start orders may be sent: leads, and knows which data centres are evacuated.
     bool mayStart(TimePoint now);
@@ -147,6 +151,7 @@
     static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
     void plan(TimePoint now);
+    void observeWorkers(TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, TimePoint now);
@@ -180,6 +185,7 @@
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
+    Tasks::WorkerRisks risks;
     PermitCache permits;
     PlanInputs inputs;
     StartPlanner planner;
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -53,6 +53,7 @@
     this->carryOutKeptOrders(now);
     if (!this->evacuations.isCurrent(now))
         return;
+    this->observeWorkers(now);
     const Tasks::UnixMs wall = this->wallClock.nowMs();
     if (!this->inputs.collect(wall, now))
         return;
@@ -62,6 +63,12 @@
     this->executePlan(plan, now);
 }
 
+void TaskDispatcher::observeWorkers(TimePoint now)
+{
+    for (const auto &[id, worker] : this->fleet.all())
+        this->risks.observeProcess(id, worker.entry.incarnation, now);
+}
+
 void TaskDispatcher::executePlan(const Tasks::StartPlan &plan, TimePoint now)
 {
     const std::span<const Tasks::StartRequest> requests = this->inputs.startRequests();
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -30,6 +30,7 @@
                    std::span<const WorkerView> workers, UnixMs now)
     : settings(settings)
     , rackWait(settings)
+    , risks(settings)
     , requests(requests)
     , workers(workers)
     , now(now)
@@ -42,9 +43,21 @@
     this->capacity.preempted.resize(workers.size());
     this->orders.resize(workers.size());
     this->groupWorkers();
+    this->groupOccupants();
     this->countWorkers();
 }
 
+void PlanPass::groupOccupants()
+{
+    for (const std::size_t worker : this->allWorkers) {
+        const std::vector<OccupantView> &occupants = this->workers[worker].occupants;
+        for (std::size_t i = 0; i < occupants.size(); i++) {
+            if (occupants[i].group != 0)
+                this->gangs[occupants[i].group].emplace_back(worker, i);
+        }
+    }
+}
+
 void PlanPass::groupWorkers()
 {
     this->allWorkers.resize(this->workers.size());
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Tasks/RackWait.h>
+#include <Tasks/RiskPlacement.h>
 #include <Tasks/StartPlanner.h>
 
 #include <limits>
@@ -36,6 +37,7 @@
     };
 
     void groupWorkers();
+    void groupOccupants();
     void countWorkers();
     bool isEmpty(std::size_t worker) const;
     bool mayUseEmptyWorker(const StartRequest &request) const;
@@ -58,8 +60,13 @@
     bool requiresDataRack(const StartRequest &request) const;
     /// Whether the gang may start only with all of its tasks in one rack.
     bool requiresOneRack(const StartRequest &request) const;
-    /// Whether the worker is eligible and, while the request requires its data's rack, in that
-    /// rack.
+    /// Whether the worker would risk the request's gang. No gang waits for a sounder worker for
+    /// long while the service is mostly idle.
+    bool isTooRisky(const StartRequest &request, std::size_t worker) const;
+    /// Expected loss of a gang's runs on the workers, in core-seconds.
+    double expectedLoss(const StartRequest &request, const WorkerList &chosen) const;
+    /// Whether the worker is eligible, sound enough and, while the request requires its data's
+    /// rack, in that rack.
     bool isAllowed(const StartRequest &request, std::size_t worker) const;
     bool isKnownNotToFit(const StartRequest &request) const;
     void recordUnplaced(const StartRequest &request);
@@ -72,6 +79,7 @@
     std::optional<WorkerList> placeAllTasks(const StartRequest &request,
                                             std::span<const std::size_t> candidates);
     std::optional<WorkerList> placeGang(const StartRequest &request);
+    std::optional<WorkerList> placeInOneRack(const StartRequest &request);
     bool fitsIntoOneEmptyRack(const StartRequest &request) const;
 
     /// Remaining capacity and preempted occupants of each worker at one point of the pass.
@@ -118,10 +126,14 @@
     WorkerList coverTasks(const StartRequest &request, std::size_t tasks,
                           std::span<const std::size_t> candidates, double &cost);
     void applyPreemption(const Preemption &preemption);
+    /// Frees the room of the occupant and of its gang.
+    void markPreempted(std::size_t worker, std::size_t occupant);
+    bool isPreempted(std::size_t worker, std::size_t occupant) const;
     void planPreemptions(const Capacity &before);
 
     const StartPlanner::Settings &settings;
     RackWait rackWait;
+    RiskPlacement risks;
     std::span<const StartRequest> requests;
     std::span<const WorkerView> workers;
     UnixMs now;
@@ -143,6 +155,9 @@
     /// Number of empty workers that only urgent work may take, by service.
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
     std::map<std::string_view, std::vector<std::size_t>> racks;
+    /// Place of an occupant: the indexes of its worker and of the occupant there.
+    using OccupantPlace = std::pair<std::size_t, std::size_t>;
+    std::map<std::size_t, std::vector<OccupantPlace>> gangs; ///< Members, by occupant group.
     std::set<std::string_view> evacuatedRacks; ///< All of their workers are evacuated.
     std::size_t reservations = 0;
     StartPlan plan;
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -62,9 +62,23 @@
         && this->fitsIntoOneEmptyRack(request);
 }
 
+bool PlanPass::isTooRisky(const StartRequest &request, std::size_t worker) const
+{
+    return this->risks.isTooRisky(request, this->workers[worker])
+        && !this->isReserveWaitOver(request);
+}
+
+double PlanPass::expectedLoss(const StartRequest &request, const WorkerList &chosen) const
+{
+    double sum = 0.0;
+    for (const std::size_t worker : chosen)
+        sum += this->risks.expectedLoss(request, this->workers[worker]);
+    return sum;
+}
+
 bool PlanPass::isAllowed(const StartRequest &request, std::size_t worker) const
 {
-    return this->isEligible(request, worker)
+    return this->isEligible(request, worker) && !this->isTooRisky(request, worker)
         && (!this->requiresDataRack(request)
             || hasLabel(this->workers[worker], request.step->dataRack));
 }
@@ -97,7 +111,8 @@
 }
 
 /// Capacity that the worker has left after the task is placed, in cores, plus a penalty if the
-/// worker is outside the rack of the task's data. The worker with the lowest cost is chosen.
+/// worker is outside the rack of the task's data, plus the core-seconds that the worker is expected
+/// to waste by a failure. The worker with the lowest cost is chosen.
 double PlanPass::placementCost(const StartRequest &request, std::size_t worker) const
 {
     Resources left = this->capacity.free[worker];
@@ -108,7 +123,8 @@
     // Accelerators are the scarce resource, so they have the higher weight. Preferring the fuller
     // worker keeps other workers empty.
     return static_cast<double>(left.accelerators) * coresPerAccelerator
-        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0);
+        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0)
+        + this->risks.expectedLoss(request, this->workers[worker]);
 }
 
 std::optional<std::size_t> PlanPass::bestWorker(const StartRequest &request,
@@ -179,14 +195,41 @@
     return false;
 }
 
-std::optional<PlanPass::WorkerList> PlanPass::placeGang(const StartRequest &request)
+/// Places the gang in the first rack with room that risks nothing, or else in the one that risks
+/// least.
+std::optional<PlanPass::WorkerList> PlanPass::placeInOneRack(const StartRequest &request)
 {
-    if (!request.step->sameRack)
-        return this->placeAllTasks(request, this->allWorkers);
+    const std::vector<Resources> before = this->capacity.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
+    std::optional<WorkerList> best;
+    double lowestLoss = std::numeric_limits<double>::infinity();
     for (const auto &[rack, members] : this->racks) {
-        if (std::optional<WorkerList> chosen = this->placeAllTasks(request, members))
+        std::optional<WorkerList> chosen = this->placeAllTasks(request, members);
+        if (!chosen)
+            continue;
+        const double loss = this->expectedLoss(request, *chosen);
+        if (loss == 0.0)
             return chosen;
+        this->capacity.free = before;
+        this->emptyWorkers = emptyBefore;
+        if (loss < lowestLoss) {
+            lowestLoss = loss;
+            best = std::move(chosen);
+        }
+    }
+    if (best) {
+        for (const std::size_t worker : *best)
+            this->placeTask(request, worker);
     }
+    return best;
+}
+
+std::optional<PlanPass::WorkerList> PlanPass::placeGang(const StartRequest &request)
+{
+    if (!request.step->sameRack)
+        return this->placeAllTasks(request, this->allWorkers);
+    if (std::optional<WorkerList> chosen = this->placeInOneRack(request))
+        return chosen;
     if (this->requiresOneRack(request))
         return std::nullopt;
     return this->placeAllTasks(request, this->allWorkers);
--- a/Tasks/PlanPassPreemptions.cpp
+++ b/Tasks/PlanPassPreemptions.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 // What PlanPass reclaims for urgent requests, and the claims that keep the freed room for them.
 namespace Hibiscus::Tasks {
@@ -10,24 +11,24 @@
                                                   std::size_t number) const
 {
     const WorkerView &worker = this->workers[number];
-    const std::vector<std::size_t> &alreadyPreempted = this->capacity.preempted[number];
     Preemption result;
     result.worker = number;
     Resources room = this->capacity.free[number];
     room += this->capacity.beingFreed[number];
     double cost = 0.0;
+    std::set<std::size_t> stoppedGangs;
     for (const std::size_t place : this->occupantOrdersOf(number).byCost) {
         if (request.step->allocatedResources().fitsInto(room))
             break;
         const OccupantView &occupant = worker.occupants[place];
         if (occupant.priority < this->minVictimPriority(request))
             break;
-        const bool isPreempted = std::find(alreadyPreempted.begin(), alreadyPreempted.end(), place)
-            != alreadyPreempted.end();
-        if (occupant.stopping || occupant.nonPreemptible || isPreempted)
+        if (occupant.stopping || occupant.nonPreemptible || this->isPreempted(number, place))
             continue;
         room += occupant.need;
-        cost += occupant.preemptionCost;
+        // The cost of an occupant is that of its whole gang.
+        if (occupant.group == 0 || stoppedGangs.insert(occupant.group).second)
+            cost += occupant.preemptionCost;
         result.occupants.push_back(place);
     }
     if (request.step->allocatedResources().fitsInto(room))
@@ -38,18 +39,43 @@
 void PlanPass::applyPreemption(const Preemption &preemption)
 {
     for (const std::size_t occupant : preemption.occupants) {
-        this->capacity.preempted[preemption.worker].push_back(occupant);
-        this->capacity.beingFreed[preemption.worker]
-            += this->workers[preemption.worker].occupants[occupant].need;
+        const std::size_t group = this->workers[preemption.worker].occupants[occupant].group;
+        if (group == 0) {
+            this->markPreempted(preemption.worker, occupant);
+            continue;
+        }
+        for (const auto &[worker, member] : this->gangs.at(group))
+            this->markPreempted(worker, member);
     }
 }
 
+/// The room of an occupant that is stopping counts as being freed already.
+void PlanPass::markPreempted(std::size_t worker, std::size_t occupant)
+{
+    const OccupantView &view = this->workers[worker].occupants[occupant];
+    if (view.stopping || this->isPreempted(worker, occupant))
+        return;
+    this->capacity.preempted[worker].push_back(occupant);
+    this->capacity.beingFreed[worker] += view.need;
+}
+
+bool PlanPass::isPreempted(std::size_t worker, std::size_t occupant) const
+{
+    const std::vector<std::size_t> &preempted = this->capacity.preempted[worker];
+    return std::find(preempted.begin(), preempted.end(), occupant) != preempted.end();
+}
+
+/// Names one member of each gang, which stops as a whole.
 void PlanPass::planPreemptions(const Capacity &before)
 {
+    std::set<std::size_t> gangsNamed;
     for (std::size_t worker = 0; worker < this->workers.size(); worker++) {
         const std::vector<std::size_t> &occupants = this->capacity.preempted[worker];
-        for (std::size_t i = before.preempted[worker].size(); i < occupants.size(); i++)
-            this->plan.preemptions.push_back({worker, occupants[i]});
+        for (std::size_t i = before.preempted[worker].size(); i < occupants.size(); i++) {
+            const std::size_t group = this->workers[worker].occupants[occupants[i]].group;
+            if (group == 0 || gangsNamed.insert(group).second)
+                this->plan.preemptions.push_back({worker, occupants[i]});
+        }
     }
 }
 
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -129,6 +129,10 @@
         /// after `maxIdleWait` if the service is mostly idle, and perpetual tasks in any case.
         double emptyShareForUrgentWork = 0.06;
         std::size_t maxReservations = 24; ///< Tasks for which room is reserved in one plan.
+        /// Work of a task with checkpoints that a failure loses at most, in time.
+        Duration checkpointInterval = seconds(2);
+        /// Workers of a higher failure risk than this get no member of a gang.
+        double maxGangRisk = 0.3;
     };
 
     explicit StartPlanner(const Settings &settings)
--- /dev/null
+++ b/UnitTests/Tasks/RiskPlanTest.cpp
@@ -0,0 +1,191 @@
+#include <Tasks/StartPlanner.h>
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+
+// Plans for workers that failed or restarted lately, and for gangs that give way.
+namespace Hibiscus::Tasks {
+
+namespace {
+
+constexpr UnixMs now = 1'700'000'000'000;
+constexpr double risky = 0.25; ///< Below the bound for gangs.
+constexpr double tooRisky = 0.5;
+
+class RiskPlanTest : public testing::Test
+{
+protected:
+    /// Adds workers of 8 accelerators in racks of two.
+    void addWorkers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; i++) {
+            const std::size_t number = this->views.size();
+            this->ids.push_back("worker-" + std::to_string(number));
+            this->labels.push_back({"kind-a", "rack-" + std::to_string(number / 2)});
+            WorkerView view;
+            view.id = this->ids.back();
+            view.service = "blend";
+            view.labels = this->labels.back();
+            view.free = {32000, 65536, 8};
+            view.usable = true;
+            this->views.push_back(view);
+        }
+    }
+
+    void occupy(std::size_t worker, std::size_t group, double loss)
+    {
+        const Resources need{8000, 1000, 8};
+        this->views[worker].free -= need;
+        this->views[worker].occupants.push_back({need, 2, now + 4000, loss, false, false, group});
+    }
+
+    StartRequest &request(std::int32_t priority, std::int32_t tasks, std::int64_t accelerators,
+                          bool gang)
+    {
+        Step step;
+        step.count = tasks;
+        step.need = {1000 * accelerators, 1000, accelerators};
+        step.gang = gang;
+        this->steps.push_back(step);
+        StartRequest request;
+        request.job = "job";
+        request.step = &this->steps.back();
+        request.service = "blend";
+        request.runTime = seconds(8);
+        request.priority = priority;
+        request.readySince = now - 100;
+        request.objectiveAt = now + 20'000;
+        request.usefulUntil = now + 60'000;
+        for (std::int32_t i = 0; i < tasks; i++)
+            request.indexes.push_back(i);
+        this->requests.push_back(request);
+        return this->requests.back();
+    }
+
+    StartPlan plan() const { return this->planner.plan(this->requests, this->views, now); }
+
+    std::deque<std::string> ids;
+    std::deque<std::vector<std::string>> labels;
+    std::deque<Step> steps;
+    std::vector<WorkerView> views;
+    std::vector<StartRequest> requests;
+    StartPlanner planner{StartPlanner::Settings{}};
+};
+
+bool uses(const StartPlan &plan, std::size_t worker)
+{
+    return std::any_of(plan.starts.begin(), plan.starts.end(),
+                       [worker](const StartChoice &start) { return start.worker == worker; });
+}
+
+// Load: a worker fails a part of what it starts. It is the fullest, so packing alone would choose
+// it.
+TEST_F(RiskPlanTest, WideGangPrefersSoundWorkersToTightPacking)
+{
+    this->addWorkers(3);
+    this->views[0].free = {20000, 60000, 5};
+    this->views[0].failureRisk = risky;
+    this->request(1, 2, 4, true);
+    EXPECT_FALSE(uses(this->plan(), 0));
+    this->views[0].failureRisk = 0.0;
+    EXPECT_TRUE(uses(this->plan(), 0));
+}
+
+// Load: failing workers are always free, so that gangs which wait for room would all go there.
+TEST_F(RiskPlanTest, OnlySingleTasksProbeAWorkerThatIsTooRisky)
+{
+    this->addWorkers(2);
+    this->views[0].failureRisk = this->views[1].failureRisk = tooRisky;
+    StartRequest &gang = this->request(1, 2, 8, true);
+    this->occupy(0, 0, 1.0);
+    EXPECT_TRUE(this->plan().starts.empty());
+    gang.guaranteed = true;
+    this->views[0].occupants.clear();
+    this->views[0].free = {32000, 65536, 8};
+    EXPECT_EQ(this->plan().starts.size(), 2U);
+    this->requests.clear();
+    this->request(2, 2, 1, false);
+    EXPECT_EQ(this->plan().starts.size(), 2U);
+}
+
+TEST_F(RiskPlanTest, GangDoesNotWaitForLongInAMostlyIdleService)
+{
+    this->addWorkers(2);
+    this->views[0].failureRisk = this->views[1].failureRisk = tooRisky;
+    StartRequest &gang = this->request(1, 2, 8, true);
+    EXPECT_TRUE(this->plan().starts.empty());
+    gang.readySince = now - 3000;
+    EXPECT_EQ(this->plan().starts.size(), 2U);
+}
+
+TEST_F(RiskPlanTest, GangOfOneRackGoesToTheRackOfSoundWorkers)
+{
+    this->addWorkers(6);
+    this->views[1].failureRisk = risky;
+    this->views[2].failureRisk = risky / 2;
+    this->request(1, 2, 8, true);
+    this->steps[0].sameRack = true;
+    const StartPlan plan = this->plan();
+    EXPECT_TRUE(uses(plan, 4) && uses(plan, 5));
+    this->views[4].failureRisk = tooRisky;
+    EXPECT_TRUE(uses(this->plan(), 2));
+}
+
+// Load: urgent tasks need room on several workers while a wide gang and single tasks run there. All
+// members of a gang stop together, so that their room comes free at the price of one gang.
+TEST_F(RiskPlanTest, RoomOfAStoppedGangIsUsedBeforeMoreWorkIsStopped)
+{
+    this->addWorkers(6);
+    for (std::size_t worker = 0; worker < 3; worker++)
+        this->occupy(worker, 7, 300.0);
+    for (std::size_t worker = 3; worker < 6; worker++)
+        this->occupy(worker, 0, 310.0);
+    this->request(0, 3, 8, false);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(plan.preemptions.size(), 1U);
+    EXPECT_EQ(plan.claims.size(), 3U);
+    for (const ClaimChoice &claim : plan.claims)
+        EXPECT_LT(claim.worker, 3U);
+}
+
+// Two members on one worker cost as much as one.
+TEST_F(RiskPlanTest, GangOnOneWorkerCountsOnceAsVictim)
+{
+    this->addWorkers(2);
+    this->views[0].free = this->views[1].free = {32000, 65536, 16};
+    this->occupy(0, 7, 300.0);
+    this->occupy(0, 7, 300.0);
+    this->occupy(1, 0, 250.0);
+    this->occupy(1, 0, 250.0);
+    this->request(0, 1, 16, false);
+    const StartPlan plan = this->plan();
+    ASSERT_EQ(plan.preemptions.size(), 1U);
+    EXPECT_EQ(plan.preemptions.front().worker, 0U);
+}
+
+// Without risks the settings of this part change no plan.
+TEST_F(RiskPlanTest, EqualWorkersGiveThePlanOfAPlannerWithoutThePart)
+{
+    StartPlanner::Settings without;
+    without.maxGangRisk = 1.0;
+    without.checkpointInterval = Duration{};
+    std::mt19937 random(1); // NOLINT(cert-msc51-cpp): the same inputs in each run
+    this->addWorkers(12);
+    for (int round = 0; round < 200; round++) {
+        this->requests.clear();
+        for (int i = 0; i < 10; i++) {
+            const bool gang = random() % 2 == 0;
+            this->request(static_cast<int>(random() % 3), 1 + static_cast<int>(random() % 9),
+                          1 + static_cast<int>(random() % 8), gang);
+            this->steps.back().sameRack = gang && random() % 3 == 0;
+        }
+        const StartPlan plan = this->plan();
+        EXPECT_EQ(plan.starts, StartPlanner(without).plan(this->requests, this->views, now).starts);
+    }
+}
+
+} // namespace
+
+} // namespace Hibiscus::Tasks
