Give up runs that can't end before their worker leaves

A worker that leaves takes its runs with it without a report. Their tasks, and with them whole gangs, counted as running until the lease of the worker was over, 9 to 11 s after the gang was broken. The registry entry tells how long the worker stays; DepartureDecision stops what can't end in that time while the stop still reaches the worker.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -76,9 +76,10 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , risks(settings.risks)
+    , departures(settings.departures)
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , risks(settings.risks)
     , inputs(jobs, fleet, runTimes, risks, permits, std::move(guarantees), settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
@@ -359,6 +360,8 @@
         entry = tl::unexpected(std::string("its start time is in the future"));
     if (entry) {
         this->fleet.workerListed(*entry, now);
+        if (entry->draining && this->isLeading(now))
+            this->stopDoomedRuns(now);
         return;
     }
     this->logger.logEvent(LogKind::Fault, "worker entry can't be used",
@@ -558,6 +561,7 @@
     this->risks.forgetOld(now);
     this->writeLoad(now);
     this->writeSilence();
+    this->stopDoomedRuns(now);
     this->plan(now);
 }
 
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -8,6 +8,7 @@
 #include <Coordination/RecordWriter.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
+#include <Tasks/DepartureDecision.h>
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
@@ -46,6 +47,7 @@
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
         Tasks::WorkerRisks::Settings risks;
+        Tasks::DepartureDecision::Settings departures;
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
     };
@@ -162,6 +164,10 @@
     void stopGang(const TrackedJob &job, const Tasks::RunRef &run, const char *event,
                   TimePoint now);
 
+    /// Stops the runs that can't end before their workers leave.
+    void stopDoomedRuns(TimePoint now);
+    void stopDoomedRuns(const WorkerFleet::Worker &worker, Duration untilDeparture, TimePoint now);
+
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
@@ -186,6 +192,7 @@
     EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
     Tasks::WorkerRisks risks;
+    Tasks::DepartureDecision departures;
     PermitCache permits;
     PlanInputs inputs;
     StartPlanner planner;
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -12,6 +12,25 @@
 using Tasks::TaskRef;
 using Tasks::TaskState;
 
+namespace {
+
+/// A run that resumed shows a share of the work that it has not done in its own time.
+Tasks::DepartureDecision::RunOutlook outlookOf(const WorkerFleet::Run &run, TimePoint now)
+{
+    const TimePoint startedAt = run.startConfirmedAt.value_or(now);
+    const std::int32_t percent = run.resumed ? 0 : run.percent;
+    Tasks::DepartureDecision::RunOutlook outlook;
+    outlook.elapsed = now - startedAt;
+    outlook.expectedLeft = run.perpetual
+        ? maxDuration
+        : Tasks::expectedTimeLeft(outlook.elapsed, run.percentReadAt - startedAt, percent,
+                                  run.estimate);
+    outlook.keepsWork = run.checkpoints || run.perpetual;
+    return outlook;
+}
+
+} // namespace
+
 /// Fills in the properties of a run that come from its job. The caller sets the run's reference.
 WorkerFleet::Run TaskDispatcher::describeRun(const TrackedJob &job, const TaskRef &ref)
 {
@@ -158,6 +177,29 @@
     this->stopRuns(runs, now);
 }
 
+void TaskDispatcher::stopDoomedRuns(TimePoint now)
+{
+    for (const auto &[id, worker] : this->fleet.all()) {
+        const std::optional<Duration> left = WorkerFleet::timeUntilDeparture(worker, now);
+        if (left && !worker.runs.empty())
+            this->stopDoomedRuns(worker, *left, now);
+    }
+}
+
+void TaskDispatcher::stopDoomedRuns(const WorkerFleet::Worker &worker, Duration untilDeparture,
+                                    TimePoint now)
+{
+    std::vector<RunRef> doomed;
+    for (const auto &[key, run] : worker.runs) {
+        if (!run.stopWanted && this->departures.stopsNow(outlookOf(run, now), untilDeparture))
+            doomed.push_back(run.ref);
+    }
+    for (const RunRef &run : doomed) {
+        if (const TrackedJob *job = this->jobs.find(run.job))
+            this->stopGang(*job, run, "run given up on a worker that leaves", now);
+    }
+}
+
 void TaskDispatcher::stopRuns(std::span<const RunRef> runs, TimePoint now)
 {
     if (this->phase != Phase::Leading)
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -135,6 +135,19 @@
     return found != this->workers.end() && this->isEvacuated(found->second);
 }
 
+/// The entry may have been read late. Its age follows from the worker's clock, if that is known.
+std::optional<Duration> WorkerFleet::timeUntilDeparture(const Worker &worker, TimePoint now)
+{
+    const WorkerEntry &entry = worker.entry;
+    if (!worker.hasOwnEntry() || !entry.draining || !entry.timeLeft)
+        return std::nullopt;
+    const bool hasClocks = worker.clock != 0 && entry.clock != 0;
+    const Duration age = hasClocks
+        ? milliseconds(worker.clock - entry.clock) + (now - worker.clockReadAt)
+        : now - worker.listedAt;
+    return *entry.timeLeft - age;
+}
+
 bool WorkerFleet::Worker::isMixed() const
 {
     const auto serves = [](const auto &entry) { return entry.second.responseTarget > Duration{}; };
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -120,6 +120,7 @@
         std::string payload;
         std::string checkpoint; ///< Newest known checkpoint.
         std::int32_t percent = 0;
+        TimePoint percentReadAt{};
         double load = 0.0; ///< Load that the worker reported; see Tasks::RunningTask::load.
         std::int32_t pace = 100; ///< Pace in percent that was last sent to the worker.
         bool paceConfirmed = true; ///< Whether the worker is known to apply that pace.
@@ -265,6 +266,9 @@
         return this->evacuated.contains(worker.entry.dataCenter);
     }
     bool isEvacuated(std::string_view worker) const;
+    /// Least time for which a worker that has announced to leave stays; negative once it may be
+    /// gone. Empty: the worker does not leave, or the time is unknown.
+    static std::optional<Duration> timeUntilDeparture(const Worker &worker, TimePoint now);
     /// Longest time since the last answer among workers with runs; empty if no worker has runs.
     std::optional<Duration> oldestAnswerAge(TimePoint now) const;
     const Run *find(std::string_view worker, const Tasks::RunRef &ref) const;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -347,6 +347,7 @@
         if (reachesWork)
             worker.consecutiveFailures = 0;
         run->percent = running.percent;
+        run->percentReadAt = now;
         run->load = running.load;
         run->adopted = false;
         run->listedByProcess = true;
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -92,7 +92,9 @@
     settings.workerRegistry = Platform::workerRegistryPrefix;
     settings.statusRetention = site.statusRetention;
     settings.planner.remoteDataFactor = site.remoteDataFactor;
+    settings.planner.checkpointInterval = site.checkpointInterval;
     settings.fleet.maxLeaseDuration = site.maxWorkerLease;
+    settings.departures.maxStopTime = site.maxStopTime;
     if (site.evacuationBound > Duration{}) {
         settings.evacuations.prefix = Platform::evacuationPrefix;
         settings.evacuations.maxAge = site.evacuationBound * 3 / 5;
--- a/Tasks/SiteSettings.h
+++ b/Tasks/SiteSettings.h
@@ -21,6 +21,9 @@
     double linkMbps = 1000.0;
     Duration minStoreLease = seconds(1); ///< Shortest lease that the store grants.
     Duration maxWorkerLease = seconds(6); ///< Longest lease that a worker grants to its tasks.
+    Duration maxStopTime = milliseconds(900); ///< Longest time that a worker takes to stop a task.
+    /// Work after which a task that saves checkpoints makes the next one.
+    Duration checkpointInterval = seconds(2);
     Duration stopGracePeriod = seconds(6); ///< Between the termination signal and the kill.
     Duration maxRevocationDelay = seconds(5); ///< Until a revoked API key must be rejected.
     /// Until nothing starts in an evacuated data centre any more; zero: none is ever evacuated.
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -3,6 +3,7 @@
 #include <Tasks/TaskJob.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,9 @@
     std::vector<std::string> labels; ///< First the kind of the worker, last its rack.
     Resources capacity;
     bool draining = false;
+    /// While the worker drains: the least time, from `clock` on, for which it stays. Empty:
+    /// unknown.
+    std::optional<Duration> timeLeft;
     /// Start time of the worker's process. A changed value means that the process was restarted and
     /// lost all its tasks.
     std::int64_t incarnation = 0;
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -73,6 +73,7 @@
                 {"labels", entry.labels},
                 {"dataCenter", entry.dataCenter},
                 {"draining", entry.draining},
+                {"timeLeftMs", entry.timeLeft ? toMs(*entry.timeLeft) : -1},
                 {"accelerators", entry.capacity.accelerators}}
         .dump();
 }
@@ -91,6 +92,9 @@
     entry.labels = value.at("labels").get<std::vector<std::string>>();
     entry.capacity = {32000, 65536, value.at("accelerators").get<std::int64_t>()};
     entry.draining = value.at("draining").get<bool>();
+    const std::int64_t timeLeftMs = value.at("timeLeftMs").get<std::int64_t>();
+    if (timeLeftMs >= 0)
+        entry.timeLeft = milliseconds(timeLeftMs);
     entry.incarnation = value.at("incarnation").get<std::int64_t>();
     return entry;
 }
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -224,7 +224,11 @@
         answer.outcome = WorkerOutcome::LeaseExpired;
         return answer;
     }
-    const TaskScript script = parseScript(order.payload);
+    TaskScript script = parseScript(order.payload);
+    if (this->failingWorkers.contains(id)) {
+        script.fails = true;
+        script.runTime = milliseconds(50);
+    }
     if (script.needsPermit && !this->permitCheck(id, order)) {
         this->permitRejections++;
         answer.outcome = WorkerOutcome::NotPermitted;
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -65,6 +65,8 @@
     std::set<std::string> closedWorkers;
     /// Workers that reject start orders without effect.
     std::set<std::string> unhealthyWorkers;
+    /// Workers that fail all that they start, after 50 ms.
+    std::set<std::string> failingWorkers;
     Duration orderDelay = seconds(3);
     Duration latency = milliseconds(1); ///< Of one direction.
     Duration stopTime = milliseconds(300);
--- a/UnitTests/platform/FormatsTest.cpp
+++ b/UnitTests/platform/FormatsTest.cpp
@@ -86,10 +86,12 @@
 {
     const auto entry = decodeWorkerEntry("servers/i-7", R"({"backend":"svc",
         "address":"10.0.0.9:80","zone":"north","state":"draining","clockMs":482113,"born":99,
+        "drainRemainingMs":2100,
         "capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"seq":4})");
     ASSERT_TRUE(entry) << entry.error().toString();
     EXPECT_EQ(entry->id, "i-7");
     EXPECT_TRUE(entry->draining);
+    EXPECT_EQ(entry->timeLeft, std::optional<Duration>(milliseconds(2100)));
     EXPECT_EQ(entry->incarnation, 99);
     EXPECT_EQ(entry->capacity, (Tasks::Resources{16000, 32768, 8}));
     EXPECT_FALSE(decodeWorkerEntry("servers/i-8", R"({"backend":"svc","address":"nowhere",
