Count risks by starts, and let a gang with few attempts left wait for sounder workers

Workers that fail what they start do so at once: a gang used up all of its attempts within 0.8 s on four different ones, and its job was lost. The risk is now the share of failed starts with the service's rate as prior, so that workers which run their work are preferred to those of which nothing is known.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -79,7 +79,7 @@
 
 bool PlanInputs::collect(UnixMs wall, TimePoint now)
 {
-    this->collectRequests(wall);
+    this->collectRequests(wall, now);
     if (this->requests.empty())
         return false;
     this->collectWorkers(wall, now);
@@ -94,7 +94,7 @@
     return true;
 }
 
-void PlanInputs::collectRequests(UnixMs wall)
+void PlanInputs::collectRequests(UnixMs wall, TimePoint now)
 {
     this->requests.clear();
     for (const auto &[id, job] : this->jobs.all()) {
@@ -104,12 +104,27 @@
         for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
             if (repeated && wall < job.job.dueAt(i))
                 break;
-            this->addRequests(job, i, wall);
+            this->addRequests(job, i, wall, now);
         }
     }
 }
 
-void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, UnixMs wall)
+/// Fills in what earlier runs of a gang ended as failed.
+void PlanInputs::addFailures(StartRequest &request, const TrackedJob &job, UnixMs wall,
+                             TimePoint now) const
+{
+    if (!request.step->gang)
+        return;
+    const TaskRef first{request.occurrence, request.stepNumber, 0};
+    request.attemptsLeft = job.job.maxAttempts - job.progress.task(first).failures;
+    const std::optional<TimePoint> failedAt
+        = this->risks.lastFailureOf({job.job.id, request.occurrence, request.stepNumber});
+    if (failedAt)
+        request.failedAt = wall - toMs(now - *failedAt);
+}
+
+void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, UnixMs wall,
+                             TimePoint now)
 {
     const UnixMs span = toMs(job.job.objective(this->runTimes.expectedCriticalPath(job.job)));
     for (std::size_t i = 0; i < job.job.steps.size(); i++) {
@@ -136,6 +151,7 @@
         request.usefulUntil
             = step.perpetual ? never : request.readySince + worthlessAfterObjectives * span;
         request.indexes = std::move(indexes);
+        this->addFailures(request, job, wall, now);
         this->requests.push_back(std::move(request));
     }
 }
@@ -154,7 +170,7 @@
         view.free -= worker.used;
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
-        view.failureRisk = this->risks.riskOf(id, now);
+        view.failureRisk = this->risks.riskOf(id, view.service, now);
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -43,8 +43,11 @@
     std::span<const Tasks::WorkerView> workerViews() const { return this->workers; }
 
 private:
-    void collectRequests(Tasks::UnixMs wall);
-    void addRequests(const TrackedJob &job, std::int32_t occurrence, Tasks::UnixMs wall);
+    void collectRequests(Tasks::UnixMs wall, TimePoint now);
+    void addRequests(const TrackedJob &job, std::int32_t occurrence, Tasks::UnixMs wall,
+                     TimePoint now);
+    void addFailures(Tasks::StartRequest &request, const TrackedJob &job, Tasks::UnixMs wall,
+                     TimePoint now) const;
     void collectWorkers(Tasks::UnixMs wall, TimePoint now);
     Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
                                TimePoint now) const;
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -375,8 +375,10 @@
     if (!job || !job->progress.contains(run.task))
         return;
     TaskProgress &task = job->progress.task(run.task);
-    if (task.run == run.run && task.state == TaskState::Assigned)
+    if (task.run == run.run && task.state == TaskState::Assigned) {
         task.state = TaskState::Running;
+        this->risks.recordStart(task.worker, job->job.service, now);
+    }
     if (job->isFinished())
         this->stopRuns({&run, 1}, now);
 }
@@ -406,10 +408,8 @@
         this->fleet.reportFailure(end.worker, end.wasAtWork, now);
     if (end.cause == EndCause::Failed && isNew && !end.wasAtWork)
         this->noteFailure(end, now);
-    if (end.cause == EndCause::Done) {
+    if (end.cause == EndCause::Done)
         this->fleet.reportSuccess(end.worker);
-        this->risks.recordSuccess(end.worker, now);
-    }
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
         this->runTimes.recordRun(job->job.queue, end.runTime);
     const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
@@ -423,11 +423,15 @@
 
 void TaskDispatcher::noteFailure(const RunEnd &end, TimePoint now)
 {
-    const bool wasTooRisky
-        = this->risks.riskOf(end.worker, now) > this->settings.planner.maxGangRisk;
-    this->risks.recordFailure(end.worker, end.run, now);
-    const double risk = this->risks.riskOf(end.worker, now);
-    if (!wasTooRisky && risk > this->settings.planner.maxGangRisk)
+    const auto worker = this->fleet.all().find(end.worker);
+    if (worker == this->fleet.all().end())
+        return;
+    const std::string &service = worker->second.entry.service;
+    const double bound = this->settings.planner.maxGangRisk;
+    const bool wasTooRisky = this->risks.riskOf(end.worker, service, now) > bound;
+    this->risks.recordFailure(end.worker, service, end.run, end.wasEarly, now);
+    const double risk = this->risks.riskOf(end.worker, service, now);
+    if (!wasTooRisky && risk > bound)
         this->logger.logEvent(LogKind::Dependency, "worker too risky for gangs",
                               {{"worker", end.worker}, {"risk", risk}}, now);
 }
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -29,6 +29,7 @@
     std::int64_t number = 0;
     std::int64_t incarnation = 0; ///< The worker's process that reported the end.
     bool tracked = false; ///< Whether the fleet held the run as assigned to the worker.
+    bool wasEarly = false; ///< Ended when hardly any of its expected run time had passed.
     bool wasAtWork = false; ///< Of a perpetual task that its worker has reported at work.
     /// Run time observed by this leader; 0 if unknown or if the run resumed from a checkpoint.
     Duration runTime{};
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -322,6 +322,9 @@
         end.checkpoint = run->checkpoint;
     if (run->startConfirmedAt && !run->resumed)
         end.runTime = now - *run->startConfirmedAt;
+    constexpr int earlyShareOfRunTime = 10;
+    end.wasEarly = run->startConfirmedAt
+        && now - *run->startConfirmedAt <= run->estimate / earlyShareOfRunTime;
     end.tracked = true;
     end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
     this->removeRun(worker, keyOf(ended.run), now);
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -155,9 +155,16 @@
 {
     const StartRequest &request = this->requests[number];
     const std::size_t tasks = request.indexes.size();
+    const std::vector<Resources> freeBefore = this->capacity.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     std::optional<WorkerList> chosen = this->placeAllTasks(request, request.claims);
     if (!chosen)
         chosen = this->placeGang(request);
+    if (chosen && this->rejects(request, *chosen)) {
+        this->capacity.free = freeBefore;
+        this->emptyWorkers = emptyBefore;
+        return;
+    }
     if (chosen) {
         for (std::size_t i = 0; i < chosen->size(); i++)
             this->plan.starts.push_back({number, request.indexes[i], (*chosen)[i]});
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -63,6 +63,10 @@
     /// Whether the worker would risk the request's gang. No gang waits for a sounder worker for
     /// long while the service is mostly idle.
     bool isTooRisky(const StartRequest &request, std::size_t worker) const;
+    /// Probability that at least one of the workers breaks a run.
+    double riskOfAny(const WorkerList &chosen) const;
+    /// Whether the gang rather waits than risks its job on the workers.
+    bool rejects(const StartRequest &request, const WorkerList &chosen) const;
     /// Expected loss of a gang's runs on the workers, in core-seconds.
     double expectedLoss(const StartRequest &request, const WorkerList &chosen) const;
     /// Whether the worker is eligible, sound enough and, while the request requires its data's
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -68,6 +68,22 @@
         && !this->isReserveWaitOver(request);
 }
 
+double PlanPass::riskOfAny(const WorkerList &chosen) const
+{
+    double noneFails = 1.0;
+    for (const std::size_t worker : chosen)
+        noneFails *= 1.0 - this->workers[worker].failureRisk;
+    return 1.0 - noneFails;
+}
+
+bool PlanPass::rejects(const StartRequest &request, const WorkerList &chosen) const
+{
+    const Duration maxWait = this->isServiceMostlyIdle(request)
+        ? std::min(this->settings.maxIdleWait, this->settings.maxRetryWait)
+        : this->settings.maxRetryWait;
+    return this->risks.waitsForSounderWorkers(request, this->riskOfAny(chosen), maxWait, this->now);
+}
+
 double PlanPass::expectedLoss(const StartRequest &request, const WorkerList &chosen) const
 {
     double sum = 0.0;
--- a/Tasks/RiskPlacement.cpp
+++ b/Tasks/RiskPlacement.cpp
@@ -23,6 +23,19 @@
     return worker.failureRisk == 0.0 ? 0.0 : worker.failureRisk * this->lossOf(request);
 }
 
+/// A failure costs the whole job once its attempts are used up, while a wait costs it some time.
+bool RiskPlacement::waitsForSounderWorkers(const StartRequest &request, double gangRisk,
+                                           Duration maxWait, UnixMs now) const
+{
+    if (!request.failedAt || !request.attemptsLeft || *request.attemptsLeft > 2)
+        return false;
+    const bool isLast = *request.attemptsLeft <= 1;
+    const double bound
+        = isLast ? this->settings.maxLastAttemptRisk : this->settings.maxNextToLastAttemptRisk;
+    return gangRisk > bound && now - *request.failedAt < toMs(maxWait)
+        && now + toMs(request.runTime) < request.usefulUntil;
+}
+
 bool RiskPlacement::isTooRisky(const StartRequest &request, const WorkerView &worker) const
 {
     const bool isGang = request.step->gang && request.step->count > 1;
--- a/Tasks/RiskPlacement.h
+++ b/Tasks/RiskPlacement.h
@@ -23,6 +23,10 @@
     /// Whether the worker gets no member of the request's gang. Single tasks go to any worker, and
     /// show whether it is sound again; what a customer's guarantee covers does not wait.
     bool isTooRisky(const StartRequest &request, const WorkerView &worker) const;
+    /// Whether the gang, a run of which failed lately, waits for sounder workers than these before
+    /// it risks its job. `maxWait` limits the wait from the failure on.
+    bool waitsForSounderWorkers(const StartRequest &request, double gangRisk, Duration maxWait,
+                                UnixMs now) const;
 
 private:
     const StartPlanner::Settings &settings;
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -56,6 +56,9 @@
     UnixMs readySince = 0;
     UnixMs objectiveAt = 0; ///< A job that ends by then is in time.
     UnixMs usefulUntil = 0; ///< A job that ends later is of no use to its caller.
+    /// Runs of a gang that may still fail before its job fails; absent: not a gang.
+    std::optional<std::int32_t> attemptsLeft;
+    std::optional<UnixMs> failedAt; ///< When a run of the gang failed lately.
     bool guaranteed = false; ///< Covered by its customer's guarantee; has to start promptly.
     std::vector<std::int32_t> indexes; ///< Indexes of the waiting tasks; of a gang, of all tasks.
     /// Workers of the step's tasks that are assigned already, one entry a task.
@@ -133,6 +136,11 @@
         Duration checkpointInterval = seconds(2);
         /// Workers of a higher failure risk than this get no member of a gang.
         double maxGangRisk = 0.3;
+        /// A gang that failed lately starts again on workers of at most this risk together, if its
+        /// job fails with this run, or with the next one.
+        double maxLastAttemptRisk = 0.15;
+        double maxNextToLastAttemptRisk = 0.35;
+        Duration maxRetryWait = seconds(5); ///< From the failure on, for such workers.
     };
 
     explicit StartPlanner(const Settings &settings)
--- a/UnitTests/Tasks/RiskPlacementTest.cpp
+++ b/UnitTests/Tasks/RiskPlacementTest.cpp
@@ -64,6 +64,32 @@
     EXPECT_FALSE(this->isTooRisky());
 }
 
+TEST_F(RiskPlacementTest, GangWithFewAttemptsLeftWaitsForSounderWorkers)
+{
+    this->makeGang(7);
+    const UnixMs now = 1'700'000'000'000;
+    const auto waits = [this, now](double risk) {
+        return this->placement.waitsForSounderWorkers(this->request, risk, seconds(5), now);
+    };
+    this->request.usefulUntil = now + 60'000;
+    this->request.attemptsLeft = 1;
+    EXPECT_FALSE(waits(0.5));
+    this->request.failedAt = now - 300;
+    EXPECT_TRUE(waits(0.2));
+    EXPECT_FALSE(waits(0.1));
+    this->request.attemptsLeft = 2;
+    EXPECT_FALSE(waits(0.2));
+    EXPECT_TRUE(waits(0.5));
+    this->request.attemptsLeft = 3;
+    EXPECT_FALSE(waits(0.5));
+    this->request.attemptsLeft = 1;
+    this->request.failedAt = now - 6000;
+    EXPECT_FALSE(waits(0.5));
+    this->request.failedAt = now - 300;
+    this->request.usefulUntil = now + 9000;
+    EXPECT_FALSE(waits(0.5));
+}
+
 TEST_F(RiskPlacementTest, PerpetualTasksLoseNothing)
 {
     this->step.perpetual = true;
--- a/UnitTests/Tasks/RiskPlanTest.cpp
+++ b/UnitTests/Tasks/RiskPlanTest.cpp
@@ -120,6 +120,22 @@
     EXPECT_EQ(this->plan().starts.size(), 2U);
 }
 
+TEST_F(RiskPlanTest, RoomThatAGangRejectsGoesToOtherWork)
+{
+    this->addWorkers(2);
+    this->views[0].failureRisk = this->views[1].failureRisk = risky;
+    StartRequest &gang = this->request(1, 2, 8, true);
+    gang.attemptsLeft = 1;
+    gang.failedAt = now - 300;
+    this->request(2, 16, 1, false);
+    const StartPlan plan = this->plan();
+    EXPECT_EQ(plan.starts.size(), 16U);
+    EXPECT_EQ(plan.starts.front().request, 1U);
+    // A mostly idle service does not let work wait for long.
+    this->requests[0].failedAt = now - 3000;
+    EXPECT_EQ(this->plan().starts.front().request, 0U);
+}
+
 TEST_F(RiskPlanTest, GangOfOneRackGoesToTheRackOfSoundWorkers)
 {
     this->addWorkers(6);
