--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -59,11 +59,12 @@
 } // namespace
 
 PlanInputs::PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-                       const Tasks::RunTimeEstimator &runTimes, PermitCache &permits,
-                       GuaranteeLookup guarantees, const Settings &settings)
+                       const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerRisks &risks,
+                       PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings)
     : jobs(jobs)
     , fleet(fleet)
     , runTimes(runTimes)
+    , risks(risks)
     , permits(permits)
     , guarantees(std::move(guarantees))
     , settings(settings)
@@ -78,10 +79,11 @@
 
 bool PlanInputs::collect(UnixMs wall, TimePoint now)
 {
-    this->collectRequests(wall);
+    this->collectRequests(wall, now);
     if (this->requests.empty())
         return false;
     this->collectWorkers(wall, now);
+    this->groupGangs();
     this->markFixedOccupants();
     this->markGuaranteed();
     for (StartRequest &request : this->requests) {
@@ -92,7 +94,7 @@
     return true;
 }
 
-void PlanInputs::collectRequests(UnixMs wall)
+void PlanInputs::collectRequests(UnixMs wall, TimePoint now)
 {
     this->requests.clear();
     for (const auto &[id, job] : this->jobs.all()) {
@@ -102,12 +104,27 @@
         for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
             if (repeated && wall < job.job.dueAt(i))
                 break;
-            this->addRequests(job, i, wall);
+            this->addRequests(job, i, wall, now);
         }
     }
 }
 
-void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, UnixMs wall)
+/// Fills in what earlier runs of a gang ended as failed.
+void PlanInputs::addFailures(StartRequest &request, const TrackedJob &job, UnixMs wall,
+                             TimePoint now) const
+{
+    if (!request.step->gang)
+        return;
+    const TaskRef first{request.occurrence, request.stepNumber, 0};
+    request.attemptsLeft = job.job.maxAttempts - job.progress.task(first).failures;
+    const std::optional<TimePoint> failedAt
+        = this->risks.lastFailureOf({job.job.id, request.occurrence, request.stepNumber});
+    if (failedAt)
+        request.failedAt = wall - toMs(now - *failedAt);
+}
+
+void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, UnixMs wall,
+                             TimePoint now)
 {
     const UnixMs span = toMs(job.job.objective(this->runTimes.expectedCriticalPath(job.job)));
     for (std::size_t i = 0; i < job.job.steps.size(); i++) {
@@ -134,6 +151,7 @@
         request.usefulUntil
             = step.perpetual ? never : request.readySince + worthlessAfterObjectives * span;
         request.indexes = std::move(indexes);
+        this->addFailures(request, job, wall, now);
         this->requests.push_back(std::move(request));
     }
 }
@@ -152,6 +170,7 @@
         view.free -= worker.used;
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
+        view.failureRisk = this->risks.riskOf(id, view.service, now);
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
@@ -177,6 +196,22 @@
     return view;
 }
 
+/// Numbers the gangs on the workers from 1.
+void PlanInputs::groupGangs()
+{
+    std::map<StepRef, std::size_t> groups;
+    for (WorkerView &view : this->workers) {
+        auto occupant = view.occupants.begin();
+        for (const auto &[key, run] : this->fleet.all().find(view.id)->second.runs) {
+            if (run.members > 1) {
+                const StepRef step{run.ref.job, run.ref.task.occurrence, run.ref.task.step};
+                occupant->group = groups.try_emplace(step, groups.size() + 1).first->second;
+            }
+            ++occupant;
+        }
+    }
+}
+
 /// Marks the runs that must not be preempted. A step may limit how many of its tasks are not at
 /// work; up to that limit, the tasks with the lowest indexes may be displaced, and all others are
 /// fixed.
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -76,9 +76,11 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , risks(settings.risks)
+    , departures(settings.departures)
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , inputs(jobs, fleet, runTimes, permits, std::move(guarantees), settings.inputs)
+    , inputs(jobs, fleet, runTimes, risks, permits, std::move(guarantees), settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -121,6 +123,7 @@
     this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
+    this->risks.clear();
     this->published.clear();
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
@@ -357,6 +360,8 @@
         entry = tl::unexpected(std::string("its start time is in the future"));
     if (entry) {
         this->fleet.workerListed(*entry, now);
+        if (entry->draining && this->isLeading(now))
+            this->stopDoomedRuns(now);
         return;
     }
     this->logger.logEvent(LogKind::Fault, "worker entry can't be used",
@@ -370,8 +375,10 @@
     if (!job || !job->progress.contains(run.task))
         return;
     TaskProgress &task = job->progress.task(run.task);
-    if (task.run == run.run && task.state == TaskState::Assigned)
+    if (task.run == run.run && task.state == TaskState::Assigned) {
         task.state = TaskState::Running;
+        this->risks.recordStart(task.worker, job->job.service, now);
+    }
     if (job->isFinished())
         this->stopRuns({&run, 1}, now);
 }
@@ -399,6 +406,8 @@
     const bool isNew = end.tracked || update.changed;
     if (end.cause == EndCause::Failed && isNew)
         this->fleet.reportFailure(end.worker, end.wasAtWork, now);
+    if (end.cause == EndCause::Failed && isNew && !end.wasAtWork)
+        this->noteFailure(end, now);
     if (end.cause == EndCause::Done)
         this->fleet.reportSuccess(end.worker);
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
@@ -412,6 +421,21 @@
         this->writer.whenStored(end.run.job, recorded, now);
 }
 
+void TaskDispatcher::noteFailure(const RunEnd &end, TimePoint now)
+{
+    const auto worker = this->fleet.all().find(end.worker);
+    if (worker == this->fleet.all().end())
+        return;
+    const std::string &service = worker->second.entry.service;
+    const double bound = this->settings.planner.maxGangRisk;
+    const bool wasTooRisky = this->risks.riskOf(end.worker, service, now) > bound;
+    this->risks.recordFailure(end.worker, service, end.run, end.wasEarly, now);
+    const double risk = this->risks.riskOf(end.worker, service, now);
+    if (!wasTooRisky && risk > bound)
+        this->logger.logEvent(LogKind::Dependency, "worker too risky for gangs",
+                              {{"worker", end.worker}, {"risk", risk}}, now);
+}
+
 void TaskDispatcher::runLost(const RunEnd &end, const char *reason, TimePoint now)
 {
     if (this->phase != Phase::Leading)
@@ -538,8 +562,10 @@
     this->removeOldRefusals(now);
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
+    this->risks.forgetOld(now);
     this->writeLoad(now);
     this->writeSilence();
+    this->stopDoomedRuns(now);
     this->plan(now);
 }
 
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -8,9 +8,11 @@
 #include <Coordination/RecordWriter.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
+#include <Tasks/DepartureDecision.h>
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
+#include <Tasks/WorkerRisks.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -44,6 +46,8 @@
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
+        Tasks::WorkerRisks::Settings risks;
+        Tasks::DepartureDecision::Settings departures;
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
     };
@@ -115,6 +119,8 @@
     void fleetChanged(TimePoint now) override;
     void silenceEnded(TimePoint now) override;
 
+    /// Takes a failed run into account in the risk of its worker.
+    void noteFailure(const RunEnd &end, TimePoint now);
     bool isLeading(TimePoint now);
     /// Whether start orders may be sent: leads, and knows which data centres are evacuated.
     bool mayStart(TimePoint now);
@@ -147,6 +153,7 @@
     static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
     void plan(TimePoint now);
+    void observeWorkers(TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, TimePoint now);
@@ -157,6 +164,10 @@
     void stopGang(const TrackedJob &job, const Tasks::RunRef &run, const char *event,
                   TimePoint now);
 
+    /// Stops the runs that can't end before their workers leave.
+    void stopDoomedRuns(TimePoint now);
+    void stopDoomedRuns(const WorkerFleet::Worker &worker, Duration untilDeparture, TimePoint now);
+
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
@@ -180,6 +191,8 @@
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
+    Tasks::WorkerRisks risks;
+    Tasks::DepartureDecision departures;
     PermitCache permits;
     PlanInputs inputs;
     StartPlanner planner;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -333,6 +333,9 @@
         end.checkpoint = run->checkpoint;
     if (run->startConfirmedAt && !run->resumed)
         end.runTime = now - *run->startConfirmedAt;
+    constexpr int earlyShareOfRunTime = 10;
+    end.wasEarly = run->startConfirmedAt
+        && now - *run->startConfirmedAt <= run->estimate / earlyShareOfRunTime;
     end.tracked = true;
     end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
     this->removeRun(worker, keyOf(ended.run), now);
@@ -358,6 +361,7 @@
         if (reachesWork)
             worker.consecutiveFailures = 0;
         run->percent = running.percent;
+        run->percentReadAt = now;
         run->load = running.load;
         run->adopted = false;
         run->listedByProcess = true;
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -30,6 +30,7 @@
                    std::span<const WorkerView> workers, UnixMs now)
     : settings(settings)
     , rackWait(settings)
+    , risks(settings)
     , requests(requests)
     , workers(workers)
     , now(now)
@@ -42,9 +43,21 @@
     this->capacity.preempted.resize(workers.size());
     this->orders.resize(workers.size());
     this->groupWorkers();
+    this->groupOccupants();
     this->countWorkers();
 }
 
+void PlanPass::groupOccupants()
+{
+    for (const std::size_t worker : this->allWorkers) {
+        const std::vector<OccupantView> &occupants = this->workers[worker].occupants;
+        for (std::size_t i = 0; i < occupants.size(); i++) {
+            if (occupants[i].group != 0)
+                this->gangs[occupants[i].group].emplace_back(worker, i);
+        }
+    }
+}
+
 void PlanPass::groupWorkers()
 {
     this->allWorkers.resize(this->workers.size());
@@ -142,9 +155,16 @@
 {
     const StartRequest &request = this->requests[number];
     const std::size_t tasks = request.indexes.size();
+    const std::vector<Resources> freeBefore = this->capacity.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     std::optional<WorkerList> chosen = this->placeAllTasks(request, request.claims);
     if (!chosen)
         chosen = this->placeGang(request);
+    if (chosen && this->rejects(request, *chosen)) {
+        this->capacity.free = freeBefore;
+        this->emptyWorkers = emptyBefore;
+        return;
+    }
     if (chosen) {
         for (std::size_t i = 0; i < chosen->size(); i++)
             this->plan.starts.push_back({number, request.indexes[i], (*chosen)[i]});
