Learn how fast each worker is and place work by it

Cause: nothing knew that some workers take 0.6 and others 1.6 of the typical run time, so urgent gangs, which end with their slowest member, were late though they started in 50 ms. Change: WorkerSpeeds compares runs of one step, by their reported progress and their run times, and SpeedPlacement turns the learned speeds into a cost of placement. The leader stores the speeds for the next one. Estimates of assigned runs and the queues' run times allow for the speed.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -59,11 +59,12 @@
 } // namespace
 
 PlanInputs::PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-                       const Tasks::RunTimeEstimator &runTimes, PermitCache &permits,
-                       GuaranteeLookup guarantees, const Settings &settings)
+                       const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerSpeeds &speeds,
+                       PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings)
     : jobs(jobs)
     , fleet(fleet)
     , runTimes(runTimes)
+    , speeds(speeds)
     , permits(permits)
     , guarantees(std::move(guarantees))
     , settings(settings)
@@ -152,6 +153,10 @@
         view.free -= worker.used;
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
+        const Tasks::WorkerSpeeds::Speed speed = this->speeds.speedOf(
+            worker.entry.service, Tasks::WorkerSpeeds::identityOf(worker.entry));
+        view.slowness = speed.slowness;
+        view.speedKnown = speed.known;
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -5,6 +5,7 @@
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
+#include <Tasks/WorkerSpeeds.h>
 
 #include <functional>
 #include <map>
@@ -29,8 +30,8 @@
     };
 
     PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-               const Tasks::RunTimeEstimator &runTimes, PermitCache &permits,
-               GuaranteeLookup guarantees, const Settings &settings);
+               const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerSpeeds &speeds,
+               PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings);
 
     void clear();
     /// Rebuilds the snapshot; returns false if no step is waiting to start.
@@ -57,6 +58,7 @@
     const TrackedJobTable &jobs;
     const WorkerFleet &fleet;
     const Tasks::RunTimeEstimator &runTimes;
+    const Tasks::WorkerSpeeds &speeds;
     PermitCache &permits;
     GuaranteeLookup guarantees;
     Settings settings;
--- a/Coordination/StoreKeys.h
+++ b/Coordination/StoreKeys.h
@@ -17,6 +17,9 @@
 /// Key of the forecast wait of new jobs, for queues where it is long; all instances watch this key.
 inline constexpr const char *waits = "hibiscus/waits";
 
+/// Key of the learned speeds of workers, which the next leader reads.
+inline constexpr const char *speeds = "hibiscus/speeds";
+
 /// Key of the leader's SilenceRecord.
 inline constexpr const char *silence = "hibiscus/silence";
 
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -4,6 +4,7 @@
 #include <Tasks/JobRecord.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace Hibiscus::Coordination {
@@ -33,6 +34,13 @@
         job.progress.at(i).state = TaskState::Failed;
 }
 
+/// Run time that the run would have had on a typical worker.
+Duration typicalRunTime(const RunEnd &end)
+{
+    const std::chrono::duration<double> typical(toSeconds(end.runTime) / end.slowness);
+    return std::chrono::duration_cast<Duration>(typical);
+}
+
 } // namespace
 
 TaskDispatcher::TaskDispatcher(Tasks::MetadataStore &store, Tasks::WorkerLink &link,
@@ -76,9 +84,10 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , speeds(settings.speeds)
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , inputs(jobs, fleet, runTimes, permits, std::move(guarantees), settings.inputs)
+    , inputs(jobs, fleet, runTimes, speeds, permits, std::move(guarantees), settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -121,6 +130,8 @@
     this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
+    this->speeds.clear();
+    this->speedsWrittenAt = {};
     this->published.clear();
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
@@ -130,6 +141,7 @@
     this->evacuations.start(now);
     this->listProgress({});
     this->readSilence();
+    this->readSpeeds();
 }
 
 void TaskDispatcher::deposed()
@@ -212,6 +224,32 @@
     this->beginWhenLoaded(now);
 }
 
+/// The takeover does not wait for the speeds: without them, work is placed less well for a while.
+void TaskDispatcher::readSpeeds()
+{
+    const auto answerHandler
+        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
+              if (generation == this->generation)
+                  this->handleSpeeds(answer, now);
+          };
+    this->store.read(StoreKeys::speeds, this->settings.listTimeout, answerHandler);
+}
+
+void TaskDispatcher::handleSpeeds(const StoreAnswer &answer, TimePoint now)
+{
+    const StoredItem *item = answer.find(StoreKeys::speeds);
+    if (!item)
+        return;
+    PublishedKey &state = this->published[StoreKeys::speeds];
+    if (!state.inFlight && !state.text)
+        state.revision = item->revision;
+    if (!this->speeds.restore(item->value))
+        this->logger.logEvent(LogKind::Fault, "speeds of workers can't be read",
+                              {{"revision", item->revision}, {"effect", "they are learned anew"}},
+                              now);
+    this->updateSpeeds(now);
+}
+
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
     const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
@@ -376,6 +414,71 @@
         this->stopRuns({&run, 1}, now);
 }
 
+void TaskDispatcher::runProgressed(const RunProgress &progress, TimePoint now)
+{
+    this->learnSpeed(progress.run, progress.worker, progress.startedAt, progress.percent, now);
+}
+
+void TaskDispatcher::learnSpeed(const RunRef &run, const Tasks::WorkerEntry &worker,
+                                std::optional<TimePoint> startedAt, std::int32_t percent,
+                                TimePoint now)
+{
+    const TrackedJob *job = this->jobs.find(run.job);
+    if (!job || !job->progress.contains(run.task))
+        return;
+    const Tasks::Step &step = job->stepOf(run.task);
+    const bool isFarFromData = !step.dataRack.empty()
+        && std::find(worker.labels.begin(), worker.labels.end(), step.dataRack)
+            == worker.labels.end();
+    if (isFarFromData || step.count < 2)
+        return;
+    const std::string name = Tasks::WorkerSpeeds::identityOf(worker);
+    this->speeds.recordProgress({{run.job, run.task.occurrence, run.task.step},
+                                 run.task.index,
+                                 run.run,
+                                 name,
+                                 step.gang,
+                                 startedAt,
+                                 percent},
+                                now);
+}
+
+/// Compares the speeds of each service's workers, and stores them for the next leader.
+void TaskDispatcher::updateSpeeds(TimePoint now)
+{
+    std::map<std::string_view, std::vector<std::string>> names;
+    for (const auto &[id, worker] : this->fleet.all()) {
+        if (worker.listed)
+            names[worker.entry.service].push_back(Tasks::WorkerSpeeds::identityOf(worker.entry));
+    }
+    for (auto &[service, workers] : names) {
+        const auto known = this->speeds.spreads().find(service);
+        const bool differed = known != this->speeds.spreads().end() && known->second.differs;
+        this->speeds.updateSpread(service, std::move(workers));
+        const Tasks::WorkerSpeeds::Spread &spread = this->speeds.spreads().find(service)->second;
+        if (spread.differs != differed)
+            this->logger.logEvent(LogKind::Dependency,
+                                  spread.differs ? "workers differ in speed"
+                                                 : "workers are about equally fast",
+                                  {{"service", service},
+                                   {"known", spread.known},
+                                   {"fastest", spread.fastest},
+                                   {"slowest", spread.slowest}},
+                                  now);
+    }
+    if (now < this->speedsWrittenAt)
+        return;
+    const std::string text = this->speeds.encode();
+    if (text.empty())
+        return;
+    constexpr std::size_t bytesPerKiB = 1024;
+    this->speedsWrittenAt = now
+        + std::max(this->settings.speedsInterval,
+                   this->settings.speedsIntervalPerKiB
+                       * static_cast<Duration::rep>(text.size() / bytesPerKiB));
+    this->publish(StoreKeys::speeds, text);
+}
+
 void TaskDispatcher::runEnded(const RunEnd &end, TimePoint now)
 {
     if (this->phase != Phase::Leading)
@@ -402,7 +505,13 @@
     if (end.cause == EndCause::Done)
         this->fleet.reportSuccess(end.worker);
     if (end.cause == EndCause::Done && job && end.runTime > Duration{})
-        this->runTimes.recordRun(job->job.queue, end.runTime);
+        this->runTimes.recordRun(job->job.queue, typicalRunTime(end));
+    const auto worker = this->fleet.all().find(end.worker);
+    const bool showsSpeed = end.cause == EndCause::Done && end.runTime > Duration{}
+        && worker != this->fleet.all().end();
+    if (showsSpeed)
+        this->learnSpeed(end.run, worker->second.entry, now - end.runTime, Tasks::completePercent,
+                         now);
     const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
     // An end that changes nothing may depend on an earlier change that is not stored yet: the first
     // end of a gang settles the ends of its other members.
@@ -539,6 +648,7 @@
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
     this->writeLoad(now);
+    this->updateSpeeds(now);
     this->writeSilence();
     this->plan(now);
 }
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -11,6 +11,7 @@
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
+#include <Tasks/WorkerSpeeds.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -37,10 +38,14 @@
         Duration tickInterval = milliseconds(250);
         /// Minimum time between two writes of the queues' load.
         Duration loadInterval = milliseconds(500);
+        /// Minimum time between two writes of the workers' speeds, which grows with their size.
+        Duration speedsInterval = seconds(5);
+        Duration speedsIntervalPerKiB = milliseconds(500);
         Duration listTimeout = milliseconds(1500);
         Duration storeRetryDelay = milliseconds(150);
         Tasks::StartPlanner::Settings planner;
         Tasks::WaitForecast::Settings forecast;
+        Tasks::WorkerSpeeds::Settings speeds;
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
@@ -108,6 +113,7 @@
     };
 
     void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
+    void runProgressed(const RunProgress &progress, TimePoint now) override;
     void runEnded(const RunEnd &end, TimePoint now) override;
     void runLost(const RunEnd &end, const char *reason, TimePoint now) override;
     void permitRejected(const Tasks::RunRef &run, std::string_view worker) override;
@@ -123,6 +129,8 @@
     void handleProgressPage(const Tasks::StoreAnswer &answer);
     void readSilence();
     void handleSilence(const Tasks::StoreAnswer &answer, TimePoint now);
+    void readSpeeds();
+    void handleSpeeds(const Tasks::StoreAnswer &answer, TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -149,7 +157,7 @@
     void plan(TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
-                const std::string &worker, TimePoint now);
+                const std::string &worker, double slowness, TimePoint now);
     /// Starts the run, or keeps the order for later while the leader's lease is in doubt.
     void startAssigned(const Tasks::RunRef &run, const std::string &worker, TimePoint now);
     void preempt(const Tasks::RunRef &run, TimePoint now);
@@ -160,6 +168,10 @@
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
+    /// Learns from the run's progress, unless the place of its data decides its run time.
+    void learnSpeed(const Tasks::RunRef &run, const Tasks::WorkerEntry &worker,
+                    std::optional<TimePoint> startedAt, std::int32_t percent, TimePoint now);
+    void updateSpeeds(TimePoint now);
     void writeSilence();
     /// Writes the text of a key that all instances read, if the text has changed.
     void publish(const char *key, const std::string &text);
@@ -180,6 +192,7 @@
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
+    Tasks::WorkerSpeeds speeds;
     PermitCache permits;
     PlanInputs inputs;
     StartPlanner planner;
@@ -200,6 +213,7 @@
     std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
+    TimePoint speedsWrittenAt{};
 };
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -1,7 +1,10 @@
 #include <Coordination/TaskDispatcher.h>
 
 #include <algorithm>
+#include <chrono>
+#include <map>
 #include <utility>
+#include <vector>
 
 // The plans of TaskDispatcher and the orders that follow from them: assignments, starts and stops.
 namespace Hibiscus::Coordination {
@@ -12,6 +15,28 @@
 using Tasks::TaskRef;
 using Tasks::TaskState;
 
+namespace {
+
+/// Expected ratio of each started run's time to that on a typical worker. A gang ends with its
+/// slowest member.
+std::vector<double> slownessOfStarts(const Tasks::StartPlan &plan,
+                                     std::span<const Tasks::StartRequest> requests,
+                                     std::span<const Tasks::WorkerView> workers)
+{
+    std::map<std::size_t, double> gangs;
+    for (const Tasks::StartChoice &choice : plan.starts) {
+        double &slowest = gangs[choice.request];
+        slowest = std::max(slowest, workers[choice.worker].slowness);
+    }
+    std::vector<double> slowness;
+    for (const Tasks::StartChoice &choice : plan.starts)
+        slowness.push_back(requests[choice.request].step->gang ? gangs[choice.request]
+                                                               : workers[choice.worker].slowness);
+    return slowness;
+}
+
+} // namespace
+
 /// Fills in the properties of a run that come from its job. The caller sets the run's reference.
 WorkerFleet::Run TaskDispatcher::describeRun(const TrackedJob &job, const TaskRef &ref)
 {
@@ -75,20 +100,25 @@
         std::advance(run, choice.occupant);
         victims.push_back(run->second.ref);
     }
+    const std::vector<double> slowness = slownessOfStarts(plan, requests, workers);
+    std::size_t started = 0;
     for (const Tasks::StartChoice &choice : plan.starts)
-        this->assign(requests[choice.request], choice, std::string(workers[choice.worker].id), now);
+        this->assign(requests[choice.request], choice, std::string(workers[choice.worker].id),
+                     slowness[started++], now);
     for (const RunRef &victim : victims)
         this->preempt(victim, now);
 }
 
 void TaskDispatcher::assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
-                            const std::string &worker, TimePoint now)
+                            const std::string &worker, double slowness, TimePoint now)
 {
     TrackedJob &job = *this->jobs.find(request.job);
     const TaskRef ref{request.occurrence, request.stepNumber, choice.index};
     const std::int64_t incarnation = this->fleet.all().find(worker)->second.entry.incarnation;
     WorkerFleet::Run run = describeRun(job, ref);
-    run.estimate = request.runTime;
+    const std::chrono::duration<double> estimate(toSeconds(request.runTime) * slowness);
+    run.estimate = std::chrono::duration_cast<Duration>(estimate);
+    run.slowness = slowness;
     run.ref = TrackedJobTable::assign(job, ref, worker, incarnation);
     if (job.job.permits.required())
         run.permit = this->permits.permitOf({job.job.id, ref.occurrence, ref.step}, worker, now);
@@ -99,6 +129,7 @@
                            {"run", runRef.run},
                            {"worker", worker},
                            {"waitedMs", this->wallClock.nowMs() - request.readySince},
+                           {"slowness", slowness},
                            {"rank", StartPlanner::rankOf(request, this->wallClock.nowMs())}},
                           now);
     this->fleet.assign(worker, std::move(run), now);
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -32,6 +32,17 @@
     bool wasAtWork = false; ///< Of a perpetual task that its worker has reported at work.
     /// Run time observed by this leader; 0 if unknown or if the run resumed from a checkpoint.
     Duration runTime{};
+    double slowness = 1.0; ///< See WorkerFleet::Run::slowness.
+};
+
+/// Progress of a run that its worker listed.
+struct RunProgress
+{
+    const Tasks::RunRef &run;
+    const Tasks::WorkerEntry &worker;
+    std::int32_t percent = 0; ///< See Tasks::RunningTask::percent.
+    /// Start of the run; empty if it resumed from a checkpoint or was taken over.
+    std::optional<TimePoint> startedAt;
 };
 
 /// Receives the events of the runs that were assigned to the fleet.
@@ -40,6 +51,8 @@
 public:
     virtual ~FleetListener() = default;
     virtual void runConfirmed(const Tasks::RunRef &run, TimePoint now) = 0;
+    /// Of runs that work at their full pace and have an end.
+    virtual void runProgressed(const RunProgress &progress, TimePoint now) = 0;
     virtual void runEnded(const RunEnd &end, TimePoint now) = 0;
     /// The run is certainly not running, can't start any more, and no worker reported its end.
     virtual void runLost(const RunEnd &end, const char *reason, TimePoint now) = 0;
@@ -107,6 +120,8 @@
         Tasks::Resources need;
         std::int32_t priority = 0;
         Duration estimate{}; ///< Expected run time.
+        /// Expected ratio of its run time to that on a typical worker, for its whole gang.
+        double slowness = 1.0;
         std::int32_t members = 1; ///< Size of its gang; 1 for a task without a gang.
         bool checkpoints = false;
         bool perpetual = false;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -322,6 +322,7 @@
         end.checkpoint = run->checkpoint;
     if (run->startConfirmedAt && !run->resumed)
         end.runTime = now - *run->startConfirmedAt;
+    end.slowness = run->slowness;
     end.tracked = true;
     end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
     this->removeRun(worker, keyOf(ended.run), now);
@@ -355,6 +356,10 @@
             run->orderConfirmedAt = now;
             confirmed.push_back(running.run);
         }
+        if (!run->perpetual && !run->bestEffort)
+            this->listener.runProgressed({run->ref, worker.entry, run->percent,
+                                          run->resumed ? std::nullopt : run->startConfirmedAt},
+                                         now);
     }
     for (const RunRef &run : confirmed)
         this->listener.runConfirmed(run, now);
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -30,6 +30,7 @@
                    std::span<const WorkerView> workers, UnixMs now)
     : settings(settings)
     , rackWait(settings)
+    , speeds(workers)
     , requests(requests)
     , workers(workers)
     , now(now)
@@ -60,18 +61,17 @@
 
 void PlanPass::countWorkers()
 {
-    std::map<std::string_view, std::size_t> usable;
     for (const std::size_t worker : this->allWorkers) {
         const WorkerView &view = this->workers[worker];
         if (!view.usable)
             continue;
-        usable[view.service]++;
+        this->usableWorkers[view.service]++;
         this->acceleratorUse[view.service].all += view.capacity().accelerators;
         this->acceleratorUse[view.service].free += view.free.accelerators;
-        if (this->isEmpty(worker))
+        if (this->isEmptyAndNotSlow(worker))
             this->emptyWorkers[view.service]++;
     }
-    for (const auto &[service, count] : usable)
+    for (const auto &[service, count] : this->usableWorkers)
         this->reservedEmptyWorkers[service] = static_cast<std::size_t>(
             this->settings.emptyShareForUrgentWork * static_cast<double>(count));
 }
@@ -82,6 +82,12 @@
     return view.occupants.empty() && this->capacity.free[worker] == view.free;
 }
 
+/// Slow workers are not kept for urgent work, which is late on them.
+bool PlanPass::isEmptyAndNotSlow(std::size_t worker) const
+{
+    return this->isEmpty(worker) && !this->speeds.isSlow(this->workers[worker]);
+}
+
 bool PlanPass::mayUseEmptyWorker(const StartRequest &request) const
 {
     if (request.priority <= this->settings.maxPreemptingPriority)
@@ -104,7 +110,7 @@
 
 void PlanPass::placeTask(const StartRequest &request, std::size_t worker)
 {
-    if (this->isEmpty(worker))
+    if (this->isEmptyAndNotSlow(worker))
         this->emptyWorkers[request.service]--;
     this->capacity.free[worker] -= request.step->allocatedResources();
 }
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Tasks/RackWait.h>
+#include <Tasks/SpeedPlacement.h>
 #include <Tasks/StartPlanner.h>
 
 #include <limits>
@@ -38,6 +39,9 @@
     void groupWorkers();
     void countWorkers();
     bool isEmpty(std::size_t worker) const;
+    /// Whether the worker is one of the empty ones that are counted for urgent work.
+    bool isEmptyAndNotSlow(std::size_t worker) const;
+    bool mayTryWorkers(const StartRequest &request) const;
     bool mayUseEmptyWorker(const StartRequest &request) const;
     bool isReserveWaitOver(const StartRequest &request) const;
     void placeTask(const StartRequest &request, std::size_t worker);
@@ -72,6 +76,8 @@
     std::optional<WorkerList> placeAllTasks(const StartRequest &request,
                                             std::span<const std::size_t> candidates);
     std::optional<WorkerList> placeGang(const StartRequest &request);
+    /// Places the gang in the rack whose workers' speeds suit it best.
+    std::optional<WorkerList> placeGangInBestRack(const StartRequest &request);
     bool fitsIntoOneEmptyRack(const StartRequest &request) const;
 
     /// Remaining capacity and preempted occupants of each worker at one point of the pass.
@@ -122,6 +128,7 @@
 
     const StartPlanner::Settings &settings;
     RackWait rackWait;
+    SpeedPlacement speeds;
     std::span<const StartRequest> requests;
     std::span<const WorkerView> workers;
     UnixMs now;
@@ -139,7 +146,8 @@
     };
 
     std::map<std::string_view, AcceleratorUse> acceleratorUse; ///< At the start of the pass.
-    std::map<std::string_view, std::size_t> emptyWorkers; ///< Usable empty workers, by service.
+    std::map<std::string_view, std::size_t> usableWorkers; ///< By service.
+    std::map<std::string_view, std::size_t> emptyWorkers; ///< See isEmptyAndNotSlow, by service.
     /// Number of empty workers that only urgent work may take, by service.
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
     std::map<std::string_view, std::vector<std::size_t>> racks;
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -108,7 +108,22 @@
     // Accelerators are the scarce resource, so they have the higher weight. Preferring the fuller
     // worker keeps other workers empty.
     return static_cast<double>(left.accelerators) * coresPerAccelerator
-        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0);
+        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0)
+        + this->speeds.cost(request, this->workers[worker], this->mayTryWorkers(request),
+                            this->now);
+}
+
+/// Whether tasks of the request may start on empty workers to learn how fast these are. Enough
+/// workers stay empty for tasks and gangs that need whole ones.
+bool PlanPass::mayTryWorkers(const StartRequest &request) const
+{
+    if (request.step->gang || !this->speeds.differs(request.service))
+        return false;
+    const auto usable = this->usableWorkers.find(request.service);
+    const auto empty = this->emptyWorkers.find(request.service);
+    return usable != this->usableWorkers.end() && empty != this->emptyWorkers.end()
+        && static_cast<double>(empty->second)
+        > this->settings.emptyShareWithoutTrial * static_cast<double>(usable->second);
 }
 
 std::optional<std::size_t> PlanPass::bestWorker(const StartRequest &request,
@@ -121,7 +136,7 @@
     double lowestCost = std::numeric_limits<double>::infinity();
     const bool mayUseEmpty = this->mayUseEmptyWorker(request);
     for (const std::size_t worker : candidates) {
-        if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmpty(worker)))
+        if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmptyAndNotSlow(worker)))
             continue;
         if (!isBelowWorkerLimit(request, worker, taken))
             continue;
@@ -179,14 +194,44 @@
     return false;
 }
 
-std::optional<PlanPass::WorkerList> PlanPass::placeGang(const StartRequest &request)
+std::optional<PlanPass::WorkerList> PlanPass::placeGangInBestRack(const StartRequest &request)
 {
-    if (!request.step->sameRack)
-        return this->placeAllTasks(request, this->allWorkers);
+    const bool compares = this->speeds.differs(request.service);
+    const std::vector<Resources> before = this->capacity.free;
+    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
+    std::optional<WorkerList> best;
+    double lowestCost = std::numeric_limits<double>::infinity();
     for (const auto &[rack, members] : this->racks) {
-        if (std::optional<WorkerList> chosen = this->placeAllTasks(request, members))
+        std::optional<WorkerList> chosen = this->placeAllTasks(request, members);
+        if (chosen && !compares)
             return chosen;
+        if (!chosen)
+            continue;
+        this->capacity.free = before;
+        this->emptyWorkers = emptyBefore;
+        // The gang ends with its slowest task.
+        double cost = 0.0;
+        for (const std::size_t worker : *chosen)
+            cost = std::max(cost,
+                            this->speeds.cost(request, this->workers[worker], false, this->now));
+        if (cost < lowestCost) {
+            lowestCost = cost;
+            best = std::move(chosen);
+        }
     }
+    if (best) {
+        for (const std::size_t worker : *best)
+            this->placeTask(request, worker);
+    }
+    return best;
+}
+
+std::optional<PlanPass::WorkerList> PlanPass::placeGang(const StartRequest &request)
+{
+    if (!request.step->sameRack)
+        return this->placeAllTasks(request, this->allWorkers);
+    if (std::optional<WorkerList> chosen = this->placeGangInBestRack(request))
+        return chosen;
     if (this->requiresOneRack(request))
         return std::nullopt;
     return this->placeAllTasks(request, this->allWorkers);
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -34,6 +34,8 @@
     bool evacuated = false;
     /// Ratio of the worker's run times to those of the service's typical worker.
     double slowness = 1.0;
+    /// Whether `slowness` was learned. True only if the service's workers are known to differ.
+    bool speedKnown = false;
     /// Probability that a run which is started now ends with a failure of the worker.
     double failureRisk = 0.0;
     std::vector<OccupantView> occupants;
@@ -128,6 +130,9 @@
         /// work that has to wait for a preemption would be late already. Other work may take them
         /// after `maxIdleWait` if the service is mostly idle, and perpetual tasks in any case.
         double emptyShareForUrgentWork = 0.06;
+        /// Share of a service's workers that stay empty while other empty workers of unknown speed
+        /// are tried out.
+        double emptyShareWithoutTrial = 0.5;
         std::size_t maxReservations = 24; ///< Tasks for which room is reserved in one plan.
     };
 
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -46,6 +46,7 @@
 {
 public:
     void runConfirmed(const Tasks::RunRef &, TimePoint) override {}
+    void runProgressed(const RunProgress &, TimePoint) override {}
     void runEnded(const RunEnd &end, TimePoint) override { this->ends.push_back(end); }
     void runLost(const RunEnd &end, const char *, TimePoint) override { this->lost.push_back(end); }
     void permitRejected(const Tasks::RunRef &, std::string_view) override {}
