Compare workers rather than runs of a step, at a bounded cost

Cause: several runs of a step on one worker confirmed each other, and each report compared the whole step again. Change: runs on one worker count as one comparison, steps with news are compared at the next tick within a budget, and old runs are forgotten.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -131,7 +131,8 @@
     this->refusals.clear();
     this->runTimes.clear();
     this->speeds.clear();
-    this->speedsWrittenAt = {};
+    this->nextSpeedsWriteAt = {};
+    this->speedsUpdatedAt = {};
     this->published.clear();
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
@@ -247,7 +248,7 @@
         this->logger.logEvent(LogKind::Fault, "speeds of workers can't be read",
                               {{"revision", item->revision}, {"effect", "they are learned anew"}},
                               now);
-    this->updateSpeeds(now);
+    this->updateSpreads(now);
 }
 
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
@@ -443,18 +444,29 @@
                                 now);
 }
 
-/// Compares the speeds of each service's workers, and stores them for the next leader.
 void TaskDispatcher::updateSpeeds(TimePoint now)
+{
+    const auto workers = static_cast<Duration::rep>(this->fleet.all().size());
+    if (now < this->speedsUpdatedAt + this->settings.speedsUpdatePerWorker * workers
+        || !this->speeds.hasNews())
+        return;
+    this->speedsUpdatedAt = now;
+    this->speeds.update();
+    this->updateSpreads(now);
+    this->writeSpeeds(now);
+}
+
+void TaskDispatcher::updateSpreads(TimePoint now)
 {
     std::map<std::string_view, std::vector<std::string>> names;
     for (const auto &[id, worker] : this->fleet.all()) {
         if (worker.listed)
             names[worker.entry.service].push_back(Tasks::WorkerSpeeds::identityOf(worker.entry));
     }
-    for (auto &[service, workers] : names) {
+    for (const auto &[service, workers] : names) {
         const auto known = this->speeds.spreads().find(service);
         const bool differed = known != this->speeds.spreads().end() && known->second.differs;
-        this->speeds.updateSpread(service, std::move(workers));
+        this->speeds.updateSpread(service, workers);
         const Tasks::WorkerSpeeds::Spread &spread = this->speeds.spreads().find(service)->second;
         if (spread.differs != differed)
             this->logger.logEvent(LogKind::Dependency,
@@ -466,13 +478,17 @@
                                    {"slowest", spread.slowest}},
                                   now);
     }
-    if (now < this->speedsWrittenAt)
+}
+
+void TaskDispatcher::writeSpeeds(TimePoint now)
+{
+    if (now < this->nextSpeedsWriteAt)
         return;
     const std::string text = this->speeds.encode();
     if (text.empty())
         return;
     constexpr std::size_t bytesPerKiB = 1024;
-    this->speedsWrittenAt = now
+    this->nextSpeedsWriteAt = now
         + std::max(this->settings.speedsInterval,
                    this->settings.speedsIntervalPerKiB
                        * static_cast<Duration::rep>(text.size() / bytesPerKiB));
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -38,6 +38,9 @@
         Duration tickInterval = milliseconds(250);
         /// Minimum time between two writes of the queues' load.
         Duration loadInterval = milliseconds(500);
+        /// Minimum time between two updates of the workers' speeds, for each worker in
+        /// microseconds.
+        Duration speedsUpdatePerWorker{100};
         /// Minimum time between two writes of the workers' speeds, which grows with their size.
         Duration speedsInterval = seconds(5);
         Duration speedsIntervalPerKiB = milliseconds(500);
@@ -171,7 +174,10 @@
     /// Learns from the run's progress, unless the place of its data decides its run time.
     void learnSpeed(const Tasks::RunRef &run, const Tasks::WorkerEntry &worker,
                     std::optional<TimePoint> startedAt, std::int32_t percent, TimePoint now);
+    /// Takes what the workers reported since the last call into their speeds.
     void updateSpeeds(TimePoint now);
+    void updateSpreads(TimePoint now);
+    void writeSpeeds(TimePoint now);
     void writeSilence();
     /// Writes the text of a key that all instances read, if the text has changed.
     void publish(const char *key, const std::string &text);
@@ -213,7 +219,8 @@
     std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
-    TimePoint speedsWrittenAt{};
+    TimePoint speedsUpdatedAt{};
+    TimePoint nextSpeedsWriteAt{};
 };
 
 } // namespace Hibiscus::Coordination
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -108,9 +108,7 @@
     // Accelerators are the scarce resource, so they have the higher weight. Preferring the fuller
     // worker keeps other workers empty.
     return static_cast<double>(left.accelerators) * coresPerAccelerator
-        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0)
-        + this->speeds.cost(request, this->workers[worker], this->mayTryWorkers(request),
-                            this->now);
+        + static_cast<double>(left.milliCores) / 1000.0 + (offRack ? offRackCost : 0.0);
 }
 
 /// Whether tasks of the request may start on empty workers to learn how fast these are. Enough
@@ -135,12 +133,14 @@
     std::optional<std::size_t> best;
     double lowestCost = std::numeric_limits<double>::infinity();
     const bool mayUseEmpty = this->mayUseEmptyWorker(request);
+    const bool mayTry = this->mayTryWorkers(request);
     for (const std::size_t worker : candidates) {
         if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmptyAndNotSlow(worker)))
             continue;
         if (!isBelowWorkerLimit(request, worker, taken))
             continue;
-        const double cost = this->placementCost(request, worker);
+        const double cost = this->placementCost(request, worker)
+            + this->speeds.cost(request, this->workers[worker], mayTry, this->now);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = worker;
--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -25,24 +25,36 @@
     double weight = 0.0;
 };
 
-/// Middle of the values by weight; between two values if half of the weight is on each side.
-double weightedMedian(std::vector<Weighted> values)
+constexpr std::size_t none = static_cast<std::size_t>(-1);
+
+/// Middle of the sorted values by weight, without that at `skipped`; between two values if half of
+/// the weight is on each side.
+double weightedMedian(std::span<const Weighted> sorted, std::size_t skipped = none)
 {
-    std::sort(values.begin(), values.end(),
-              [](const Weighted &a, const Weighted &b) { return a.value < b.value; });
     double all = 0.0;
-    for (const Weighted &value : values)
-        all += value.weight;
-    constexpr double tolerance = 1e-9;
+    for (std::size_t i = 0; i < sorted.size(); i++)
+        all += i == skipped ? 0.0 : sorted[i].weight;
+    constexpr double tolerance = 1e-6;
     double sum = 0.0;
-    for (std::size_t i = 0; i < values.size(); i++) {
-        sum += values[i].weight;
-        if (std::abs(sum - all / 2) < tolerance * all && i + 1 < values.size())
-            return (values[i].value + values[i + 1].value) / 2;
-        if (sum > all / 2)
-            return values[i].value;
+    std::optional<double> lower;
+    for (std::size_t i = 0; i < sorted.size(); i++) {
+        if (i == skipped)
+            continue;
+        if (lower)
+            return (*lower + sorted[i].value) / 2;
+        sum += sorted[i].weight;
+        if (std::abs(sum - all / 2) < tolerance * all)
+            lower = sorted[i].value;
+        else if (sum > all / 2)
+            return sorted[i].value;
     }
-    return 0.0;
+    return lower.value_or(0.0);
+}
+
+void sortByValue(std::vector<Weighted> &values)
+{
+    std::sort(values.begin(), values.end(),
+              [](const Weighted &a, const Weighted &b) { return a.value < b.value; });
 }
 
 double valueAtShare(std::vector<double> &values, double share)
@@ -64,6 +76,8 @@
 {
     this->steps.clear();
     this->stepOrder.clear();
+    this->changedSteps.clear();
+    this->runCount = 0;
     this->workers.clear();
     this->services.clear();
     this->typical.clear();
@@ -77,67 +91,95 @@
         step->second.gang = sample.gang;
         this->stepOrder[step->second.serial] = sample.step;
     }
-    if (this->steps.size() > this->settings.maxSteps) {
-        this->steps.erase(this->stepOrder.begin()->second);
-        this->stepOrder.erase(this->stepOrder.begin());
-    }
     return step->second;
 }
 
+/// Of the last step runs are kept in any case.
+void WorkerSpeeds::forgetOldSteps()
+{
+    while (this->runCount > this->settings.maxRuns && this->steps.size() > 1) {
+        const auto oldest = this->stepOrder.begin();
+        const auto step = this->steps.find(oldest->second);
+        this->runCount -= step->second.members.size();
+        this->changedSteps.erase(oldest->first);
+        this->steps.erase(step);
+        this->stepOrder.erase(oldest);
+    }
+}
+
 void WorkerSpeeds::recordProgress(const RunSample &sample, TimePoint now)
 {
     StepRuns &step = this->stepOf(sample);
-    Member &member = step.members[sample.index];
-    const bool isOther = member.run != sample.run || member.worker != sample.worker;
-    if (isOther && sample.run < member.run)
+    const auto [place, added] = step.members.try_emplace(sample.index);
+    Member &member = place->second;
+    this->runCount += added ? 1 : 0;
+    if (!added && sample.run < member.run)
         return;
-    if (isOther) {
+    if (added || member.run != sample.run) {
         member = {};
         member.worker = sample.worker;
         member.run = sample.run;
         member.startedAt = sample.startedAt;
         member.firstAt = sample.startedAt.value_or(now);
         member.firstPercent = sample.startedAt ? 0 : sample.percent;
+        member.lastPercent = member.firstPercent;
     }
     // A member of a gang that has done its work waits for the others at 100 percent, so the time of
-    // its end is unknown. The time at which any other task is at 100 percent is that of its end.
-    if (sample.percent >= completePercent && step.gang)
+    // its end is unknown. A run that is reported for the first time since it had less shows its
+    // rate.
+    const bool hasWaited = step.gang && sample.percent >= completePercent;
+    if (hasWaited || sample.percent <= member.lastPercent)
         return;
-    if (sample.percent <= member.lastPercent && !isOther)
-        return;
-    member.lastAt = now;
-    member.lastPercent = sample.percent;
+    const std::int32_t progress = sample.percent - member.firstPercent;
     // The rate is used again only when it has become clearly better known, so that a long run costs
     // few comparisons.
-    const std::int32_t progress = sample.percent - member.firstPercent;
     const bool isBetterKnown = 2 * progress >= 3 * member.usedProgress;
     const bool isOver = sample.percent >= completePercent;
     if (progress < this->settings.minProgress || (!isBetterKnown && !isOver))
         return;
+    member.lastAt = now;
+    member.lastPercent = sample.percent;
     member.usedProgress = progress;
-    this->compare(step);
+    this->changedSteps.insert(step.serial);
+    this->forgetOldSteps();
+}
+
+void WorkerSpeeds::update()
+{
+    std::size_t compared = 0;
+    while (!this->changedSteps.empty() && compared < this->settings.maxComparedRuns) {
+        const std::uint64_t serial = *this->changedSteps.begin();
+        this->changedSteps.erase(this->changedSteps.begin());
+        const StepRuns &step = this->steps.at(this->stepOrder.at(serial));
+        compared += step.members.size();
+        this->compare(step);
+    }
 }
 
-/// Run time of the whole task by the rate of the work done. The percents are whole numbers, cut
-/// off.
+/// The tasks of a gang begin to work when all of them are there.
+TimePoint WorkerSpeeds::workStart(const StepRuns &step, const Member &member)
+{
+    TimePoint start = member.firstAt;
+    if (!step.gang || !member.startedAt)
+        return start;
+    for (const auto &[index, other] : step.members) {
+        if (other.run == member.run && other.startedAt)
+            start = std::max(start, *other.startedAt);
+    }
+    return start;
+}
+
+/// Run time of the whole task by the rate of the work done. Percents are whole numbers, cut off.
 std::optional<WorkerSpeeds::Estimate> WorkerSpeeds::runTimeOf(const StepRuns &step,
                                                               const Member &member) const
 {
     if (member.usedProgress == 0)
         return std::nullopt;
-    // The tasks of a gang begin to work when all of them are there.
-    TimePoint from = member.firstAt;
-    if (step.gang && member.startedAt) {
-        for (const auto &[index, other] : step.members) {
-            if (other.run == member.run && other.startedAt)
-                from = std::max(from, *other.startedAt);
-        }
-    }
     constexpr double cutOff = 0.5;
     const bool isOver = member.lastPercent >= completePercent;
-    const double progress = member.lastPercent - member.firstPercent + (isOver ? 0.0 : cutOff);
-    const double elapsed = toSeconds(member.lastAt - from);
-    if (elapsed <= 0.0 || progress <= 0.0)
+    const double progress = member.usedProgress + (isOver ? 0.0 : cutOff);
+    const double elapsed = toSeconds(member.lastAt - workStart(step, member));
+    if (elapsed <= 0.0)
         return std::nullopt;
     const double deviation
         = step.gang ? this->settings.gangDeviation : this->settings.taskDeviation;
@@ -145,58 +187,79 @@
                     squared(deviation) + squared(cutOff / progress)};
 }
 
-/// Estimates the run time of the step on a typical worker from the other members' runs and speeds,
-/// and takes the ratio of each run to it as evidence of its worker's speed.
-void WorkerSpeeds::compare(const StepRuns &step)
+/// Runs on one worker share its speed, so they count as one run whose tasks differ less.
+std::vector<WorkerSpeeds::WorkerRuns> WorkerSpeeds::runsByWorker(const StepRuns &step) const
 {
-    struct Run
-    {
-        std::int32_t index = 0;
-        const std::string *worker = nullptr;
-        Estimate runTime;
-    };
-    std::vector<Run> runs;
-    std::vector<Weighted> typicalRunTimes;
-    double weight = 0.0;
+    std::map<std::string_view, std::vector<Weighted>> runs;
     for (const auto &[index, member] : step.members) {
-        const std::optional<Estimate> runTime = this->runTimeOf(step, member);
-        if (!runTime)
-            continue;
-        // What this step's runs say of a worker must not confirm itself.
-        const Estimate speed = this->combine(this->workers[member.worker], step.serial);
-        typicalRunTimes.push_back(
-            {runTime->value - speed.value, 1.0 / (runTime->variance + speed.variance)});
-        weight += typicalRunTimes.back().weight;
-        runs.push_back({index, &member.worker, *runTime});
+        if (const std::optional<Estimate> runTime = this->runTimeOf(step, member))
+            runs[member.worker].push_back({runTime->value, 1.0 / runTime->variance});
     }
+    std::vector<WorkerRuns> byWorker;
+    for (auto &[name, runTimes] : runs) {
+        sortByValue(runTimes);
+        double weight = 0.0;
+        for (const Weighted &runTime : runTimes)
+            weight += runTime.weight;
+        const Estimate runTime{weightedMedian(runTimes), 1.0 / weight};
+        // What this step's runs say of the worker must not confirm itself.
+        const auto worker = this->workers.find(name);
+        const Estimate speed = worker == this->workers.end()
+            ? this->combine({}, step.serial)
+            : this->combine(worker->second, step.serial);
+        byWorker.push_back(
+            {name, runTime, {runTime.value - speed.value, runTime.variance + speed.variance}});
+    }
+    return byWorker;
+}
+
+/// Estimates the step's run time on a typical worker from the runs on the other workers, and takes
+/// the ratio of a worker's runs to it as evidence of its speed.
+void WorkerSpeeds::compare(const StepRuns &step)
+{
+    std::vector<WorkerRuns> runs = this->runsByWorker(step);
     if (runs.size() < 2)
         return;
-    const double typicalRunTime = weightedMedian(typicalRunTimes);
+    std::sort(runs.begin(), runs.end(), [](const WorkerRuns &a, const WorkerRuns &b) {
+        return a.typicalRunTime.value < b.typicalRunTime.value;
+    });
+    std::vector<Weighted> typical;
+    double weight = 0.0;
+    for (const WorkerRuns &worker : runs) {
+        typical.push_back({worker.typicalRunTime.value, 1.0 / worker.typicalRunTime.variance});
+        weight += typical.back().weight;
+    }
+    // Among many workers, leaving out each in turn changes the middle little.
+    constexpr std::size_t manyWorkers = 32;
+    const bool isLarge = runs.size() > manyWorkers;
+    const double middle = weightedMedian(typical);
     for (std::size_t i = 0; i < runs.size(); i++) {
-        const Run &run = runs[i];
-        const double variance = run.runTime.variance + 1.0 / (weight - typicalRunTimes[i].weight);
-        const double ratio = run.runTime.value - typicalRunTime;
-        this->setEvidence(*run.worker, {step.serial, run.index, {ratio, variance}});
+        const WorkerRuns &worker = runs[i];
+        const double others = isLarge ? middle : weightedMedian(typical, i);
+        const double variance = worker.runTime.variance + 1.0 / (weight - typical[i].weight);
+        this->setEvidence(worker.worker, {step.serial, {worker.runTime.value - others, variance}});
     }
 }
 
-void WorkerSpeeds::setEvidence(const std::string &name, const Evidence &evidence)
+void WorkerSpeeds::setEvidence(std::string_view name, const Evidence &evidence)
 {
-    Worker &worker = this->workers[name];
-    const auto isSame = [&evidence](const Evidence &other) {
-        return other.step == evidence.step && other.index == evidence.index;
-    };
-    const auto known = std::find_if(worker.evidence.begin(), worker.evidence.end(), isSame);
-    const bool isOdd = std::abs(evidence.ratio.value) > std::log(this->settings.maxFactor);
-    if (known != worker.evidence.end() && isOdd)
-        worker.evidence.erase(known);
-    else if (known != worker.evidence.end())
-        *known = evidence;
-    else if (!isOdd)
+    auto found = this->workers.find(name);
+    if (found == this->workers.end())
+        found = this->workers.emplace(name, Worker{}).first;
+    Worker &worker = found->second;
+    std::erase_if(worker.evidence,
+                  [&evidence](const Evidence &other) { return other.step == evidence.step; });
+    if (std::abs(evidence.ratio.value) <= std::log(this->settings.maxFactor))
         worker.evidence.push_back(evidence);
-    if (worker.evidence.size() > this->settings.runsPerWorker)
+    if (worker.evidence.size() > this->settings.stepsPerWorker)
         worker.evidence.erase(worker.evidence.begin());
-    worker.speed = this->combine(worker, 0);
+    worker.speed = this->combine(worker, none);
+}
+
+bool WorkerSpeeds::isKnown(const Worker &worker) const
+{
+    return !worker.evidence.empty()
+        && worker.speed.variance <= squared(this->settings.knownDeviation);
 }
 
 /// Mean by weight, drawn toward the typical worker. Single runs far from the others, as of a long
@@ -205,9 +268,10 @@
 {
     std::vector<Weighted> values;
     for (const Evidence &evidence : worker.evidence) {
-        if (evidence.step != withoutStep || withoutStep == 0)
+        if (evidence.step != withoutStep)
             values.push_back({evidence.ratio.value, 1.0 / evidence.ratio.variance});
     }
+    sortByValue(values);
     const double middle = weightedMedian(values);
     double weights = 1.0 / squared(this->settings.workerDeviation);
     double sum = 0.0;
@@ -220,15 +284,12 @@
     return {sum / weights, 1.0 / weights};
 }
 
-void WorkerSpeeds::updateSpread(std::string_view service, std::vector<std::string> names)
+void WorkerSpeeds::updateSpread(std::string_view service, std::span<const std::string> names)
 {
     std::vector<double> values;
     for (const std::string &name : names) {
         const auto worker = this->workers.find(name);
-        const bool known = worker != this->workers.end()
-            && worker->second.speed.variance <= squared(this->settings.knownDeviation)
-            && !worker->second.evidence.empty();
-        if (known)
+        if (worker != this->workers.end() && this->isKnown(worker->second))
             values.push_back(worker->second.speed.value);
     }
     auto found = this->services.find(service);
@@ -254,12 +315,9 @@
     const auto worker = this->workers.find(name);
     if (spread == this->services.end() || !spread->second.differs || worker == this->workers.end())
         return {};
-    const Estimate &speed = worker->second.speed;
-    const bool known = !worker->second.evidence.empty()
-        && speed.variance <= squared(this->settings.knownDeviation);
-    if (!known)
+    if (!this->isKnown(worker->second))
         return {};
-    return {std::exp(speed.value - this->typical.find(service)->second), true};
+    return {std::exp(worker->second.speed.value - this->typical.find(service)->second), true};
 }
 
 std::string WorkerSpeeds::encode() const
@@ -270,9 +328,7 @@
         return {};
     nlohmann::json record = nlohmann::json::object();
     for (const auto &[name, worker] : this->workers) {
-        const bool known = !worker.evidence.empty()
-            && worker.speed.variance <= squared(this->settings.knownDeviation);
-        if (known && record.size() < this->settings.maxStoredWorkers)
+        if (this->isKnown(worker) && record.size() < this->settings.maxStoredWorkers)
             record[name] = {std::lround(worker.speed.value / storedUnit),
                             std::lround(worker.speed.variance / storedUnit)};
     }
@@ -299,7 +355,7 @@
         // The stored estimate was drawn toward the typical worker already.
         const double prior = 1.0 / squared(this->settings.workerDeviation);
         const double weight = std::max(1.0 / variance - prior, prior);
-        this->setEvidence(name, {0, 0, {ratio * (weight + prior) / weight, 1.0 / weight}});
+        this->setEvidence(name, {0, {ratio * (weight + prior) / weight, 1.0 / weight}});
     }
     return true;
 }
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,9 +49,11 @@
         double maxFactor = 3.0;
         /// Progress in percent points from which a run's rate is used.
         std::int32_t minProgress = 8;
-        /// Runs that an estimate is made of; older runs are forgotten.
-        std::size_t runsPerWorker = 16;
-        std::size_t maxSteps = 2000; ///< Steps whose runs are compared at a time.
+        /// Steps whose runs an estimate is made of; older evidence is forgotten.
+        std::size_t stepsPerWorker = 16;
+        std::size_t maxRuns = 20'000; ///< Runs that are remembered, of the newest steps.
+        /// Runs that are compared in one update; the others follow in the next ones.
+        std::size_t maxComparedRuns = 2000;
         /// Workers of a service differ if the slowest tenth takes this multiple of the run times of
         /// the fastest tenth. Below that, an objective can be met on each of them.
         double minSpread = 1.7;
@@ -82,8 +86,12 @@
 
     void clear();
     void recordProgress(const RunSample &sample, TimePoint now);
-    /// The service's typical worker and spread follow from the speeds of these workers.
-    void updateSpread(std::string_view service, std::vector<std::string> workers);
+    /// Whether `update` would change anything.
+    bool hasNews() const { return !this->changedSteps.empty(); }
+    /// Compares the runs that were reported since the last call.
+    void update();
+    /// Takes the service's typical speed and spread from these workers, named by `identityOf`.
+    void updateSpread(std::string_view service, std::span<const std::string> workers);
 
     /// The worker's speed; that of a typical worker while the service's workers do not differ.
     Speed speedOf(std::string_view service, std::string_view worker) const;
@@ -122,31 +130,45 @@
         double variance = 0.0;
     };
 
-    /// What one run says of its worker.
+    /// What the runs of one step say of a worker.
     struct Evidence
     {
-        std::uint64_t step = 0; ///< Serial of the run's step; 0 for a restored speed.
-        std::int32_t index = 0;
+        std::uint64_t step = 0; ///< The step's serial; 0 for a restored speed.
         Estimate ratio;
     };
 
     struct Worker
     {
         std::vector<Evidence> evidence; ///< Oldest first.
-        Estimate speed;
-        double typical = 0.0; ///< Value of `speed` of its service's typical worker.
+        Estimate speed; ///< Logarithm of the slowness.
+    };
+
+    /// Run times of a step's runs on one worker.
+    struct WorkerRuns
+    {
+        std::string_view worker;
+        Estimate runTime; ///< Of the middle run.
+        Estimate typicalRunTime; ///< That of a typical worker by this worker's other evidence.
     };
 
     StepRuns &stepOf(const RunSample &sample);
+    void forgetOldSteps();
+    /// Start of the work of a run.
+    static TimePoint workStart(const StepRuns &step, const Member &member);
     std::optional<Estimate> runTimeOf(const StepRuns &step, const Member &member) const;
+    std::vector<WorkerRuns> runsByWorker(const StepRuns &step) const;
+    /// Takes the runs of the step as evidence of their workers' speeds.
     void compare(const StepRuns &step);
-    void setEvidence(const std::string &worker, const Evidence &evidence);
+    void setEvidence(std::string_view worker, const Evidence &evidence);
+    bool isKnown(const Worker &worker) const;
     /// Combines the evidence of the worker, without that from one step.
     Estimate combine(const Worker &worker, std::uint64_t withoutStep) const;
 
     Settings settings;
     std::map<StepRef, StepRuns> steps;
     std::map<std::uint64_t, StepRef> stepOrder; ///< Steps by serial; the oldest is dropped first.
+    std::set<std::uint64_t> changedSteps; ///< Steps with runs that were not compared yet.
+    std::size_t runCount = 0; ///< Members of all steps.
     std::uint64_t lastSerial = 0;
     std::map<std::string, Worker, std::less<>> workers;
     std::map<std::string, Spread, std::less<>> services;
