Place by the risk of being late on a worker of known or unknown speed

Cause: a worker whose estimate was drawn toward the typical one counted as fast enough for urgent work. Change: SpeedPlacement weighs the deviation of the estimate, and unknown workers by that of the service.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -157,6 +157,7 @@
             worker.entry.service, Tasks::WorkerSpeeds::identityOf(worker.entry));
         view.slowness = speed.slowness;
         view.speedKnown = speed.known;
+        view.slownessDeviation = speed.deviation;
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -112,7 +112,8 @@
 }
 
 /// Whether tasks of the request may start on empty workers to learn how fast these are. Enough
-/// workers stay empty for tasks and gangs that need whole ones.
+/// workers stay empty for tasks and gangs that need whole ones. A worker that runs something
+/// already will be known soon.
 bool PlanPass::mayTryWorkers(const StartRequest &request) const
 {
     if (request.step->gang || !this->speeds.differs(request.service))
@@ -140,7 +141,8 @@
         if (!isBelowWorkerLimit(request, worker, taken))
             continue;
         const double cost = this->placementCost(request, worker)
-            + this->speeds.cost(request, this->workers[worker], mayTry, this->now);
+            + this->speeds.cost(request, this->workers[worker], mayTry && this->isEmpty(worker),
+                                this->now);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = worker;
@@ -209,11 +211,9 @@
             continue;
         this->capacity.free = before;
         this->emptyWorkers = emptyBefore;
-        // The gang ends with its slowest task.
         double cost = 0.0;
         for (const std::size_t worker : *chosen)
-            cost = std::max(cost,
-                            this->speeds.cost(request, this->workers[worker], false, this->now));
+            cost += this->speeds.cost(request, this->workers[worker], false, this->now);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = std::move(chosen);
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -36,6 +36,7 @@
     double slowness = 1.0;
     /// Whether `slowness` was learned. True only if the service's workers are known to differ.
     bool speedKnown = false;
+    double slownessDeviation = 0.0; ///< Standard deviation of the logarithm of `slowness`.
     /// Probability that a run which is started now ends with a failure of the worker.
     double failureRisk = 0.0;
     std::vector<OccupantView> occupants;
--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -313,11 +313,13 @@
 {
     const auto spread = this->services.find(service);
     const auto worker = this->workers.find(name);
-    if (spread == this->services.end() || !spread->second.differs || worker == this->workers.end())
+    if (spread == this->services.end() || !spread->second.differs)
         return {};
-    if (!this->isKnown(worker->second))
-        return {};
-    return {std::exp(worker->second.speed.value - this->typical.find(service)->second), true};
+    if (worker == this->workers.end() || !this->isKnown(worker->second))
+        return {.deviation = this->settings.workerDeviation};
+    const Estimate &speed = worker->second.speed;
+    return {std::exp(speed.value - this->typical.find(service)->second), true,
+            std::sqrt(speed.variance)};
 }
 
 std::string WorkerSpeeds::encode() const
@@ -340,7 +342,11 @@
     const nlohmann::json record = nlohmann::json::parse(text, nullptr, false);
     if (!record.is_object())
         return false;
-    const auto isNumber = [](const nlohmann::json &value) { return value.is_number_integer(); };
+    // Ratios beyond this, and variances beyond their prior, are not written.
+    const auto isNumber = [](const nlohmann::json &value) {
+        constexpr std::int64_t largest = 5000;
+        return value.is_number_integer() && std::abs(value.get<std::int64_t>()) <= largest;
+    };
     for (const auto &[name, value] : record.items()) {
         if (!value.is_array() || value.size() != 2
             || !std::all_of(value.begin(), value.end(), isNumber))
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -39,7 +39,7 @@
     {
         /// Standard deviations of the logarithm of run times, by cause: between tasks of a step, of
         /// the same task of a gang, and between workers before anything is known of them.
-        double taskDeviation = 0.25;
+        double taskDeviation = 0.2;
         double gangDeviation = 0.05;
         double workerDeviation = 0.4;
         /// Deviation up to which a worker's estimate counts as known.
@@ -65,6 +65,7 @@
     {
         double slowness = 1.0; ///< Factor on the run times of the service's typical worker.
         bool known = false;
+        double deviation = 0.0; ///< Standard deviation of the logarithm of `slowness`.
     };
 
     /// Speeds of a service's workers, of those that are known.
@@ -86,6 +87,7 @@
 
     void clear();
     void recordProgress(const RunSample &sample, TimePoint now);
+    std::size_t runsRemembered() const { return this->runCount; }
     /// Whether `update` would change anything.
     bool hasNews() const { return !this->changedSteps.empty(); }
     /// Compares the runs that were reported since the last call.
@@ -93,7 +95,7 @@
     /// Takes the service's typical speed and spread from these workers, named by `identityOf`.
     void updateSpread(std::string_view service, std::span<const std::string> workers);
 
-    /// The worker's speed; that of a typical worker while the service's workers do not differ.
+    /// The worker's speed. While the service's workers do not differ, all are typical.
     Speed speedOf(std::string_view service, std::string_view worker) const;
     const std::map<std::string, Spread, std::less<>> &spreads() const { return this->services; }
 
