Compare older steps again with what was learned since

Cause: a step that ran while nothing was known of its workers kept its first reading: in a gang of mostly slow workers, these looked typical. Change: remembered steps are compared again, some at each update, and a median's variance is counted as such. Workers differ from a spread of 2 on, so that a spread of 1.25 / 0.8 stays below it.

--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <numbers>
 #include <utility>
 
 namespace Hibiscus::Tasks {
@@ -25,7 +27,9 @@
     double weight = 0.0;
 };
 
-constexpr std::size_t none = static_cast<std::size_t>(-1);
+constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
+/// Serial that no step has.
+constexpr std::uint64_t noStep = std::numeric_limits<std::uint64_t>::max();
 
 /// Middle of the sorted values by weight, without that at `skipped`; between two values if half of
 /// the weight is on each side.
@@ -77,6 +81,7 @@
     this->steps.clear();
     this->stepOrder.clear();
     this->changedSteps.clear();
+    this->recheckedStep = 0;
     this->runCount = 0;
     this->workers.clear();
     this->services.clear();
@@ -154,6 +159,24 @@
         compared += step.members.size();
         this->compare(step);
     }
+    this->recheckOldSteps();
+}
+
+/// A step that ran while little was known of its workers says more once they are known from others.
+void WorkerSpeeds::recheckOldSteps()
+{
+    std::size_t compared = 0;
+    for (std::size_t i = 0; i < this->steps.size(); i++) {
+        auto next = this->stepOrder.upper_bound(this->recheckedStep);
+        if (next == this->stepOrder.end())
+            next = this->stepOrder.begin();
+        const StepRuns &step = this->steps.at(next->second);
+        this->recheckedStep = next->first;
+        this->compare(step);
+        compared += step.members.size();
+        if (compared >= this->settings.maxRecheckedRuns)
+            return;
+    }
 }
 
 /// The tasks of a gang begin to work when all of them are there.
@@ -236,7 +259,10 @@
     for (std::size_t i = 0; i < runs.size(); i++) {
         const WorkerRuns &worker = runs[i];
         const double others = isLarge ? middle : weightedMedian(typical, i);
-        const double variance = worker.runTime.variance + 1.0 / (weight - typical[i].weight);
+        // A median varies more than a mean, by this factor.
+        constexpr double medianVariance = std::numbers::pi / 2;
+        const double variance
+            = worker.runTime.variance + medianVariance / (weight - typical[i].weight);
         this->setEvidence(worker.worker, {step.serial, {worker.runTime.value - others, variance}});
     }
 }
@@ -247,13 +273,17 @@
     if (found == this->workers.end())
         found = this->workers.emplace(name, Worker{}).first;
     Worker &worker = found->second;
-    std::erase_if(worker.evidence,
-                  [&evidence](const Evidence &other) { return other.step == evidence.step; });
+    const auto isOlder
+        = [](const Evidence &other, std::uint64_t step) { return other.step < step; };
+    auto place
+        = std::lower_bound(worker.evidence.begin(), worker.evidence.end(), evidence.step, isOlder);
+    if (place != worker.evidence.end() && place->step == evidence.step)
+        place = worker.evidence.erase(place);
     if (std::abs(evidence.ratio.value) <= std::log(this->settings.maxFactor))
-        worker.evidence.push_back(evidence);
+        worker.evidence.insert(place, evidence);
     if (worker.evidence.size() > this->settings.stepsPerWorker)
         worker.evidence.erase(worker.evidence.begin());
-    worker.speed = this->combine(worker, none);
+    worker.speed = this->combine(worker, noStep);
 }
 
 bool WorkerSpeeds::isKnown(const Worker &worker) const
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -52,11 +52,14 @@
         /// Steps whose runs an estimate is made of; older evidence is forgotten.
         std::size_t stepsPerWorker = 16;
         std::size_t maxRuns = 20'000; ///< Runs that are remembered, of the newest steps.
-        /// Runs that are compared in one update; the others follow in the next ones.
+        /// New runs that are compared in one update; the others follow in the next ones.
         std::size_t maxComparedRuns = 2000;
+        /// Older runs that are compared again in one update, by what was learned since.
+        std::size_t maxRecheckedRuns = 500;
         /// Workers of a service differ if the slowest tenth takes this multiple of the run times of
-        /// the fastest tenth. Below that, an objective can be met on each of them.
-        double minSpread = 1.7;
+        /// the fastest tenth. Below that, a slow one takes at most about 1.4 of the typical run
+        /// time, and the usual objectives can be met on each of them.
+        double minSpread = 2.0;
         std::size_t minKnownWorkers = 12; ///< Known workers from which the spread is judged.
         std::size_t maxStoredWorkers = 4000; ///< Workers in the stored record at most.
     };
@@ -141,7 +144,7 @@
 
     struct Worker
     {
-        std::vector<Evidence> evidence; ///< Oldest first.
+        std::vector<Evidence> evidence; ///< Oldest step first.
         Estimate speed; ///< Logarithm of the slowness.
     };
 
@@ -159,6 +162,7 @@
     static TimePoint workStart(const StepRuns &step, const Member &member);
     std::optional<Estimate> runTimeOf(const StepRuns &step, const Member &member) const;
     std::vector<WorkerRuns> runsByWorker(const StepRuns &step) const;
+    void recheckOldSteps();
     /// Takes the runs of the step as evidence of their workers' speeds.
     void compare(const StepRuns &step);
     void setEvidence(std::string_view worker, const Evidence &evidence);
@@ -169,6 +173,7 @@
     Settings settings;
     std::map<StepRef, StepRuns> steps;
     std::map<std::uint64_t, StepRef> stepOrder; ///< Steps by serial; the oldest is dropped first.
+    std::uint64_t recheckedStep = 0; ///< Serial of the step that was compared again last.
     std::set<std::uint64_t> changedSteps; ///< Steps with runs that were not compared yet.
     std::size_t runCount = 0; ///< Members of all steps.
     std::uint64_t lastSerial = 0;
