--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -59,12 +59,14 @@
 } // namespace
 
 PlanInputs::PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-                       const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerRisks &risks,
-                       PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings)
+                       const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerSpeeds &speeds,
+                       const Tasks::WorkerRisks &risks, PermitCache &permits,
+                       GuaranteeLookup guarantees, const Settings &settings)
     : jobs(jobs)
     , fleet(fleet)
     , runTimes(runTimes)
     , risks(risks)
+    , speeds(speeds)
     , permits(permits)
     , guarantees(std::move(guarantees))
     , settings(settings)
@@ -171,6 +173,11 @@
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
         view.failureRisk = this->risks.riskOf(id, view.service, now);
+        const Tasks::WorkerSpeeds::Speed speed = this->speeds.speedOf(
+            worker.entry.service, Tasks::WorkerSpeeds::identityOf(worker.entry));
+        view.slowness = speed.slowness;
+        view.speedKnown = speed.known;
+        view.slownessDeviation = speed.deviation;
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
             view.occupants.push_back(this->viewOf(run, wall, now));
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -6,6 +6,7 @@
 #include <Tasks/RunTimeEstimator.h>
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WorkerRisks.h>
+#include <Tasks/WorkerSpeeds.h>
 
 #include <functional>
 #include <map>
@@ -30,8 +31,9 @@
     };
 
     PlanInputs(const TrackedJobTable &jobs, const WorkerFleet &fleet,
-               const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerRisks &risks,
-               PermitCache &permits, GuaranteeLookup guarantees, const Settings &settings);
+               const Tasks::RunTimeEstimator &runTimes, const Tasks::WorkerSpeeds &speeds,
+               const Tasks::WorkerRisks &risks, PermitCache &permits, GuaranteeLookup guarantees,
+               const Settings &settings);
 
     void clear();
     /// Rebuilds the snapshot; returns false if no step is waiting to start.
@@ -63,6 +65,7 @@
     const WorkerFleet &fleet;
     const Tasks::RunTimeEstimator &runTimes;
     const Tasks::WorkerRisks &risks;
+    const Tasks::WorkerSpeeds &speeds;
     PermitCache &permits;
     GuaranteeLookup guarantees;
     Settings settings;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -336,6 +336,7 @@
     constexpr int earlyShareOfRunTime = 10;
     end.wasEarly = run->startConfirmedAt
         && now - *run->startConfirmedAt <= run->estimate / earlyShareOfRunTime;
+    end.slowness = run->slowness;
     end.tracked = true;
     end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
     this->removeRun(worker, keyOf(ended.run), now);
@@ -370,6 +371,10 @@
             run->orderConfirmedAt = now;
             confirmed.push_back(running.run);
         }
+        if (!run->perpetual && !run->bestEffort)
+            this->listener.runProgressed({run->ref, worker.entry, run->percent,
+                                          run->resumed ? std::nullopt : run->startConfirmedAt},
+                                         now);
     }
     for (const RunRef &run : confirmed)
         this->listener.runConfirmed(run, now);
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -143,6 +143,20 @@
         + this->risks.expectedLoss(request, this->workers[worker]);
 }
 
+/// Whether tasks of the request may start on empty workers to learn how fast these are. Enough
+/// workers stay empty for tasks and gangs that need whole ones. A worker that runs something
+/// already will be known soon.
+bool PlanPass::mayTryWorkers(const StartRequest &request) const
+{
+    if (request.step->gang || !this->speeds.differs(request.service))
+        return false;
+    const auto usable = this->usableWorkers.find(request.service);
+    const auto empty = this->emptyWorkers.find(request.service);
+    return usable != this->usableWorkers.end() && empty != this->emptyWorkers.end()
+        && static_cast<double>(empty->second)
+        > this->settings.emptyShareWithoutTrial * static_cast<double>(usable->second);
+}
+
 std::optional<std::size_t> PlanPass::bestWorker(const StartRequest &request,
                                                 std::span<const std::size_t> candidates,
                                                 const WorkerList &taken) const
@@ -152,12 +166,15 @@
     std::optional<std::size_t> best;
     double lowestCost = std::numeric_limits<double>::infinity();
     const bool mayUseEmpty = this->mayUseEmptyWorker(request);
+    const bool mayTry = this->mayTryWorkers(request);
     for (const std::size_t worker : candidates) {
-        if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmpty(worker)))
+        if (!this->hasRoom(request, worker) || (!mayUseEmpty && this->isEmptyAndNotSlow(worker)))
             continue;
         if (!isBelowWorkerLimit(request, worker, taken))
             continue;
-        const double cost = this->placementCost(request, worker);
+        const double cost = this->placementCost(request, worker)
+            + this->speeds.cost(request, this->workers[worker], mayTry && this->isEmpty(worker),
+                                this->now);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = worker;
@@ -211,25 +228,32 @@
     return false;
 }
 
-/// Places the gang in the first rack with room that risks nothing, or else in the one that risks
-/// least.
-std::optional<PlanPass::WorkerList> PlanPass::placeInOneRack(const StartRequest &request)
+/// What the workers' risks and speeds cost the request, apart from how well its tasks pack.
+double PlanPass::costOfPlaces(const StartRequest &request, const WorkerList &chosen) const
+{
+    double cost = this->expectedLoss(request, chosen);
+    for (const std::size_t worker : chosen)
+        cost += this->speeds.cost(request, this->workers[worker], false, this->now);
+    return cost;
+}
+
+std::optional<PlanPass::WorkerList> PlanPass::placeGangInBestRack(const StartRequest &request)
 {
     const std::vector<Resources> before = this->capacity.free;
     const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     std::optional<WorkerList> best;
-    double lowestLoss = std::numeric_limits<double>::infinity();
+    double lowestCost = std::numeric_limits<double>::infinity();
     for (const auto &[rack, members] : this->racks) {
         std::optional<WorkerList> chosen = this->placeAllTasks(request, members);
         if (!chosen)
             continue;
-        const double loss = this->expectedLoss(request, *chosen);
-        if (loss == 0.0)
+        const double cost = this->costOfPlaces(request, *chosen);
+        if (cost == 0.0)
             return chosen;
         this->capacity.free = before;
         this->emptyWorkers = emptyBefore;
-        if (loss < lowestLoss) {
-            lowestLoss = loss;
+        if (cost < lowestCost) {
+            lowestCost = cost;
             best = std::move(chosen);
         }
     }
@@ -244,7 +268,7 @@
 {
     if (!request.step->sameRack)
         return this->placeAllTasks(request, this->allWorkers);
-    if (std::optional<WorkerList> chosen = this->placeInOneRack(request))
+    if (std::optional<WorkerList> chosen = this->placeGangInBestRack(request))
         return chosen;
     if (this->requiresOneRack(request))
         return std::nullopt;
