Order requests by customers' shares when room is short

Under shortage one customer's burst took the room of the others within a priority. ShortageOrder now plans requests of a customer beyond its equal share after the others, only while room is short. A gang that is stopped for urgent work gives all of its room, so that no second gang is stopped for room that the first one frees; a gang reserves room for all of its tasks or none.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -82,6 +82,7 @@
     if (this->requests.empty())
         return false;
     this->collectWorkers(wall, now);
+    this->nameOwners();
     this->markFixedOccupants();
     this->markGuaranteed();
     for (StartRequest &request : this->requests) {
@@ -177,6 +178,25 @@
     return view;
 }
 
+/// Fills in the customer of each occupant, and the group of those that are members of a gang.
+/// Groups are numbered from 1.
+void PlanInputs::nameOwners()
+{
+    std::map<StepRef, std::size_t> groups;
+    for (WorkerView &view : this->workers) {
+        auto occupant = view.occupants.begin();
+        for (const auto &[key, run] : this->fleet.all().find(view.id)->second.runs) {
+            if (const TrackedJob *job = this->jobs.find(run.ref.job))
+                occupant->customer = job->job.customer;
+            if (run.members > 1) {
+                const StepRef step{run.ref.job, run.ref.task.occurrence, run.ref.task.step};
+                occupant->group = groups.try_emplace(step, groups.size() + 1).first->second;
+            }
+            ++occupant;
+        }
+    }
+}
+
 /// Marks the runs that must not be preempted. A step may limit how many of its tasks are not at
 /// work; up to that limit, the tasks with the lowest indexes may be displaced, and all others are
 /// fixed.
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -47,6 +47,7 @@
     void collectWorkers(Tasks::UnixMs wall, TimePoint now);
     Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
                                TimePoint now) const;
+    void nameOwners();
     void markFixedOccupants();
     void markGuaranteed();
     void findSiblings(Tasks::StartRequest &request) const;
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -30,6 +30,7 @@
                    std::span<const WorkerView> workers, UnixMs now)
     : settings(settings)
     , rackWait(settings)
+    , shortageOrder(requests, workers, now)
     , requests(requests)
     , workers(workers)
     , now(now)
@@ -111,19 +112,9 @@
 
 StartPlan PlanPass::run()
 {
-    std::vector<std::size_t> order(this->requests.size());
-    std::iota(order.begin(), order.end(), std::size_t{0});
-    const auto ranksBefore = [this](std::size_t left, std::size_t right) {
-        const StartRequest &a = this->requests[left];
-        const StartRequest &b = this->requests[right];
-        const int rankA = StartPlanner::rankOf(a, this->now);
-        const int rankB = StartPlanner::rankOf(b, this->now);
-        return rankA != rankB ? rankA < rankB : a.objectiveAt < b.objectiveAt;
-    };
-    std::stable_sort(order.begin(), order.end(), ranksBefore);
     for (const StartRequest &request : this->requests)
         this->deductClaims(request);
-    for (const std::size_t request : order) {
+    for (const std::size_t request : this->shortageOrder.order()) {
         this->restoreClaims(this->requests[request]);
         this->planRequest(request);
     }
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Tasks/RackWait.h>
+#include <Tasks/ShortageOrder.h>
 #include <Tasks/StartPlanner.h>
 
 #include <limits>
@@ -118,10 +119,14 @@
     WorkerList coverTasks(const StartRequest &request, std::size_t tasks,
                           std::span<const std::size_t> candidates, double &cost);
     void applyPreemption(const Preemption &preemption);
+    /// Counts the room of an occupant that is stopped as room that is being freed.
+    void freeInTime(const PreemptionChoice &victim);
+    const std::vector<PreemptionChoice> &membersOf(std::size_t group);
     void planPreemptions(const Capacity &before);
 
     const StartPlanner::Settings &settings;
     RackWait rackWait;
+    ShortageOrder shortageOrder;
     std::span<const StartRequest> requests;
     std::span<const WorkerView> workers;
     UnixMs now;
@@ -144,6 +149,9 @@
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
     std::map<std::string_view, std::vector<std::size_t>> racks;
     std::set<std::string_view> evacuatedRacks; ///< All of their workers are evacuated.
+    /// Members of each gang that runs, by the group of its occupants; filled on first use.
+    std::map<std::size_t, std::vector<PreemptionChoice>> groups;
+    std::set<std::size_t> stoppedGroups; ///< Groups that the plan stops.
     std::size_t reservations = 0;
     StartPlan plan;
 };
--- a/Tasks/PlanPassPreemptions.cpp
+++ b/Tasks/PlanPassPreemptions.cpp
@@ -27,7 +27,11 @@
         if (occupant.stopping || occupant.nonPreemptible || isPreempted)
             continue;
         room += occupant.need;
-        cost += occupant.preemptionCost;
+        const auto isSibling = [&](std::size_t other) {
+            return occupant.group != 0 && worker.occupants[other].group == occupant.group;
+        };
+        if (std::none_of(result.occupants.begin(), result.occupants.end(), isSibling))
+            cost += occupant.preemptionCost;
         result.occupants.push_back(place);
     }
     if (request.step->allocatedResources().fitsInto(room))
@@ -37,19 +41,55 @@
 
 void PlanPass::applyPreemption(const Preemption &preemption)
 {
-    for (const std::size_t occupant : preemption.occupants) {
-        this->capacity.preempted[preemption.worker].push_back(occupant);
-        this->capacity.beingFreed[preemption.worker]
-            += this->workers[preemption.worker].occupants[occupant].need;
+    const std::vector<OccupantView> &occupants = this->workers[preemption.worker].occupants;
+    for (const std::size_t place : preemption.occupants) {
+        const std::size_t group = occupants[place].group;
+        if (group == 0) {
+            this->freeInTime({preemption.worker, place});
+            continue;
+        }
+        for (const PreemptionChoice &member : this->membersOf(group))
+            this->freeInTime(member);
     }
 }
 
+void PlanPass::freeInTime(const PreemptionChoice &victim)
+{
+    const OccupantView &occupant = this->workers[victim.worker].occupants[victim.occupant];
+    std::vector<std::size_t> &preempted = this->capacity.preempted[victim.worker];
+    const bool isCounted = occupant.stopping
+        || std::find(preempted.begin(), preempted.end(), victim.occupant) != preempted.end();
+    if (isCounted)
+        return;
+    preempted.push_back(victim.occupant);
+    this->capacity.beingFreed[victim.worker] += occupant.need;
+}
+
+/// A gang stops as a whole, so the room of all members becomes free for the price of one.
+const std::vector<PreemptionChoice> &PlanPass::membersOf(std::size_t group)
+{
+    if (this->groups.empty()) {
+        for (const std::size_t worker : this->allWorkers) {
+            const std::vector<OccupantView> &occupants = this->workers[worker].occupants;
+            for (std::size_t place = 0; place < occupants.size(); place++) {
+                if (occupants[place].group != 0)
+                    this->groups[occupants[place].group].push_back({worker, place});
+            }
+        }
+    }
+    return this->groups[group];
+}
+
 void PlanPass::planPreemptions(const Capacity &before)
 {
     for (std::size_t worker = 0; worker < this->workers.size(); worker++) {
         const std::vector<std::size_t> &occupants = this->capacity.preempted[worker];
-        for (std::size_t i = before.preempted[worker].size(); i < occupants.size(); i++)
-            this->plan.preemptions.push_back({worker, occupants[i]});
+        for (std::size_t i = before.preempted[worker].size(); i < occupants.size(); i++) {
+            const std::size_t group = this->workers[worker].occupants[occupants[i]].group;
+            // The first of a gang stands for all of its members.
+            if (group == 0 || this->stoppedGroups.insert(group).second)
+                this->plan.preemptions.push_back({worker, occupants[i]});
+        }
     }
 }
 
--- a/Tasks/PlanPassReservations.cpp
+++ b/Tasks/PlanPassReservations.cpp
@@ -133,14 +133,17 @@
 void PlanPass::reserveRoom(const StartRequest &request, std::size_t tasks)
 {
     constexpr int firstRankWithoutReservation = 5;
-    const bool reserves = StartPlanner::rankOf(request, this->now) < firstRankWithoutReservation;
-    const std::size_t left = this->settings.maxReservations - this->reservations;
+    const bool reserves = this->shortageOrder.rankOf(request) < firstRankWithoutReservation;
+    const std::size_t left = this->settings.maxReservations
+        - std::min(this->reservations, this->settings.maxReservations);
     if (!reserves || left == 0)
         return;
-    // A part of a gang can't start, so room for a part would stay unused.
-    if (request.step->gang && !this->getsRoomForAllTasks(request))
+    // A part of a gang can't start, so room for a part would stay unused. The first gang that waits
+    // may keep more than the limit, or a wide one would wait for as long as small tasks come.
+    const bool isFirst = this->reservations == 0;
+    if (request.step->gang && ((tasks > left && !isFirst) || !this->getsRoomForAllTasks(request)))
         return;
-    const std::size_t kept = std::min(tasks, left);
+    const std::size_t kept = request.step->gang ? tasks : std::min(tasks, left);
     this->reservations += kept;
     if (this->requiresOneRack(request))
         this->reserveRoomInOneRack(request);
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -18,7 +18,9 @@
     double preemptionCost = 0.0; ///< Core-seconds of work lost by a stop, its whole gang included.
     bool stopping = false; ///< Was told to stop; its resources are being freed.
     bool nonPreemptible = false; ///< A stop would make too many tasks of its step unavailable.
-    std::size_t group = 0; ///< Occupants of one gang share a group and stop together.
+    /// Occupants of one gang share a group and stop together; 0: not of a gang.
+    std::size_t group = 0;
+    std::string_view customer;
 };
 
 /// A worker as input of the planner.
