Keep room for whole gangs and lend it to runs that end before

At most 24 tasks had room reserved in one plan, so a wide gang kept a part that it could not use and starved behind small tasks. The limit is now a quarter of the service's workers, and reserved room is lent to runs that are expected to end, twice over, before the gang gets its last worker. Room for urgent work is not lent.

--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -41,6 +41,8 @@
         this->capacity.beingFreed.push_back(resourcesBeingFreed(worker));
     }
     this->capacity.preempted.resize(workers.size());
+    this->capacity.reserved.resize(workers.size());
+    this->capacity.reservedUntil.resize(workers.size(), std::numeric_limits<UnixMs>::max());
     this->orders.resize(workers.size());
     this->groupWorkers();
     this->countWorkers();
@@ -61,18 +63,17 @@
 
 void PlanPass::countWorkers()
 {
-    std::map<std::string_view, std::size_t> usable;
     for (const std::size_t worker : this->allWorkers) {
         const WorkerView &view = this->workers[worker];
         if (!view.usable)
             continue;
-        usable[view.service]++;
+        this->usableWorkers[view.service]++;
         this->acceleratorUse[view.service].all += view.capacity().accelerators;
         this->acceleratorUse[view.service].free += view.free.accelerators;
         if (this->isEmpty(worker))
             this->emptyWorkers[view.service]++;
     }
-    for (const auto &[service, count] : usable)
+    for (const auto &[service, count] : this->usableWorkers)
         this->reservedEmptyWorkers[service] = static_cast<std::size_t>(
             this->settings.emptyShareForUrgentWork * static_cast<double>(count));
 }
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -49,6 +49,9 @@
 
     bool isEligible(const StartRequest &request, std::size_t worker) const;
     bool hasRoom(const StartRequest &request, std::size_t worker) const;
+    /// Room that the request's tasks may take on the worker now, with room that is reserved for
+    /// work which starts only after their expected end.
+    Resources roomNow(const StartRequest &request, std::size_t worker) const;
     /// Whether the worker may take one more task of the request's step. `taken` are the workers of
     /// its other tasks.
     static bool isBelowWorkerLimit(const StartRequest &request, std::size_t worker,
@@ -81,9 +84,13 @@
         std::vector<Resources> free; ///< Free now, less claims and reservations; may be negative.
         std::vector<Resources> beingFreed; ///< Held by occupants that are stopping.
         std::vector<std::vector<std::size_t>> preempted; ///< Indexes of occupants, by worker.
+        std::vector<Resources> reserved; ///< Part of `free` that reservations have taken off.
+        /// Earliest expected start of a task with a reservation on the worker.
+        std::vector<UnixMs> reservedUntil;
     };
 
     void reserveRoom(const StartRequest &request, std::size_t tasks);
+    std::size_t reservationLimitOf(const StartRequest &request) const;
     void reserveRoomInOneRack(const StartRequest &request);
     bool getsRoomForAllTasks(const StartRequest &request) const;
     /// Room of the worker once all occupants that are expected to end have ended, less claims and
@@ -93,9 +100,8 @@
     /// last task has room.
     UnixMs reserveRoomOn(const StartRequest &request, std::size_t tasks,
                          std::span<const std::size_t> candidates);
-    std::optional<std::size_t> earliestWorker(const StartRequest &request,
-                                              std::span<const std::size_t> candidates,
-                                              const WorkerList &taken) const;
+    /// Time until which other work may use room that is reserved for the request.
+    UnixMs lendsUntil(const StartRequest &request, UnixMs start) const;
     UnixMs roomAvailableAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayPreempt(const StartRequest &request) const;
@@ -144,6 +150,7 @@
     };
 
     std::map<std::string_view, AcceleratorUse> acceleratorUse; ///< At the start of the pass.
+    std::map<std::string_view, std::size_t> usableWorkers; ///< By service.
     std::map<std::string_view, std::size_t> emptyWorkers; ///< Usable empty workers, by service.
     /// Number of empty workers that only urgent work may take, by service.
     std::map<std::string_view, std::size_t> reservedEmptyWorkers;
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -28,10 +28,20 @@
 
 bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
 {
-    return request.step->allocatedResources().fitsInto(this->capacity.free[worker])
+    return request.step->allocatedResources().fitsInto(this->roomNow(request, worker))
         && this->isAllowed(request, worker);
 }
 
+Resources PlanPass::roomNow(const StartRequest &request, std::size_t worker) const
+{
+    // Estimates are rough, so the run has to fit in twice over.
+    constexpr int runTimeMargin = 2;
+    Resources room = this->capacity.free[worker];
+    if (this->now + runTimeMargin * toMs(request.runTime) <= this->capacity.reservedUntil[worker])
+        room += this->capacity.reserved[worker];
+    return room;
+}
+
 bool PlanPass::isBelowWorkerLimit(const StartRequest &request, std::size_t worker,
                                   const WorkerList &taken)
 {
@@ -75,7 +85,7 @@
 bool PlanPass::isKnownNotToFit(const StartRequest &request) const
 {
     const auto failedWithLessDemand = [&request](const StartRequest *failed) {
-        return failed->service == request.service
+        return failed->service == request.service && failed->runTime <= request.runTime
             && failed->step->requiredLabel == request.step->requiredLabel
             && failed->step->allocatedResources().fitsInto(request.step->allocatedResources());
     };
--- a/Tasks/PlanPassReservations.cpp
+++ b/Tasks/PlanPassReservations.cpp
@@ -1,8 +1,11 @@
 #include <Tasks/PlanPass.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <numeric>
+#include <queue>
+#include <utility>
 
 // How requests of PlanPass wait: room that becomes free is reserved for those that need much of it.
 namespace Hibiscus::Tasks {
@@ -53,38 +56,48 @@
     return request.step->allocatedResources().fitsInto(room) ? at : never;
 }
 
-std::optional<std::size_t> PlanPass::earliestWorker(const StartRequest &request,
-                                                    std::span<const std::size_t> candidates,
-                                                    const WorkerList &taken) const
-{
-    std::optional<std::size_t> best;
-    UnixMs earliest = never;
-    for (const std::size_t worker : candidates) {
-        if (!this->isAllowed(request, worker) || !isBelowWorkerLimit(request, worker, taken))
-            continue;
-        const UnixMs at = this->roomAvailableAt(request, worker);
-        if (at < earliest) {
-            earliest = at;
-            best = worker;
-        }
-    }
-    return best;
-}
-
+/// Only the chosen worker's time changes from task to task, so the times of all others are kept.
 UnixMs PlanPass::reserveRoomOn(const StartRequest &request, std::size_t tasks,
                                std::span<const std::size_t> candidates)
 {
+    using Slot
+        = std::pair<UnixMs, std::size_t>; // Time at which one more task has room, and worker.
+    std::priority_queue<Slot, std::vector<Slot>, std::greater<>> slots;
     WorkerList taken = request.assignedWorkers;
+    const auto addSlot = [&](std::size_t worker) {
+        const UnixMs at = isBelowWorkerLimit(request, worker, taken)
+            ? this->roomAvailableAt(request, worker)
+            : never;
+        if (at != never)
+            slots.emplace(at, worker);
+    };
+    for (const std::size_t worker : candidates) {
+        if (this->isAllowed(request, worker))
+            addSlot(worker);
+    }
     UnixMs latest = this->now;
-    for (std::size_t i = 0; i < tasks; i++) {
-        const std::optional<std::size_t> worker = this->earliestWorker(request, candidates, taken);
-        if (!worker)
-            return never;
-        latest = std::max(latest, this->roomAvailableAt(request, *worker));
-        this->capacity.free[*worker] -= request.step->allocatedResources();
-        taken.push_back(*worker);
+    std::vector<Slot> chosen;
+    while (chosen.size() < tasks && !slots.empty()) {
+        const auto [at, worker] = slots.top();
+        slots.pop();
+        chosen.emplace_back(at, worker);
+        latest = std::max(latest, at);
+        this->capacity.free[worker] -= request.step->allocatedResources();
+        this->capacity.reserved[worker] += request.step->allocatedResources();
+        taken.push_back(worker);
+        addSlot(worker);
     }
-    return latest;
+    for (const auto &[at, worker] : chosen) {
+        UnixMs &until = this->capacity.reservedUntil[worker];
+        until = std::min(until, this->lendsUntil(request, request.step->gang ? latest : at));
+    }
+    return chosen.size() == tasks ? latest : never;
+}
+
+/// Urgent work has to start promptly, so nothing else uses its room in the meantime.
+UnixMs PlanPass::lendsUntil(const StartRequest &request, UnixMs start) const
+{
+    return request.priority > this->settings.maxPreemptingPriority ? start : this->now;
 }
 
 /// Whether all of the request's tasks together get room once the occupants that are expected to end
@@ -128,14 +141,25 @@
     this->capacity = best;
 }
 
+/// Tasks for which one plan reserves room: enough for the service's wide gangs, with most workers
+/// left to other work.
+std::size_t PlanPass::reservationLimitOf(const StartRequest &request) const
+{
+    const auto workers = this->usableWorkers.find(request.service);
+    const std::size_t count = workers == this->usableWorkers.end() ? 0 : workers->second;
+    const auto share = static_cast<std::size_t>(this->settings.reservedShareOfWorkers
+                                                * static_cast<double>(count));
+    return std::max(this->settings.maxReservations, share);
+}
+
 /// Reserves the room that becomes free first, so that requests of lower rank can't take it. Without
 /// reservations a stream of small tasks would starve a large one.
 void PlanPass::reserveRoom(const StartRequest &request, std::size_t tasks)
 {
     constexpr int firstRankWithoutReservation = 5;
     const bool reserves = this->shortageOrder.rankOf(request) < firstRankWithoutReservation;
-    const std::size_t left = this->settings.maxReservations
-        - std::min(this->reservations, this->settings.maxReservations);
+    const std::size_t limit = this->reservationLimitOf(request);
+    const std::size_t left = limit - std::min(this->reservations, limit);
     if (!reserves || left == 0)
         return;
     // A part of a gang can't start, so room for a part would stay unused. The first gang that waits
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -131,6 +131,8 @@
         /// after `maxIdleWait` if the service is mostly idle, and perpetual tasks in any case.
         double emptyShareForUrgentWork = 0.06;
         std::size_t maxReservations = 24; ///< Tasks for which room is reserved in one plan.
+        /// The same as a share of the service's workers, where that is more.
+        double reservedShareOfWorkers = 0.25;
     };
 
     explicit StartPlanner(const Settings &settings)
