--- a/Tasks/WaitForecast.cpp
+++ b/Tasks/WaitForecast.cpp
@@ -1,6 +1,8 @@
 #include <Tasks/WaitForecast.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <string_view>
 
 namespace Hibiscus::Tasks {
 
@@ -10,6 +12,20 @@
 constexpr int usefulObjectives = 3;
 constexpr Duration maxRetryAfter = seconds(30);
 
+/// Additional wait of a refused job, at most a quarter of `wait`. Jobs that are refused together
+/// would return together otherwise and meet the same shortage. It is derived from the job's id, so
+/// that each instance gives the same answer.
+Duration spreadOf(std::string_view id, Duration wait)
+{
+    constexpr std::uint32_t fnvPrime = 16'777'619;
+    constexpr std::uint32_t parts = 1024;
+    std::uint32_t hash = 0;
+    for (const char c : id)
+        hash = (hash ^ static_cast<unsigned char>(c)) * fnvPrime;
+    hash ^= hash >> 16;
+    return wait / 4 * static_cast<Duration::rep>(hash % parts) / parts;
+}
+
 } // namespace
 
 Duration WaitForecast::expectedWait(const ServiceLoad &load, std::int32_t priority) const
@@ -42,7 +58,8 @@
         return {};
     // After this time the backlog that exceeds the job's slack has been processed.
     const Duration excess = forecast.wait - std::max(Duration{}, objective - chain);
-    return {false, std::clamp<Duration>(excess, seconds(1), maxRetryAfter)};
+    const Duration wait = std::clamp<Duration>(excess, seconds(1), maxRetryAfter);
+    return {false, wait + spreadOf(job.id, wait)};
 }
 
 } // namespace Hibiscus::Tasks
--- a/UnitTests/Tasks/WaitForecastTest.cpp
+++ b/UnitTests/Tasks/WaitForecastTest.cpp
@@ -1,6 +1,8 @@
 #include <Tasks/WaitForecast.h>
 
 #include <gtest/gtest.h>
+#include <set>
+#include <string>
 
 namespace Hibiscus::Tasks {
 
@@ -60,6 +62,22 @@
     EXPECT_EQ(decideAdmission(job, {seconds(500), {}}).retryAfter, seconds(30));
 }
 
+// Load: a burst is refused as a whole, and its callers come back.
+TEST(Admission, JobsThatAreRefusedTogetherReturnAtDifferentTimes)
+{
+    std::set<std::int64_t> seconds;
+    for (int i = 0; i < 200; i++) {
+        Job job = jobOf(Hibiscus::seconds(2), 3.0, Hibiscus::seconds(1));
+        job.id = "5c0e7a21d94b" + std::to_string(1000 + i);
+        const AdmissionDecision verdict = decideAdmission(job, {Hibiscus::seconds(25), {}});
+        EXPECT_EQ(verdict.retryAfter, decideAdmission(job, {Hibiscus::seconds(25), {}}).retryAfter);
+        EXPECT_GE(verdict.retryAfter, Hibiscus::seconds(20));
+        EXPECT_LE(verdict.retryAfter, Hibiscus::seconds(25));
+        seconds.insert(toMs(verdict.retryAfter) / 1000);
+    }
+    EXPECT_GE(seconds.size(), 5U);
+}
+
 TEST(Admission, LongJobsMayWaitLonger)
 {
     EXPECT_TRUE(decideAdmission(jobOf(seconds(10), 3.0, seconds(1)), {seconds(60), {}}).admitted);
