--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -105,9 +105,6 @@
     UnixMs roomAvailableAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayPreempt(const StartRequest &request) const;
-    bool isUrgent(const StartRequest &request) const;
-    /// Work in core-seconds that preemptions for the request may lose.
-    double maxPreemptionCost(const StartRequest &request) const;
     std::int32_t minVictimPriority(const StartRequest &request) const;
     std::size_t preemptForTasks(std::size_t request, std::size_t tasks);
     bool preemptForGang(std::size_t request);
--- a/Tasks/PlanPassPreemptions.cpp
+++ b/Tasks/PlanPassPreemptions.cpp
@@ -6,13 +6,6 @@
 // What PlanPass reclaims for urgent requests, and the claims that keep the freed room for them.
 namespace Hibiscus::Tasks {
 
-namespace {
-
-/// Expected end of a perpetual task.
-constexpr UnixMs neverEnds = std::numeric_limits<UnixMs>::max();
-
-} // namespace
-
 PlanPass::Preemption PlanPass::cheapestPreemption(const StartRequest &request,
                                                   std::size_t number) const
 {
@@ -33,9 +26,6 @@
             != alreadyPreempted.end();
         if (occupant.stopping || occupant.nonPreemptible || isPreempted)
             continue;
-        // A perpetual task has to be at work again soon, which less urgent work can't promise.
-        if (!this->isUrgent(request) && occupant.expectedEnd == neverEnds)
-            continue;
         room += occupant.need;
         const auto isSibling = [&](std::size_t other) {
             return occupant.group != 0 && worker.occupants[other].group == occupant.group;
@@ -103,24 +93,10 @@
     }
 }
 
-/// Urgent work preempts whenever it has to wait. Where room is short, other work that can still be
-/// in time may preempt too, as far as hardly any work is lost by it.
 bool PlanPass::mayPreempt(const StartRequest &request) const
 {
-    if (this->isUrgent(request))
-        return this->now < request.usefulUntil;
-    return this->shortageOrder.mayDisplace(request);
-}
-
-bool PlanPass::isUrgent(const StartRequest &request) const
-{
-    return request.priority <= this->settings.maxPreemptingPriority;
-}
-
-double PlanPass::maxPreemptionCost(const StartRequest &request) const
-{
-    return this->isUrgent(request) ? std::numeric_limits<double>::infinity()
-                                   : ShortageOrder::displaceableWork(request);
+    return request.priority <= this->settings.maxPreemptingPriority
+        && this->now < request.usefulUntil;
 }
 
 /// Returns the smallest priority number of occupants that the request may preempt. A late request
@@ -166,10 +142,6 @@
     const Capacity before = this->capacity;
     double cost = 0.0;
     const WorkerList covered = this->coverTasks(request, tasks, this->allWorkers, cost);
-    if (cost > this->maxPreemptionCost(request)) {
-        this->capacity = before;
-        return 0;
-    }
     this->planPreemptions(before);
     this->addClaims(number, covered);
     return covered.size();
@@ -188,11 +160,10 @@
     Capacity best = before;
     WorkerList chosen;
     double lowestCost = std::numeric_limits<double>::infinity();
-    const double maxCost = this->maxPreemptionCost(request);
     const auto consider = [&](std::span<const std::size_t> candidates) {
         double cost = 0.0;
         const WorkerList covered = this->coverTasks(request, tasks, candidates, cost);
-        if (covered.size() == tasks && cost < lowestCost && cost <= maxCost) {
+        if (covered.size() == tasks && cost < lowestCost) {
             lowestCost = cost;
             best = this->capacity;
             chosen = covered;
--- a/Tasks/ShortageOrder.cpp
+++ b/Tasks/ShortageOrder.cpp
@@ -139,20 +139,6 @@
     return rank;
 }
 
-bool ShortageOrder::mayDisplace(const StartRequest &request) const
-{
-    return this->isShort(request.service) && !request.step->perpetual
-        && !isLate(request, this->now);
-}
-
-/// What runs with checkpoints loses hardly anything when it is stopped. Work without them would
-/// have to be done again, in the room that is short.
-double ShortageOrder::displaceableWork(const StartRequest &request)
-{
-    constexpr double maxLostShare = 0.1;
-    return maxLostShare * toSeconds(request.runTime) * coreEquivalents(needOf(request));
-}
-
 double ShortageOrder::shareInUse(std::string_view service, std::string_view customer) const
 {
     const auto room = this->rooms.find(service);
--- a/Tasks/ShortageOrder.h
+++ b/Tasks/ShortageOrder.h
@@ -28,11 +28,6 @@
     bool isShort(std::string_view service) const;
     /// Rank of the request; 0 comes first. Ranks from `firstRankOfLateWork` on reserve no room.
     int rankOf(const StartRequest &request) const;
-    /// Whether the request may displace less urgent work although it is not urgent itself: room is
-    /// short and it can still be in time.
-    bool mayDisplace(const StartRequest &request) const;
-    /// Core-seconds of work that may be lost by what the request displaces.
-    static double displaceableWork(const StartRequest &request);
     /// Indexes of all requests, the one that is planned first in front.
     std::vector<std::size_t> order() const;
     /// Share of the service that the resource which the customer uses most of is at.
