--- a/Tasks/ShortageOrder.cpp
+++ b/Tasks/ShortageOrder.cpp
@@ -14,6 +14,9 @@
 /// estimates of callers are rough. A request with less time than that left is of no use.
 constexpr double minShareOfRunTime = 0.5;
 
+/// A larger request gives way for no longer than one of this many equal shares.
+constexpr double maxPartOfShare = 3.0;
+
 std::int64_t tasksThatFit(const Resources &need, const Resources &room)
 {
     std::int64_t tasks = std::numeric_limits<std::int64_t>::max();
@@ -156,6 +159,20 @@
         : 1.0 / static_cast<double>(customers->second.size());
 }
 
+/// Time of the order within a rank. A request that takes much room for long keeps many small ones
+/// waiting, so it gives way to them by its run time, times its part of an equal share. The wait is
+/// bounded, so that large requests do not starve.
+UnixMs ShortageOrder::turnOf(const StartRequest &request) const
+{
+    const auto room = this->rooms.find(request.service);
+    if (request.step->perpetual || !this->isShort(request.service) || room == this->rooms.end())
+        return request.objectiveAt;
+    const double part
+        = dominantShare(needOf(request), room->second.all) / this->equalShareOf(request.service);
+    const auto runTime = static_cast<double>(toMs(request.runTime));
+    return request.objectiveAt + static_cast<UnixMs>(std::min(part, maxPartOfShare) * runTime);
+}
+
 std::vector<bool> ShortageOrder::findBeyondShare(std::span<const std::size_t> order) const
 {
     std::vector<bool> beyond(this->requests.size(), false);
@@ -176,15 +193,18 @@
 std::vector<std::size_t> ShortageOrder::order() const
 {
     std::vector<int> ranks;
+    std::vector<UnixMs> turns;
     ranks.reserve(this->requests.size());
-    for (const StartRequest &request : this->requests)
+    turns.reserve(this->requests.size());
+    for (const StartRequest &request : this->requests) {
         ranks.push_back(this->rankOf(request));
+        turns.push_back(this->turnOf(request));
+    }
     std::vector<std::size_t> order(this->requests.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        return ranks[left] != ranks[right]
-            ? ranks[left] < ranks[right]
-            : this->requests[left].objectiveAt < this->requests[right].objectiveAt;
+        return ranks[left] != ranks[right] ? ranks[left] < ranks[right]
+                                           : turns[left] < turns[right];
     });
     if (this->shortServices.empty())
         return order;
--- a/Tasks/ShortageOrder.h
+++ b/Tasks/ShortageOrder.h
@@ -47,6 +47,7 @@
     bool fitsAlone(std::string_view service, const Resources &need, std::int64_t tasks) const;
     /// Whether each request starts beyond its customer's equal share, by index of the request.
     std::vector<bool> findBeyondShare(std::span<const std::size_t> order) const;
+    UnixMs turnOf(const StartRequest &request) const;
     double equalShareOf(std::string_view service) const;
 
     std::span<const StartRequest> requests;
