--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -147,6 +147,7 @@
     static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
     void plan(TimePoint now);
+    void reportShortages(const Tasks::StartPlan &plan, TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, TimePoint now);
@@ -200,6 +201,7 @@
     std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
+    std::map<std::string, TimePoint> shortagesReportedAt; ///< By service.
 };
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -59,9 +59,30 @@
     const Tasks::StartPlan plan
         = this->planner.plan(this->inputs.startRequests(), this->inputs.workerViews(), wall);
     this->inputs.keepClaims(plan);
+    this->reportShortages(plan, now);
     this->executePlan(plan, now);
 }
 
+/// A plan is made many times a second, so a shortage is reported once in a while as long as it
+/// stays.
+void TaskDispatcher::reportShortages(const Tasks::StartPlan &plan, TimePoint now)
+{
+    constexpr Duration interval = seconds(5);
+    for (const Tasks::Shortage &shortage : plan.shortages) {
+        const auto [reported, isNew]
+            = this->shortagesReportedAt.try_emplace(std::string(shortage.service), now);
+        if (!isNew && now < reported->second + interval)
+            continue;
+        reported->second = now;
+        this->logger.logEvent(LogKind::Task, "room is short",
+                              {{"service", shortage.service},
+                               {"customers", shortage.customers},
+                               {"largestCustomer", shortage.largestCustomer},
+                               {"largestShare", shortage.largestShare}},
+                              now);
+    }
+}
+
 void TaskDispatcher::executePlan(const Tasks::StartPlan &plan, TimePoint now)
 {
     const std::span<const Tasks::StartRequest> requests = this->inputs.startRequests();
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -119,6 +119,7 @@
         this->restoreClaims(this->requests[request]);
         this->planRequest(request);
     }
+    this->plan.shortages = this->shortageOrder.shortages();
     return std::move(this->plan);
 }
 
--- a/Tasks/ShortageOrder.cpp
+++ b/Tasks/ShortageOrder.cpp
@@ -14,7 +14,7 @@
 /// estimates of callers are rough. A request with less time than that left is of no use.
 constexpr double minShareOfRunTime = 0.5;
 
-/// A larger request gives way for no longer than one of this many equal shares.
+/// A wider gang gives way for no longer than one of this many equal shares.
 constexpr double maxPartOfShare = 3.0;
 
 std::int64_t tasksThatFit(const Resources &need, const Resources &room)
@@ -151,6 +151,24 @@
     return dominantShare(used->second, room->second.all);
 }
 
+std::vector<Shortage> ShortageOrder::shortages() const
+{
+    std::vector<Shortage> all;
+    for (const std::string_view service : this->shortServices) {
+        Shortage shortage{.service = service};
+        for (const std::string_view customer : this->competitors.at(service)) {
+            shortage.customers++;
+            const double share = this->shareInUse(service, customer);
+            if (share > shortage.largestShare) {
+                shortage.largestCustomer = customer;
+                shortage.largestShare = share;
+            }
+        }
+        all.push_back(shortage);
+    }
+    return all;
+}
+
 double ShortageOrder::equalShareOf(std::string_view service) const
 {
     const auto customers = this->competitors.find(service);
@@ -159,13 +177,13 @@
         : 1.0 / static_cast<double>(customers->second.size());
 }
 
-/// Time of the order within a rank. A request that takes much room for long keeps many small ones
-/// waiting, so it gives way to them by its run time, times its part of an equal share. The wait is
-/// bounded, so that large requests do not starve.
+/// Time of the order within a rank. A gang takes all of its room at once, and a wide one keeps many
+/// small ones waiting, so it gives way by its run time, times its part of an equal share. The wait
+/// is bounded, so that wide gangs do not starve. Independent tasks start one by one as room comes.
 UnixMs ShortageOrder::turnOf(const StartRequest &request) const
 {
     const auto room = this->rooms.find(request.service);
-    if (request.step->perpetual || !this->isShort(request.service) || room == this->rooms.end())
+    if (!request.step->gang || !this->isShort(request.service) || room == this->rooms.end())
         return request.objectiveAt;
     const double part
         = dominantShare(needOf(request), room->second.all) / this->equalShareOf(request.service);
--- a/Tasks/ShortageOrder.h
+++ b/Tasks/ShortageOrder.h
@@ -30,6 +30,7 @@
     int rankOf(const StartRequest &request) const;
     /// Indexes of all requests, the one that is planned first in front.
     std::vector<std::size_t> order() const;
+    std::vector<Shortage> shortages() const;
     /// Share of the service that the resource which the customer uses most of is at.
     double shareInUse(std::string_view service, std::string_view customer) const;
 
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -102,11 +102,21 @@
     bool operator==(const ClaimChoice &) const = default;
 };
 
+/// Service whose room is short, with the customer that holds most of it.
+struct Shortage
+{
+    std::string_view service;
+    std::string_view largestCustomer; ///< Empty if nothing runs there.
+    double largestShare = 0.0; ///< That customer's dominant share, from 0 to 1.
+    std::size_t customers = 0; ///< Customers that run or wait there.
+};
+
 struct StartPlan
 {
     std::vector<StartChoice> starts;
     std::vector<PreemptionChoice> preemptions;
     std::vector<ClaimChoice> claims;
+    std::vector<Shortage> shortages; ///< Sorted by service.
 };
 
 /// Decides which tasks start on which workers and which occupants are preempted. Keeps no state
--- a/UnitTests/Tasks/ShortageOrderTest.cpp
+++ b/UnitTests/Tasks/ShortageOrderTest.cpp
@@ -110,6 +110,9 @@
     this->request("small", 2, 8, 1).objectiveAt += 5000;
     const ShortageOrder shortage = this->shortage();
     EXPECT_DOUBLE_EQ(shortage.shareInUse("prepare", "large"), 0.5);
+    ASSERT_EQ(shortage.shortages().size(), 1U);
+    EXPECT_EQ(shortage.shortages().front().largestCustomer, "large");
+    EXPECT_EQ(shortage.shortages().front().customers, 2U);
     EXPECT_EQ(shortage.order(), (std::vector<std::size_t>{1, 0}));
 }
 
@@ -146,6 +149,17 @@
     EXPECT_EQ(this->shortage().order(), (std::vector<std::size_t>{1, 0}));
 }
 
+// Load: one gang over most of the service and many small ones.
+TEST_F(ShortageOrderTest, WideGangGivesWayToSmallOnesForABoundedTime)
+{
+    this->addWorkers(4);
+    this->occupy(0, 1, 9000);
+    this->gang(1, 4).objectiveAt -= 1000;
+    this->gang(1, 1);
+    this->gang(1, 1).objectiveAt += 60'000;
+    EXPECT_EQ(this->shortage().order(), (std::vector<std::size_t>{1, 0, 2}));
+}
+
 // Load: free room lies in parts that are too small for the tasks.
 TEST_F(ShortageOrderTest, RoomInTooSmallPartsIsShort)
 {
