--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -165,6 +165,7 @@
     void schedulePlan();
     void plan(TimePoint now);
     void observeWorkers(TimePoint now);
+    void reportShortages(const Tasks::StartPlan &plan, TimePoint now);
     void executePlan(const Tasks::StartPlan &plan, TimePoint now);
     void assign(const Tasks::StartRequest &request, const Tasks::StartChoice &choice,
                 const std::string &worker, double slowness, TimePoint now);
@@ -234,6 +235,7 @@
     TimePoint loadWrittenAt{};
     TimePoint speedsUpdatedAt{};
     TimePoint nextSpeedsWriteAt{};
+    std::map<std::string, TimePoint> shortagesReportedAt; ///< By service.
 };
 
 } // namespace Hibiscus::Coordination
