Let a gang that waits for sounder workers stop nothing

It now neither stops work for room that it would reject, nor loses room that was freed for it.

Tasks tests pass (82).

--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -163,6 +163,8 @@
     if (chosen && this->rejects(request, *chosen)) {
         this->capacity.free = freeBefore;
         this->emptyWorkers = emptyBefore;
+        // Room that was freed for it stays claimed, or it would be freed again later.
+        this->addClaims(number, this->renewClaims(request, tasks));
         return;
     }
     if (chosen) {
--- a/Tasks/PlanPassPreemptions.cpp
+++ b/Tasks/PlanPassPreemptions.cpp
@@ -162,6 +162,9 @@
     }
     if (chosen.empty() && !this->requiresOneRack(request))
         consider(this->allWorkers);
+    // It would reject the room once it is free.
+    if (this->rejects(request, chosen))
+        return true;
     this->capacity = best;
     this->planPreemptions(before);
     this->addClaims(number, chosen);
--- a/UnitTests/Tasks/RiskPlanTest.cpp
+++ b/UnitTests/Tasks/RiskPlanTest.cpp
@@ -149,6 +149,31 @@
     EXPECT_TRUE(uses(this->plan(), 2));
 }
 
+// Load: an urgent gang failed on risky workers, and others are full. It must not stop work for room
+// that it would not use yet.
+TEST_F(RiskPlanTest, GangThatWaitsForSounderWorkersStopsNothing)
+{
+    this->addWorkers(4);
+    for (std::size_t worker = 0; worker < 4; worker++) {
+        this->occupy(worker, 0, 10.0);
+        this->views[worker].failureRisk = risky;
+    }
+    StartRequest &gang = this->request(0, 2, 8, true);
+    EXPECT_EQ(this->plan().preemptions.size(), 2U);
+    gang.attemptsLeft = 1;
+    gang.failedAt = now - 300;
+    EXPECT_TRUE(this->plan().preemptions.empty());
+    // Room that was freed for it before the risk rose stays its own.
+    gang.claims = {0, 1};
+    this->views[0].occupants.clear();
+    this->views[0].free = {32000, 65536, 8};
+    this->views[1].occupants.clear();
+    this->views[1].free = {32000, 65536, 8};
+    this->request(2, 16, 1, false);
+    EXPECT_TRUE(this->plan().starts.empty());
+    EXPECT_EQ(this->plan().claims.size(), 2U);
+}
+
 // Load: urgent tasks need room on several workers while a wide gang and single tasks run there. All
 // members of a gang stop together, so that their room comes free at the price of one gang.
 TEST_F(RiskPlanTest, RoomOfAStoppedGangIsUsedBeforeMoreWorkIsStopped)
