Keep no room for long for a gang under a guarantee or in a mostly idle service

Change: room for a gang is kept only if the gang gets all of it within maxIdleWait, where the service is mostly idle or the gang is under a guarantee. What less urgent work takes of it, a guaranteed gang may preempt.

--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -83,7 +83,7 @@
     };
 
     void reserveRoom(const StartRequest &request, std::size_t tasks);
-    void reserveRoomInOneRack(const StartRequest &request);
+    bool isTooLateToReserve(const StartRequest &request, UnixMs completeAt) const;
     bool getsRoomForAllTasks(const StartRequest &request) const;
     /// Room of the worker once all occupants that are expected to end have ended, less claims and
     /// reservations.
@@ -92,6 +92,8 @@
     /// last task has room.
     UnixMs reserveRoomOn(const StartRequest &request, std::size_t tasks,
                          std::span<const std::size_t> candidates);
+    /// The same for all tasks in the rack that has room first.
+    UnixMs reserveRoomInOneRack(const StartRequest &request);
     std::optional<std::size_t> earliestWorker(const StartRequest &request,
                                               std::span<const std::size_t> candidates,
                                               const WorkerList &taken) const;
--- a/Tasks/PlanPassReservations.cpp
+++ b/Tasks/PlanPassReservations.cpp
@@ -112,7 +112,7 @@
     return room;
 }
 
-void PlanPass::reserveRoomInOneRack(const StartRequest &request)
+UnixMs PlanPass::reserveRoomInOneRack(const StartRequest &request)
 {
     const Capacity before = this->capacity;
     Capacity best = before;
@@ -126,6 +126,17 @@
         this->capacity = before;
     }
     this->capacity = best;
+    return earliest;
+}
+
+/// Whether room that is complete at that time only is not worth keeping for a gang. In a mostly
+/// idle service, other tasks whose turn has come would wait for too long beside it. A gang under a
+/// guarantee would keep it from tasks that can still start within theirs; what less urgent work
+/// takes of it can be preempted.
+bool PlanPass::isTooLateToReserve(const StartRequest &request, UnixMs completeAt) const
+{
+    return request.step->gang && (request.guaranteed || this->isServiceMostlyIdle(request))
+        && completeAt - this->now > toMs(this->settings.maxIdleWait);
 }
 
 /// Reserves the room that becomes free first, so that requests of lower rank can't take it. Without
@@ -141,11 +152,14 @@
     if (request.step->gang && !this->getsRoomForAllTasks(request))
         return;
     const std::size_t kept = std::min(tasks, left);
-    this->reservations += kept;
-    if (this->requiresOneRack(request))
-        this->reserveRoomInOneRack(request);
+    const Capacity before = this->capacity;
+    const UnixMs completeAt = this->requiresOneRack(request)
+        ? this->reserveRoomInOneRack(request)
+        : this->reserveRoomOn(request, kept, this->allWorkers);
+    if (this->isTooLateToReserve(request, completeAt))
+        this->capacity = before;
     else
-        this->reserveRoomOn(request, kept, this->allWorkers);
+        this->reservations += kept;
 }
 
 } // namespace Hibiscus::Tasks
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -202,6 +202,47 @@
     EXPECT_TRUE(plan.preemptions.empty());
 }
 
+TEST_F(StartPlannerTest, MostlyIdleServiceIsNotKeptForAGangForLong)
+{
+    // Two of eight workers are busy for nine seconds, and the gang needs seven. A task whose turn
+    // has come may not wait that long beside idle workers.
+    this->addWorkers(8);
+    this->occupy(0, wholeWorker, 2, 9000, 10.0);
+    this->occupy(1, wholeWorker, 2, 9000, 10.0);
+    this->request(1, 7, 8);
+    this->stepOf(0).gang = true;
+    this->request(2, 8, 1);
+    EXPECT_EQ(startsOf(this->plan(), 1), 8U);
+    // Room that the gang gets soon is kept.
+    this->views[0].occupants[0].expectedEnd = now + 2000;
+    EXPECT_EQ(startsOf(this->plan(), 1), 0U);
+}
+
+TEST_F(StartPlannerTest, GangUnderAGuaranteeKeepsNoRoomForLong)
+{
+    // Urgent work, which can't be preempted, holds two workers that the gang also needs.
+    this->addWorkers(4);
+    for (std::size_t i = 0; i < 2; i++)
+        this->occupy(i, wholeWorker, 0, 9000, 10.0);
+    StartRequest &gang = this->request(0, 4, 8);
+    gang.guaranteed = true;
+    gang.objectiveAt = now + 5000;
+    this->stepOf(0).gang = true;
+    this->request(0, 1, 8).guaranteed = true;
+    EXPECT_EQ(startsOf(this->plan(), 1), 1U);
+}
+
+TEST_F(StartPlannerTest, GangThatFillsAServiceIsNotStarvedBySmallTasks)
+{
+    this->addWorkers(4);
+    for (std::size_t i = 0; i < 2; i++)
+        this->occupy(i, wholeWorker, 2, 9000, 10.0);
+    this->request(1, 4, 8);
+    this->stepOf(0).gang = true;
+    this->request(2, 8, 1);
+    EXPECT_TRUE(this->plan().starts.empty());
+}
+
 TEST_F(StartPlannerTest, FreshGuaranteedTaskStartsBeforeOnesThatAreOfNoUseAnyMore)
 {
     // Most workers are lost and urgent work fills the others, so nothing may be preempted. The
