--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -109,7 +109,7 @@
 
     void reserveRoom(const StartRequest &request, std::size_t tasks);
     std::size_t reservationLimitOf(const StartRequest &request) const;
-    void reserveRoomInOneRack(const StartRequest &request);
+    bool isTooLateToReserve(const StartRequest &request, UnixMs completeAt) const;
     bool getsRoomForAllTasks(const StartRequest &request) const;
     /// Room of the worker once all occupants that are expected to end have ended, less claims and
     /// reservations.
@@ -120,6 +120,8 @@
                          std::span<const std::size_t> candidates);
     /// Time until which other work may use room that is reserved for the request.
     UnixMs lendsUntil(const StartRequest &request, UnixMs start) const;
+    /// The same for all tasks in the rack that has room first.
+    UnixMs reserveRoomInOneRack(const StartRequest &request);
     UnixMs roomAvailableAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayPreempt(const StartRequest &request) const;
