--- a/Runtime/HttpServer.cpp
+++ b/Runtime/HttpServer.cpp
@@ -27,6 +27,9 @@
 constexpr std::uint64_t fieldOverheadBytes = 96;
 /// A handler may hold a request's body twice: as it came, and decoded.
 constexpr std::uint64_t handledCopies = 2;
+/// Bytes that the kernel keeps for a connection while the process does not read. They count as the
+/// process's memory on the platform.
+constexpr int receiveBufferBytes = 16 * 1024;
 constexpr Duration discardTimeout = milliseconds(500);
 constexpr std::size_t discardLimitBytes = std::size_t{1024} * 1024;
 /// Wait after a connection could not be accepted for want of descriptors or memory. Without it the
@@ -319,9 +322,14 @@
 HttpServer::HttpServer(asio::io_context &loop, const asio::ip::tcp::endpoint &address,
                        HttpHandler handler, const Settings &settings)
     : shared(std::make_shared<Shared>())
-    , acceptor(loop, address, true)
+    , acceptor(loop, address.protocol())
     , acceptTimer(loop)
 {
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    // Connections take over the size. It has to be set before the acceptor listens.
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    this->acceptor.bind(address);
+    this->acceptor.listen();
     this->shared->handler = std::move(handler);
     this->setLimits(settings);
     this->acceptNext();
--- a/UnitTests/Hostile/HostileClient.h
+++ b/UnitTests/Hostile/HostileClient.h
@@ -16,6 +16,7 @@
     std::string repeated; ///< Sent over and over after the opening; empty: nothing more.
     std::size_t maxBytes = 0; ///< Bytes of `repeated` after which the client stops sending.
     bool reads = true; ///< Whether the client reads responses.
+    bool untilClosed = false; ///< Done only when the peer has closed the connection.
 };
 
 /// One connection that follows a script.
@@ -41,8 +42,8 @@
             });
     }
 
-    /// Whether the peer closed the connection or the whole script was sent.
-    bool isDone() const { return this->ended || this->sentAll; }
+    /// Whether the peer closed the connection or, if that is enough, the whole script was sent.
+    bool isDone() const { return this->ended || (this->sentAll && !this->script.untilClosed); }
 
     std::size_t sentBytes = 0; ///< Of the script's repeated part.
 
--- a/UnitTests/Hostile/HostileClientsTest.cpp
+++ b/UnitTests/Hostile/HostileClientsTest.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <gtest/gtest.h>
 #include <optional>
+#include <unistd.h>
 
 namespace Hibiscus::Test {
 
@@ -16,7 +17,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr std::uint64_t siteSeed = 40'000; ///< Its addresses are used by no other test.
 constexpr long memoryMiB = 48; ///< Memory of the instance's machine.
 constexpr std::size_t fewDescriptors = 256;
 constexpr std::size_t manyDescriptors = 1200;
@@ -28,6 +28,14 @@
                                       "Authorization: Bearer key-1\r\n"
                                       "Transfer-Encoding: chunked\r\n\r\n";
 
+/// A seed, and so an address, that neither the soak nor another run of these tests uses.
+std::uint64_t seedOfThisProcess()
+{
+    constexpr std::uint64_t first = 40'000;
+    constexpr std::uint64_t count = 20'000;
+    return first + static_cast<std::uint64_t>(getpid()) % count;
+}
+
 /// One instance of the program with a small machine, and a crowd of clients that nobody controls.
 class HostileClients : public testing::Test
 {
@@ -39,7 +47,7 @@
         fs::remove_all(LOG_FOLDER);
         fs::create_directories(LOG_FOLDER);
         Soak::SoakSite::Settings settings;
-        settings.seed = siteSeed;
+        settings.seed = seedOfThisProcess();
         settings.program = HIBISCUS_NODE;
         settings.folder = LOG_FOLDER;
         settings.instances = 1;
@@ -217,15 +225,41 @@
     this->expectSound();
 }
 
+/// A request with a valid key; the last one of a connection has it closed after the response.
+std::string requestText(const std::string &verb, int number, const std::string &key,
+                        const std::string &body, bool isLast)
+{
+    return verb + " /p2/" + std::to_string(1'000'000'000'000'000 + number)
+        + " HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer " + key
+        + (isLast ? "\r\nConnection: close" : "")
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 TEST_F(HostileClients, DeeplyNestedBodies)
 {
     this->startInstance(fewDescriptors);
-    const std::string body(200 * 1024, '[');
-    this->addCrowd(20,
-                   {.repeated = "POST /p2/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n"
-                                "Authorization: Bearer key-1\r\nContent-Length: "
-                        + std::to_string(body.size()) + "\r\n\r\n" + body,
-                    .maxBytes = mebibyte});
+    std::string requests;
+    for (int i = 0; i < 5; i++)
+        requests += requestText("POST", i, "key-1", std::string(200 * 1024, '['), i == 4);
+    this->addCrowd(20, {.opening = requests, .untilClosed = true});
+    this->playCrowd();
+    this->expectSound();
+}
+
+/// A payload is limited to 4,000 bytes, the body of a submission to far more. Accepted jobs stay in
+/// the memory of the leader.
+TEST_F(HostileClients, ManyJobsWithLongPayloads)
+{
+    this->startInstance(fewDescriptors);
+    const std::string body = Soak::encodeJob(std::string(150 * 1024, 'x'), 1, 0, false, false);
+    constexpr int jobsPerClient = 60;
+    for (int client = 0; client < 10; client++) {
+        std::string requests;
+        for (int job = 0; job < jobsPerClient; job++)
+            requests += requestText("POST", client * jobsPerClient + job, "key-1", body,
+                                    job + 1 == jobsPerClient);
+        this->addCrowd(1, {.opening = requests, .untilClosed = true});
+    }
     this->playCrowd();
     this->expectSound();
 }
@@ -234,11 +268,11 @@
 {
     this->startInstance(fewDescriptors);
     std::string requests;
-    for (int i = 0; i < 2000; i++)
-        requests += "GET /p0/" + std::to_string(1'000'000'000'000'000 + i)
-            + " HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer " + std::to_string(i)
-            + std::string(2000, 'k') + "\r\n\r\n";
-    this->addCrowd(20, {.opening = requests});
+    constexpr int count = 2000;
+    for (int i = 0; i < count; i++)
+        requests += requestText("GET", i, std::to_string(i) + std::string(2000, 'k'), "",
+                                i + 1 == count);
+    this->addCrowd(20, {.opening = requests, .untilClosed = true});
     this->playCrowd();
     this->expectSound();
 }
--- a/UnitTests/Node/NodeMetricsTest.cpp
+++ b/UnitTests/Node/NodeMetricsTest.cpp
@@ -50,6 +50,15 @@
     EXPECT_TRUE(this->hasLine("hibiscus_answer_seconds_count" + labels + "} 3"));
 }
 
+TEST_F(NodeMetricsTest, ClosedConnectionsAreCountedByReason)
+{
+    NodeMetrics::Readings readings;
+    readings.closedConnections[static_cast<std::size_t>(Runtime::CloseReason::MemoryLimit)] = 3;
+    EXPECT_NE(this->metricsText(readings).find(
+                  "hibiscus_caller_connections_closed_total{reason=\"memory limit\"} 3\n"),
+              std::string::npos);
+}
+
 TEST_F(NodeMetricsTest, JobTimesAreRecordedByFinalState)
 {
     Tasks::Job job;
--- a/UnitTests/platform/FormatsTest.cpp
+++ b/UnitTests/platform/FormatsTest.cpp
@@ -132,6 +132,29 @@
     EXPECT_FALSE(isJobId("5c0e7a21d94b36fg"));
 }
 
+TEST(JobFormat, PayloadOverTheLimitOfThePagesIsRejected)
+{
+    const auto submission = [](std::size_t payloadBytes) {
+        return R"({"spec":")" + std::string(payloadBytes, 's') + R"(","steps":[{}]})";
+    };
+    EXPECT_TRUE(decodeSubmission(submission(4000)));
+    EXPECT_FALSE(decodeSubmission(submission(4001)));
+}
+
+TEST(SettingsFormat, MemoryAndDescriptorsOfTheMachineAreDecoded)
+{
+    const std::string required = "node=\"e\"\nzone=\"n\"\nip=\"127.0.0.1\"\n[platform]\n"
+                                 "address=\"127.0.0.1:1\"\n[listen]\nfront=\"127.0.0.1:2\"\n"
+                                 "ready=\"127.0.0.1:3\"\n";
+    const auto settings = decodeSettings(required + "[limits]\nmemoryMb=260\nmaxFds=4100\n");
+    ASSERT_TRUE(settings) << settings.error().toString();
+    EXPECT_EQ(settings->memoryMiB, 260);
+    EXPECT_EQ(settings->maxDescriptors, 4100);
+    EXPECT_TRUE(decodeSettings(required));
+    EXPECT_FALSE(decodeSettings(required + "[limits]\nmemoryMb=0\n"));
+    EXPECT_FALSE(decodeSettings(required + "[limits]\nmaxFds=\"many\"\n"));
+}
+
 TEST(CallerFormat, CallIsDecodedFromItsRequest)
 {
     Runtime::HttpRequest request;
