--- a/UnitTests/Tasks/ShortageOrderTest.cpp
+++ b/UnitTests/Tasks/ShortageOrderTest.cpp
@@ -198,10 +198,10 @@
 TEST_F(ShortageOrderTest, RoomReservedForUrgentWorkIsNotLent)
 {
     this->addWorkers(2);
-    OccupantView &urgent = this->occupy(0, 8, 9000);
+    OccupantView &urgent = this->occupy(0, 8, 2000);
     urgent.priority = 0;
     this->gang(0, 2).guaranteed = true;
-    this->request("batch", 2, 8, 1);
+    this->request("batch", 2, 8, 1).runTime = seconds(1);
     EXPECT_EQ(startsOf(this->plan(), 1), 0U);
 }
 
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -239,7 +239,8 @@
         this->occupy(i, wholeWorker, 2, 9000, 10.0);
     this->request(1, 4, 8);
     this->stepOf(0).gang = true;
-    this->request(2, 8, 1);
+    // They would end after the gang gets all of its room.
+    this->request(2, 8, 1).runTime = seconds(20);
     EXPECT_TRUE(this->plan().starts.empty());
 }
 
