--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -75,6 +75,7 @@
 
     const TrackedJobTable &jobTable() const { return this->jobs; }
     const WorkerFleet &workerFleet() const { return this->fleet; }
+    const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds; }
     bool isReady() const { return this->phase == Phase::Leading; }
 
 private:
--- a/Node/NodeMetrics.cpp
+++ b/Node/NodeMetrics.cpp
@@ -88,6 +88,13 @@
     writeAge(text, "hibiscus_configuration_age_seconds", readings.configurationAge);
     writeAge(text, "hibiscus_forecast_age_seconds", readings.forecastAge);
     writeAge(text, "hibiscus_oldest_worker_answer_seconds", readings.oldestWorkerAnswerAge);
+    for (const auto &[service, spread] : readings.speeds) {
+        const std::string labels = "{service=\"" + escape(service) + "\"} ";
+        text << "hibiscus_known_worker_speeds" << labels << spread.known << "\n";
+        text << "hibiscus_workers_differ_in_speed" << labels << (spread.differs ? 1 : 0) << "\n";
+        text << "hibiscus_fast_worker_slowness" << labels << spread.fastest << "\n";
+        text << "hibiscus_slow_worker_slowness" << labels << spread.slowest << "\n";
+    }
     for (const auto &[key, count] : this->answers)
         text << "hibiscus_answers_total{" << describeLabels(key.labels, "call") << ",outcome=\""
              << key.outcome << "\"} " << count << "\n";
--- a/Node/NodeMetrics.h
+++ b/Node/NodeMetrics.h
@@ -3,6 +3,7 @@
 #include <Coordination/JobApi.h>
 #include <Core/Histogram.h>
 #include <Node/ProcessEventLogger.h>
+#include <Tasks/WorkerSpeeds.h>
 
 #include <map>
 #include <sstream>
@@ -37,6 +38,8 @@
         std::optional<Duration> configurationAge; ///< Time since the last confirmation.
         std::optional<Duration> forecastAge;
         std::optional<Duration> oldestWorkerAnswerAge; ///< Among the workers with runs.
+        /// Speeds of the leader's workers, by service.
+        std::map<std::string, Tasks::WorkerSpeeds::Spread, std::less<>> speeds;
     };
     std::string toPrometheusText(const Readings &readings, const ProcessEventLogger &logger) const;
 
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -337,6 +337,8 @@
     readings.configurationVersion = directory ? directory->configuration().version : 0;
     readings.configurationAge = this->jobApi.configurationAge(now);
     readings.forecastAge = this->jobApi.forecastAge(now);
+    if (readings.isLeading)
+        readings.speeds = this->dispatcher.workerSpeeds().spreads();
     readings.oldestWorkerAnswerAge = this->dispatcher.workerFleet().oldestAnswerAge(now);
     return readings;
 }
--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -358,11 +358,24 @@
                                      [](const auto &entry) { return entry.second.differs; });
     if (!differs)
         return {};
+    std::vector<const std::pair<const std::string, Worker> *> known;
+    for (const auto &worker : this->workers) {
+        if (this->isKnown(worker.second))
+            known.push_back(&worker);
+    }
+    std::stable_sort(known.begin(), known.end(), [](const auto *a, const auto *b) {
+        return std::abs(a->second.speed.value) > std::abs(b->second.speed.value);
+    });
     nlohmann::json record = nlohmann::json::object();
-    for (const auto &[name, worker] : this->workers) {
-        if (this->isKnown(worker) && record.size() < this->settings.maxStoredWorkers)
-            record[name] = {std::lround(worker.speed.value / storedUnit),
-                            std::lround(worker.speed.variance / storedUnit)};
+    std::size_t bytes = 0;
+    for (const auto *worker : known) {
+        constexpr std::size_t bytesOfNumbers = 20;
+        bytes += worker->first.size() + bytesOfNumbers;
+        if (bytes > this->settings.maxStoredBytes)
+            break;
+        const Estimate &speed = worker->second.speed;
+        record[worker->first]
+            = {std::lround(speed.value / storedUnit), std::lround(speed.variance / storedUnit)};
     }
     return record.dump();
 }
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -61,7 +61,7 @@
         /// time, and the usual objectives can be met on each of them.
         double minSpread = 2.0;
         std::size_t minKnownWorkers = 12; ///< Known workers from which the spread is judged.
-        std::size_t maxStoredWorkers = 4000; ///< Workers in the stored record at most.
+        std::size_t maxStoredBytes = 48 * 1024; ///< Length of the stored record at most.
     };
 
     struct Speed
@@ -102,7 +102,8 @@
     Speed speedOf(std::string_view service, std::string_view worker) const;
     const std::map<std::string, Spread, std::less<>> &spreads() const { return this->services; }
 
-    /// Text of the known speeds, for the next leader. Empty if no service's workers differ.
+    /// Text of the known speeds, for the next leader; those that differ most if not all fit in.
+    /// Empty if no service's workers differ.
     std::string encode() const;
     /// Takes the speeds of an earlier leader for workers of which nothing is known. Returns false,
     /// and takes nothing, if the text can't be read.
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -236,6 +236,8 @@
     task.run = order.run;
     task.script = script;
     task.left = task.script.runTime;
+    if (const auto factor = this->slowness.find(id); factor != this->slowness.end())
+        task.left = std::chrono::duration_cast<Duration>(task.left * factor->second);
     task.serial = this->nextSerial++;
     const std::uint64_t serial = task.serial;
     const std::int32_t gang = task.script.gang;
@@ -423,11 +425,23 @@
     answer.incarnation = machine.entry.incarnation;
     for (const auto &[name, task] : machine.running)
         answer.running.push_back(
-            {task.run, "", task.isWorking ? 100 : 0, this->loadOf(machine, task)});
+            {task.run, "", this->percentOf(task), this->loadOf(machine, task)});
     answer.ended = machine.ended;
     return answer;
 }
 
+std::int32_t FakeWorkers::percentOf(const Task &task) const
+{
+    constexpr std::int32_t complete = 100;
+    if (!task.isWorking)
+        return 0;
+    if (this->slowness.empty())
+        return complete;
+    const Duration done = this->clock.now() - task.resumedAt;
+    return static_cast<std::int32_t>(
+        std::min<Duration::rep>(complete, complete * done / task.left));
+}
+
 bool FakeWorkers::View::reaches(const std::string &id) const
 {
     const auto machine = this->workers.machines.find(id);
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -84,6 +84,9 @@
     double bestEffortDelay = 300.0;
     /// Longest time for which best-effort tasks may keep response times over their target.
     Duration maxOverTargetTime = seconds(4);
+    /// Factors on the run times of workers; 1 for all others. If there are any, tasks report their
+    /// progress.
+    std::map<std::string, double> slowness;
     std::size_t paceOrders = 0;
     std::size_t permitRejections = 0;
     std::size_t refusedConnections = 0;
@@ -116,7 +119,7 @@
     {
         Tasks::RunRef run;
         TaskScript script;
-        Duration left{};
+        Duration left{}; ///< At `resumedAt`.
         TimePoint resumedAt{};
         bool isWorking = false;
         std::int32_t pace = 100; ///< In percent.
@@ -149,6 +152,7 @@
     Tasks::WorkerAnswer stop(const std::string &id, const Tasks::StopOrder &order);
     Tasks::WorkerAnswer setPace(const std::string &id, const Tasks::PaceOrder &order);
     Tasks::WorkerAnswer renew(const std::string &id, const Tasks::RenewOrder &order);
+    std::int32_t percentOf(const Task &task) const;
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
     Tasks::WorkerAnswer report(const Machine &machine) const;
--- a/UnitTests/Node/NodeMetricsTest.cpp
+++ b/UnitTests/Node/NodeMetricsTest.cpp
@@ -50,6 +50,20 @@
     EXPECT_TRUE(this->hasLine("hibiscus_answer_seconds_count" + labels + "} 3"));
 }
 
+TEST_F(NodeMetricsTest, SpeedsAreShownByService)
+{
+    NodeMetrics::Readings readings;
+    readings.speeds["blend"] = {.known = 12, .slowest = 1.5, .fastest = 0.5, .differs = true};
+    const std::string text = this->metricsText(readings);
+    EXPECT_NE(text.find(R"(hibiscus_known_worker_speeds{service="blend"} 12)"), std::string::npos);
+    EXPECT_NE(text.find(R"(hibiscus_workers_differ_in_speed{service="blend"} 1)"),
+              std::string::npos);
+    EXPECT_NE(text.find(R"(hibiscus_fast_worker_slowness{service="blend"} 0.5)"),
+              std::string::npos);
+    EXPECT_NE(text.find(R"(hibiscus_slow_worker_slowness{service="blend"} 1.5)"),
+              std::string::npos);
+}
+
 TEST_F(NodeMetricsTest, JobTimesAreRecordedByFinalState)
 {
     Tasks::Job job;
--- a/UnitTests/Tasks/WorkerSpeedsTest.cpp
+++ b/UnitTests/Tasks/WorkerSpeedsTest.cpp
@@ -222,11 +222,15 @@
 
 TEST_F(WorkerSpeedsTest, RecordIsBounded)
 {
-    this->speeds = WorkerSpeeds({.maxStoredWorkers = 10});
+    this->speeds = WorkerSpeeds({.maxStoredBytes = 300});
     for (int i = 0; i < 4; i++)
         this->runStep(0, 30, true, 6.0);
-    EXPECT_LT(this->speeds.encode().size(), 300U);
-    EXPECT_FALSE(this->speeds.encode().empty());
+    const std::string text = this->speeds.encode();
+    EXPECT_LE(text.size(), 300U);
+    WorkerSpeeds next{WorkerSpeeds::Settings{}};
+    ASSERT_TRUE(next.restore(text));
+    next.updateSpread("blend", this->names);
+    EXPECT_GE(next.spreads().at("blend").known, 8U);
 }
 
 TEST_F(WorkerSpeedsTest, NewProcessOfAnUnknownMachineStartsWithoutAHistory)
