--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -326,6 +326,8 @@
     if (found == this->services.end())
         found = this->services.emplace(service, Spread{}).first;
     Spread &spread = found->second;
+    const double minSpread
+        = this->settings.minSpread * (spread.differs ? this->settings.minSpreadShare : 1.0);
     spread = {};
     spread.known = values.size();
     if (values.empty())
@@ -336,7 +338,7 @@
     spread.slowest = std::exp(valueAtShare(values, 1.0 - tenth) - middle);
     spread.fastest = std::exp(valueAtShare(values, tenth) - middle);
     spread.differs = spread.known >= this->settings.minKnownWorkers
-        && spread.slowest >= this->settings.minSpread * spread.fastest;
+        && spread.slowest >= minSpread * spread.fastest;
 }
 
 WorkerSpeeds::Speed WorkerSpeeds::speedOf(std::string_view service, std::string_view name) const
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -60,8 +60,10 @@
         /// the fastest tenth. Below that, a slow one takes at most about 1.4 of the typical run
         /// time, and the usual objectives can be met on each of them.
         double minSpread = 2.0;
+        /// Share of `minSpread` below which workers that differed count as equal again.
+        double minSpreadShare = 0.9;
         std::size_t minKnownWorkers = 12; ///< Known workers from which the spread is judged.
-        std::size_t maxStoredBytes = 48 * 1024; ///< Length of the stored record at most.
+        std::size_t maxStoredBytes = 49'152; ///< Length of the stored record at most.
     };
 
     struct Speed
--- a/UnitTests/Coordination/SpeedsTest.cpp
+++ b/UnitTests/Coordination/SpeedsTest.cpp
@@ -132,6 +132,7 @@
 TEST_F(Speeds, AreStoredAtABoundedRate)
 {
     this->learn();
+    ASSERT_TRUE(this->cluster.store.find(StoreKeys::speeds));
     std::int64_t writes = 0;
     std::int64_t revision = 0;
     for (int i = 0; i < 200; i++) {
--- a/UnitTests/Tasks/WorkerSpeedsTest.cpp
+++ b/UnitTests/Tasks/WorkerSpeedsTest.cpp
@@ -143,6 +143,21 @@
     EXPECT_EQ(this->slownessOf(2), 1.0);
 }
 
+TEST_F(WorkerSpeedsTest, SpreadAtTheBoundDoesNotSwitchToAndFro)
+{
+    this->factors = {0.72, 1.0, 1.44};
+    int changes = 0;
+    bool differed = false;
+    for (int i = 0; i < 40; i++) {
+        this->runStep(static_cast<std::size_t>(i), 12, false, 2.0 + i % 10);
+        this->runStep(static_cast<std::size_t>(i), 8, true, 2.0 + i % 10);
+        const bool differs = this->speeds.spreads().at("blend").differs;
+        changes += differs != differed ? 1 : 0;
+        differed = differs;
+    }
+    EXPECT_LE(changes, 2);
+}
+
 TEST_F(WorkerSpeedsTest, DisturbanceOfSomeRunsIsNoSlowness)
 {
     for (int i = 0; i < 4; i++)
