--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -326,6 +326,8 @@
     if (found == this->services.end())
         found = this->services.emplace(service, Spread{}).first;
     Spread &spread = found->second;
+    const double minSpread
+        = this->settings.minSpread * (spread.differs ? this->settings.minSpreadShare : 1.0);
     spread = {};
     spread.known = values.size();
     if (values.empty())
@@ -336,7 +338,7 @@
     spread.slowest = std::exp(valueAtShare(values, 1.0 - tenth) - middle);
     spread.fastest = std::exp(valueAtShare(values, tenth) - middle);
     spread.differs = spread.known >= this->settings.minKnownWorkers
-        && spread.slowest >= this->settings.minSpread * spread.fastest;
+        && spread.slowest >= minSpread * spread.fastest;
 }
 
 WorkerSpeeds::Speed WorkerSpeeds::speedOf(std::string_view service, std::string_view name) const
@@ -358,11 +360,24 @@
                                      [](const auto &entry) { return entry.second.differs; });
     if (!differs)
         return {};
+    std::vector<const std::pair<const std::string, Worker> *> known;
+    for (const auto &worker : this->workers) {
+        if (this->isKnown(worker.second))
+            known.push_back(&worker);
+    }
+    std::stable_sort(known.begin(), known.end(), [](const auto *a, const auto *b) {
+        return std::abs(a->second.speed.value) > std::abs(b->second.speed.value);
+    });
     nlohmann::json record = nlohmann::json::object();
-    for (const auto &[name, worker] : this->workers) {
-        if (this->isKnown(worker) && record.size() < this->settings.maxStoredWorkers)
-            record[name] = {std::lround(worker.speed.value / storedUnit),
-                            std::lround(worker.speed.variance / storedUnit)};
+    std::size_t bytes = 0;
+    for (const auto *worker : known) {
+        constexpr std::size_t bytesOfNumbers = 20;
+        bytes += worker->first.size() + bytesOfNumbers;
+        if (bytes > this->settings.maxStoredBytes)
+            break;
+        const Estimate &speed = worker->second.speed;
+        record[worker->first]
+            = {std::lround(speed.value / storedUnit), std::lround(speed.variance / storedUnit)};
     }
     return record.dump();
 }
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -86,6 +86,9 @@
     double bestEffortDelay = 300.0;
     /// Longest time for which best-effort tasks may keep response times over their target.
     Duration maxOverTargetTime = seconds(4);
+    /// Factors on the run times of workers; 1 for all others. If there are any, tasks report their
+    /// progress.
+    std::map<std::string, double> slowness;
     std::size_t paceOrders = 0;
     std::size_t permitRejections = 0;
     std::size_t refusedConnections = 0;
@@ -118,7 +121,7 @@
     {
         Tasks::RunRef run;
         TaskScript script;
-        Duration left{};
+        Duration left{}; ///< At `resumedAt`.
         TimePoint resumedAt{};
         bool isWorking = false;
         std::int32_t pace = 100; ///< In percent.
@@ -151,6 +154,7 @@
     Tasks::WorkerAnswer stop(const std::string &id, const Tasks::StopOrder &order);
     Tasks::WorkerAnswer setPace(const std::string &id, const Tasks::PaceOrder &order);
     Tasks::WorkerAnswer renew(const std::string &id, const Tasks::RenewOrder &order);
+    std::int32_t percentOf(const Task &task) const;
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
     Tasks::WorkerAnswer report(const Machine &machine) const;
--- a/UnitTests/Tasks/WorkerSpeedsTest.cpp
+++ b/UnitTests/Tasks/WorkerSpeedsTest.cpp
@@ -143,6 +143,21 @@
     EXPECT_EQ(this->slownessOf(2), 1.0);
 }
 
+TEST_F(WorkerSpeedsTest, SpreadAtTheBoundDoesNotSwitchToAndFro)
+{
+    this->factors = {0.72, 1.0, 1.44};
+    int changes = 0;
+    bool differed = false;
+    for (int i = 0; i < 40; i++) {
+        this->runStep(static_cast<std::size_t>(i), 12, false, 2.0 + i % 10);
+        this->runStep(static_cast<std::size_t>(i), 8, true, 2.0 + i % 10);
+        const bool differs = this->speeds.spreads().at("blend").differs;
+        changes += differs != differed ? 1 : 0;
+        differed = differs;
+    }
+    EXPECT_LE(changes, 2);
+}
+
 TEST_F(WorkerSpeedsTest, DisturbanceOfSomeRunsIsNoSlowness)
 {
     for (int i = 0; i < 4; i++)
@@ -222,11 +237,15 @@
 
 TEST_F(WorkerSpeedsTest, RecordIsBounded)
 {
-    this->speeds = WorkerSpeeds({.maxStoredWorkers = 10});
+    this->speeds = WorkerSpeeds({.maxStoredBytes = 300});
     for (int i = 0; i < 4; i++)
         this->runStep(0, 30, true, 6.0);
-    EXPECT_LT(this->speeds.encode().size(), 300U);
-    EXPECT_FALSE(this->speeds.encode().empty());
+    const std::string text = this->speeds.encode();
+    EXPECT_LE(text.size(), 300U);
+    WorkerSpeeds next{WorkerSpeeds::Settings{}};
+    ASSERT_TRUE(next.restore(text));
+    next.updateSpread("blend", this->names);
+    EXPECT_GE(next.spreads().at("blend").known, 8U);
 }
 
 TEST_F(WorkerSpeedsTest, NewProcessOfAnUnknownMachineStartsWithoutAHistory)
