--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace Hibiscus::Soak {
 
@@ -24,14 +25,16 @@
 constexpr unsigned short callersPort = 8521;
 constexpr unsigned short readinessPort = 8523;
 
-/// Returns a loopback address that is distinct for each seed and instance, so that soaks can run
-/// concurrently.
-asio::ip::address_v4 instanceAddress(std::uint64_t seed, std::size_t instance)
+/// Returns a loopback address that is distinct for each process of the soak and each instance, so
+/// that soaks can run concurrently, also with the same seed.
+asio::ip::address_v4 instanceAddress(std::size_t instance)
 {
-    constexpr std::uint64_t perByte = 250;
+    constexpr std::size_t perByte = 250;
     const auto byteOf
-        = [](std::uint64_t value) { return static_cast<unsigned char>(1 + value % perByte); };
-    return asio::ip::address_v4({127, byteOf(seed / perByte), byteOf(seed), byteOf(instance)});
+        = [](std::size_t value) { return static_cast<unsigned char>(1 + value % perByte); };
+    const auto process = static_cast<std::size_t>(getpid());
+    return asio::ip::address_v4(
+        {127, byteOf(process / perByte), byteOf(process), byteOf(instance)});
 }
 
 asio::ip::tcp::endpoint loopback(unsigned short port)
@@ -149,7 +152,7 @@
         Runtime::HttpServer::Settings{.idleTimeout = seconds(60)});
     instance.store
         = std::make_unique<FaultProxy>(this->loop, loopback(instance.storeServer->port()));
-    const asio::ip::address_v4 ip = instanceAddress(this->settings.seed, number);
+    const asio::ip::address_v4 ip = instanceAddress(number);
     instance.callers
         = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint(ip, callersPort));
     const std::string host = ip.to_string() + ":";
