Test whole requests that wait while the store is silent; lint

Cause of the test: requests that wait in the handler for the configuration's confirmation keep their bodies.

--- a/Runtime/HttpServer.cpp
+++ b/Runtime/HttpServer.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::size_t firstReadBytes = 4096;
-constexpr std::size_t nextReadBytes = 16 * 1024;
+constexpr std::size_t nextReadBytes = std::size_t{16} * 1024;
 /// Room in a connection's buffer beyond the header limit, for the framing of chunks and for bytes
 /// that arrive together with the header.
 constexpr std::size_t framingBytes = 4096;
--- a/UnitTests/Hostile/HostileClientsTest.cpp
+++ b/UnitTests/Hostile/HostileClientsTest.cpp
@@ -20,7 +20,8 @@
 constexpr long memoryMiB = 48; ///< Memory of the instance's machine.
 constexpr std::size_t fewDescriptors = 256;
 constexpr std::size_t manyDescriptors = 1200;
-constexpr std::size_t mebibyte = 1024 * 1024;
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
 /// Ends a test whose process hangs. No test passes or fails by the time that it takes.
 constexpr Duration hangTime = seconds(180);
 
@@ -84,6 +85,8 @@
         Soak::ChildProcess &process = this->site->process(0);
         EXPECT_TRUE(this->answersOrdinaryCaller());
         EXPECT_TRUE(process.isRunning());
+        RecordProperty("peakMemoryKiB", std::to_string(process.peakMemoryKiB()));
+        RecordProperty("mostDescriptors", std::to_string(this->mostDescriptors));
         EXPECT_GT(process.peakMemoryKiB(), 0);
         EXPECT_LT(process.peakMemoryKiB(), memoryMiB * 1024);
         EXPECT_LE(this->mostDescriptors, this->maxDescriptors);
@@ -105,7 +108,7 @@
                  .target = "/p0/00000000000000" + std::to_string(10 + this->jobs),
                  .headers = {{"Host", Soak::configurationHost}, {"Authorization", "Bearer key-1"}},
                  .body = body},
-                seconds(20), [answer](Runtime::HttpResult result) { *answer = result; });
+                seconds(20), [answer](const Runtime::HttpResult &result) { *answer = result; });
             this->runUntil([&answer] { return answer->has_value(); });
             accepted = *answer && (*answer)->status == 200;
             if (!accepted)
@@ -179,7 +182,7 @@
 TEST_F(HostileClients, ManyNearlyFullBodies)
 {
     this->startInstance(manyDescriptors);
-    constexpr std::size_t limit = 256 * 1024;
+    constexpr std::size_t limit = 256 * kibibyte;
     this->addCrowd(300,
                    {.opening = "POST /p2/00000000000000aa HTTP/1.1\r\nHost: jobs.example\r\n"
                                "Authorization: Bearer key-1\r\nContent-Length: "
@@ -240,7 +243,7 @@
     this->startInstance(fewDescriptors);
     std::string requests;
     for (int i = 0; i < 5; i++)
-        requests += requestText("POST", i, "key-1", std::string(200 * 1024, '['), i == 4);
+        requests += requestText("POST", i, "key-1", std::string(200 * kibibyte, '['), i == 4);
     this->addCrowd(20, {.opening = requests, .untilClosed = true});
     this->playCrowd();
     this->expectSound();
@@ -251,7 +254,7 @@
 TEST_F(HostileClients, ManyJobsWithLongPayloads)
 {
     this->startInstance(fewDescriptors);
-    const std::string body = Soak::encodeJob(std::string(150 * 1024, 'x'), 1, 0, false, false);
+    const std::string body = Soak::encodeJob(std::string(150 * kibibyte, 'x'), 1, 0, false, false);
     constexpr int jobsPerClient = 60;
     for (int client = 0; client < 10; client++) {
         std::string requests;
@@ -264,6 +267,22 @@
     this->expectSound();
 }
 
+/// While the store is silent, whole requests wait in the handler until the configuration is
+/// confirmed.
+TEST_F(HostileClients, ManyWholeRequestsWhileTheStoreIsSilent)
+{
+    this->startInstance(manyDescriptors);
+    this->site->setStoreBehaviorForAll(Soak::StoreBehavior::Unresponsive);
+    this->loop.run_for(seconds(5)); // Until the instance's configuration is out of date.
+    this->addCrowd(
+        300,
+        {.opening = requestText("POST", 0, "key-1", std::string(250 * kibibyte, ' '), true),
+         .untilClosed = true});
+    this->playCrowd();
+    this->site->setStoreBehaviorForAll(Soak::StoreBehavior::Normal);
+    this->expectSound();
+}
+
 TEST_F(HostileClients, ManyUnknownKeysAndIds)
 {
     this->startInstance(fewDescriptors);
--- a/UnitTests/Runtime/HttpLimitsTest.cpp
+++ b/UnitTests/Runtime/HttpLimitsTest.cpp
@@ -19,7 +19,8 @@
 using asio::ip::tcp;
 
 const tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
-constexpr std::size_t mebibyte = 1024 * 1024;
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
 const std::string chunkedHeader
     = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -116,7 +117,7 @@
     std::shared_ptr<RawPeer> send(std::string opening, std::string repeated = {},
                                   std::size_t maxBytes = 0)
     {
-        const std::shared_ptr<RawPeer> peer = this->connect();
+        std::shared_ptr<RawPeer> peer = this->connect();
         peer->send(std::move(opening), std::move(repeated), maxBytes);
         return peer;
     }
@@ -157,8 +158,8 @@
 TEST_F(HttpLimitsTest, RequestAtTheLimitsIsServed)
 {
     HttpServer::Settings settings;
-    settings.headerLimitBytes = 16 * 1024;
-    settings.bodyLimitBytes = 64 * 1024;
+    settings.headerLimitBytes = 16 * kibibyte;
+    settings.bodyLimitBytes = 64 * kibibyte;
     this->startServer(settings);
     const std::string body(settings.bodyLimitBytes, 'b');
     const std::string start = "POST / HTTP/1.1\r\n";
@@ -172,7 +173,7 @@
     for (const char c : body)
         chunks += std::string("1\r\n") + c + "\r\n";
     const auto chunked = this->send(chunkedHeader + chunks + "0\r\n"
-                                    + repeat("Field: value\r\n", 15 * 1024) + "\r\n");
+                                    + repeat("Field: value\r\n", 15 * kibibyte) + "\r\n");
     this->runUntil([&chunked] { return !chunked->received.empty() || chunked->closed; });
     EXPECT_TRUE(hasStatus(*chunked, 200)) << chunked->received;
     EXPECT_EQ(this->bodies, (std::vector<std::string>{body, body}));
