Keep a mostly idle service open beside a wide gang

A wide gang that waits for its last workers may keep more room than the limit only in a busy service.

--- a/Tasks/PlanPassReservations.cpp
+++ b/Tasks/PlanPassReservations.cpp
@@ -163,9 +163,10 @@
     if (!reserves || left == 0)
         return;
     // A part of a gang can't start, so room for a part would stay unused. The first gang that waits
-    // may keep more than the limit, or a wide one would wait for as long as small tasks come.
-    const bool isFirst = this->reservations == 0;
-    if (request.step->gang && ((tasks > left && !isFirst) || !this->getsRoomForAllTasks(request)))
+    // may keep more than the limit, or a wide one would wait for as long as small tasks come. In a
+    // mostly idle service, callers miss other work sooner than the gang.
+    const bool mayExceed = this->reservations == 0 && !this->isServiceMostlyIdle(request);
+    if (request.step->gang && ((tasks > left && !mayExceed) || !this->getsRoomForAllTasks(request)))
         return;
     const std::size_t kept = request.step->gang ? tasks : std::min(tasks, left);
     this->reservations += kept;
--- a/Tasks/ShortageOrder.cpp
+++ b/Tasks/ShortageOrder.cpp
@@ -58,6 +58,17 @@
         this->countUse();
 }
 
+void ShortageOrder::Demand::add(const StartRequest &request)
+{
+    this->all += needOf(request);
+    const Resources need = request.step->allocatedResources();
+    auto shape = std::find_if(this->shapes.begin(), this->shapes.end(),
+                              [&need](const Shape &other) { return other.need == need; });
+    if (shape == this->shapes.end())
+        shape = this->shapes.insert(this->shapes.end(), {need, 0});
+    shape->tasks += static_cast<std::int64_t>(request.indexes.size());
+}
+
 void ShortageOrder::countRoom()
 {
     for (const WorkerView &worker : this->workers) {
@@ -73,6 +84,8 @@
 {
     for (const WorkerView &worker : this->workers) {
         for (const OccupantView &occupant : worker.occupants) {
+            if (occupant.customer.empty())
+                continue;
             this->inUse[{worker.service, occupant.customer}] += occupant.need;
             this->competitors[worker.service].insert(occupant.customer);
         }
@@ -97,34 +110,26 @@
 /// free room is in parts that are too small for the tasks of one shape.
 void ShortageOrder::findShortServices()
 {
-    struct Shape
-    {
-        Resources need;
-        std::int64_t tasks = 0;
-    };
-    std::map<std::string_view, std::vector<Shape>> shapes;
-    std::map<std::string_view, Resources> demand;
-    for (const StartRequest &request : this->requests) {
-        demand[request.service] += needOf(request);
-        const Resources need = request.step->allocatedResources();
-        std::vector<Shape> &known = shapes[request.service];
-        auto shape = std::find_if(known.begin(), known.end(),
-                                  [&need](const Shape &other) { return other.need == need; });
-        if (shape == known.end())
-            shape = known.insert(known.end(), {need, 0});
-        shape->tasks += static_cast<std::int64_t>(request.indexes.size());
-    }
-    for (const auto &[service, needed] : demand) {
-        const auto lacksRoomFor = [this, &service](const Shape &shape) {
-            return !this->fitsAlone(service, shape.need, shape.tasks);
-        };
-        const std::vector<Shape> &known = shapes[service];
-        if (!needed.fitsInto(this->rooms[service].free)
-            || std::any_of(known.begin(), known.end(), lacksRoomFor))
+    std::map<std::string_view, Demand> demands;
+    for (const StartRequest &request : this->requests)
+        demands[request.service].add(request);
+    for (const auto &[service, demand] : demands) {
+        if (this->lacksRoom(service, demand))
             this->shortServices.insert(service);
     }
 }
 
+bool ShortageOrder::lacksRoom(std::string_view service, const Demand &demand) const
+{
+    const auto room = this->rooms.find(service);
+    if (room == this->rooms.end() || !demand.all.fitsInto(room->second.free))
+        return true;
+    return std::any_of(demand.shapes.begin(), demand.shapes.end(),
+                       [this, service](const Shape &shape) {
+                           return !this->fitsAlone(service, shape.need, shape.tasks);
+                       });
+}
+
 bool ShortageOrder::isShort(std::string_view service) const
 {
     return this->shortServices.contains(service);
--- a/Tasks/ShortageOrder.h
+++ b/Tasks/ShortageOrder.h
@@ -26,12 +26,12 @@
 
     /// Whether the usable workers of the service lack room for some of its requests.
     bool isShort(std::string_view service) const;
-    /// Rank of the request; 0 comes first. Ranks from `firstRankOfLateWork` on reserve no room.
+    /// Rank of the request; 0 comes first.
     int rankOf(const StartRequest &request) const;
     /// Indexes of all requests, the one that is planned first in front.
     std::vector<std::size_t> order() const;
     std::vector<Shortage> shortages() const;
-    /// Share of the service that the resource which the customer uses most of is at.
+    /// Largest share that the customer's runs take of one kind of resource of the service.
     double shareInUse(std::string_view service, std::string_view customer) const;
 
 private:
@@ -42,9 +42,26 @@
         Resources free;
     };
 
+    /// Waiting tasks that need the same resources.
+    struct Shape
+    {
+        Resources need;
+        std::int64_t tasks = 0;
+    };
+
+    /// What the requests of one service need.
+    struct Demand
+    {
+        void add(const StartRequest &request);
+
+        Resources all;
+        std::vector<Shape> shapes;
+    };
+
     void countRoom();
     void countUse();
     void findShortServices();
+    bool lacksRoom(std::string_view service, const Demand &demand) const;
     bool fitsAlone(std::string_view service, const Resources &need, std::int64_t tasks) const;
     /// Whether each request starts beyond its customer's equal share, by index of the request.
     std::vector<bool> findBeyondShare(std::span<const std::size_t> order) const;
--- a/UnitTests/Tasks/ShortageOrderTest.cpp
+++ b/UnitTests/Tasks/ShortageOrderTest.cpp
@@ -175,14 +175,25 @@
 TEST_F(ShortageOrderTest, WideGangKeepsTheRoomOfAllItsTasks)
 {
     this->addWorkers(40);
-    for (std::size_t worker = 0; worker < 8; worker++)
+    for (std::size_t worker = 0; worker < 24; worker++)
         this->occupy(worker, 8, 1000);
     this->gang(1, 36);
     this->request("batch", 2, 400, 1);
-    // All but four workers are free or become free for the gang.
+    // All but four workers are kept for the gang.
     EXPECT_LE(startsOf(this->plan(), 1), 32U);
 }
 
+// Load: nearly all workers are idle, and a wide gang waits for the last ones.
+TEST_F(ShortageOrderTest, WideGangDoesNotKeepAMostlyIdleServiceFromOtherWork)
+{
+    this->addWorkers(40);
+    for (std::size_t worker = 0; worker < 8; worker++)
+        this->occupy(worker, 8, 1000);
+    this->gang(1, 36);
+    this->request("batch", 2, 200, 1);
+    EXPECT_EQ(startsOf(this->plan(), 1), 200U);
+}
+
 // Load: a gang waits for the last of its workers while short tasks come.
 TEST_F(ShortageOrderTest, ReservedRoomIsLentToRunsThatEndBeforeTheGangStarts)
 {
