Give the keys that the leader publishes a class of their own

Change: PublishedKeys holds text, revision and the write in flight of each key; no change of behaviour.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -65,6 +65,11 @@
                       LogKind::Dependency,
                       reachable ? "store takes records again" : "store takes no records", {}, now);
               }})
+    , published(store, settings.writer.commitTimeout.longest,
+                [this](const std::string &key, TimePoint now) {
+                    if (key == StoreKeys::silence && this->isLeading(now))
+                        this->writeSilence();
+                })
     , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
                {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
                 [this](TimePoint now) {
@@ -136,7 +141,7 @@
     this->nextSpeedsWriteAt = {};
     this->speedsUpdatedAt = {};
     this->risks.clear();
-    this->published.clear();
+    this->published.begin(term.token);
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
     this->writer.begin(term.token);
@@ -153,6 +158,7 @@
     this->generation++;
     this->phase = Phase::Idle;
     this->writer.stop();
+    this->published.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
     this->evacuations.stop();
@@ -215,7 +221,7 @@
 {
     this->silenceRead = true;
     if (const StoredItem *item = answer.find(StoreKeys::silence)) {
-        this->published[StoreKeys::silence].revision = item->revision;
+        this->published.setRevision(StoreKeys::silence, item->revision);
         std::optional<SilenceRecord> record = decodeSilence(item->value);
         if (!record)
             this->logger.logEvent(LogKind::Fault, "silence record can't be read",
@@ -244,9 +250,7 @@
     const StoredItem *item = answer.find(StoreKeys::speeds);
     if (!item)
         return;
-    PublishedKey &state = this->published[StoreKeys::speeds];
-    if (!state.inFlight && !state.text)
-        state.revision = item->revision;
+    this->published.setRevision(StoreKeys::speeds, item->revision);
     if (!this->speeds.restore(item->value))
         this->logger.logEvent(LogKind::Fault, "speeds of workers can't be read",
                               {{"revision", item->revision}, {"effect", "they are learned anew"}},
@@ -499,7 +503,7 @@
         + std::max(this->settings.speedsInterval,
                    this->settings.speedsIntervalPerKiB
                        * static_cast<Duration::rep>(text.size() / bytesPerKiB));
-    this->publish(StoreKeys::speeds, text);
+    this->published.publish(StoreKeys::speeds, text);
 }
 
 void TaskDispatcher::runEnded(const RunEnd &end, TimePoint now)
@@ -699,19 +703,19 @@
 /// may stand in the stored record: those of the last one that was stored, and of all sent since.
 void TaskDispatcher::writeSilence()
 {
-    const PublishedKey &state = this->published[StoreKeys::silence];
-    if (state.inFlight)
+    if (this->published.isInFlight(StoreKeys::silence))
         return;
-    if (state.text)
+    const bool isKnown = this->published.isStored(StoreKeys::silence);
+    if (isKnown)
         this->fleet.withholdLeasesOnly(this->sentSilence);
     std::set<std::string> silent = this->fleet.silentWorkers();
-    const bool isStored = state.text || !this->fleet.withholdsLeases();
+    const bool isStored = isKnown || !this->fleet.withholdsLeases();
     if (isStored && silent == this->sentSilence)
         return;
     this->fleet.withholdLeases(silent);
     const std::string text = encodeSilence({this->election.termName(), silent});
     this->sentSilence = std::move(silent);
-    this->publish(StoreKeys::silence, text);
+    this->published.publish(StoreKeys::silence, text);
 }
 
 void TaskDispatcher::writeLoad(TimePoint now)
@@ -720,57 +724,8 @@
         return;
     this->loadWrittenAt = now;
     const QueueReport report(this->jobs, this->fleet, this->runTimes, this->forecast);
-    this->publish(StoreKeys::load, report.describeWaitingJobs());
-    this->publish(StoreKeys::waits, report.describeWaits(now));
-}
-
-/// The write is conditional on the key's revision, so that an earlier write that the store carries
-/// out late can't replace a newer text.
-void TaskDispatcher::publish(const char *key, const std::string &text)
-{
-    PublishedKey &state = this->published[key];
-    if (state.inFlight || state.text == text)
-        return;
-    state.inFlight = true;
-    // Until the answer arrives, any of the texts sent may be the stored one.
-    state.text.reset();
-    Tasks::StoreCommit commit;
-    commit.checks.push_back({StoreKeys::leader, this->election.token()});
-    commit.checks.push_back({key, state.revision});
-    commit.writes.push_back({key, text, 0});
-    const auto answerHandler =
-        [this, key, text, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
-            if (generation != this->generation)
-                return;
-            PublishedKey &written = this->published[key];
-            written.inFlight = false;
-            if (answer.outcome == StoreOutcome::Conflict)
-                this->handlePublishConflict(key, text, answer);
-            if (answer.outcome != StoreOutcome::Done)
-                return;
-            written.text = text;
-            written.revision = answer.revision;
-            if (std::string_view(key) == StoreKeys::silence && this->isLeading(now))
-                this->writeSilence();
-        };
-    this->store.commit(commit, this->settings.writer.commitTimeout.longest, answerHandler);
-}
-
-/// Learns the key's revision and writes the text again, unless it is stored already or another
-/// instance has become the leader.
-void TaskDispatcher::handlePublishConflict(const char *key, const std::string &text,
-                                           const StoreAnswer &answer)
-{
-    const StoredItem *leader = answer.find(StoreKeys::leader);
-    if (!leader || leader->revision != this->election.token())
-        return;
-    const StoredItem *stored = answer.find(key);
-    PublishedKey &state = this->published[key];
-    state.revision = stored ? stored->revision : 0;
-    if (stored && stored->value == text)
-        state.text = text;
-    else
-        this->publish(key, text);
+    this->published.publish(StoreKeys::load, report.describeWaitingJobs());
+    this->published.publish(StoreKeys::waits, report.describeWaits(now));
 }
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -5,6 +5,7 @@
 #include <Coordination/PermitCache.h>
 #include <Coordination/PlanInputs.h>
 #include <Coordination/PrefixWatch.h>
+#include <Coordination/PublishedKeys.h>
 #include <Coordination/RecordWriter.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
@@ -112,14 +113,6 @@
         std::string worker; ///< Worker to start the run on; empty for a stop.
     };
 
-    /// A key that all instances read and the leader writes.
-    struct PublishedKey
-    {
-        std::optional<std::string> text; ///< Stored text; empty if it is unknown.
-        std::int64_t revision = 0; ///< Last known revision.
-        bool inFlight = false;
-    };
-
     void runConfirmed(const Tasks::RunRef &run, TimePoint now) override;
     void runProgressed(const RunProgress &progress, TimePoint now) override;
     void runEnded(const RunEnd &end, TimePoint now) override;
@@ -192,10 +185,6 @@
     void updateSpreads(TimePoint now);
     void writeSpeeds(TimePoint now);
     void writeSilence();
-    /// Writes the text of a key that all instances read, if the text has changed.
-    void publish(const char *key, const std::string &text);
-    void handlePublishConflict(const char *key, const std::string &text,
-                               const Tasks::StoreAnswer &answer);
 
     Tasks::MetadataStore &store;
     TimerService &timers;
@@ -207,6 +196,7 @@
     TrackedJobTable jobs;
     WorkerFleet fleet;
     RecordWriter writer;
+    PublishedKeys published;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
@@ -230,7 +220,6 @@
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
-    std::map<std::string, PublishedKey> published;
     std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
