--- a/UnitTests/Tasks/RiskPlanTest.cpp
+++ b/UnitTests/Tasks/RiskPlanTest.cpp
@@ -99,11 +99,8 @@
     this->addWorkers(2);
     this->views[0].failureRisk = this->views[1].failureRisk = tooRisky;
     StartRequest &gang = this->request(1, 2, 8, true);
-    this->occupy(0, 0, 1.0);
     EXPECT_TRUE(this->plan().starts.empty());
     gang.guaranteed = true;
-    this->views[0].occupants.clear();
-    this->views[0].free = {32000, 65536, 8};
     EXPECT_EQ(this->plan().starts.size(), 2U);
     this->requests.clear();
     this->request(2, 2, 1, false);
