--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -170,7 +170,7 @@
 
 asio::ip::tcp::endpoint SoakSite::directAddress(std::size_t instance) const
 {
-    return {instanceAddress(this->settings.seed, instance), callersPort};
+    return {instanceAddress(instance), callersPort};
 }
 
 void SoakSite::startInstance(std::size_t number)
