--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -4,6 +4,7 @@
 #include <platform/Formats.h>
 
 #include <csignal>
+#include <filesystem>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -172,6 +173,10 @@
     Instance &instance = this->instances[number];
     instance.stopExpected = false;
     instance.paused = false;
+    instance.startedAt = Runtime::monotonicNow();
+    std::error_code noLogYet;
+    const std::uintmax_t logSize = std::filesystem::file_size(instance.logFile, noLogYet);
+    instance.logSizeAtStart = noLogYet ? 0 : logSize;
     instance.process = std::make_unique<ChildProcess>(
         std::vector<std::string>{this->settings.program, "--settings", instance.settingsFile},
         instance.logFile);
@@ -197,13 +202,25 @@
             this->violations.push_back(instance.name + " exceeds the memory limit");
         if (instance.process->isRunning())
             continue;
-        if (!instance.stopExpected)
+        if (endedByEarlySignal(instance))
+            this->logAction("ended by an early signal", {{"instance", instance.name}});
+        else if (!instance.stopExpected)
             this->violations.push_back(instance.name + " ended unexpectedly with status "
                                        + std::to_string(instance.process->status()));
         this->startInstance(i);
     }
 }
 
+/// Whether SIGHUP ended the process before it wrote a line. Until main() runs, a program can't hold
+/// SIGHUP back, and the platform's rules count no end within a second of a start by the platform.
+bool SoakSite::endedByEarlySignal(const Instance &instance)
+{
+    const int status = instance.process->status();
+    const bool byReload = WIFSIGNALED(status) && WTERMSIG(status) == SIGHUP;
+    return byReload && Runtime::monotonicNow() < instance.startedAt + seconds(1)
+        && std::filesystem::file_size(instance.logFile) == instance.logSizeAtStart;
+}
+
 void SoakSite::changeSettings(std::size_t number)
 {
     std::ofstream(this->instances[number].settingsFile, std::ios::app) << "# changed\n";
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -90,6 +90,8 @@
         std::unique_ptr<FaultProxy> callers;
         std::unique_ptr<ChildProcess> process;
         bool stopExpected = false;
+        TimePoint startedAt{};
+        std::uintmax_t logSizeAtStart = 0; ///< In bytes.
         bool paused = false;
     };
     struct Machine
@@ -104,6 +106,7 @@
     void addWorker(std::size_t number);
     void publish(Machine &machine);
     void logOrder(const Machine &machine, const Runtime::HttpRequest &request);
+    static bool endedByEarlySignal(const Instance &instance);
     void checkLog(const Instance &instance);
 
     boost::asio::io_context &loop;
