--- a/Coordination/PublishedKeys.cpp
+++ b/Coordination/PublishedKeys.cpp
@@ -58,14 +58,14 @@
 void PublishedKeys::handleAnswer(const std::string &key, const std::string &text,
                                  const StoreAnswer &answer, TimePoint now)
 {
-    State &written = this->states[key];
-    written.inFlight = false;
+    State &state = this->states[key];
+    state.inFlight = false;
     if (answer.outcome == StoreOutcome::Conflict)
         this->handleConflict(key, text, answer);
     if (answer.outcome != StoreOutcome::Done)
         return;
-    written.text = text;
-    written.revision = answer.revision;
+    state.text = text;
+    state.revision = answer.revision;
     this->stored(key, now);
 }
 
--- a/Coordination/PublishedKeys.h
+++ b/Coordination/PublishedKeys.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Hibiscus::Coordination {
 
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -141,6 +141,7 @@
     this->nextSpeedsWriteAt = {};
     this->speedsUpdatedAt = {};
     this->risks.clear();
+    this->shortagesReportedAt.clear();
     this->published.begin(term.token);
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -106,7 +106,8 @@
         TimePoint seenAt{};
     };
 
-    /// An order that waits until the leader's lease is known to hold.
+    /// An order that waits until the leader's lease is known to hold or, if it is a start, until
+    /// the evacuated data centres are known.
     struct KeptOrder
     {
         Tasks::RunRef run;
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -29,6 +29,9 @@
         : Tasks::expectedTimeLeft(outlook.elapsed, run.percentReadAt - startedAt, percent,
                                   run.estimate);
     outlook.keepsWork = run.checkpoints || run.perpetual;
+    // The start of a run that was taken over is unknown: it may have done much already.
+    if (run.resumed && !run.checkpoints)
+        outlook.elapsed = maxDuration;
     return outlook;
 }
 
@@ -194,7 +197,7 @@
         this->stopRuns({&run, 1}, now);
         return;
     }
-    if (this->fleet.isEvacuated(worker)) {
+    if (this->fleet.isEvacuated(worker) && this->fleet.find(worker, run)) {
         this->stopGang(*job, run, "run given up in an evacuated data centre", now);
         return;
     }
@@ -243,7 +246,10 @@
             doomed.push_back(run.ref);
     }
     for (const RunRef &run : doomed) {
-        if (const TrackedJob *job = this->jobs.find(run.job))
+        // The whole gang is stopped for the first of its members.
+        const WorkerFleet::Run *left = this->fleet.find(worker.entry.id, run);
+        const TrackedJob *job = this->jobs.find(run.job);
+        if (job && left && !left->stopWanted)
             this->stopGang(*job, run, "run given up on a worker that leaves", now);
     }
 }
@@ -284,14 +290,19 @@
 
 /// The bound of the leader's lease by its own clock may pass before the answer to a renewal
 /// arrives. After the answer the term goes on, and so do the orders that were due in between.
+/// Starts also wait while it is not known which data centres are evacuated.
 void TaskDispatcher::carryOutKeptOrders(TimePoint now)
 {
     std::vector<KeptOrder> orders = std::exchange(this->keptOrders, {});
+    // A run that was to be stopped meanwhile does not start first.
+    const auto firstStart = std::stable_partition(
+        orders.begin(), orders.end(), [](const KeptOrder &order) { return order.worker.empty(); });
+    if (!this->mayStart(now)) {
+        this->keptOrders.assign(firstStart, orders.end());
+        orders.erase(firstStart, orders.end());
+    }
     if (orders.empty())
         return;
-    // A run that was to be stopped meanwhile does not start first.
-    std::stable_partition(orders.begin(), orders.end(),
-                          [](const KeptOrder &order) { return order.worker.empty(); });
     this->logger.logEvent(LogKind::Leadership, "orders kept during a renewal are carried out",
                           {{"orders", orders.size()}, {"token", this->election.token()}}, now);
     for (const KeptOrder &order : orders) {
--- a/Hibiscusctl/CheckReport.h
+++ b/Hibiscusctl/CheckReport.h
@@ -10,7 +10,7 @@
 /// Result of the check of a configuration before it is sent.
 struct CheckReport
 {
-    Findings errors; ///< Why the text can't be decoded; the other parts are empty then.
+    Findings errors; ///< Why one of the texts can't be decoded; there are no differences then.
     Tasks::ConfigurationFaults faults;
     Findings differences; ///< From the version in force, if there is one to compare with.
 
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -97,6 +97,7 @@
     settings.departures.maxStopTime = site.maxStopTime;
     if (site.evacuationBound > Duration{}) {
         settings.evacuations.prefix = Platform::evacuationPrefix;
+        // The rest of the bound is for the way of a start order.
         settings.evacuations.maxAge = site.evacuationBound * 3 / 5;
     }
     return settings;
--- a/Runtime/HttpServer.cpp
+++ b/Runtime/HttpServer.cpp
@@ -260,7 +260,8 @@
     void responseSent(error_code error, bool keep)
     {
         this->response = {};
-        // A connection that holds nothing never has to make room for memory.
+        // The result tells whether this connection must be closed; one that holds nothing need not
+        // be.
         std::ignore = this->shared->connections.hold(*this, 0);
         if (error) {
             if (error == beast::error::timeout)
--- a/Runtime/HttpServer.h
+++ b/Runtime/HttpServer.h
@@ -25,8 +25,9 @@
 
 /// Accepts HTTP/1.1 connections on one address and passes their requests to a handler, one request
 /// at a time for each connection. What it holds is bounded whatever clients send: a request that is
-/// malformed or over a limit is answered with 400, 413 or 431, and under pressure connections are
-/// closed without a response, which promises nothing. The handler sees neither of these requests.
+/// malformed or over a limit is answered with 400, 413 or 431, and the handler does not see it.
+/// Under pressure connections are closed without a whole response, which promises nothing: the
+/// handler may have seen the request.
 class HttpServer
 {
 public:
--- a/Tasks/DepartureDecision.cpp
+++ b/Tasks/DepartureDecision.cpp
@@ -1,4 +1,5 @@
 #include <Tasks/DepartureDecision.h>
+#include <Tasks/WorkerLink.h>
 
 #include <algorithm>
 
@@ -19,13 +20,13 @@
 Duration expectedTimeLeft(Duration elapsed, Duration elapsedAtReading, int percent,
                           Duration estimate)
 {
-    constexpr int wholePercent = 100;
     if (percent > 0 && elapsedAtReading > Duration{}) {
-        const Duration runTime = elapsedAtReading * wholePercent / percent;
+        const Duration runTime = elapsedAtReading * completePercent / percent;
         return std::max(Duration{}, runTime - elapsed);
     }
-    // A run that has outlasted its estimate is not about to end at each moment.
-    return std::max(estimate - elapsed, elapsed / 4);
+    // A run that has outlasted its estimate is expected to go on for a part of its time so far.
+    constexpr int shareOfElapsed = 4;
+    return std::max(estimate - elapsed, elapsed / shareOfElapsed);
 }
 
 } // namespace Hibiscus::Tasks
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -108,7 +108,7 @@
 {
     if (request.priority <= this->settings.maxPreemptingPriority)
         return true;
-    if (this->isReserveWaitOver(request))
+    if (this->isIdleWaitOver(request))
         return true;
     const auto empty = this->emptyWorkers.find(request.service);
     const auto kept = this->reservedEmptyWorkers.find(request.service);
@@ -116,9 +116,10 @@
 }
 
 /// Whether the request has waited for so long that it may take an empty worker that is kept for
-/// urgent work, which then has to preempt it. A task that needs a whole worker would otherwise wait
-/// beside empty ones for as long as perpetual tasks hold a part of each other worker.
-bool PlanPass::isReserveWaitOver(const StartRequest &request) const
+/// urgent work, which then has to preempt it, or a risky one. A task that needs a whole worker
+/// would otherwise wait beside empty ones for as long as perpetual tasks hold a part of each other
+/// worker.
+bool PlanPass::isIdleWaitOver(const StartRequest &request) const
 {
     const bool isLimited = request.step->perpetual || this->isServiceMostlyIdle(request);
     return isLimited && this->now - request.readySince >= toMs(this->settings.maxIdleWait);
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -46,7 +46,7 @@
     bool isEmptyAndNotSlow(std::size_t worker) const;
     bool mayTryWorkers(const StartRequest &request) const;
     bool mayUseEmptyWorker(const StartRequest &request) const;
-    bool isReserveWaitOver(const StartRequest &request) const;
+    bool isIdleWaitOver(const StartRequest &request) const;
     void placeTask(const StartRequest &request, std::size_t worker);
     const OccupantOrders &occupantOrdersOf(std::size_t worker) const;
     void planRequest(std::size_t request);
@@ -102,8 +102,8 @@
         std::vector<Resources> free; ///< Free now, less claims and reservations; may be negative.
         std::vector<Resources> beingFreed; ///< Held by occupants that are stopping.
         std::vector<std::vector<std::size_t>> preempted; ///< Indexes of occupants, by worker.
-        std::vector<Resources> reserved; ///< Part of `free` that reservations have taken off.
-        /// Earliest expected start of a task with a reservation on the worker.
+        std::vector<Resources> reserved; ///< What reservations have taken off `free`.
+        /// Time until which the reserved room is lent to other work; see lendsUntil.
         std::vector<UnixMs> reservedUntil;
     };
 
@@ -118,10 +118,10 @@
     /// last task has room.
     UnixMs reserveRoomOn(const StartRequest &request, std::size_t tasks,
                          std::span<const std::size_t> candidates);
-    /// Time until which other work may use room that is reserved for the request.
-    UnixMs lendsUntil(const StartRequest &request, UnixMs start) const;
     /// The same for all tasks in the rack that has room first.
     UnixMs reserveRoomInOneRack(const StartRequest &request);
+    /// Time until which other work may use room that is reserved for the request.
+    UnixMs lendsUntil(const StartRequest &request, UnixMs start) const;
     UnixMs roomAvailableAt(const StartRequest &request, std::size_t worker) const;
 
     bool mayPreempt(const StartRequest &request) const;
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -74,8 +74,7 @@
 
 bool PlanPass::isTooRisky(const StartRequest &request, std::size_t worker) const
 {
-    return this->risks.isTooRisky(request, this->workers[worker])
-        && !this->isReserveWaitOver(request);
+    return this->risks.isTooRisky(request, this->workers[worker]) && !this->isIdleWaitOver(request);
 }
 
 double PlanPass::riskOfAny(const WorkerList &chosen) const
@@ -109,9 +108,8 @@
             || hasLabel(this->workers[worker], request.step->dataRack));
 }
 
-/// Whether an earlier request of the pass with at most the same demand and the same eligible
-/// workers found no room. Free capacity only shrinks during a pass, so this request finds none
-/// either.
+/// Whether an earlier request of the pass with at most the same demand and run time and the same
+/// eligible workers found no room. Then this request, which comes later, is not tried.
 bool PlanPass::isKnownNotToFit(const StartRequest &request) const
 {
     const auto failedWithLessDemand = [&request](const StartRequest *failed) {
--- a/Tasks/PlanPassPreemptions.cpp
+++ b/Tasks/PlanPassPreemptions.cpp
@@ -162,7 +162,7 @@
     }
     if (chosen.empty() && !this->requiresOneRack(request))
         consider(this->allWorkers);
-    // It would reject the room once it is free.
+    // The gang would reject these workers once they have room, so nothing is stopped for it yet.
     if (this->rejects(request, chosen))
         return true;
     this->capacity = best;
--- a/Tasks/PlanPassReservations.cpp
+++ b/Tasks/PlanPassReservations.cpp
@@ -60,8 +60,8 @@
 UnixMs PlanPass::reserveRoomOn(const StartRequest &request, std::size_t tasks,
                                std::span<const std::size_t> candidates)
 {
-    using Slot
-        = std::pair<UnixMs, std::size_t>; // Time at which one more task has room, and worker.
+    /// Time at which one more task has room, and the worker.
+    using Slot = std::pair<UnixMs, std::size_t>;
     std::priority_queue<Slot, std::vector<Slot>, std::greater<>> slots;
     WorkerList taken = request.assignedWorkers;
     const auto addSlot = [&](std::size_t worker) {
@@ -145,11 +145,14 @@
 /// Whether room that is complete at that time only is not worth keeping for a gang. In a mostly
 /// idle service, other tasks whose turn has come would wait for too long beside it. A gang under a
 /// guarantee would keep it from tasks that can still start within theirs; what less urgent work
-/// takes of it can be preempted.
+/// takes of it can be preempted. Room that never becomes complete is not worth it either.
 bool PlanPass::isTooLateToReserve(const StartRequest &request, UnixMs completeAt) const
 {
-    return request.step->gang && (request.guaranteed || this->isServiceMostlyIdle(request))
-        && completeAt - this->now > toMs(this->settings.maxIdleWait);
+    if (!request.step->gang)
+        return false;
+    const bool isBounded = request.guaranteed || this->isServiceMostlyIdle(request);
+    return completeAt == never
+        || (isBounded && completeAt - this->now > toMs(this->settings.maxIdleWait));
 }
 
 /// Tasks for which one plan reserves room: enough for the service's wide gangs, with most workers
--- a/Tasks/ShortageOrder.cpp
+++ b/Tasks/ShortageOrder.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr int worthlessRank = 7;
-
 /// Share of its expected run time that a run takes at least, as far as planning relies on it:
 /// estimates of callers are rough. A request with less time than that left is of no use.
 constexpr double minShareOfRunTime = 0.5;
@@ -84,8 +82,6 @@
 {
     for (const WorkerView &worker : this->workers) {
         for (const OccupantView &occupant : worker.occupants) {
-            if (occupant.customer.empty())
-                continue;
             this->inUse[{worker.service, occupant.customer}] += occupant.need;
             this->competitors[worker.service].insert(occupant.customer);
         }
@@ -143,7 +139,7 @@
     const auto leastRunTime
         = static_cast<UnixMs>(minShareOfRunTime * static_cast<double>(toMs(request.runTime)));
     if (!request.step->perpetual && this->now + leastRunTime >= request.usefulUntil)
-        return worthlessRank;
+        return StartPlanner::uselessRank;
     return rank;
 }
 
--- a/Tasks/ShortageOrder.h
+++ b/Tasks/ShortageOrder.h
@@ -16,8 +16,8 @@
 ///
 /// While each service has room for all of its requests, they come by rank and then by objective, as
 /// `StartPlanner::rankOf` says. Where room is short, what costs callers least waits: work that
-/// can't be in time any more comes after all work that can, except urgent work, and within one rank
-/// the requests of a customer that holds more than its equal share come after those of the others.
+/// can hardly end while it is of use comes last, unless a guarantee covers it, and within one rank
+/// the requests of a customer that holds its equal share or more come after those of the others.
 class ShortageOrder
 {
 public:
--- a/Tasks/SpeedPlacement.cpp
+++ b/Tasks/SpeedPlacement.cpp
@@ -85,11 +85,11 @@
     if (request.step->perpetual || !this->differs(worker.service))
         return 0.0;
     if (this->hasTime(request, now))
-        return this->costOfTime(worker, explores);
+        return this->costForWorkWithTime(worker, explores);
     return costStep * std::floor(riskSteps * lateRisk(request, worker, now));
 }
 
-double SpeedPlacement::costOfTime(const WorkerView &worker, bool explores) const
+double SpeedPlacement::costForWorkWithTime(const WorkerView &worker, bool explores) const
 {
     if (explores && !worker.speedKnown)
         return 0.0;
--- a/Tasks/SpeedPlacement.h
+++ b/Tasks/SpeedPlacement.h
@@ -31,7 +31,7 @@
                 UnixMs now) const;
 
 private:
-    double costOfTime(const WorkerView &worker, bool explores) const;
+    double costForWorkWithTime(const WorkerView &worker, bool explores) const;
 
     /// Slowness that a tenth of the known workers exceeds, by service.
     std::map<std::string_view, double> slowest;
--- a/Tasks/StartPlanner.cpp
+++ b/Tasks/StartPlanner.cpp
@@ -23,16 +23,15 @@
 
 int StartPlanner::rankOf(const StartRequest &request, UnixMs now)
 {
-    constexpr int expiredRank = 7;
     constexpr int ranksOfPriority[3][2] = {{1, 2}, {3, 4}, {5, 6}};
     const bool isExpired = now >= request.usefulUntil;
     // Work that is of no use any more must not delay other work under a guarantee. The bound within
     // which guaranteed work has to start also holds for tasks whose use ends sooner.
-    constexpr UnixMs longestGuaranteeMs = 5000;
-    if (request.guaranteed && (!isExpired || now - request.readySince < longestGuaranteeMs))
+    constexpr Duration longestGuarantee = seconds(5);
+    if (request.guaranteed && (!isExpired || now - request.readySince < toMs(longestGuarantee)))
         return 0;
     if (isExpired)
-        return expiredRank;
+        return uselessRank;
     const int priority = std::clamp(request.priority, 0, 2);
     return ranksOfPriority[priority][isLate(request, now) ? 1 : 0];
 }
--- a/Tasks/StartPlanner.h
+++ b/Tasks/StartPlanner.h
@@ -171,6 +171,7 @@
     StartPlan plan(std::span<const StartRequest> requests, std::span<const WorkerView> workers,
                    UnixMs now) const;
 
+    static constexpr int uselessRank = 7; ///< Rank of work that is of no use any more; comes last.
     /// Rank of the request; requests of lower rank are planned first.
     static int rankOf(const StartRequest &request, UnixMs now);
 
--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -267,11 +267,27 @@
     }
 }
 
+/// Workers of which only a stored speed is known are dropped first, then those that ran no recent
+/// step.
+void WorkerSpeeds::makeRoomForWorker()
+{
+    if (this->workers.size() < this->settings.maxWorkers)
+        return;
+    const auto lastStep = [](const auto &entry) {
+        return entry.second.evidence.empty() ? std::uint64_t{0} : entry.second.evidence.back().step;
+    };
+    this->workers.erase(
+        std::min_element(this->workers.begin(), this->workers.end(),
+                         [&](const auto &a, const auto &b) { return lastStep(a) < lastStep(b); }));
+}
+
 void WorkerSpeeds::setEvidence(std::string_view name, const Evidence &evidence)
 {
     auto found = this->workers.find(name);
-    if (found == this->workers.end())
+    if (found == this->workers.end()) {
+        this->makeRoomForWorker();
         found = this->workers.emplace(name, Worker{}).first;
+    }
     Worker &worker = found->second;
     const auto isOlder
         = [](const Evidence &other, std::uint64_t step) { return other.step < step; };
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -52,13 +52,14 @@
         /// Steps whose runs an estimate is made of; older evidence is forgotten.
         std::size_t stepsPerWorker = 16;
         std::size_t maxRuns = 20'000; ///< Runs that are remembered, of the newest steps.
+        /// Workers that are remembered; those without recent runs are dropped first.
+        std::size_t maxWorkers = 20'000;
         /// New runs that are compared in one update; the others follow in the next ones.
         std::size_t maxComparedRuns = 2000;
         /// Older runs that are compared again in one update, by what was learned since.
         std::size_t maxRecheckedRuns = 500;
         /// Workers of a service differ if the slowest tenth takes this multiple of the run times of
-        /// the fastest tenth. Below that, a slow one takes at most about 1.4 of the typical run
-        /// time, and the usual objectives can be met on each of them.
+        /// the fastest tenth. Below it, speeds do not decide on placement.
         double minSpread = 2.0;
         /// Share of `minSpread` below which workers that differed count as equal again.
         double minSpreadShare = 0.9;
@@ -168,6 +169,7 @@
     void recheckOldSteps();
     /// Takes the runs of the step as evidence of their workers' speeds.
     void compare(const StepRuns &step);
+    void makeRoomForWorker();
     void setEvidence(std::string_view worker, const Evidence &evidence);
     bool isKnown(const Worker &worker) const;
     /// Combines the evidence of the worker, without that from one step.
