--- a/UnitTests/Coordination/RunRiskTest.cpp
+++ b/UnitTests/Coordination/RunRiskTest.cpp
@@ -1,44 +1,16 @@
-#include "Cluster.h"
-
-#include <gtest/gtest.h>
+#include "ClusterTest.h"
 
 namespace Hibiscus::Coordination::Test {
 
 namespace {
 
 /// Workers that leave at short notice or fail what they start.
-class RunRisk : public testing::Test
+class RunRisk : public ClusterTest
 {
 protected:
-    void TearDown() override
-    {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
-        if (!HasFailure())
-            return;
-        for (const auto &[name, instance] : this->cluster.instances) {
-            for (const std::string &event : instance->logger.events)
-                std::cout << name << " " << event << "\n";
-        }
-    }
-
-    void accept(std::uint32_t number, const std::string &body)
-    {
-        const std::optional<ClientReply> reply
-            = this->cluster.submit(this->cluster.leader(), jobId(number), body);
-        ASSERT_TRUE(reply);
-        ASSERT_EQ(reply->kind, ReplyKind::Accepted) << reply->error;
-    }
-
-    std::string busyWorker() const
-    {
-        for (int i = 0; i < 8; i++) {
-            std::string id = "worker-" + std::to_string(i);
-            if (this->cluster.workers.runningOn(id) > 0)
-                return id;
-        }
-        return {};
-    }
+    RunRisk()
+        : ClusterTest(3, 8)
+    {}
 
     void announce(const std::string &worker, Duration timeLeft)
     {
@@ -54,8 +26,6 @@
         this->announce(worker, timeLeft);
         this->cluster.clock.in(timeLeft, [this, worker] { this->cluster.workers.kill(worker); });
     }
-
-    Cluster cluster{3, 8};
 };
 
 TEST_F(RunRisk, GangOfALeavingWorkerStartsElsewhereBeforeItsLeaseIsOver)
@@ -100,6 +70,20 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 6U);
 }
 
+// The new leader does not know when the run began. Its worker stays for longer than announced.
+TEST_F(RunRisk, RunThatWasTakenOverMayEndOnAWorkerThatLeaves)
+{
+    this->accept(1, jobBody("10000", 1, 8));
+    this->cluster.run(seconds(6));
+    const std::string worker = this->busyWorker();
+    this->cluster.killInstance(this->cluster.leader());
+    this->cluster.run(milliseconds(2500));
+    this->announce(worker, seconds(4));
+    this->cluster.run(seconds(3));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
+}
+
 // Load: a worker fails all that it starts. A single task shows it; without the part the worker is
 // the first choice for the gang as soon as its backoff is over.
 TEST_F(RunRisk, GangStaysOffAWorkerThatFailedATaskOfAnotherJob)
