--- a/UnitTests/Coordination/ClusterTest.h
+++ b/UnitTests/Coordination/ClusterTest.h
@@ -26,10 +26,7 @@
     /// The first worker that runs a task; empty if there is none.
     std::string busyWorker() const;
 
-private:
     std::size_t workerCount;
-
-protected:
     Cluster cluster;
 };
 
--- a/UnitTests/Coordination/SpeedsTest.cpp
+++ b/UnitTests/Coordination/SpeedsTest.cpp
@@ -1,45 +1,34 @@
-#include "Cluster.h"
+#include "ClusterTest.h"
 
 #include <Coordination/StoreKeys.h>
 
 #include <array>
-#include <gtest/gtest.h>
 
 namespace Hibiscus::Coordination::Test {
 
 namespace {
 
-constexpr std::size_t workerCount = 24;
-
 /// Three instances. Of each three workers, one takes 0.6 and one 2.6 of the typical run time, which
 /// is too long for urgent work.
-class Speeds : public testing::Test
+class Speeds : public ClusterTest
 {
 protected:
-    void SetUp() override { this->setSlowness({0.6, 1.0, 2.6}); }
-
-    void TearDown() override
+    Speeds()
+        : ClusterTest(3, 24)
     {
-        for (const std::string &violation : this->cluster.workers.violations)
-            ADD_FAILURE() << violation;
+        this->setSlowness({0.6, 1.0, 2.6});
     }
 
     void setSlowness(const std::array<double, 3> &factors)
     {
-        for (std::size_t i = 0; i < workerCount; i++)
+        for (std::size_t i = 0; i < this->workerCount; i++)
             this->cluster.workers.slowness["worker-" + std::to_string(i)] = factors[i % 3];
     }
 
     std::uint32_t accept(const std::string &body)
     {
         const std::uint32_t number = this->nextJob++;
-        // The last instance that does not lead, since the leader's store may be slow.
-        auto last = this->cluster.instances.rbegin();
-        if (last->first == this->cluster.leader())
-            ++last;
-        const std::optional<ClientReply> reply
-            = this->cluster.submit(last->first, jobId(number), body);
-        EXPECT_TRUE(reply && reply->kind == ReplyKind::Accepted);
+        this->acceptAt(this->follower(), number, body);
         return number;
     }
 
@@ -47,7 +36,9 @@
     void learn()
     {
         for (int i = 0; i < 3; i++) {
-            this->accept(withFields(jobBody("3000", workerCount, 8), {{"priority", 2}}));
+            this->accept(
+                withFields(jobBody("3000", static_cast<std::int32_t>(this->workerCount), 8),
+                           {{"priority", 2}}));
             this->cluster.run(seconds(10));
         }
     }
@@ -61,7 +52,7 @@
                 this->accept(withFields(jobBody("8000,gang=4", 4, 8, true), {{"priority", 0}})));
             this->cluster.run(milliseconds(500));
             EXPECT_EQ(this->cluster.workers.runningTasksOf(job), 4U);
-            for (std::size_t worker = 2; worker < workerCount; worker += 3)
+            for (std::size_t worker = 2; worker < this->workerCount; worker += 3)
                 slow += this->cluster.workers.runsJob("worker-" + std::to_string(worker), job);
         }
         return slow;
@@ -74,14 +65,13 @@
         return spreads.empty() ? 0 : spreads.begin()->second.known;
     }
 
-    Cluster cluster{3, workerCount};
     std::uint32_t nextJob = 1;
 };
 
 TEST_F(Speeds, UrgentWorkGetsWorkersThatAreFastEnough)
 {
     this->learn();
-    EXPECT_EQ(this->knownTo(this->cluster.leader()), workerCount);
+    EXPECT_EQ(this->knownTo(this->cluster.leader()), this->workerCount);
     EXPECT_EQ(this->slowWorkersOfUrgentWork(), 0U);
 }
 
@@ -92,7 +82,7 @@
     this->cluster.killInstance(former);
     this->cluster.run(seconds(8));
     ASSERT_NE(this->cluster.leader(), former);
-    EXPECT_EQ(this->knownTo(this->cluster.leader()), workerCount);
+    EXPECT_EQ(this->knownTo(this->cluster.leader()), this->workerCount);
     EXPECT_EQ(this->slowWorkersOfUrgentWork(), 0U);
 }
 
@@ -125,7 +115,7 @@
     this->setSlowness({1.0, 1.0, 1.0});
     this->learn();
     // Batch work leaves one worker empty for urgent work.
-    EXPECT_GE(this->knownTo(this->cluster.leader()), workerCount - 1);
+    EXPECT_GE(this->knownTo(this->cluster.leader()), this->workerCount - 1);
     EXPECT_EQ(this->cluster.store.find(StoreKeys::speeds), nullptr);
 }
 
