Take placements back by their inverse, and serve twins by one function

Cause: the plan copied the free room of all workers and a map for each rack that it tried for a gang, in three places; four places wrote the time since a run's start, two the search for a label; each plan made the name of each worker's speed also where speeds do not differ. Change: PlanPass::unplaceTasks, Run::elapsed, hasLabel, WorkerSpeeds::speedOf by entry; an unused accessor is gone. No decision changes.

--- a/Coordination/EvacuationWatch.h
+++ b/Coordination/EvacuationWatch.h
@@ -5,7 +5,6 @@
 
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace Hibiscus::Coordination {
 
@@ -39,10 +38,6 @@
     bool isListed() const { return !this->isUsed() || this->watch.freshAt(); }
     /// Whether the requests are known as of `maxAge` before now, so that tasks may start.
     bool isCurrent(TimePoint now) const;
-    bool isEvacuated(std::string_view dataCenter) const
-    {
-        return this->evacuated.contains(dataCenter);
-    }
     const std::set<std::string, std::less<>> &dataCenters() const { return this->evacuated; }
 
 private:
--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -173,8 +173,7 @@
         view.usable = this->fleet.isUsable(worker, now);
         view.evacuated = this->fleet.isEvacuated(worker);
         view.failureRisk = this->risks.riskOf(id, view.service, now);
-        const Tasks::WorkerSpeeds::Speed speed = this->speeds.speedOf(
-            worker.entry.service, Tasks::WorkerSpeeds::identityOf(worker.entry));
+        const Tasks::WorkerSpeeds::Speed speed = this->speeds.speedOf(worker.entry);
         view.slowness = speed.slowness;
         view.speedKnown = speed.known;
         view.slownessDeviation = speed.deviation;
@@ -187,7 +186,7 @@
 
 OccupantView PlanInputs::viewOf(const WorkerFleet::Run &run, UnixMs wall, TimePoint now) const
 {
-    const Duration elapsed = run.startConfirmedAt ? now - *run.startConfirmedAt : Duration{};
+    const Duration elapsed = run.elapsed(now);
     OccupantView view;
     view.need = run.need;
     view.stopping = run.stopWanted;
--- a/Coordination/QueueReport.cpp
+++ b/Coordination/QueueReport.cpp
@@ -44,9 +44,8 @@
                 load.accelerators -= static_cast<double>(run.need.accelerators);
                 continue;
             }
-            const Duration elapsed
-                = run.startConfirmedAt ? now - *run.startConfirmedAt : Duration{};
-            const std::chrono::duration<double> left = std::max(Duration{}, run.estimate - elapsed);
+            const std::chrono::duration<double> left
+                = std::max(Duration{}, run.estimate - run.elapsed(now));
             load.running[priorityIndex(run.priority)]
                 += left.count() * static_cast<double>(run.need.accelerators);
         }
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -440,9 +440,8 @@
     if (!job || !job->progress.contains(run.task))
         return;
     const Tasks::Step &step = job->stepOf(run.task);
-    const bool isFarFromData = !step.dataRack.empty()
-        && std::find(worker.labels.begin(), worker.labels.end(), step.dataRack)
-            == worker.labels.end();
+    const bool isFarFromData
+        = !step.dataRack.empty() && !Tasks::hasLabel(worker.labels, step.dataRack);
     if (isFarFromData || step.count < 2)
         return;
     const std::string name = Tasks::WorkerSpeeds::identityOf(worker);
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -23,7 +23,7 @@
     const TimePoint startedAt = run.startConfirmedAt.value_or(now);
     const std::int32_t percent = run.resumed ? 0 : run.percent;
     Tasks::DepartureDecision::RunOutlook outlook;
-    outlook.elapsed = now - startedAt;
+    outlook.elapsed = run.elapsed(now);
     outlook.expectedLeft = run.perpetual
         ? maxDuration
         : Tasks::expectedTimeLeft(outlook.elapsed, run.percentReadAt - startedAt, percent,
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -163,6 +163,12 @@
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
         std::optional<TimePoint> orderConfirmedAt;
+
+        /// Time since the worker first confirmed the start; zero before that.
+        Duration elapsed(TimePoint now) const
+        {
+            return this->startConfirmedAt ? now - *this->startConfirmedAt : Duration{};
+        }
     };
 
     struct Worker
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -332,10 +332,10 @@
     if (end.checkpoint.empty())
         end.checkpoint = run->checkpoint;
     if (run->startConfirmedAt && !run->resumed)
-        end.runTime = now - *run->startConfirmedAt;
+        end.runTime = run->elapsed(now);
     constexpr int earlyShareOfRunTime = 10;
-    end.wasEarly = run->startConfirmedAt
-        && now - *run->startConfirmedAt <= run->estimate / earlyShareOfRunTime;
+    end.wasEarly
+        = run->startConfirmedAt && run->elapsed(now) <= run->estimate / earlyShareOfRunTime;
     end.slowness = run->slowness;
     end.tracked = true;
     end.wasAtWork = run->perpetual && run->percent >= Tasks::completePercent;
--- a/Tasks/PlanPass.cpp
+++ b/Tasks/PlanPass.cpp
@@ -132,6 +132,15 @@
     this->capacity.free[worker] -= request.step->allocatedResources();
 }
 
+void PlanPass::unplaceTasks(const StartRequest &request, const WorkerList &chosen)
+{
+    for (const std::size_t worker : chosen) {
+        this->capacity.free[worker] += request.step->allocatedResources();
+        if (this->isEmptyAndNotSlow(worker))
+            this->emptyWorkers[request.service]++;
+    }
+}
+
 StartPlan PlanPass::run()
 {
     for (const StartRequest &request : this->requests)
@@ -156,14 +165,11 @@
 {
     const StartRequest &request = this->requests[number];
     const std::size_t tasks = request.indexes.size();
-    const std::vector<Resources> freeBefore = this->capacity.free;
-    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     std::optional<WorkerList> chosen = this->placeAllTasks(request, request.claims);
     if (!chosen)
         chosen = this->placeGang(request);
     if (chosen && this->rejects(request, *chosen)) {
-        this->capacity.free = freeBefore;
-        this->emptyWorkers = emptyBefore;
+        this->unplaceTasks(request, *chosen);
         // Room that was freed for it stays claimed, or it would be freed again later.
         this->addClaims(number, this->renewClaims(request, tasks));
         return;
--- a/Tasks/PlanPass.h
+++ b/Tasks/PlanPass.h
@@ -48,6 +48,8 @@
     bool mayUseEmptyWorker(const StartRequest &request) const;
     bool isIdleWaitOver(const StartRequest &request) const;
     void placeTask(const StartRequest &request, std::size_t worker);
+    /// Takes back placements of this pass, one a task.
+    void unplaceTasks(const StartRequest &request, const WorkerList &chosen);
     const OccupantOrders &occupantOrdersOf(std::size_t worker) const;
     void planRequest(std::size_t request);
     void planGang(std::size_t request);
@@ -76,7 +78,6 @@
     /// Whether the gang rather waits than risks its job on the workers.
     bool rejects(const StartRequest &request, const WorkerList &chosen) const;
     /// Expected loss of a gang's runs on the workers, in core-seconds.
-    double expectedLoss(const StartRequest &request, const WorkerList &chosen) const;
     /// Whether the worker is eligible, sound enough and, while the request requires its data's
     /// rack, in that rack.
     bool isAllowed(const StartRequest &request, std::size_t worker) const;
--- a/Tasks/PlanPassPlacement.cpp
+++ b/Tasks/PlanPassPlacement.cpp
@@ -1,4 +1,5 @@
 #include <Tasks/PlanPass.h>
+#include <Tasks/WorkerLink.h>
 
 #include <algorithm>
 #include <limits>
@@ -6,15 +7,6 @@
 // Where PlanPass places tasks: which workers a request may use, and which of them suits it best.
 namespace Hibiscus::Tasks {
 
-namespace {
-
-bool hasLabel(const WorkerView &worker, std::string_view label)
-{
-    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
-}
-
-} // namespace
-
 bool PlanPass::isEligible(const StartRequest &request, std::size_t number) const
 {
     const WorkerView &worker = this->workers[number];
@@ -23,7 +15,7 @@
     const bool permitted = !request.permitted
         || std::binary_search(request.permitted->begin(), request.permitted->end(), number);
     const std::string &label = request.step->requiredLabel;
-    return permitted && (label.empty() || hasLabel(worker, label));
+    return permitted && (label.empty() || hasLabel(worker.labels, label));
 }
 
 bool PlanPass::hasRoom(const StartRequest &request, std::size_t worker) const
@@ -93,19 +85,11 @@
     return this->risks.waitsForSounderWorkers(request, this->riskOfAny(chosen), maxWait, this->now);
 }
 
-double PlanPass::expectedLoss(const StartRequest &request, const WorkerList &chosen) const
-{
-    double sum = 0.0;
-    for (const std::size_t worker : chosen)
-        sum += this->risks.expectedLoss(request, this->workers[worker]);
-    return sum;
-}
-
 bool PlanPass::isAllowed(const StartRequest &request, std::size_t worker) const
 {
     return this->isEligible(request, worker) && !this->isTooRisky(request, worker)
         && (!this->requiresDataRack(request)
-            || hasLabel(this->workers[worker], request.step->dataRack));
+            || hasLabel(this->workers[worker].labels, request.step->dataRack));
 }
 
 /// Whether an earlier request of the pass with at most the same demand and run time and the same
@@ -142,7 +126,7 @@
     Resources left = this->capacity.free[worker];
     left -= request.step->allocatedResources();
     const bool offRack = !request.step->dataRack.empty()
-        && !hasLabel(this->workers[worker], request.step->dataRack);
+        && !hasLabel(this->workers[worker].labels, request.step->dataRack);
     constexpr double offRackCost = 1e6;
     // Accelerators are the scarce resource, so they have the higher weight. Preferring the fuller
     // worker keeps other workers empty.
@@ -194,14 +178,11 @@
 std::optional<PlanPass::WorkerList> PlanPass::placeAllTasks(const StartRequest &request,
                                                             std::span<const std::size_t> candidates)
 {
-    const std::vector<Resources> before = this->capacity.free;
-    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     WorkerList chosen;
     for (std::size_t i = 0; i < request.indexes.size(); i++) {
         const std::optional<std::size_t> worker = this->bestWorker(request, candidates, chosen);
         if (!worker) {
-            this->capacity.free = before;
-            this->emptyWorkers = emptyBefore;
+            this->unplaceTasks(request, chosen);
             return std::nullopt;
         }
         this->placeTask(request, *worker);
@@ -239,16 +220,17 @@
 /// What the workers' risks and speeds cost the request, apart from how well its tasks pack.
 double PlanPass::costOfPlaces(const StartRequest &request, const WorkerList &chosen) const
 {
-    double cost = this->expectedLoss(request, chosen);
-    for (const std::size_t worker : chosen)
-        cost += this->speeds.cost(request, this->workers[worker], false, this->now);
+    double cost = 0.0;
+    for (const std::size_t worker : chosen) {
+        const WorkerView &view = this->workers[worker];
+        cost += this->risks.expectedLoss(request, view)
+            + this->speeds.cost(request, view, false, this->now);
+    }
     return cost;
 }
 
 std::optional<PlanPass::WorkerList> PlanPass::placeGangInBestRack(const StartRequest &request)
 {
-    const std::vector<Resources> before = this->capacity.free;
-    const std::map<std::string_view, std::size_t> emptyBefore = this->emptyWorkers;
     std::optional<WorkerList> best;
     double lowestCost = std::numeric_limits<double>::infinity();
     for (const auto &[rack, members] : this->racks) {
@@ -258,8 +240,7 @@
         const double cost = this->costOfPlaces(request, *chosen);
         if (cost == 0.0)
             return chosen;
-        this->capacity.free = before;
-        this->emptyWorkers = emptyBefore;
+        this->unplaceTasks(request, *chosen);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = std::move(chosen);
--- a/Tasks/WorkerLink.cpp
+++ b/Tasks/WorkerLink.cpp
@@ -1,9 +1,16 @@
 #include <Tasks/WorkerLink.h>
 
+#include <algorithm>
+
 #include <array>
 
 namespace Hibiscus::Tasks {
 
+bool hasLabel(std::span<const std::string> labels, std::string_view label)
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 std::string_view nameOf(EndCause cause)
 {
     static constexpr std::array<std::string_view, 6> names{
--- a/Tasks/WorkerLink.h
+++ b/Tasks/WorkerLink.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,9 @@
     std::int64_t clock = 0; ///< Worker's clock in ms when it wrote the entry.
 };
 
+/// Whether a worker with these labels has the label.
+bool hasLabel(std::span<const std::string> labels, std::string_view label);
+
 /// Identifies one run of a task on a worker. The runs of a task are numbered from 1.
 struct RunRef
 {
--- a/Tasks/WorkerSpeeds.cpp
+++ b/Tasks/WorkerSpeeds.cpp
@@ -370,6 +370,15 @@
             std::sqrt(speed.variance)};
 }
 
+/// Each plan asks for each worker, so that names are made only if they are needed.
+WorkerSpeeds::Speed WorkerSpeeds::speedOf(const WorkerEntry &worker) const
+{
+    const auto spread = this->services.find(worker.service);
+    if (spread == this->services.end() || !spread->second.differs)
+        return {};
+    return this->speedOf(worker.service, identityOf(worker));
+}
+
 std::string WorkerSpeeds::encode() const
 {
     const bool differs = std::any_of(this->services.begin(), this->services.end(),
--- a/Tasks/WorkerSpeeds.h
+++ b/Tasks/WorkerSpeeds.h
@@ -103,6 +103,7 @@
 
     /// The worker's speed. While the service's workers do not differ, all are typical.
     Speed speedOf(std::string_view service, std::string_view worker) const;
+    Speed speedOf(const WorkerEntry &worker) const;
     const std::map<std::string, Spread, std::less<>> &spreads() const { return this->services; }
 
     /// Text of the known speeds, for the next leader; those that differ most if not all fit in.
