Give the planner's tests one fixture

Cause: four test files of the plan each built workers, occupants and requests by the same lines. Change: PlannerFixture builds them; each file keeps what differs. The service of ShortageOrderTest is called blend like that of the others.

--- a/UnitTests/Tasks/RiskPlanTest.cpp
+++ b/UnitTests/Tasks/RiskPlanTest.cpp
@@ -1,8 +1,5 @@
-#include <Tasks/StartPlanner.h>
+#include "PlannerFixture.h"
 
-#include <algorithm>
-#include <deque>
-#include <gtest/gtest.h>
 #include <random>
 
 // Plans for workers that failed or restarted lately, and for gangs that give way.
@@ -10,11 +7,10 @@
 
 namespace {
 
-constexpr UnixMs now = 1'700'000'000'000;
 constexpr double risky = 0.25; ///< Below the bound for gangs.
 constexpr double tooRisky = 0.5;
 
-class RiskPlanTest : public testing::Test
+class RiskPlanTest : public Test::PlannerFixture
 {
 protected:
     /// Adds workers of 8 accelerators in racks of two.
@@ -22,55 +18,28 @@
     {
         for (std::size_t i = 0; i < count; i++) {
             const std::size_t number = this->views.size();
-            this->ids.push_back("worker-" + std::to_string(number));
-            this->labels.push_back({"kind-a", "rack-" + std::to_string(number / 2)});
-            WorkerView view;
-            view.id = this->ids.back();
-            view.service = "blend";
-            view.labels = this->labels.back();
-            view.free = {32000, 65536, 8};
-            view.usable = true;
-            this->views.push_back(view);
+            this->addWorker("rack-" + std::to_string(number / 2), {32000, 65536, 8});
         }
     }
 
     void occupy(std::size_t worker, std::size_t group, double loss)
     {
-        const Resources need{8000, 1000, 8};
-        this->views[worker].free -= need;
-        this->views[worker].occupants.push_back({need, 2, now + 4000, loss, false, false, group});
+        this->addOccupant(worker, {8000, 1000, 8}, 2, 4000, loss).group = group;
     }
 
     StartRequest &request(std::int32_t priority, std::int32_t tasks, std::int64_t accelerators,
                           bool gang)
     {
-        Step step;
-        step.count = tasks;
-        step.need = {1000 * accelerators, 1000, accelerators};
-        step.gang = gang;
-        this->steps.push_back(step);
-        StartRequest request;
-        request.job = "job";
-        request.step = &this->steps.back();
-        request.service = "blend";
+        StartRequest &request = this->addRequest(priority, tasks, accelerators);
+        this->steps.back().gang = gang;
         request.runTime = seconds(8);
-        request.priority = priority;
-        request.readySince = now - 100;
         request.objectiveAt = now + 20'000;
         request.usefulUntil = now + 60'000;
-        for (std::int32_t i = 0; i < tasks; i++)
-            request.indexes.push_back(i);
-        this->requests.push_back(request);
-        return this->requests.back();
+        return request;
     }
 
     StartPlan plan() const { return this->planner.plan(this->requests, this->views, now); }
 
-    std::deque<std::string> ids;
-    std::deque<std::vector<std::string>> labels;
-    std::deque<Step> steps;
-    std::vector<WorkerView> views;
-    std::vector<StartRequest> requests;
     StartPlanner planner{StartPlanner::Settings{}};
 };
 
--- a/UnitTests/Tasks/ShortageOrderTest.cpp
+++ b/UnitTests/Tasks/ShortageOrderTest.cpp
@@ -1,65 +1,37 @@
-#include <Tasks/ShortageOrder.h>
+#include "PlannerFixture.h"
 
-#include <algorithm>
-#include <deque>
-#include <gtest/gtest.h>
+#include <Tasks/ShortageOrder.h>
 
 namespace Hibiscus::Tasks {
 
 namespace {
 
-constexpr UnixMs now = 1'700'000'000'000;
 constexpr Resources wholeWorker{64000, 131072, 8};
 
 /// Requests of several customers compete for the workers of one service, all in one rack.
-class ShortageOrderTest : public testing::Test
+class ShortageOrderTest : public Test::PlannerFixture
 {
 protected:
     void addWorkers(std::size_t count)
     {
-        for (std::size_t i = 0; i < count; i++) {
-            this->ids.push_back("worker-" + std::to_string(this->views.size()));
-            WorkerView view;
-            view.id = this->ids.back();
-            view.service = "prepare";
-            view.labels = this->labels;
-            view.free = wholeWorker;
-            view.usable = true;
-            this->views.push_back(view);
-        }
+        for (std::size_t i = 0; i < count; i++)
+            this->addWorker("rack-0", wholeWorker);
     }
 
     OccupantView &occupy(std::size_t worker, std::int64_t accelerators, UnixMs endsIn)
     {
         const Resources need{1000 * accelerators, 1000, accelerators};
-        WorkerView &view = this->views[worker];
-        view.free -= need;
-        view.occupants.push_back({need, 2, now + endsIn, 100.0});
-        view.occupants.back().customer = "other";
-        return view.occupants.back();
+        OccupantView &occupant = this->addOccupant(worker, need, 2, endsIn, 100.0);
+        occupant.customer = "other";
+        return occupant;
     }
 
     StartRequest &request(std::string_view customer, std::int32_t priority, std::int32_t tasks,
                           std::int64_t accelerators)
     {
-        Step step;
-        step.count = tasks;
-        step.need = {1000 * accelerators, 1000, accelerators};
-        this->steps.push_back(step);
-        StartRequest request;
-        request.job = "job";
-        request.step = &this->steps.back();
-        request.service = "prepare";
+        StartRequest &request = this->addRequest(priority, tasks, accelerators);
         request.customer = customer;
-        request.priority = priority;
-        request.runTime = seconds(2);
-        request.readySince = now - 100;
-        request.objectiveAt = now + 10'000;
-        request.usefulUntil = now + 30'000;
-        for (std::int32_t i = 0; i < tasks; i++)
-            request.indexes.push_back(i);
-        this->requests.push_back(request);
-        return this->requests.back();
+        return request;
     }
 
     StartRequest &gang(std::int32_t priority, std::int32_t tasks)
@@ -70,24 +42,6 @@
     }
 
     ShortageOrder shortage() const { return {this->requests, this->views, now}; }
-
-    StartPlan plan() const
-    {
-        return StartPlanner(StartPlanner::Settings{}).plan(this->requests, this->views, now);
-    }
-
-    static std::size_t startsOf(const StartPlan &plan, std::size_t request)
-    {
-        return static_cast<std::size_t>(std::count_if(
-            plan.starts.begin(), plan.starts.end(),
-            [request](const StartChoice &start) { return start.request == request; }));
-    }
-
-    const std::vector<std::string> labels{"kind-a", "rack-0"};
-    std::deque<std::string> ids;
-    std::deque<Step> steps;
-    std::vector<WorkerView> views;
-    std::vector<StartRequest> requests;
 };
 
 // Load: one customer sends a burst of one class, a small one sends a job after it.
@@ -97,7 +51,7 @@
     for (int i = 0; i < 10; i++)
         this->request("large", 2, 8, 1);
     this->request("small", 2, 8, 1).objectiveAt += 5000;
-    EXPECT_TRUE(this->shortage().isShort("prepare"));
+    EXPECT_TRUE(this->shortage().isShort("blend"));
     EXPECT_EQ(startsOf(this->plan(), 10), 8U);
 }
 
@@ -109,7 +63,7 @@
     this->request("large", 2, 8, 1);
     this->request("small", 2, 8, 1).objectiveAt += 5000;
     const ShortageOrder shortage = this->shortage();
-    EXPECT_DOUBLE_EQ(shortage.shareInUse("prepare", "large"), 0.5);
+    EXPECT_DOUBLE_EQ(shortage.shareInUse("blend", "large"), 0.5);
     ASSERT_EQ(shortage.shortages().size(), 1U);
     EXPECT_EQ(shortage.shortages().front().largestCustomer, "large");
     EXPECT_EQ(shortage.shortages().front().customers, 2U);
@@ -124,7 +78,7 @@
     this->request("large", 1, 8, 1);
     this->request("small", 2, 8, 1).objectiveAt += 5000;
     const ShortageOrder shortage = this->shortage();
-    EXPECT_FALSE(shortage.isShort("prepare"));
+    EXPECT_FALSE(shortage.isShort("blend"));
     EXPECT_EQ(shortage.order(), (std::vector<std::size_t>{1, 0, 2}));
 }
 
@@ -167,7 +121,7 @@
     this->occupy(0, 1, 9000);
     this->occupy(1, 1, 9000);
     this->request("a", 1, 1, 8);
-    EXPECT_TRUE(this->shortage().isShort("prepare"));
+    EXPECT_TRUE(this->shortage().isShort("blend"));
 }
 
 // Load: a stream of small batch tasks, and a gang of more tasks than the fixed number of
--- a/UnitTests/Tasks/SpeedPlacementTest.cpp
+++ b/UnitTests/Tasks/SpeedPlacementTest.cpp
@@ -1,35 +1,24 @@
+#include "PlannerFixture.h"
+
 #include <Tasks/SpeedPlacement.h>
 
-#include <algorithm>
 #include <array>
-#include <deque>
-#include <gtest/gtest.h>
-#include <numeric>
 #include <set>
 
 namespace Hibiscus::Tasks {
 
 namespace {
 
-constexpr UnixMs now = 1'700'000'000'000;
 constexpr Resources wholeWorker{32000, 65536, 8};
 
 /// Workers in racks of six; of each three, one takes 0.6 and one 1.6 of the typical run time.
-class SpeedPlacementTest : public testing::Test
+class SpeedPlacementTest : public Test::PlannerFixture
 {
 protected:
     void SetUp() override
     {
         for (std::size_t i = 0; i < 36; i++) {
-            this->ids.push_back("worker-" + std::to_string(i));
-            this->labels.push_back({"kind-a", "rack-" + std::to_string(i / 6)});
-            WorkerView view;
-            view.id = this->ids.back();
-            view.service = "blend";
-            view.labels = this->labels.back();
-            view.free = wholeWorker;
-            view.usable = true;
-            this->views.push_back(view);
+            this->addWorker("rack-" + std::to_string(i / 6), wholeWorker);
             this->learn(i, std::array{0.6, 1.0, 1.6}[i % 3]);
         }
     }
@@ -50,38 +39,19 @@
 
     void occupy(std::size_t worker, std::int64_t accelerators)
     {
-        const Resources need{1000, 1000, accelerators};
-        this->views[worker].free -= need;
-        this->views[worker].occupants.push_back({need, 1, now + 5000, 1.0});
+        this->addOccupant(worker, {1000, 1000, accelerators}, 1, 5000, 1.0);
     }
 
     /// Adds a request whose objective is `stretch` times its run time of two seconds.
     void request(std::int32_t priority, std::int32_t tasks, std::int64_t accelerators,
                  double stretch, bool gang = false, bool sameRack = false)
     {
-        Step step;
-        step.count = tasks;
-        step.need = {1000 * accelerators, 1000, accelerators};
-        step.gang = gang;
-        step.sameRack = sameRack;
-        this->steps.push_back(step);
-        StartRequest request;
-        request.job = "job";
-        request.step = &this->steps.back();
-        request.service = "blend";
-        request.runTime = seconds(2);
-        request.priority = priority;
+        StartRequest &request = this->addRequest(priority, tasks, accelerators);
+        this->steps.back().gang = gang;
+        this->steps.back().sameRack = sameRack;
         request.readySince = now;
         request.objectiveAt = now + static_cast<UnixMs>(2000 * stretch);
         request.usefulUntil = now + static_cast<UnixMs>(6000 * stretch);
-        request.indexes.resize(static_cast<std::size_t>(tasks));
-        std::iota(request.indexes.begin(), request.indexes.end(), 0);
-        this->requests.push_back(request);
-    }
-
-    StartPlan plan() const
-    {
-        return StartPlanner(StartPlanner::Settings{}).plan(this->requests, this->views, now);
     }
 
     std::vector<double> slownessOfStarts(std::size_t request = 0) const
@@ -93,12 +63,6 @@
         }
         return slowness;
     }
-
-    std::deque<std::string> ids;
-    std::deque<std::vector<std::string>> labels;
-    std::deque<Step> steps;
-    std::vector<WorkerView> views;
-    std::vector<StartRequest> requests;
 };
 
 TEST_F(SpeedPlacementTest, TightGangGetsWorkersThatAreFastEnough)
--- a/UnitTests/Tasks/StartPlannerTest.cpp
+++ b/UnitTests/Tasks/StartPlannerTest.cpp
@@ -1,8 +1,5 @@
-#include <Tasks/StartPlanner.h>
+#include "PlannerFixture.h"
 
-#include <algorithm>
-#include <deque>
-#include <gtest/gtest.h>
 #include <limits>
 #include <set>
 
@@ -10,78 +7,32 @@
 
 namespace {
 
-constexpr UnixMs now = 1'700'000'000'000;
 constexpr Resources wholeWorker{32000, 65536, 8};
 
 /// Plans requests for workers in racks of two.
-class StartPlannerTest : public testing::Test
+class StartPlannerTest : public Test::PlannerFixture
 {
 protected:
     void addWorkers(std::size_t count)
     {
         for (std::size_t i = 0; i < count; i++) {
             const std::size_t number = this->views.size();
-            this->ids.push_back("worker-" + std::to_string(number));
-            this->labels.push_back({"kind-a", "rack-" + std::to_string(number / 2)});
-            WorkerView view;
-            view.id = this->ids.back();
-            view.service = "blend";
-            view.labels = this->labels.back();
-            view.free = wholeWorker;
-            view.usable = true;
-            this->views.push_back(view);
+            this->addWorker("rack-" + std::to_string(number / 2), wholeWorker);
         }
     }
 
     void occupy(std::size_t worker, Resources need, std::int32_t priority, UnixMs endsIn,
                 double loss)
     {
-        this->views[worker].free -= need;
-        this->views[worker].occupants.push_back({need, priority, now + endsIn, loss});
+        this->addOccupant(worker, need, priority, endsIn, loss);
     }
 
-    /// Adds a request for identical tasks that has been ready for 100 ms and can end in time.
     StartRequest &request(std::int32_t priority, std::int32_t tasks, std::int64_t accelerators)
     {
-        Step step;
-        step.count = tasks;
-        step.need = {1000 * accelerators, 1000, accelerators};
-        step.estimate = seconds(2);
-        this->steps.push_back(step);
-        StartRequest request;
-        request.job = "job";
-        request.step = &this->steps.back();
-        request.service = "blend";
-        request.runTime = seconds(2);
-        request.priority = priority;
-        request.readySince = now - 100;
-        request.objectiveAt = now + 10'000;
-        request.usefulUntil = now + 30'000;
-        for (std::int32_t i = 0; i < tasks; i++)
-            request.indexes.push_back(i);
-        this->requests.push_back(request);
-        return this->requests.back();
+        return this->addRequest(priority, tasks, accelerators);
     }
 
     Step &stepOf(std::size_t request) { return this->steps[request]; }
-
-    StartPlan plan() const
-    {
-        return StartPlanner(StartPlanner::Settings{}).plan(this->requests, this->views, now);
-    }
-
-    static std::size_t startsOf(const StartPlan &plan, std::size_t request)
-    {
-        return static_cast<std::size_t>(std::count_if(
-            plan.starts.begin(), plan.starts.end(),
-            [request](const StartChoice &start) { return start.request == request; }));
-    }
-
-    std::deque<std::string> ids;
-    std::deque<std::vector<std::string>> labels;
-    std::deque<Step> steps;
-    std::vector<WorkerView> views;
-    std::vector<StartRequest> requests;
 };
 
 TEST_F(StartPlannerTest, UrgentWorkStartsBeforeBatchBacklog)
