Log for which process an acknowledgement was sent and who answered it

Cause: the logs could not tell the hypotheses of the incident apart. A poll without an answer left no line, "ends acknowledged" gave the process that the leader knew, and neither a gap in the numbers of a process' ends nor the last acknowledgement beside a run in neither list was written. No decision changes.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -310,6 +310,14 @@
 private:
     using RunKey = std::pair<std::string, Tasks::TaskRef>;
 
+    /// What a poll told a worker to discard.
+    struct Acknowledgement
+    {
+        std::int64_t upTo = 0; ///< Sequence number of the last end; 0 if there is none.
+        std::int64_t incarnation = 0; ///< The process that listed these ends.
+        std::int64_t token = 0;
+    };
+
     bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
     bool mayBeRenewedByOthers(const std::string &worker) const;
 
@@ -336,7 +344,8 @@
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
                           TimePoint sentAt, TimePoint now);
-    void endsAcknowledged(Worker &worker, std::int64_t number, TimePoint now);
+    void logAcknowledgement(Worker &worker, const Acknowledgement &sent,
+                            const Tasks::WorkerAnswer &answer, TimePoint now);
     bool needsPoll(const Worker &worker) const;
     void pollIfNeeded(Worker &worker, TimePoint now);
     void pollAfterPause(Worker &worker, TimePoint now);
@@ -351,9 +360,11 @@
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
     void revokeStart(Worker &worker, const Tasks::RunRef &ref, TimePoint now);
     void processEnds(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint now);
+    void logGap(const Worker &worker, std::int64_t number, TimePoint now);
     RunEnd takeEnd(Worker &worker, const Tasks::EndedTask &ended, TimePoint now);
     void processRunning(Worker &worker, const Tasks::WorkerAnswer &answer, TimePoint sentAt,
                         TimePoint now);
+    void reportMissingRun(Worker &worker, const RunKey &key, TimePoint now);
     void stopUnknownRun(Worker &worker, const Tasks::RunRef &ref, TimePoint now);
     void checkLease(Worker &worker, TimePoint now);
 
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -102,32 +102,50 @@
     worker->pollSentAt = now;
     worker->pollSerial++;
     const Duration timeout = order.wait + this->settings.pollSlack;
-    const std::int64_t acknowledgedEnd = order.endsRecorded;
+    const Acknowledgement sent{order.endsRecorded, worker->entry.incarnation, order.fencingToken};
     this->link.renew(worker->entry, order, timeout,
-                     [this, id, acknowledgedEnd, sentAt = now, serial = worker->pollSerial,
+                     [this, id, sent, sentAt = now, serial = worker->pollSerial,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                          Worker *sender
                              = generation == this->generation ? this->workerOf(id) : nullptr;
+                         if (!sender)
+                             return;
+                         this->logAcknowledgement(*sender, sent, answer, at);
                          // A poll of an earlier process says nothing of the present one.
-                         if (!sender || sender->pollSerial != serial)
+                         if (sender->pollSerial != serial)
                              return;
                          if (answer.outcome == WorkerOutcome::Done)
-                             this->endsAcknowledged(*sender, acknowledgedEnd, at);
+                             sender->acknowledgedEnd = std::max(sender->acknowledgedEnd, sent.upTo);
                          this->handlePollAnswer(id, answer, sentAt, at);
                      });
 }
 
-void WorkerFleet::endsAcknowledged(Worker &worker, std::int64_t number, TimePoint now)
+/// Logs a poll that acknowledged ends for the first time, one without an answer, which may be
+/// executed later, and one that another process has answered than it was sent for.
+void WorkerFleet::logAcknowledgement(Worker &worker, const Acknowledgement &sent,
+                                     const WorkerAnswer &answer, TimePoint now)
 {
-    if (number <= worker.acknowledgedEnd)
+    if (sent.upTo == 0)
+        return;
+    const bool isOfOtherProcess = answer.incarnation != 0 && answer.incarnation != sent.incarnation;
+    const bool isNew = sent.upTo > worker.acknowledgedEnd;
+    const bool isUnanswered = answer.outcome == WorkerOutcome::Unknown;
+    if (!isNew && !isOfOtherProcess && !isUnanswered)
         return;
-    this->logger.logEvent(LogKind::Record, "ends acknowledged",
+    const char *event = "ends acknowledged";
+    if (isOfOtherProcess)
+        event = "acknowledgement answered by another process";
+    else if (answer.outcome != WorkerOutcome::Done)
+        event = "acknowledgement not answered";
+    this->logger.logEvent(LogKind::Record, event,
                           {{"worker", worker.entry.id},
-                           {"incarnation", worker.entry.incarnation},
+                           {"incarnation", sent.incarnation},
+                           {"answeredBy", answer.incarnation},
                            {"after", worker.acknowledgedEnd},
-                           {"upTo", number}},
+                           {"upTo", sent.upTo},
+                           {"token", sent.token},
+                           {"outcome", Tasks::nameOf(answer.outcome)}},
                           now);
-    worker.acknowledgedEnd = number;
 }
 
 void WorkerFleet::handlePollAnswer(const std::string &id, const WorkerAnswer &answer,
@@ -313,6 +331,8 @@
     for (const EndedTask &ended : answer.ended) {
         if (ended.number <= worker.lastEnd)
             continue;
+        if (ended.number > worker.lastEnd + 1)
+            this->logGap(worker, ended.number, now);
         worker.lastEnd = ended.number;
         worker.unrecordedEnds.insert(ended.number);
         ends.push_back(this->takeEnd(worker, ended, now));
@@ -321,6 +341,18 @@
         this->listener.runEnded(end, now);
 }
 
+/// A worker numbers its ends without gaps. Missing ones were acknowledged by a former leader, or by
+/// a call that was meant for another process.
+void WorkerFleet::logGap(const Worker &worker, std::int64_t number, TimePoint now)
+{
+    this->logger.logEvent(LogKind::Record, "ends are missing in a worker's list",
+                          {{"worker", worker.entry.id},
+                           {"incarnation", worker.entry.incarnation},
+                           {"after", worker.lastEnd},
+                           {"next", number}},
+                          now);
+}
+
 /// Removes the run of a listed end if the fleet tracks it, and describes the end.
 RunEnd WorkerFleet::takeEnd(Worker &worker, const EndedTask &ended, TimePoint now)
 {
@@ -393,7 +425,23 @@
             missing.push_back(key);
     }
     for (const RunKey &key : missing)
-        this->reportLostRun(worker, key, "the worker does not list the run", now);
+        this->reportMissingRun(worker, key, now);
+}
+
+void WorkerFleet::reportMissingRun(Worker &worker, const RunKey &key, TimePoint now)
+{
+    const auto found = worker.runs.find(key);
+    if (found == worker.runs.end())
+        return;
+    this->logger.logEvent(LogKind::Task, "run in neither list",
+                          {{"request", key.first},
+                           {"run", Tasks::textOf(found->second.ref)},
+                           {"worker", worker.entry.id},
+                           {"incarnation", worker.entry.incarnation},
+                           {"lastEnd", worker.lastEnd},
+                           {"acknowledgedEnd", worker.acknowledgedEnd}},
+                          now);
+    this->reportLostRun(worker, key, "the worker does not list the run", now);
 }
 
 void WorkerFleet::checkLease(Worker &worker, TimePoint now)
