Show that ends of a worker's new process are discarded unseen, in four tests

What callers saw: a task that had ended as done was started again after its worker had come back under its old id. Four tests in passed-in time bring it about on the code as it stands, by calls that were meant for the former process: a poll that waits, polls that are repeated while the worker is cut off, and a late acknowledgement before and after a start. The first one shows the record's picture: at the end of its first run, the task is in neither list, and it starts again a few milliseconds later.

--- /dev/null
+++ b/UnitTests/Coordination/RestartedWorkerTest.cpp
@@ -0,0 +1,141 @@
+#include "ClusterTest.h"
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+/// Tests with workers that start again under their old ids before the registry shows it, while
+/// calls that were meant for their former processes are on the way.
+class RestartedWorker : public ClusterTest
+{
+protected:
+    RestartedWorker()
+        : ClusterTest(2, 4)
+    {
+        for (int i = 1; i < 4; i++)
+            this->cluster.removeWorkerEntry("worker-" + std::to_string(i));
+    }
+
+    /// Lets the worker end eight runs, which are acknowledged, and leaves it with a long one.
+    void useFormerProcess()
+    {
+        this->accept(1, jobBody("300", 8, 1));
+        this->cluster.run(seconds(1));
+        ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+        ASSERT_EQ(this->cluster.workers.listedEndsOf(this->worker), 0U);
+        this->accept(2, jobBody("30000", 1, 1));
+        this->cluster.run(milliseconds(500));
+        ASSERT_EQ(this->cluster.workers.runningOn(this->worker), 1U);
+    }
+
+    /// Restarts the worker while a poll is on its way, which the new process receives. The registry
+    /// shows the restart later.
+    Tasks::WorkerEntry restartWithAPollOnItsWay()
+    {
+        // The present poll ends two seconds after the start of the long task, and the next one is
+        // sent at once.
+        this->cluster.workers.pollDelays[this->worker] = milliseconds(400);
+        this->cluster.run(milliseconds(1700));
+        this->cluster.workers.pollDelays.clear();
+        Tasks::WorkerEntry entry = this->cluster.workers.restart(this->worker);
+        this->cluster.run(milliseconds(400));
+        return entry;
+    }
+
+    /// The worker ends one run. The acknowledgement of that end gets no answer and is carried out
+    /// after the delay.
+    void delayTheFirstAcknowledgement(Duration delay)
+    {
+        this->accept(1, jobBody("300", 1, 1));
+        this->cluster.run(milliseconds(250));
+        this->cluster.workers.orderDelay = delay;
+        this->cluster.workers.delayedPolls = {this->worker};
+        this->cluster.run(milliseconds(250));
+        ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+        this->cluster.workers.delayedPolls.clear();
+    }
+
+    void cutOff(bool isCut)
+    {
+        for (const auto &[name, instance] : this->cluster.instances)
+            this->cluster.workers.unreachableWorkers[name]
+                = isCut ? std::set{this->worker} : std::set<std::string>{};
+    }
+
+    const std::string worker = "worker-0";
+};
+
+// Guards against a second run of a task whose end the worker's new process has discarded, told so
+// by a poll that was meant for the former one and waits at the new one.
+TEST_F(RestartedWorker, PollThatWaitsForTheFormerProcessDiscardsNoEndOfTheNewOne)
+{
+    this->cluster.workers.waitingPollsAcknowledge = true;
+    this->useFormerProcess();
+    const Tasks::WorkerEntry entry = this->restartWithAPollOnItsWay();
+    this->accept(3, jobBody("400", 1, 1));
+    this->cluster.run(milliseconds(1000));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
+}
+
+// Guards against the same by the polls that the leader repeats while the worker is cut off: the new
+// process has accepted a start order, and its task ends behind the cut.
+TEST_F(RestartedWorker, PollAfterACutDiscardsNoEndThatNobodyHasSeen)
+{
+    this->useFormerProcess();
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(this->worker);
+    this->accept(3, jobBody("300", 8, 0));
+    while (this->cluster.workers.startsOf(jobId(3)) < 8)
+        this->cluster.run(milliseconds(1));
+    this->cutOff(true);
+    this->cluster.run(milliseconds(1500));
+    this->cutOff(false);
+    this->cluster.run(milliseconds(1500));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 8U);
+}
+
+// Guards against the same by an acknowledgement that is carried out seconds after it was sent.
+TEST_F(RestartedWorker, LateAcknowledgementDiscardsNoEndThatIsNotRecorded)
+{
+    this->delayTheFirstAcknowledgement(seconds(3));
+    this->cluster.putWorker(this->cluster.workers.restart(this->worker));
+    this->cluster.run(milliseconds(1500));
+    this->accept(3, jobBody("500", 1, 1));
+    this->cluster.run(milliseconds(300));
+    ASSERT_EQ(this->cluster.workers.runningTasksOf(jobId(3)), 1U);
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.behaviors[leader] = StoreBehavior::DropsCommits;
+    this->cluster.run(milliseconds(1500));
+    this->cluster.killInstance(leader);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
+}
+
+// Guards against the same if the new process executes a start order first and is cut off before
+// anyone knows of it.
+TEST_F(RestartedWorker, LateAcknowledgementDiscardsNoEndOfARunThatWasStartedAfterIt)
+{
+    this->delayTheFirstAcknowledgement(seconds(2));
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(this->worker);
+    this->accept(3, jobBody("300", 1, 1));
+    while (this->cluster.workers.startsOf(jobId(3)) == 0)
+        this->cluster.run(milliseconds(1));
+    this->cutOff(true);
+    this->cluster.run(milliseconds(2500));
+    this->cutOff(false);
+    this->cluster.run(milliseconds(1500));
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(10));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
