Keep acknowledgements of a worker's former process from the next one

What callers saw: a task that had ended as done was started again, after its worker had come back under its old id.

Cause: a call does not name the process that it is meant for, and each poll acknowledged the ends of the process that the leader knew: also one that waits for two seconds, the repeated ones while a worker does not answer, and the one that asks a worker which process it is. The next process numbers its ends from 1 again, and discarded ends that nobody had seen. Its lists then held the run neither as running nor as ended, so the leader counted it as lost.

Why this works: an acknowledgement is sent by itself, once, without a wait, and only to a process that has just answered and has listed all that was ordered on the worker. So an end that another process could discard belongs to a start that was sent later, and that start carries a higher token: the fencing token of a worker rises when a start follows an acknowledgement without an answer, and when a process of the worker is, or may be, new. The process that executed the start turns the acknowledgement away. A session begins with an answer under the present token. Answers that turn a call away since a later one of the same leader has overtaken it do not depose the leader; the call is repeated. A term that has used them up for one worker ends, and the next one begins at once.

--- a/Coordination/LeaderElection.cpp
+++ b/Coordination/LeaderElection.cpp
@@ -315,6 +315,17 @@
         this->stepDown("another instance has become the leader", now);
 }
 
+void LeaderElection::endTermEarly(const char *reason, TimePoint now)
+{
+    if (!this->leading)
+        return;
+    // The leader's key is still there while the lease is being revoked; it begins no term again.
+    this->validUntil = std::min(this->validUntil, now);
+    this->store.revokeLease(this->lease, this->settings.callTimeout,
+                            [](const StoreAnswer &, TimePoint) {});
+    this->stepDown(reason, now);
+}
+
 void LeaderElection::endTerm(TimePoint now)
 {
     this->leading = false;
--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -71,6 +71,8 @@
     /// Ends the lease, so that another instance can be elected without delay. This instance does
     /// not campaign again.
     void resign(TimePoint now);
+    /// Ends the term, and its lease in the store, so that a new one begins without delay.
+    void endTermEarly(const char *reason, TimePoint now);
     /// Called when the store or a worker reports a newer leader.
     void handleOtherLeader(TimePoint now);
 
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -596,6 +596,12 @@
     this->election.handleOtherLeader(now);
 }
 
+void TaskDispatcher::tokensUsedUp(TimePoint now)
+{
+    this->fleet.stop();
+    this->election.endTermEarly("the fencing tokens of the term are used up", now);
+}
+
 void TaskDispatcher::fleetChanged(TimePoint)
 {
     this->schedulePlan();
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -122,6 +122,7 @@
     void fenced(TimePoint now) override;
     void fleetChanged(TimePoint now) override;
     void silenceEnded(TimePoint now) override;
+    void tokensUsedUp(TimePoint now) override;
 
     /// Takes a failed run into account in the risk of its worker.
     void noteFailure(const RunEnd &end, TimePoint now);
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -33,7 +33,7 @@
 void WorkerFleet::begin(std::int64_t leaderToken, bool haveFormersEnded)
 {
     this->stop();
-    this->token = leaderToken;
+    this->firstToken = FencingToken(leaderToken);
     this->formersEnded = haveFormersEnded;
     this->silentBefore.clear();
     this->withheld.clear();
@@ -119,6 +119,33 @@
     return &found->second;
 }
 
+std::pair<WorkerFleet::Worker &, bool> WorkerFleet::addWorker(const std::string &id)
+{
+    const auto [found, added] = this->workers.try_emplace(id);
+    if (added)
+        found->second.token = this->firstToken;
+    return {found->second, added};
+}
+
+/// The next call to the worker fences off all that were sent before, in whichever of its processes
+/// executes it. A term without tokens left ends, and the next one has higher ones.
+void WorkerFleet::raiseToken(Worker &worker, const char *reason, TimePoint now)
+{
+    if (worker.token.isHighestOfTerm()) {
+        this->logger.logEvent(LogKind::Leadership, "fencing tokens used up",
+                              {{"worker", worker.entry.id}, {"token", worker.token.value()}}, now);
+        this->timers.after(Duration{}, [this, generation = this->generation](TimePoint at) {
+            if (generation == this->generation)
+                this->listener.tokensUsedUp(at);
+        });
+        return;
+    }
+    worker.token = worker.token.next();
+    this->logger.logEvent(
+        LogKind::Dependency, "fencing token raised",
+        {{"worker", worker.entry.id}, {"token", worker.token.value()}, {"reason", reason}}, now);
+}
+
 const WorkerFleet::Run *WorkerFleet::find(std::string_view worker, const RunRef &ref) const
 {
     const auto found = this->workers.find(worker);
@@ -168,8 +195,7 @@
 
 void WorkerFleet::workerListed(const WorkerEntry &entry, TimePoint now)
 {
-    const auto [found, added] = this->workers.try_emplace(entry.id);
-    Worker &worker = found->second;
+    const auto [worker, added] = this->addWorker(entry.id);
     const std::int64_t known = worker.entry.incarnation;
     const bool wasDraining = worker.entry.draining;
     // A later process has its own entry, unless the clock was set back; the answer to a poll shows
@@ -238,6 +264,7 @@
                                {"acknowledgedEnd", worker.acknowledgedEnd},
                                {"unrecordedEnds", worker.unrecordedEnds.size()}},
                               now);
+        this->firstToken = std::max(this->firstToken, worker.token);
         entry = this->workers.erase(entry);
     }
 }
@@ -253,8 +280,7 @@
 
 void WorkerFleet::adopt(const std::string &id, std::int64_t incarnation, Run run, TimePoint now)
 {
-    const auto [found, added] = this->workers.try_emplace(id);
-    Worker &worker = found->second;
+    const auto [worker, added] = this->addWorker(id);
     if (added) {
         worker.entry.id = id;
         worker.entry.incarnation = incarnation;
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -2,6 +2,7 @@
 
 #include <Coordination/DataCenterReach.h>
 #include <Coordination/EventLogger.h>
+#include <Coordination/FencingToken.h>
 #include <Coordination/TermRecord.h>
 #include <Coordination/TimerService.h>
 #include <Tasks/PaceController.h>
@@ -65,6 +66,8 @@
     virtual void fleetChanged(TimePoint now) = 0;
     /// A worker whose leases are withheld has answered.
     virtual void silenceEnded(TimePoint now) = 0;
+    /// This leader has no higher fencing token for one of the workers, so its term has to end.
+    virtual void tokensUsedUp(TimePoint now) = 0;
 };
 
 /// The leader's sessions with all workers: renews the leases of runs, receives their ends, and
@@ -164,6 +167,13 @@
         /// certain whether the run exists.
         std::optional<TimePoint> orderConfirmedAt;
 
+        /// Whether a process that the leader does not know yet may have executed the start order.
+        bool mayBeOfUnknownProcess() const
+        {
+            const bool isOrdered = this->adopted || this->isRevocation || this->startAttempts > 0;
+            return isOrdered && !this->listedByProcess;
+        }
+
         /// Time since the worker first confirmed the start; zero before that.
         Duration elapsed(TimePoint now) const
         {
@@ -198,6 +208,9 @@
         std::set<std::int64_t> unrecordedEnds;
         /// Highest sequence number of the ends that the worker was told to discard.
         std::int64_t acknowledgedEnd = 0;
+        FencingToken token; ///< Of the next call to the worker.
+        /// Of a call that acknowledged ends and has no answer yet; empty if there is none.
+        std::optional<FencingToken> acknowledgementToken;
         bool pollInFlight = false;
         /// A timer for the end of the pause between two polls is running.
         bool pauseTimerPending = false;
@@ -227,6 +240,10 @@
         {
             return this->unrecordedEnds.empty() ? this->lastEnd : *this->unrecordedEnds.begin() - 1;
         }
+        /// Whether the worker lists ends that it needs to keep no longer.
+        bool hasEndsToAcknowledge() const { return this->recordedUpTo() > this->acknowledgedEnd; }
+        /// Whether the last poll had an answer.
+        bool isAnswering() const { return this->pollRetryDelay == Duration{}; }
     };
 
     /// Returns the end of the leader's lease by its own clock. From then on no orders are sent, and
@@ -310,18 +327,23 @@
 private:
     using RunKey = std::pair<std::string, Tasks::TaskRef>;
 
-    /// What a poll told a worker to discard.
-    struct Acknowledgement
+    /// A poll on its way, as far as its answer is judged by it.
+    struct SentPoll
     {
-        std::int64_t upTo = 0; ///< Sequence number of the last end; 0 if there is none.
-        std::int64_t incarnation = 0; ///< The process that listed these ends.
-        std::int64_t token = 0;
+        std::int64_t incarnation = 0; ///< The known process when the poll was sent.
+        FencingToken token;
+        std::int64_t acknowledgedEnd = 0; ///< See Tasks::RenewOrder::endsRecorded.
+        TimePoint sentAt{};
     };
 
     bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
     bool mayBeRenewedByOthers(const std::string &worker) const;
 
     static RunKey keyOf(const Tasks::RunRef &ref);
+    /// Returns the worker, and whether it was unknown before.
+    std::pair<Worker &, bool> addWorker(const std::string &id);
+    void raiseToken(Worker &worker, const char *reason, TimePoint now);
+    void fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
     void removeRun(Worker &worker, const RunKey &key, TimePoint now);
@@ -343,10 +365,16 @@
     Duration leaseOf(const Worker &worker) const;
     void poll(const std::string &id, TimePoint now);
     void handlePollAnswer(const std::string &id, const Tasks::WorkerAnswer &answer,
-                          TimePoint sentAt, TimePoint now);
-    void logAcknowledgement(Worker &worker, const Acknowledgement &sent,
-                            const Tasks::WorkerAnswer &answer, TimePoint now);
+                          const SentPoll &sent, TimePoint now);
+    void handlePollFailure(Worker &worker, Tasks::WorkerOutcome outcome, const SentPoll &sent,
+                           TimePoint now);
+    bool mayAcknowledge(const Worker &worker) const;
+    void settleAcknowledgement(Worker &worker, const SentPoll &sent,
+                               const Tasks::WorkerAnswer &answer, TimePoint now);
+    void logAcknowledgement(Worker &worker, const SentPoll &sent, const Tasks::WorkerAnswer &answer,
+                            TimePoint now);
     bool needsPoll(const Worker &worker) const;
+    bool mustPause(const Worker &worker, TimePoint now) const;
     void pollIfNeeded(Worker &worker, TimePoint now);
     void pollAfterPause(Worker &worker, TimePoint now);
     /// Updates the worker's incarnation and clock from an answer. Returns false if the answer is
@@ -355,6 +383,7 @@
     void acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
                             TimePoint now);
     void handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now);
+    static void abandonPoll(Worker &worker);
     bool mayBelongToNextProcess(const Worker &worker, const Run &run, TimePoint now) const;
     void suspectRestart(Worker &worker, TimePoint now);
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
@@ -369,12 +398,15 @@
     void checkLease(Worker &worker, TimePoint now);
 
     void sendStart(Worker &worker, Run &run, TimePoint now);
-    Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer, TimePoint now);
+    Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer,
+                              FencingToken token, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
-                           Tasks::WorkerAnswer answer, TimePoint sentAt, TimePoint now);
+                           Tasks::WorkerAnswer answer, FencingToken token, TimePoint sentAt,
+                           TimePoint now);
     void checkClock(const std::string &id, const Tasks::WorkerAnswer &answer,
                     std::int64_t clockAtSending, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
+    void handleOvertakenStart(Worker &worker, Run &run, TimePoint now);
     bool mayRetryStart(const Worker &worker, TimePoint now) const;
     void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
@@ -382,7 +414,7 @@
     void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
     void settleExpiredRun(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
-                          Tasks::WorkerAnswer answer, TimePoint now);
+                          Tasks::WorkerAnswer answer, FencingToken token, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
     void pause(Worker &worker, Duration span, TimePoint now);
     void adjustPaces(Worker &worker, TimePoint now);
@@ -399,7 +431,7 @@
     Tasks::PaceController paceControl;
     std::uint64_t generation = 0; ///< Answers to calls of earlier generations are ignored.
     bool active = false;
-    std::int64_t token = 0;
+    FencingToken firstToken; ///< Of the first call to a worker that becomes known.
     bool formersEnded = false; ///< No former leader renews leases any more.
     std::set<std::string> silentBefore; ///< Workers on which no former leader renews leases.
     std::set<std::string> withheld; ///< Workers on which this leader extends no lease.
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -18,7 +18,7 @@
 {
     if (!this->hasAuthority(now))
         return;
-    this->link.stop(worker.entry, {ref, this->token}, this->settings.orderTimeout,
+    this->link.stop(worker.entry, {ref, worker.token.value()}, this->settings.orderTimeout,
                     [](const WorkerAnswer &, TimePoint) {});
 }
 
@@ -51,21 +51,22 @@
 {
     run.startOutstanding = true;
     run.startAttempts++;
+    this->fenceOffAcknowledgement(worker, "a start follows an acknowledgement", now);
     Tasks::StartOrder order;
     order.run = run.ref;
     order.payload = run.payload;
     order.checkpoint = run.checkpoint;
     order.permit = run.permit;
     order.leaseUntil = this->extendLease(worker, this->settings.startLease, now);
-    order.fencingToken = this->token;
+    order.fencingToken = worker.token.value();
     this->link.start(worker.entry, order, this->settings.orderTimeout,
-                     [this, id = worker.entry.id, ref = run.ref, sentAt = now,
+                     [this, id = worker.entry.id, ref = run.ref, token = worker.token, sentAt = now,
                       clockAtSending = earliestClock(worker, now),
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                          if (generation != this->generation)
                              return;
                          this->checkClock(id, answer, clockAtSending, at);
-                         this->handleStartAnswer(id, ref, answer, sentAt, at);
+                         this->handleStartAnswer(id, ref, answer, token, sentAt, at);
                      });
 }
 
@@ -83,10 +84,10 @@
 /// Handles the common part of all answers to orders. Returns null if the worker is unknown or has
 /// fenced this leader off.
 WorkerFleet::Worker *WorkerFleet::acceptOrderAnswer(const std::string &id, WorkerAnswer &answer,
-                                                    TimePoint now)
+                                                    FencingToken token, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
-    if (worker && answer.outcome == WorkerOutcome::Fenced) {
+    if (worker && answer.outcome == WorkerOutcome::Fenced && token == worker->token) {
         this->listener.fenced(now);
         return nullptr;
     }
@@ -99,9 +100,9 @@
 }
 
 void WorkerFleet::handleStartAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
-                                    TimePoint sentAt, TimePoint now)
+                                    FencingToken token, TimePoint sentAt, TimePoint now)
 {
-    Worker *worker = this->acceptOrderAnswer(id, answer, now);
+    Worker *worker = this->acceptOrderAnswer(id, answer, token, now);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
@@ -131,6 +132,9 @@
         this->handleUnansweredStart(*worker, *run, sentAt, now);
         this->noteSilence(*worker, sentAt, now);
         return;
+    case WorkerOutcome::Fenced:
+        this->handleOvertakenStart(*worker, *run, now);
+        return;
     case WorkerOutcome::NotPermitted:
         this->listener.permitRejected(ref, id);
         this->handleRejectedStart(*worker, *run, answer.outcome, now);
@@ -152,6 +156,17 @@
     this->pollIfNeeded(*worker, now);
 }
 
+/// A later call of this leader has overtaken the start order, which was not executed.
+void WorkerFleet::handleOvertakenStart(Worker &worker, Run &run, TimePoint now)
+{
+    const bool retries = run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted
+        && this->mayRetryStart(worker, now);
+    if (retries)
+        this->sendStart(worker, run, now);
+    else
+        this->handleRejectedStart(worker, run, WorkerOutcome::Fenced, now);
+}
+
 /// A rejection concerns one attempt only. Earlier attempts without an answer may still be executed
 /// until the worker has accepted a stop order for the run, or has answered that it accepts no start
 /// of the run any more.
@@ -256,20 +271,20 @@
 {
     run.pace = percent;
     run.paceConfirmed = true;
-    this->link.setPace(worker.entry, {run.ref, percent, this->token}, this->settings.orderTimeout,
-                       [this, id = worker.entry.id, ref = run.ref,
-                        generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                           if (generation != this->generation
-                               || answer.outcome == WorkerOutcome::Done)
-                               return;
-                           Worker *target = this->workerOf(id);
-                           Run *failed = target ? this->runOf(*target, ref) : nullptr;
-                           if (!failed)
-                               return;
-                           failed->paceConfirmed = false;
-                           if (answer.outcome == WorkerOutcome::Unknown)
-                               failed->latePaceUntil = at + this->settings.maxStartDelay;
-                       });
+    this->link.setPace(
+        worker.entry, {run.ref, percent, worker.token.value()}, this->settings.orderTimeout,
+        [this, id = worker.entry.id, ref = run.ref,
+         generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
+            if (generation != this->generation || answer.outcome == WorkerOutcome::Done)
+                return;
+            Worker *target = this->workerOf(id);
+            Run *failed = target ? this->runOf(*target, ref) : nullptr;
+            if (!failed)
+                return;
+            failed->paceConfirmed = false;
+            if (answer.outcome == WorkerOutcome::Unknown)
+                failed->latePaceUntil = at + this->settings.maxStartDelay;
+        });
 }
 
 void WorkerFleet::requestStop(const std::string &id, const RunRef &ref, TimePoint now)
@@ -290,11 +305,11 @@
         return;
     }
     run.stopOutstanding = true;
-    this->link.stop(worker.entry, {run.ref, this->token}, this->settings.orderTimeout,
-                    [this, id = worker.entry.id, ref = run.ref,
+    this->link.stop(worker.entry, {run.ref, worker.token.value()}, this->settings.orderTimeout,
+                    [this, id = worker.entry.id, ref = run.ref, token = worker.token,
                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                         if (generation == this->generation)
-                            this->handleStopAnswer(id, ref, answer, at);
+                            this->handleStopAnswer(id, ref, answer, token, at);
                     });
 }
 
@@ -315,9 +330,9 @@
 }
 
 void WorkerFleet::handleStopAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
-                                   TimePoint now)
+                                   FencingToken token, TimePoint now)
 {
-    Worker *worker = this->acceptOrderAnswer(id, answer, now);
+    Worker *worker = this->acceptOrderAnswer(id, answer, token, now);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -19,7 +19,7 @@
 {
     if (!worker.hasSession)
         return worker.listed || !worker.runs.empty();
-    if (worker.recordedUpTo() > worker.acknowledgedEnd)
+    if (worker.hasEndsToAcknowledge())
         return true;
     return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
         const Run &run = entry.second;
@@ -27,13 +27,27 @@
     });
 }
 
+/// A worker that keeps ends answers a poll at once. It is polled again when they may be
+/// acknowledged, when a list may show runs that hold this up, or after a pause.
+bool WorkerFleet::mustPause(const Worker &worker, TimePoint now) const
+{
+    if (!worker.hasSession || now >= worker.pollSentAt + this->settings.maxPollPause)
+        return false;
+    if (!worker.unrecordedEnds.empty())
+        return true;
+    if (!worker.hasEndsToAcknowledge() || !worker.isAnswering() || this->mayAcknowledge(worker))
+        return false;
+    return std::none_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &entry) {
+        const Run &run = entry.second;
+        return run.mayBeOfUnknownProcess() && run.orderConfirmedAt > worker.pollSentAt;
+    });
+}
+
 void WorkerFleet::pollIfNeeded(Worker &worker, TimePoint now)
 {
     if (worker.pollInFlight || !this->needsPoll(worker))
         return;
-    const bool pauses = worker.hasSession && !worker.unrecordedEnds.empty()
-        && now < worker.pollSentAt + this->settings.maxPollPause;
-    if (pauses)
+    if (this->mustPause(worker, now))
         this->pollAfterPause(worker, now);
     else
         this->poll(worker.entry.id, now);
@@ -80,6 +94,18 @@
     return worker.entry.draining ? std::min(this->settings.drainingLease, longest) : longest;
 }
 
+/// A call does not name the process that it is meant for, so an acknowledgement discards ends of
+/// whichever process executes it. A next process must have none that nobody has seen: the known one
+/// has just answered, and has listed all runs that were ordered on the worker. Starts that follow
+/// fence the acknowledgement off.
+bool WorkerFleet::mayAcknowledge(const Worker &worker) const
+{
+    if (!worker.hasSession || !worker.isAnswering() || !worker.hasEndsToAcknowledge())
+        return false;
+    return std::none_of(worker.runs.begin(), worker.runs.end(),
+                        [](const auto &entry) { return entry.second.mayBeOfUnknownProcess(); });
+}
+
 void WorkerFleet::poll(const std::string &id, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
@@ -88,13 +114,17 @@
     if (!this->canRenew(now))
         return;
     Tasks::RenewOrder order;
-    order.fencingToken = this->token;
-    order.endsRecorded = worker->recordedUpTo();
-    const bool hasSession = worker->hasSession;
+    order.fencingToken = worker->token.value();
+    const bool acknowledges = this->mayAcknowledge(*worker);
+    if (acknowledges) {
+        order.endsRecorded = worker->recordedUpTo();
+        worker->acknowledgementToken = worker->token;
+    }
     // A worker that does not answer gets no lease extension, so that its runs end.
-    const bool answering = worker->pollRetryDelay == Duration{};
-    if (hasSession && answering && !worker->runs.empty()) {
-        order.wait = this->pollWaitOf(*worker);
+    if (worker->hasSession && worker->isAnswering() && !worker->runs.empty()) {
+        // An acknowledgement must not wait at a worker whose next process may begin meanwhile.
+        if (!acknowledges)
+            order.wait = this->pollWaitOf(*worker);
         if (!this->isWithheld(id))
             order.leaseUntil = this->extendLease(*worker, this->leaseOf(*worker), now);
     }
@@ -102,9 +132,9 @@
     worker->pollSentAt = now;
     worker->pollSerial++;
     const Duration timeout = order.wait + this->settings.pollSlack;
-    const Acknowledgement sent{order.endsRecorded, worker->entry.incarnation, order.fencingToken};
+    const SentPoll sent{worker->entry.incarnation, worker->token, order.endsRecorded, now};
     this->link.renew(worker->entry, order, timeout,
-                     [this, id, sent, sentAt = now, serial = worker->pollSerial,
+                     [this, id, sent, serial = worker->pollSerial,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                          Worker *sender
                              = generation == this->generation ? this->workerOf(id) : nullptr;
@@ -114,21 +144,39 @@
                          // A poll of an earlier process says nothing of the present one.
                          if (sender->pollSerial != serial)
                              return;
-                         if (answer.outcome == WorkerOutcome::Done)
-                             sender->acknowledgedEnd = std::max(sender->acknowledgedEnd, sent.upTo);
-                         this->handlePollAnswer(id, answer, sentAt, at);
+                         this->settleAcknowledgement(*sender, sent, answer, at);
+                         this->handlePollAnswer(id, answer, sent, at);
                      });
 }
 
+/// An acknowledgement without an answer may be executed later, so calls that follow fence it off.
+void WorkerFleet::settleAcknowledgement(Worker &worker, const SentPoll &sent,
+                                        const WorkerAnswer &answer, TimePoint now)
+{
+    if (sent.acknowledgedEnd == 0)
+        return;
+    if (answer.outcome == WorkerOutcome::Unknown)
+        this->fenceOffAcknowledgement(worker, "an acknowledgement has no answer", now);
+    worker.acknowledgementToken.reset();
+    if (answer.outcome == WorkerOutcome::Done && answer.incarnation == sent.incarnation)
+        worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, sent.acknowledgedEnd);
+}
+
+void WorkerFleet::fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now)
+{
+    if (worker.acknowledgementToken == worker.token)
+        this->raiseToken(worker, reason, now);
+}
+
 /// Logs a poll that acknowledged ends for the first time, one without an answer, which may be
 /// executed later, and one that another process has answered than it was sent for.
-void WorkerFleet::logAcknowledgement(Worker &worker, const Acknowledgement &sent,
+void WorkerFleet::logAcknowledgement(Worker &worker, const SentPoll &sent,
                                      const WorkerAnswer &answer, TimePoint now)
 {
-    if (sent.upTo == 0)
+    if (sent.acknowledgedEnd == 0)
         return;
     const bool isOfOtherProcess = answer.incarnation != 0 && answer.incarnation != sent.incarnation;
-    const bool isNew = sent.upTo > worker.acknowledgedEnd;
+    const bool isNew = sent.acknowledgedEnd > worker.acknowledgedEnd;
     const bool isUnanswered = answer.outcome == WorkerOutcome::Unknown;
     if (!isNew && !isOfOtherProcess && !isUnanswered)
         return;
@@ -142,60 +190,71 @@
                            {"incarnation", sent.incarnation},
                            {"answeredBy", answer.incarnation},
                            {"after", worker.acknowledgedEnd},
-                           {"upTo", sent.upTo},
-                           {"token", sent.token},
+                           {"upTo", sent.acknowledgedEnd},
+                           {"token", sent.token.value()},
                            {"outcome", Tasks::nameOf(answer.outcome)}},
                           now);
 }
 
 void WorkerFleet::handlePollAnswer(const std::string &id, const WorkerAnswer &answer,
-                                   TimePoint sentAt, TimePoint now)
+                                   const SentPoll &sent, TimePoint now)
 {
     Worker *worker = this->workerOf(id);
     if (!worker)
         return;
     worker->pollInFlight = false;
     if (answer.outcome == WorkerOutcome::Fenced) {
-        this->listener.fenced(now);
+        // A later call of this leader may have overtaken the poll.
+        if (sent.token < worker->token)
+            this->pollIfNeeded(*worker, now);
+        else
+            this->listener.fenced(now);
         return;
     }
     if (answer.outcome != WorkerOutcome::Done) {
-        if (answer.outcome == WorkerOutcome::Unknown)
-            this->noteSilence(*worker, sentAt, now);
-        if (worker->pollRetryDelay == Duration{})
-            this->logger.logEvent(LogKind::Dependency, "worker does not answer",
-                                  {{"worker", id}, {"runs", worker->runs.size()}}, now);
-        worker->backoffUntil = std::max(worker->backoffUntil, now + this->settings.maxRetryDelay);
-        worker->pollRetryDelay = std::clamp(worker->pollRetryDelay * 2, this->settings.retryDelay,
-                                            this->settings.maxRetryDelay);
-        this->checkLease(*worker, now);
-        this->timers.after(worker->pollRetryDelay,
-                           [this, id, generation = this->generation](TimePoint at) {
-                               if (generation != this->generation)
-                                   return;
-                               if (Worker *again = this->workerOf(id))
-                                   this->pollIfNeeded(*again, at);
-                           });
+        this->handlePollFailure(*worker, answer.outcome, sent, now);
         return;
     }
     if (std::exchange(worker->pollRetryDelay, Duration{}) != Duration{})
         this->logger.logEvent(LogKind::Dependency, "worker answers again", {{"worker", id}}, now);
     if (this->isWithheld(id))
         this->listener.silenceEnded(now);
-    this->acceptEarlierStart(*worker, answer.incarnation, sentAt, now);
+    this->acceptEarlierStart(*worker, answer.incarnation, sent.sentAt, now);
     if (!this->acceptAnswer(*worker, answer, now)) {
         this->pollIfNeeded(*worker, now);
         return;
     }
-    const bool first = !std::exchange(worker->hasSession, true);
+    const bool first = sent.token == worker->token && !std::exchange(worker->hasSession, true);
     this->processEnds(*worker, answer, now);
-    this->processRunning(*worker, answer, sentAt, now);
+    this->processRunning(*worker, answer, sent.sentAt, now);
     this->adjustPaces(*worker, now);
     if (first)
         this->listener.fleetChanged(now);
     this->pollIfNeeded(*worker, now);
 }
 
+void WorkerFleet::handlePollFailure(Worker &worker, WorkerOutcome outcome, const SentPoll &sent,
+                                    TimePoint now)
+{
+    const std::string id = worker.entry.id;
+    if (outcome == WorkerOutcome::Unknown)
+        this->noteSilence(worker, sent.sentAt, now);
+    if (worker.isAnswering())
+        this->logger.logEvent(LogKind::Dependency, "worker does not answer",
+                              {{"worker", id}, {"runs", worker.runs.size()}}, now);
+    worker.backoffUntil = std::max(worker.backoffUntil, now + this->settings.maxRetryDelay);
+    worker.pollRetryDelay = std::clamp(worker.pollRetryDelay * 2, this->settings.retryDelay,
+                                       this->settings.maxRetryDelay);
+    this->checkLease(worker, now);
+    this->timers.after(worker.pollRetryDelay,
+                       [this, id, generation = this->generation](TimePoint at) {
+                           if (generation != this->generation)
+                               return;
+                           if (Worker *again = this->workerOf(id))
+                               this->pollIfNeeded(*again, at);
+                       });
+}
+
 bool WorkerFleet::acceptAnswer(Worker &worker, const WorkerAnswer &answer, TimePoint now)
 {
     // The incarnation is the start time of the worker's process, so a lower one belongs to a
@@ -245,14 +304,15 @@
     this->logger.logEvent(LogKind::Dependency, "worker started anew",
                           {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
     worker.entry.incarnation = incarnation;
+    // Calls that were meant for the former process end with the first one to the new process.
+    this->raiseToken(worker, "the worker started anew", now);
+    worker.acknowledgementToken.reset();
     worker.lastEnd = 0;
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
     worker.hasSession = false;
-    // The new process has seen no fencing token, so it is polled at once, also if a poll of the
-    // former process is unanswered.
-    worker.pollInFlight = false;
-    worker.pollSerial++;
+    // The new process has seen no fencing token, so it is polled at once.
+    abandonPoll(worker);
     worker.consecutiveFailures = 0;
     worker.clock = 0;
     worker.clockReadAt = now;
@@ -274,6 +334,13 @@
     this->revokeUnansweredStarts(worker, now);
 }
 
+/// Ignores the answer to a poll in flight.
+void WorkerFleet::abandonPoll(Worker &worker)
+{
+    worker.pollInFlight = false;
+    worker.pollSerial++;
+}
+
 /// Polls a worker whose process seems to have restarted; the answer names the process. The end of a
 /// lease in the answered order was a time on the clock of the former process, so the new one may
 /// have granted the longest lease.
@@ -281,10 +348,11 @@
 {
     this->logger.logEvent(LogKind::Dependency, "worker may have started anew",
                           {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
-    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->longestLease());
+    this->raiseToken(worker, "the worker may have started anew", now);
+    worker.acknowledgementToken.reset();
     worker.hasSession = false;
-    worker.pollInFlight = false;
-    worker.pollSerial++;
+    abandonPoll(worker);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->longestLease());
     this->pollIfNeeded(worker, now);
 }
 
@@ -329,8 +397,11 @@
 {
     std::vector<RunEnd> ends;
     for (const EndedTask &ended : answer.ended) {
-        if (ended.number <= worker.lastEnd)
+        if (ended.number <= worker.lastEnd) {
+            // The worker has not discarded it, so it is acknowledged again.
+            worker.acknowledgedEnd = std::min(worker.acknowledgedEnd, ended.number - 1);
             continue;
+        }
         if (ended.number > worker.lastEnd + 1)
             this->logGap(worker, ended.number, now);
         worker.lastEnd = ended.number;
--- a/UnitTests/Coordination/LeaderElectionTest.cpp
+++ b/UnitTests/Coordination/LeaderElectionTest.cpp
@@ -31,6 +31,20 @@
     }
 }
 
+TEST(LeaderElection, TermThatEndsEarlyIsFollowedByOneWithAHigherToken)
+{
+    Cluster cluster(3, 2);
+    const std::string former = cluster.leader();
+    LeaderElection &election = *cluster.instances.at(former)->election;
+    const std::int64_t token = election.token();
+    election.endTermEarly("test", cluster.clock.now());
+    EXPECT_FALSE(election.isLeading(cluster.clock.now()));
+    cluster.run(milliseconds(500));
+    ASSERT_NE(cluster.leader(), "");
+    EXPECT_GT(cluster.instances.at(cluster.leader())->election->token(), token);
+    EXPECT_LE(cluster.instances.at(former)->logger.count("elected"), 2U);
+}
+
 TEST(LeaderElection, LeaderStepsDownBeforeAnotherIsElected)
 {
     Cluster cluster(3, 2);
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -18,10 +18,11 @@
         Tasks::WorkerHandler handler;
     };
 
-    void start(const Tasks::WorkerEntry &, const Tasks::StartOrder &, Duration,
+    void start(const Tasks::WorkerEntry &, const Tasks::StartOrder &order, Duration,
                Tasks::WorkerHandler handler) override
     {
         this->starts.push_back(std::move(handler));
+        this->startTokens.push_back(order.fencingToken);
     }
     void stop(const Tasks::WorkerEntry &, const Tasks::StopOrder &, Duration,
               Tasks::WorkerHandler handler) override
@@ -39,6 +40,7 @@
 
     std::vector<Renewal> renewals;
     std::vector<Tasks::WorkerHandler> starts;
+    std::vector<std::int64_t> startTokens;
     std::vector<Tasks::WorkerHandler> stops;
 };
 
@@ -50,18 +52,28 @@
     void runEnded(const RunEnd &end, TimePoint) override { this->ends.push_back(end); }
     void runLost(const RunEnd &end, const char *, TimePoint) override { this->lost.push_back(end); }
     void permitRejected(const Tasks::RunRef &, std::string_view) override {}
-    void fenced(TimePoint) override {}
+    void fenced(TimePoint) override { this->fencedCount++; }
     void fleetChanged(TimePoint) override {}
     void silenceEnded(TimePoint) override {}
+    void tokensUsedUp(TimePoint) override { this->usedUpCount++; }
 
     std::vector<RunEnd> ends;
     std::vector<RunEnd> lost;
+    std::size_t fencedCount = 0;
+    std::size_t usedUpCount = 0;
 };
 
-class IgnoredTimers final : public TimerService
+/// Runs no timer but those without a delay, when the test asks for it.
+class ManualTimers final : public TimerService
 {
 public:
-    void after(Duration, std::function<void(TimePoint)>) override {}
+    void after(Duration delay, std::function<void(TimePoint)> handler) override
+    {
+        if (delay == Duration{})
+            this->due.push_back(std::move(handler));
+    }
+
+    std::vector<std::function<void(TimePoint)>> due;
 };
 
 Tasks::WorkerAnswer answerOf(Tasks::WorkerOutcome outcome, std::int64_t incarnation)
@@ -101,6 +113,15 @@
         this->link.renewals.back().handler(answer, start);
     }
 
+    /// The worker lists one end, which is recorded then.
+    void recordFirstEnd(const std::string &job)
+    {
+        this->answerWithFirstEnd(1000, job);
+        this->fleet.endRecorded(this->listener.ends.back(), start);
+    }
+
+    const Tasks::RenewOrder &newestPoll() const { return this->link.renewals.back().order; }
+
     void assignAndStart(const Tasks::RunRef &ref, TimePoint now = start)
     {
         WorkerFleet::Run run;
@@ -140,9 +161,29 @@
         this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
     }
 
+    /// Starts two runs. The answer to the second one comes from a process with another clock, after
+    /// 1.9 s; a poll that extends the lease is on its way then unless an end keeps it waiting.
+    void startOnAProcessWithAnotherClock(bool keepsAnEnd)
+    {
+        Tasks::WorkerAnswer first = answerOf(Tasks::WorkerOutcome::Done, 1000);
+        first.clock = 50'000;
+        if (keepsAnEnd)
+            first.ended.push_back({1, {"former", {}, 1}, Tasks::EndCause::Done, ""});
+        this->link.renewals.back().handler(first, start + milliseconds(700));
+        this->assignAndStart({"a", {}, 1}, start + milliseconds(700));
+        Tasks::WorkerAnswer started = answerOf(Tasks::WorkerOutcome::Done, 0);
+        started.clock = 50'002;
+        this->link.starts.at(0)(started, start + milliseconds(702));
+        const std::size_t polls = this->link.renewals.size();
+        this->assignAndStart({"b", {}, 1}, start + milliseconds(1900));
+        started.clock = 500;
+        this->link.starts.at(1)(started, start + milliseconds(1902));
+        ASSERT_EQ(this->link.renewals.size(), polls + 1);
+    }
+
     ManualLink link;
     RecordingListener listener;
-    IgnoredTimers timers;
+    ManualTimers timers;
     RecordingEventLogger logger;
     WorkerFleet fleet{this->link, this->timers,   this->logger,
                       {},         this->listener, [] { return start + seconds(60); }};
@@ -231,18 +272,7 @@
 // has granted.
 TEST_F(WorkerFleetTest, LeaseOfAProcessWithAnotherClockCountsAsTheLongestOne)
 {
-    Tasks::WorkerAnswer first = answerOf(Tasks::WorkerOutcome::Done, 1000);
-    first.clock = 50'000;
-    this->link.renewals.back().handler(first, start);
-    this->assignAndStart({"a", {}, 1});
-    Tasks::WorkerAnswer started = answerOf(Tasks::WorkerOutcome::Done, 0);
-    started.clock = 50'002;
-    this->link.starts.at(0)(started, start + milliseconds(2));
-    const std::size_t polls = this->link.renewals.size();
-    this->assignAndStart({"b", {}, 1}, start + milliseconds(1900));
-    started.clock = 500;
-    this->link.starts.at(1)(started, start + milliseconds(1902));
-    EXPECT_EQ(this->link.renewals.size(), polls + 1);
+    this->startOnAProcessWithAnotherClock(true);
     this->link.renewals.back().handler({}, start + seconds(7));
     EXPECT_TRUE(this->listener.lost.empty());
     this->link.renewals.back().handler({}, start + seconds(9));
@@ -280,6 +310,136 @@
     EXPECT_EQ(this->link.renewals.back().order.wait, Duration{});
 }
 
+// Guards against ends that a worker's next process discards unseen: only a call that waits for
+// nothing acknowledges, and each number is acknowledged once.
+TEST_F(WorkerFleetTest, AcknowledgementIsSentOnceAndDoesNotWait)
+{
+    this->startRun({"a", {}, 1});
+    this->answerWithRun(1000, {"a", {}, 1});
+    EXPECT_GT(this->newestPoll().wait, Duration{});
+    Tasks::WorkerAnswer answer = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    answer.running.push_back({{"a", {}, 1}, "", 0, 0.0});
+    answer.ended.push_back({1, {"b", {}, 1}, Tasks::EndCause::Done, ""});
+    this->link.renewals.back().handler(answer, start + seconds(1));
+    this->fleet.endRecorded(this->listener.ends.at(0), start + seconds(1));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+    EXPECT_EQ(this->newestPoll().wait, Duration{});
+    this->answerWithRun(1000, {"a", {}, 1});
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    EXPECT_GT(this->newestPoll().wait, Duration{});
+}
+
+// Guards against the same by a start order that another process may have executed than the one that
+// listed the end.
+TEST_F(WorkerFleetTest, AcknowledgementWaitsForTheListOfAStartedRun)
+{
+    this->answerWithFirstEnd(1000, "b");
+    this->assignAndStart({"a", {}, 1});
+    this->fleet.endRecorded(this->listener.ends.at(0), start);
+    const std::size_t polls = this->link.renewals.size();
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Done, 0), start + milliseconds(2));
+    ASSERT_EQ(this->link.renewals.size(), polls + 1);
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    this->answerWithRun(1000, {"a", {}, 1});
+    ASSERT_EQ(this->link.renewals.size(), polls + 2);
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+}
+
+TEST_F(WorkerFleetTest, PollAfterOneWithoutAnAnswerAcknowledgesNothing)
+{
+    this->recordFirstEnd("b");
+    ASSERT_EQ(this->newestPoll().endsRecorded, 1);
+    this->link.renewals.back().handler({}, start + seconds(1));
+    this->fleet.resumePolls(start + seconds(2));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000),
+                                       start + seconds(2));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+}
+
+TEST_F(WorkerFleetTest, PollOfAProcessThatMayBeNewAcknowledgesNothing)
+{
+    this->startOnAProcessWithAnotherClock(true);
+    this->fleet.endRecorded(this->listener.ends.at(0), start + milliseconds(1950));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+}
+
+// Guards against an acknowledgement that is executed, in a new process, after a later start order.
+TEST_F(WorkerFleetTest, StartFencesOffAnAcknowledgementThatIsOnItsWay)
+{
+    this->recordFirstEnd("b");
+    ASSERT_EQ(this->newestPoll().endsRecorded, 1);
+    this->assignAndStart({"a", {}, 1});
+    EXPECT_GT(this->link.startTokens.at(0), this->newestPoll().fencingToken);
+}
+
+TEST_F(WorkerFleetTest, StartFencesOffAnAcknowledgementWithoutAnAnswer)
+{
+    this->recordFirstEnd("b");
+    const std::int64_t token = this->newestPoll().fencingToken;
+    this->link.renewals.back().handler({}, start + seconds(1));
+    this->assignAndStart({"a", {}, 1});
+    EXPECT_GT(this->link.startTokens.at(0), token);
+}
+
+TEST_F(WorkerFleetTest, NewProcessFencesOffCallsThatWereMeantForTheFormerOne)
+{
+    const std::int64_t token = this->newestPoll().fencingToken;
+    this->list(2000);
+    EXPECT_GT(this->newestPoll().fencingToken, token);
+}
+
+TEST_F(WorkerFleetTest, CallsThatALaterOneHasOvertakenAreRepeated)
+{
+    this->recordFirstEnd("b");
+    const ManualLink::Renewal acknowledgement = this->link.renewals.back();
+    this->assignAndStart({"a", {}, 1});
+    acknowledgement.handler(answerOf(Tasks::WorkerOutcome::Fenced, 0), start + milliseconds(5));
+    this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Done, 0), start + milliseconds(6));
+    this->answerWithRun(1000, {"a", {}, 1});
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+    EXPECT_EQ(this->listener.fencedCount, 0U);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Fenced, 0),
+                                       start + seconds(2));
+    EXPECT_EQ(this->listener.fencedCount, 1U);
+}
+
+TEST_F(WorkerFleetTest, StartThatAnAnswerOfItsOwnLeaderHasFencedOffIsRepeated)
+{
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    this->assignAndStart({"a", {}, 1});
+    this->recordFirstEnd("b");
+    this->assignAndStart({"c", {}, 1});
+    this->link.starts.at(1)(answerOf(Tasks::WorkerOutcome::Done, 0), start + milliseconds(2));
+    EXPECT_EQ(this->listener.fencedCount, 0U);
+}
+
+TEST_F(WorkerFleetTest, TokenOfAForgottenWorkerIsNotUsedAgain)
+{
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    this->list(2000);
+    const std::int64_t token = this->newestPoll().fencingToken;
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 2000), start);
+    this->fleet.workerUnlisted("worker-0", start);
+    this->fleet.forgetUnlisted(start + seconds(30));
+    ASSERT_TRUE(this->fleet.all().empty());
+    this->list(2000);
+    EXPECT_GE(this->newestPoll().fencingToken, token);
+}
+
+TEST_F(WorkerFleetTest, TermWithoutTokensLeftEnds)
+{
+    for (std::int64_t i = 1; i < FencingToken::stepsOfTerm; i++)
+        this->list(1000 + i);
+    EXPECT_TRUE(this->timers.due.empty());
+    this->list(1000 + FencingToken::stepsOfTerm);
+    ASSERT_EQ(this->timers.due.size(), 1U);
+    this->timers.due.at(0)(start);
+    EXPECT_EQ(this->listener.usedUpCount, 1U);
+    EXPECT_LT(this->newestPoll().fencingToken, FencingToken(8).value());
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/platform/AdaptersTest.cpp
+++ b/UnitTests/platform/AdaptersTest.cpp
@@ -118,6 +118,23 @@
     EXPECT_EQ(peer.requests, 2);
 }
 
+TEST_F(AdapterTest, AcknowledgementIsSentOnceWhenItsReusedConnectionIsLost)
+{
+    Runtime::ClosingServer peer(this->loop);
+    this->worker.address = peer.address();
+    const auto renew = [this](std::int64_t endsRecorded) {
+        std::optional<Tasks::WorkerAnswer> answer;
+        Tasks::RenewOrder order;
+        order.endsRecorded = endsRecorded;
+        this->workers.renew(this->worker, order, seconds(20),
+                            [&answer](const Tasks::WorkerAnswer &a, TimePoint) { answer = a; });
+        this->wait(answer);
+    };
+    renew(0);
+    renew(3);
+    EXPECT_EQ(peer.requests, 2);
+}
+
 TEST_F(AdapterTest, CommitIsSentOnceWhenItsReusedConnectionIsLost)
 {
     Runtime::ClosingServer peer(this->loop);
