Count with a renewal that a worker's next process executes late

What callers would see: a task that runs twice at the same time, after its worker came back under its old id and was cut off.

A poll that extends the lease and has no answer yet, or never gets one, may be executed by the worker's next process up to 13 s later. The end of the lease that it asks for is a time on the former clock, so the next process grants the longest one. The leader counted the longest lease from the moment at which it noticed, or suspected, the restart.

Why this works: a renewal in flight or given up counts like an unanswered start order in the latest time at which a call may still be executed. The price, a wait of up to 13 s more on a worker that restarted and can't be reached, ends with the first answer: under the new token no earlier call extends the lease, so it ends after the longest lease at most. That holds for the first answer to a new leader as well, which no longer counts the grace time of former leaders on workers that have answered.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -141,6 +141,7 @@
         return;
     }
     worker.token = worker.token.next();
+    worker.tokenIsNew = true;
     this->logger.logEvent(
         LogKind::Dependency, "fencing token raised",
         {{"worker", worker.entry.id}, {"token", worker.token.value()}, {"reason", reason}}, now);
@@ -252,7 +253,7 @@
     for (auto entry = this->workers.begin(); entry != this->workers.end();) {
         const Worker &worker = entry->second;
         const bool needed = worker.listed || worker.pollInFlight || !worker.runs.empty()
-            || this->latestStart(worker, now) > now;
+            || this->latestExecution(worker, now) > now;
         if (needed) {
             ++entry;
             continue;
@@ -295,7 +296,7 @@
     const bool restarted = worker.entry.incarnation != incarnation;
     const Duration grace
         = this->mayBeRenewedByOthers(id) ? this->settings.renewalGrace : Duration{};
-    const TimePoint lastGrant = restarted ? this->latestStart(worker, now) : now + grace;
+    const TimePoint lastGrant = restarted ? this->latestExecution(worker, now) : now + grace;
     worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, lastGrant + this->longestLease());
     this->assign(id, std::move(run), now);
     this->timers.after(worker.leaseExpiresAt - now,
@@ -406,13 +407,15 @@
         && now <= open->second + this->settings.maxStartDelay;
 }
 
-/// Latest time at which a start order without an answer may still be executed; `now` if there is
-/// none.
-TimePoint WorkerFleet::latestStart(const Worker &worker, TimePoint now) const
+/// Latest time at which a call without an answer may still start a run or extend the lease; `now`
+/// if there is none.
+TimePoint WorkerFleet::latestExecution(const Worker &worker, TimePoint now) const
 {
     TimePoint latest = now;
     for (const auto &[ref, givenUpAt] : worker.unansweredStarts)
         latest = std::max(latest, givenUpAt + this->settings.maxStartDelay);
+    if (worker.renewalGivenUpAt)
+        latest = std::max(latest, *worker.renewalGivenUpAt + this->settings.maxStartDelay);
     return latest;
 }
 
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -209,9 +209,13 @@
         /// Highest sequence number of the ends that the worker was told to discard.
         std::int64_t acknowledgedEnd = 0;
         FencingToken token; ///< Of the next call to the worker.
+        bool tokenIsNew = true; ///< No poll with this token has been answered yet.
         /// Of a call that acknowledged ends and has no answer yet; empty if there is none.
         std::optional<FencingToken> acknowledgementToken;
         bool pollInFlight = false;
+        bool renewalInFlight = false; ///< The poll in flight extends the lease.
+        /// When a poll that extended the lease was last given up without an answer.
+        std::optional<TimePoint> renewalGivenUpAt;
         /// A timer for the end of the pause between two polls is running.
         bool pauseTimerPending = false;
         std::uint64_t pollSerial = 0; ///< Answers to polls with a lower serial are ignored.
@@ -333,6 +337,7 @@
         std::int64_t incarnation = 0; ///< The known process when the poll was sent.
         FencingToken token;
         std::int64_t acknowledgedEnd = 0; ///< See Tasks::RenewOrder::endsRecorded.
+        bool extendsLease = false;
         TimePoint sentAt{};
     };
 
@@ -351,7 +356,7 @@
 
     Duration longestLease() const;
     bool mayStillStart(const Worker &worker, const Tasks::RunRef &ref, TimePoint now) const;
-    TimePoint latestStart(const Worker &worker, TimePoint now) const;
+    TimePoint latestExecution(const Worker &worker, TimePoint now) const;
     Duration boundOfLease(Duration lease) const;
     std::int64_t extendLease(Worker &worker, Duration lease, TimePoint now);
     /// Lowest value in ms that the clock of the worker's known process may show; 0 if unknown.
@@ -368,6 +373,7 @@
                           const SentPoll &sent, TimePoint now);
     void handlePollFailure(Worker &worker, Tasks::WorkerOutcome outcome, const SentPoll &sent,
                            TimePoint now);
+    bool beginSession(Worker &worker, TimePoint now) const;
     bool mayAcknowledge(const Worker &worker) const;
     void settleAcknowledgement(Worker &worker, const SentPoll &sent,
                                const Tasks::WorkerAnswer &answer, TimePoint now);
@@ -383,7 +389,7 @@
     void acceptEarlierStart(Worker &worker, std::int64_t incarnation, TimePoint sentAt,
                             TimePoint now);
     void handleRestart(Worker &worker, std::int64_t incarnation, TimePoint now);
-    static void abandonPoll(Worker &worker);
+    void abandonPoll(Worker &worker, TimePoint now);
     bool mayBelongToNextProcess(const Worker &worker, const Run &run, TimePoint now) const;
     void suspectRestart(Worker &worker, TimePoint now);
     void revokeUnansweredStarts(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -121,7 +121,7 @@
         // The order may have been sent to a process that has restarted since.
         if (!worker->hasSession)
             worker->leaseExpiresAt = std::max(
-                worker->leaseExpiresAt, this->latestStart(*worker, now) + this->longestLease());
+                worker->leaseExpiresAt, this->latestExecution(*worker, now) + this->longestLease());
         this->logger.logEvent(LogKind::Task, "start not answered",
                               {{"request", ref.job},
                                {"run", Tasks::textOf(ref)},
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -129,10 +129,12 @@
             order.leaseUntil = this->extendLease(*worker, this->leaseOf(*worker), now);
     }
     worker->pollInFlight = true;
+    worker->renewalInFlight = order.leaseUntil != 0;
     worker->pollSentAt = now;
     worker->pollSerial++;
     const Duration timeout = order.wait + this->settings.pollSlack;
-    const SentPoll sent{worker->entry.incarnation, worker->token, order.endsRecorded, now};
+    const SentPoll sent{worker->entry.incarnation, worker->token, order.endsRecorded,
+                        worker->renewalInFlight, now};
     this->link.renew(worker->entry, order, timeout,
                      [this, id, sent, serial = worker->pollSerial,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
@@ -224,7 +226,7 @@
         this->pollIfNeeded(*worker, now);
         return;
     }
-    const bool first = sent.token == worker->token && !std::exchange(worker->hasSession, true);
+    const bool first = sent.token == worker->token && this->beginSession(*worker, now);
     this->processEnds(*worker, answer, now);
     this->processRunning(*worker, answer, sent.sentAt, now);
     this->adjustPaces(*worker, now);
@@ -237,8 +239,11 @@
                                     TimePoint now)
 {
     const std::string id = worker.entry.id;
-    if (outcome == WorkerOutcome::Unknown)
+    if (outcome == WorkerOutcome::Unknown) {
+        if (sent.extendsLease)
+            worker.renewalGivenUpAt = now;
         this->noteSilence(worker, sent.sentAt, now);
+    }
     if (worker.isAnswering())
         this->logger.logEvent(LogKind::Dependency, "worker does not answer",
                               {{"worker", id}, {"runs", worker.runs.size()}}, now);
@@ -255,6 +260,15 @@
                        });
 }
 
+/// The first answer under a token shows that calls with a lower one extend the lease no more.
+/// Returns whether the worker had no session before.
+bool WorkerFleet::beginSession(Worker &worker, TimePoint now) const
+{
+    if (std::exchange(worker.tokenIsNew, false))
+        worker.leaseExpiresAt = std::min(worker.leaseExpiresAt, now + this->longestLease());
+    return !std::exchange(worker.hasSession, true);
+}
+
 bool WorkerFleet::acceptAnswer(Worker &worker, const WorkerAnswer &answer, TimePoint now)
 {
     // The incarnation is the start time of the worker's process, so a lower one belongs to a
@@ -312,7 +326,7 @@
     worker.unrecordedEnds.clear();
     worker.hasSession = false;
     // The new process has seen no fencing token, so it is polled at once.
-    abandonPoll(worker);
+    this->abandonPoll(worker, now);
     worker.consecutiveFailures = 0;
     worker.clock = 0;
     worker.clockReadAt = now;
@@ -322,7 +336,7 @@
     }
     // The worker's clock restarted too, so the end of an earlier lease is meaningless, also in
     // start orders that are still in flight.
-    worker.leaseExpiresAt = this->latestStart(worker, now) + this->longestLease();
+    worker.leaseExpiresAt = this->latestExecution(worker, now) + this->longestLease();
     std::vector<RunKey> lost;
     for (auto &[key, run] : worker.runs) {
         if (!this->mayBelongToNextProcess(worker, run, now))
@@ -334,10 +348,11 @@
     this->revokeUnansweredStarts(worker, now);
 }
 
-/// Ignores the answer to a poll in flight.
-void WorkerFleet::abandonPoll(Worker &worker)
+/// Ignores the answer to a poll in flight, which any process of the worker may execute yet.
+void WorkerFleet::abandonPoll(Worker &worker, TimePoint now)
 {
-    worker.pollInFlight = false;
+    if (std::exchange(worker.pollInFlight, false) && worker.renewalInFlight)
+        worker.renewalGivenUpAt = now;
     worker.pollSerial++;
 }
 
@@ -351,8 +366,9 @@
     this->raiseToken(worker, "the worker may have started anew", now);
     worker.acknowledgementToken.reset();
     worker.hasSession = false;
-    abandonPoll(worker);
-    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + this->longestLease());
+    this->abandonPoll(worker, now);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt,
+                                     this->latestExecution(worker, now) + this->longestLease());
     this->pollIfNeeded(worker, now);
 }
 
--- a/UnitTests/Coordination/RestartedWorkerTest.cpp
+++ b/UnitTests/Coordination/RestartedWorkerTest.cpp
@@ -136,6 +136,25 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
 }
 
+// Guards against a second run beside one whose lease was extended, in a process that nobody knows
+// yet, by a poll that was meant for the former one.
+TEST_F(RestartedWorker, LateRenewalOfTheFormerProcessDoesNotOutliveTheLeadersBound)
+{
+    this->useFormerProcess();
+    this->cluster.workers.orderDelay = seconds(6);
+    this->cluster.workers.delayedPolls = {this->worker};
+    this->cluster.run(milliseconds(1600));
+    this->cluster.workers.delayedPolls.clear();
+    this->cluster.workers.restart(this->worker);
+    this->accept(3, jobBody("30000", 1, 1));
+    while (this->cluster.workers.startsOf(jobId(3)) == 0)
+        this->cluster.run(milliseconds(1));
+    this->cutOff(true);
+    this->cluster.putWorker(this->cluster.workers.entryOf("worker-1"));
+    this->cluster.run(seconds(40));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 2U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -279,6 +279,34 @@
     EXPECT_EQ(this->listener.lost.size(), 2U);
 }
 
+// Guards against the same by a poll in flight, which the new process may execute up to 13 s later.
+TEST_F(WorkerFleetTest, RenewalInFlightAtARestartMayExtendTheLeaseOfTheNewProcess)
+{
+    this->startOnAProcessWithAnotherClock(false);
+    this->link.renewals.back().handler({}, start + seconds(20));
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->link.renewals.back().handler({}, start + seconds(22));
+    EXPECT_EQ(this->listener.lost.size(), 2U);
+}
+
+// Guards against tasks that wait for leases which no call can extend any more.
+TEST_F(WorkerFleetTest, LeaseIsShortAgainOnceTheNewProcessHasAnswered)
+{
+    this->startOnAProcessWithAnotherClock(false);
+    Tasks::WorkerAnswer answer = answerOf(Tasks::WorkerOutcome::Done, 2000);
+    answer.clock = 600;
+    answer.running.push_back({{"b", {}, 1}, "", 0, 0.0});
+    this->link.renewals.back().handler(answer, start + seconds(2));
+    ASSERT_EQ(this->listener.lost.size(), 1U);
+    // The answer to the next poll shows that the new process knows the new token.
+    EXPECT_EQ(this->newestPoll().wait, Duration{});
+    this->link.renewals.back().handler(answer, start + milliseconds(2005));
+    this->link.renewals.back().handler({}, start + seconds(8));
+    EXPECT_EQ(this->listener.lost.size(), 1U);
+    this->link.renewals.back().handler({}, start + seconds(9));
+    EXPECT_EQ(this->listener.lost.size(), 2U);
+}
+
 TEST_F(WorkerFleetTest, RunMissingFromAListWithOnePageOfEndsIsNotLost)
 {
     this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
