Workers of the tests: a way of polls, and polls that acknowledge until they are answered

Cause: no fake could play a poll that is carried out by the next process of its worker, nor a worker that applies an acknowledgement when it answers.

--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -411,14 +411,19 @@
         return answer;
     if (order.leaseUntil != 0)
         this->extendLease(id, order.leaseUntil);
+    this->discardEnds(id, order.endsRecorded);
+    return this->report(machine);
+}
+
+void FakeWorkers::discardEnds(const std::string &id, std::int64_t upTo)
+{
+    Machine &machine = this->machines[id];
     for (const Tasks::EndedTask &ended : machine.ended) {
-        if (ended.number <= order.endsRecorded && ended.cause == EndCause::Done)
+        if (ended.number <= upTo && ended.cause == EndCause::Done)
             this->acknowledgedDone.insert({ended.run.job, ended.run.task});
     }
-    std::erase_if(machine.ended, [&order](const Tasks::EndedTask &ended) {
-        return ended.number <= order.endsRecorded;
-    });
-    return this->report(machine);
+    std::erase_if(machine.ended,
+                  [upTo](const Tasks::EndedTask &ended) { return ended.number <= upTo; });
 }
 
 WorkerAnswer FakeWorkers::report(const Machine &machine) const
@@ -533,7 +538,10 @@
         this->answer(handler, {}, timeout);
         return;
     }
-    target.clock.in(target.latency, [this, &target, id, order, handler, alive = this->alive] {
+    const auto delay = target.pollDelays.find(id);
+    const Duration way
+        = target.latency + (delay == target.pollDelays.end() ? Duration{} : delay->second);
+    target.clock.in(way, [this, &target, id, order, handler, alive = this->alive] {
         WorkerAnswer first = target.renew(id, order);
         const bool waits
             = first.outcome == WorkerOutcome::Done && first.ended.empty() && order.wait.count() > 0;
@@ -544,11 +552,13 @@
         }
         const auto done = std::make_shared<bool>(false);
         const std::int64_t incarnation = target.machines[id].entry.incarnation;
-        const auto reply = [this, &target, id, incarnation, handler, alive, done] {
+        const auto reply = [this, &target, id, incarnation, order, handler, alive, done] {
             // A worker that crashes sends nothing, so the next process does not answer the poll.
             const bool isSameProcess = target.machines[id].entry.incarnation == incarnation;
             if (!*alive || !isSameProcess || !this->reaches(id) || std::exchange(*done, true))
                 return;
+            if (target.waitingPollsAcknowledge)
+                target.discardEnds(id, order.endsRecorded);
             this->answer(handler, target.report(target.machines[id]), target.latency);
         };
         target.machines[id].waiting.push_back(reply);
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -59,6 +59,10 @@
     std::set<std::string> delayedWorkers;
     /// Workers that execute polls after `orderDelay` and don't answer them.
     std::set<std::string> delayedPolls;
+    /// Added to the way of polls to a worker, which reach the process that runs by then.
+    std::map<std::string, Duration> pollDelays;
+    /// A poll that waits acknowledges ends until it is answered, not only when it arrives.
+    bool waitingPollsAcknowledge = false;
     /// Workers that execute pace orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedPaceOrders;
     /// Workers that refuse connections for orders.
@@ -157,6 +161,7 @@
     std::int32_t percentOf(const Task &task) const;
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
+    void discardEnds(const std::string &id, std::int64_t upTo);
     Tasks::WorkerAnswer report(const Machine &machine) const;
     void checkStart(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
     void checkCapacity(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
