Workers of the tests record ends that were discarded before an answer listed them

Cause: a violation shows that a task ran twice, not why. Whether an acknowledgement discarded an end that nobody had seen could only be worked out from several logs. Change: endsDiscardedUnlisted names the run, the number, the process and the acknowledgement. It is no violation by itself.

--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -421,13 +421,25 @@
     for (const Tasks::EndedTask &ended : machine.ended) {
         if (ended.number <= upTo && ended.cause == EndCause::Done)
             this->acknowledgedDone.insert({ended.run.job, ended.run.task});
+        if (ended.number <= upTo && ended.number > machine.listedUpTo)
+            this->endsDiscardedUnlisted.push_back(
+                describe(ended.run)
+                    .append(" ended as number ")
+                    .append(std::to_string(ended.number))
+                    .append(" of process ")
+                    .append(std::to_string(machine.entry.incarnation))
+                    .append(" of ")
+                    .append(id)
+                    .append(", which discarded it unlisted at the acknowledgement of ")
+                    .append(std::to_string(upTo)));
     }
     std::erase_if(machine.ended,
                   [upTo](const Tasks::EndedTask &ended) { return ended.number <= upTo; });
 }
 
-WorkerAnswer FakeWorkers::report(const Machine &machine) const
+WorkerAnswer FakeWorkers::report(Machine &machine) const
 {
+    machine.listedUpTo = machine.lastEnd;
     WorkerAnswer answer;
     answer.outcome = WorkerOutcome::Done;
     answer.clock = this->clockOf(machine);
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -115,6 +115,8 @@
     bool runsJob(const std::string &id, const std::string &job) const;
     std::size_t startsOf(const std::string &job) const;
     Violations violations;
+    /// Descriptions of ends that an acknowledgement discarded before any answer listed them.
+    std::vector<std::string> endsDiscardedUnlisted;
     /// When the cancellation of a job was acknowledged, by job.
     std::map<std::string, TimePoint> cancelledAt;
 
@@ -145,6 +147,7 @@
         std::map<std::pair<std::string, Tasks::TaskRef>, std::int32_t> endedRuns;
         std::vector<Tasks::EndedTask> ended;
         std::int64_t lastEnd = 0;
+        std::int64_t listedUpTo = 0; ///< Number of the last end that an answer listed.
         /// Pending polls, which are answered when a run ends.
         std::vector<std::function<void()>> waiting;
     };
@@ -162,7 +165,7 @@
     double loadOf(const Machine &machine, const Task &task) const;
     void checkResponseTimes(const std::string &id);
     void discardEnds(const std::string &id, std::int64_t upTo);
-    Tasks::WorkerAnswer report(const Machine &machine) const;
+    Tasks::WorkerAnswer report(Machine &machine) const;
     void checkStart(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
     void checkCapacity(const std::string &id, const Tasks::RunRef &run, const TaskScript &script);
     void begin(const std::string &id, Task &task);
