--- a/Soak/FaultSchedule.cpp
+++ b/Soak/FaultSchedule.cpp
@@ -1,7 +1,9 @@
 #include <Soak/FaultSchedule.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <stdexcept>
 
 namespace Hibiscus::Soak {
 
@@ -24,6 +26,11 @@
     {"delayed orders", &FaultSchedule::delayOrders},
     {"key change", &FaultSchedule::changeKeys},
     {"configuration change", &FaultSchedule::changeConfiguration},
+    {"worker back under its old id", &FaultSchedule::restartWorkersUnderOldIds, false},
+    {"late polls", &FaultSchedule::delayPolls, false},
+    {"unanswered polls", &FaultSchedule::leavePollsUnanswered, false},
+    {"late orders to a restarted worker", &FaultSchedule::restartWorkerWithLateOrders, false},
+    {"kill leader", &FaultSchedule::killLeader, false},
 };
 
 FaultSchedule::FaultSchedule(boost::asio::io_context &loop, SoakSite &site, SoakClients &clients,
@@ -33,7 +40,21 @@
     , clients(clients)
     , settings(settings)
     , random(seed)
-{}
+{
+    this->selectFaults();
+}
+
+void FaultSchedule::selectFaults()
+{
+    const std::vector<std::string> &only = this->settings.only;
+    for (const NamedFault &fault : faults) {
+        const bool isNamed = std::find(only.begin(), only.end(), fault.name) != only.end();
+        if (isNamed || (only.empty() && fault.isDefault))
+            this->selected.push_back(&fault);
+    }
+    if (this->selected.empty() || (!only.empty() && this->selected.size() != only.size()))
+        throw std::invalid_argument("a named fault is unknown or named twice");
+}
 
 void FaultSchedule::start()
 {
@@ -53,11 +74,11 @@
 {
     if (this->stopped)
         return;
-    const NamedFault &selected
-        = faults[this->random(static_cast<std::uint32_t>(std::size(faults)))];
-    this->counts[selected.name]++;
-    this->site.logAction("fault", {{"name", selected.name}});
-    (this->*selected.fault)();
+    const NamedFault &drawn
+        = *this->selected[this->random(static_cast<std::uint32_t>(this->selected.size()))];
+    this->counts[drawn.name]++;
+    this->site.logAction("fault", {{"name", drawn.name}});
+    (this->*drawn.fault)();
     const Duration pause
         = Duration(this->random(static_cast<std::uint32_t>(this->settings.maxPause.count())));
     this->schedule(pause, [this] { this->injectNext(); });
@@ -65,9 +86,12 @@
 
 Duration FaultSchedule::drawFaultDuration()
 {
-    const Duration range = this->settings.maxFaultDuration - this->settings.minFaultDuration;
-    return this->settings.minFaultDuration
-        + Duration(this->random(static_cast<std::uint32_t>(range.count())));
+    return this->drawDuration(this->settings.minFaultDuration, this->settings.maxFaultDuration);
+}
+
+Duration FaultSchedule::drawDuration(Duration min, Duration max)
+{
+    return min + Duration(this->random(static_cast<std::uint32_t>((max - min).count())));
 }
 
 std::size_t FaultSchedule::drawInstance()
@@ -206,6 +230,78 @@
                    [this, worker] { this->site.setOrdersDelayed(worker, false); });
 }
 
+void FaultSchedule::restartWorkersUnderOldIds()
+{
+    const std::size_t count = this->random(3) == 0 ? 1 + this->random(4) : 1;
+    for (std::size_t i = 0; i < count; i++)
+        this->restartUnderOldId(this->drawWorker());
+    if (this->random(4) == 0)
+        this->schedule(this->drawDuration(Duration{}, seconds(3)), [this] { this->killLeader(); });
+}
+
+/// The new process executes polls that are sent during the dark time, and for up to 2 s after it
+/// executes polls late. Orders that are sent during the dark time are dropped, so that no late
+/// start order takes part; the fault "late orders to a restarted worker" covers those.
+void FaultSchedule::restartUnderOldId(std::size_t worker)
+{
+    const Duration darkTime = this->drawDuration(milliseconds(100), milliseconds(800));
+    this->site.restartWorkerSilently(worker);
+    this->site.setOrdersDropped(worker, true);
+    this->schedule(darkTime, [this, worker] { this->site.setOrdersDropped(worker, false); });
+    this->site.setPollDelay(worker, this->drawDuration(darkTime, darkTime + milliseconds(1500)));
+    this->schedule(darkTime + this->drawDuration(Duration{}, seconds(2)),
+                   [this, worker] { this->site.setPollDelay(worker, Duration{}); });
+    this->schedule(darkTime + this->drawDuration(Duration{}, milliseconds(2500)),
+                   [this, worker] { this->site.publishWorker(worker); });
+    this->schedule(darkTime + this->drawDuration(milliseconds(50), seconds(2)),
+                   [this, worker] { this->cutWorkerOff(worker); });
+}
+
+void FaultSchedule::cutWorkerOff(std::size_t worker)
+{
+    static constexpr ConnectionFault cuts[]
+        = {ConnectionFault::Blackhole, ConnectionFault::DropToClient, ConnectionFault::Reset};
+    FaultProxy &proxy = this->site.workerProxy(worker);
+    proxy.setFault(cuts[this->random(std::size(cuts))]);
+    this->schedule(this->drawDuration(seconds(1), seconds(6)),
+                   [&proxy] { proxy.setFault(ConnectionFault::None); });
+}
+
+void FaultSchedule::killLeader()
+{
+    const std::optional<std::size_t> leader = this->site.leader();
+    if (leader && !this->stopped)
+        this->site.signalInstance(*leader, SIGKILL);
+}
+
+void FaultSchedule::delayPolls()
+{
+    const std::size_t worker = this->drawWorker();
+    this->site.setPollDelay(worker, this->drawDuration(milliseconds(200), seconds(3)));
+    this->schedule(this->drawFaultDuration(),
+                   [this, worker] { this->site.setPollDelay(worker, Duration{}); });
+}
+
+void FaultSchedule::leavePollsUnanswered()
+{
+    const std::size_t worker = this->drawWorker();
+    this->site.setPollsUnanswered(worker, true);
+    this->schedule(this->drawFaultDuration(),
+                   [this, worker] { this->site.setPollsUnanswered(worker, false); });
+}
+
+void FaultSchedule::restartWorkerWithLateOrders()
+{
+    const std::size_t worker = this->drawWorker();
+    this->site.setOrdersDelayed(worker, true);
+    this->schedule(this->drawDuration(milliseconds(100), milliseconds(800)), [this, worker] {
+        this->site.restartWorkerSilently(worker);
+        this->site.setOrdersDelayed(worker, false);
+    });
+    this->schedule(this->drawDuration(milliseconds(800), milliseconds(3300)),
+                   [this, worker] { this->site.publishWorker(worker); });
+}
+
 void FaultSchedule::changeKeys()
 {
     const std::string key = "key-" + std::to_string(++this->keyNumber);
--- a/Soak/FaultSchedule.h
+++ b/Soak/FaultSchedule.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <pcg_random.hpp>
 #include <string>
+#include <vector>
 
 namespace Hibiscus::Soak {
 
@@ -18,6 +19,8 @@
         Duration maxPause = milliseconds(900); ///< Maximum time between the starts of two faults.
         Duration minFaultDuration = milliseconds(400);
         Duration maxFaultDuration = milliseconds(4000);
+        /// Names of the faults to draw from; empty for those that are drawn by default.
+        std::vector<std::string> only;
     };
 
     FaultSchedule(boost::asio::io_context &loop, SoakSite &site, SoakClients &clients,
@@ -34,12 +37,16 @@
     {
         const char *name;
         Fault fault;
+        bool isDefault = true; ///< Is drawn unless faults are named.
     };
     static const NamedFault faults[];
 
+    void selectFaults();
     void injectNext();
     void schedule(Duration delay, std::function<void()> step);
     Duration drawFaultDuration();
+    /// Returns a duration of at least `min` and less than `max`.
+    Duration drawDuration(Duration min, Duration max);
     std::size_t drawInstance();
     std::size_t drawWorker();
 
@@ -59,6 +66,13 @@
     void restartWorker();
     void drainWorker();
     void delayOrders();
+    void restartWorkersUnderOldIds();
+    void restartUnderOldId(std::size_t worker);
+    void cutWorkerOff(std::size_t worker);
+    void killLeader();
+    void delayPolls();
+    void leavePollsUnanswered();
+    void restartWorkerWithLateOrders();
     void changeKeys();
     void changeConfiguration();
 
@@ -69,6 +83,7 @@
     SoakClients &clients;
     Settings settings;
     pcg32 random;
+    std::vector<const NamedFault *> selected;
     std::map<std::string, std::size_t> counts;
     std::size_t keyNumber = 1;
     bool stopped = false;
--- a/Soak/SoakClients.cpp
+++ b/Soak/SoakClients.cpp
@@ -16,7 +16,7 @@
 
 constexpr Duration revocationBound = seconds(5);
 
-/// Properties of a random job; most jobs are small and short.
+/// Properties of a random job.
 struct JobShape
 {
     std::int32_t tasks = 1;
@@ -27,12 +27,30 @@
     bool checkpoints = false;
 };
 
+struct RunTimeRange
+{
+    std::uint32_t minMs;
+    std::uint32_t maxMs;
+};
+constexpr RunTimeRange shortRuns{30, 230};
+constexpr RunTimeRange usualRuns{200, 1400};
+constexpr RunTimeRange longRuns{3000, 6000};
+
+/// Returns a short run time for a third of the jobs and a long one for a sixth.
+std::int32_t drawRunMs(pcg32 &random)
+{
+    static constexpr RunTimeRange ranges[]
+        = {shortRuns, shortRuns, usualRuns, usualRuns, usualRuns, longRuns};
+    const RunTimeRange &range = ranges[random(std::size(ranges))];
+    return static_cast<std::int32_t>(range.minMs + random(range.maxMs - range.minMs));
+}
+
 JobShape drawShape(pcg32 &random)
 {
     JobShape shape;
     shape.tasks = 1 + static_cast<std::int32_t>(random(5));
     shape.accelerators = 1 << random(4);
-    shape.runMs = 200 + static_cast<std::int32_t>(random(1800));
+    shape.runMs = drawRunMs(random);
     shape.gang = random(3) == 0;
     shape.fails = random(20) == 0;
     shape.checkpoints = random(2) == 0;
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -1,3 +1,4 @@
+#include <Coordination/StoreKeys.h>
 #include <Runtime/Clock.h>
 #include <Soak/SoakSite.h>
 #include <Soak/StandInWire.h>
@@ -78,8 +79,9 @@
     const auto passed = std::chrono::duration_cast<Duration>(now - this->clockAdvancedAt);
     this->clockAdvancedAt += passed;
     this->clock.run(passed);
-    for (; this->loggedViolations < this->workers.violations.size(); this->loggedViolations++)
-        this->logAction("violation", {{"text", this->workers.violations[this->loggedViolations]}});
+    this->logNewTexts("violation", this->workers.violations, this->loggedViolations);
+    this->logNewTexts("end discarded unlisted", this->workers.endsDiscardedUnlisted,
+                      this->loggedDiscards);
     this->clockTimer.expires_after(clockInterval);
     this->clockTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -87,6 +89,13 @@
     });
 }
 
+void SoakSite::logNewTexts(std::string_view action, std::span<const std::string> texts,
+                           std::size_t &logged)
+{
+    for (; logged < texts.size(); logged++)
+        this->logAction(action, {{"text", texts[logged]}});
+}
+
 void SoakSite::addWorker(std::size_t number)
 {
     Machine &machine = this->machines[number];
@@ -238,6 +247,12 @@
 }
 
 void SoakSite::restartWorker(std::size_t worker)
+{
+    this->restartWorkerSilently(worker);
+    this->publishWorker(worker);
+}
+
+void SoakSite::restartWorkerSilently(std::size_t worker)
 {
     Machine &machine = this->machines[worker];
     const std::string address = machine.entry.address;
@@ -246,7 +261,6 @@
     machine.entry.dataCenter = "north";
     this->logAction("worker restarted",
                     {{"worker", machine.entry.id}, {"incarnation", machine.entry.incarnation}});
-    this->publish(machine);
 }
 
 void SoakSite::setDraining(std::size_t worker, bool draining)
@@ -265,6 +279,43 @@
         this->workers.delayedWorkers.erase(this->machines[worker].entry.id);
 }
 
+void SoakSite::setOrdersDropped(std::size_t worker, bool dropped)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("orders dropped", {{"worker", id}, {"dropped", dropped}});
+    if (dropped)
+        this->workers.closedWorkers.insert(id);
+    else
+        this->workers.closedWorkers.erase(id);
+}
+
+void SoakSite::setPollDelay(std::size_t worker, Duration delay)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("poll delay", {{"worker", id}, {"ms", toMs(delay)}});
+    this->workers.pollDelays[id] = delay;
+}
+
+void SoakSite::setPollsUnanswered(std::size_t worker, bool unanswered)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("polls unanswered", {{"worker", id}, {"unanswered", unanswered}});
+    if (unanswered)
+        this->workers.delayedPolls.insert(id);
+    else
+        this->workers.delayedPolls.erase(id);
+}
+
+std::optional<std::size_t> SoakSite::leader() const
+{
+    const Tasks::StoredItem *key = this->store.find(Coordination::StoreKeys::leader);
+    for (std::size_t i = 0; key && i < this->instances.size(); i++) {
+        if (key->value.starts_with(this->instances[i].name + "#"))
+            return i;
+    }
+    return std::nullopt;
+}
+
 void SoakSite::configure(const std::vector<std::string> &keys)
 {
     this->version++;
@@ -276,6 +327,9 @@
     this->store.defaultBehavior = StoreBehavior::Normal;
     this->store.behaviors.clear();
     this->workers.delayedWorkers.clear();
+    this->workers.closedWorkers.clear();
+    this->workers.pollDelays.clear();
+    this->workers.delayedPolls.clear();
     for (std::size_t i = 0; i < this->instances.size(); i++) {
         this->signalInstance(i, SIGCONT);
         this->instances[i].store->setFault(ConnectionFault::None);
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,9 +64,23 @@
     FaultProxy &callersProxy(std::size_t instance) { return *this->instances[instance].callers; }
     FaultProxy &storeProxy(std::size_t instance) { return *this->instances[instance].store; }
     FaultProxy &workerProxy(std::size_t worker) { return *this->machines[worker].proxy; }
+    /// Restarts the worker's process and publishes its entry.
     void restartWorker(std::size_t worker);
+    /// Restarts the worker's process, which publishes nothing.
+    void restartWorkerSilently(std::size_t worker);
+    /// Publishes the registry entry of the worker's present process.
+    void publishWorker(std::size_t worker) { this->publish(this->machines[worker]); }
     void setDraining(std::size_t worker, bool draining);
     void setOrdersDelayed(std::size_t worker, bool delayed);
+    /// Drops orders to the worker without an answer; polls are not affected.
+    void setOrdersDropped(std::size_t worker, bool dropped);
+    /// Delays polls on their way to the worker; the process that runs by then executes them. Zero
+    /// ends the delay of further polls.
+    void setPollDelay(std::size_t worker, Duration delay);
+    /// Lets the worker execute polls after FakeWorkers::orderDelay and answer none of them.
+    void setPollsUnanswered(std::size_t worker, bool unanswered);
+    /// Number of the instance that the leader's key in the store names, if there is one.
+    std::optional<std::size_t> leader() const;
     /// Stores a new version of the configuration with these API keys.
     void configure(const std::vector<std::string> &keys);
 
@@ -106,6 +122,9 @@
     };
 
     void advanceClock();
+    /// Logs the texts beyond the first `logged` ones, and counts them in `logged`.
+    void logNewTexts(std::string_view action, std::span<const std::string> texts,
+                     std::size_t &logged);
     void addInstance(std::size_t number);
     void addWorker(std::size_t number);
     void publish(Machine &machine);
@@ -117,6 +136,7 @@
     Settings settings;
     std::ofstream actions;
     std::size_t loggedViolations = 0; ///< Number of the workers' violations in the log.
+    std::size_t loggedDiscards = 0; ///< Number of the ends discarded unlisted in the log.
     boost::asio::steady_timer clockTimer;
     std::chrono::steady_clock::time_point clockAdvancedAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Soak/main.cpp
+++ b/Soak/main.cpp
@@ -24,6 +24,9 @@
     Duration faultTime{};
     std::size_t instances = 3;
     std::size_t workers = 8;
+    std::vector<std::string> only;
+    Duration maxPause{};
+    bool waitingPollsAcknowledge = false;
 };
 
 cxxopts::Options describeOptions()
@@ -43,6 +46,12 @@
         cxxopts::value<int>()->default_value("15"));
     add("instances", "Number of instances", cxxopts::value<std::size_t>()->default_value("3"));
     add("workers", "Number of workers", cxxopts::value<std::size_t>()->default_value("8"));
+    add("only", "Comma-separated names of the faults to inject, instead of the default ones",
+        cxxopts::value<std::vector<std::string>>()->default_value(""));
+    add("max-pause", "Maximum milliseconds between the starts of two faults",
+        cxxopts::value<int>()->default_value("900"));
+    add("waiting-polls-acknowledge",
+        "Workers also discard the ends of a poll's acknowledgement when they answer it");
     add("folder", "Folder for the logs of failed seeds",
         cxxopts::value<std::string>()->default_value("soak-logs"));
     add("help", "Print this help");
@@ -69,7 +78,9 @@
     Soak::SoakSite site(
         loop, {seed, options.program, folder.string(), options.instances, options.workers});
     Soak::SoakClients clients(loop, site, seed, {});
-    Soak::FaultSchedule faults(loop, site, clients, seed, {});
+    site.workers.waitingPollsAcknowledge = options.waitingPollsAcknowledge;
+    Soak::FaultSchedule faults(loop, site, clients, seed,
+                               {.maxPause = options.maxPause, .only = options.only});
     site.configure({"key-1"});
     clients.switchKey("key-1", site.now());
     const auto never = [] { return false; };
@@ -90,7 +101,8 @@
     violations.insert(violations.end(), site.workers.violations.begin(),
                       site.workers.violations.end());
     std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN") << "; "
-              << clients.summary() << "; faults: " << faults.summary() << std::endl;
+              << clients.summary() << "; " << site.workers.endsDiscardedUnlisted.size()
+              << " ends discarded unlisted; faults: " << faults.summary() << std::endl;
     for (const std::string &violation : violations)
         std::cout << "  " << violation << std::endl;
     if (violations.empty())
@@ -129,6 +141,10 @@
     options.faultTime = seconds(arguments["seconds"].as<int>());
     options.instances = arguments["instances"].as<std::size_t>();
     options.workers = arguments["workers"].as<std::size_t>();
+    if (arguments.count("only") > 0)
+        options.only = arguments["only"].as<std::vector<std::string>>();
+    options.maxPause = milliseconds(arguments["max-pause"].as<int>());
+    options.waitingPollsAcknowledge = arguments.count("waiting-polls-acknowledge") > 0;
     bool passed = true;
     for (const std::uint64_t seed : seedsOf(arguments))
         passed = runSeed(seed, options) && passed;
