Soak: count ends that are discarded before they were listed as violations

Cause: the fake kept them in a list of their own. A worker that discards an end which no answer has listed breaks a promise in every test, so they stand with the others.

--- a/Soak/SoakClients.cpp
+++ b/Soak/SoakClients.cpp
@@ -16,7 +16,7 @@
 
 constexpr Duration revocationBound = seconds(5);
 
-/// Properties of a random job.
+/// Properties of a random job; most jobs are small and short.
 struct JobShape
 {
     std::int32_t tasks = 1;
@@ -36,8 +36,8 @@
 constexpr RunTimeRange usualRuns{200, 1400};
 constexpr RunTimeRange longRuns{3000, 6000};
 
-/// Returns a short run time for a third of the jobs and a long one for a sixth.
-std::int32_t drawRunMs(pcg32 &random)
+/// See SoakClients::Settings::variedRunTimes.
+std::int32_t drawVariedRunMs(pcg32 &random)
 {
     static constexpr RunTimeRange ranges[]
         = {shortRuns, shortRuns, usualRuns, usualRuns, usualRuns, longRuns};
@@ -45,12 +45,13 @@
     return static_cast<std::int32_t>(range.minMs + random(range.maxMs - range.minMs));
 }
 
-JobShape drawShape(pcg32 &random)
+JobShape drawShape(pcg32 &random, bool variedRunTimes)
 {
     JobShape shape;
     shape.tasks = 1 + static_cast<std::int32_t>(random(5));
     shape.accelerators = 1 << random(4);
-    shape.runMs = drawRunMs(random);
+    shape.runMs
+        = variedRunTimes ? drawVariedRunMs(random) : 200 + static_cast<std::int32_t>(random(1800));
     shape.gang = random(3) == 0;
     shape.fails = random(20) == 0;
     shape.checkpoints = random(2) == 0;
@@ -128,7 +129,7 @@
     for (const auto &[id, job] : this->jobs)
         unfinished += job->outcome == Outcome::Accepted && !isFinal(job->state) ? 1 : 0;
     if (unfinished < this->settings.maxUnfinishedJobs) {
-        const JobShape shape = drawShape(this->random);
+        const JobShape shape = drawShape(this->random, this->settings.variedRunTimes);
         auto job = std::make_unique<ClientJob>();
         char id[17];
         std::snprintf(id, sizeof(id), "%016zx", ++this->number);
--- a/Soak/SoakClients.h
+++ b/Soak/SoakClients.h
@@ -26,6 +26,8 @@
         std::size_t cancelOneOf = 12;
         /// Maximum number of unfinished jobs; no new jobs are submitted beyond.
         std::size_t maxUnfinishedJobs = 40;
+        /// A third of the jobs are very short, a sixth are long.
+        bool variedRunTimes = false;
     };
 
     SoakClients(boost::asio::io_context &loop, SoakSite &site, std::uint64_t seed,
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -79,9 +79,8 @@
     const auto passed = std::chrono::duration_cast<Duration>(now - this->clockAdvancedAt);
     this->clockAdvancedAt += passed;
     this->clock.run(passed);
-    this->logNewTexts("violation", this->workers.violations, this->loggedViolations);
-    this->logNewTexts("end discarded unlisted", this->workers.endsDiscardedUnlisted,
-                      this->loggedDiscards);
+    for (; this->loggedViolations < this->workers.violations.size(); this->loggedViolations++)
+        this->logAction("violation", {{"text", this->workers.violations[this->loggedViolations]}});
     this->clockTimer.expires_after(clockInterval);
     this->clockTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -89,13 +88,6 @@
     });
 }
 
-void SoakSite::logNewTexts(std::string_view action, std::span<const std::string> texts,
-                           std::size_t &logged)
-{
-    for (; logged < texts.size(); logged++)
-        this->logAction(action, {{"text", texts[logged]}});
-}
-
 void SoakSite::addWorker(std::size_t number)
 {
     Machine &machine = this->machines[number];
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -13,7 +13,6 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -122,9 +121,6 @@
     };
 
     void advanceClock();
-    /// Logs the texts beyond the first `logged` ones, and counts them in `logged`.
-    void logNewTexts(std::string_view action, std::span<const std::string> texts,
-                     std::size_t &logged);
     void addInstance(std::size_t number);
     void addWorker(std::size_t number);
     void publish(Machine &machine);
@@ -136,7 +132,6 @@
     Settings settings;
     std::ofstream actions;
     std::size_t loggedViolations = 0; ///< Number of the workers' violations in the log.
-    std::size_t loggedDiscards = 0; ///< Number of the ends discarded unlisted in the log.
     boost::asio::steady_timer clockTimer;
     std::chrono::steady_clock::time_point clockAdvancedAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Soak/main.cpp
+++ b/Soak/main.cpp
@@ -77,7 +77,7 @@
     boost::asio::io_context loop(1);
     Soak::SoakSite site(
         loop, {seed, options.program, folder.string(), options.instances, options.workers});
-    Soak::SoakClients clients(loop, site, seed, {});
+    Soak::SoakClients clients(loop, site, seed, {.variedRunTimes = !options.only.empty()});
     site.workers.waitingPollsAcknowledge = options.waitingPollsAcknowledge;
     Soak::FaultSchedule faults(loop, site, clients, seed,
                                {.maxPause = options.maxPause, .only = options.only});
@@ -101,8 +101,7 @@
     violations.insert(violations.end(), site.workers.violations.begin(),
                       site.workers.violations.end());
     std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN") << "; "
-              << clients.summary() << "; " << site.workers.endsDiscardedUnlisted.size()
-              << " ends discarded unlisted; faults: " << faults.summary() << std::endl;
+              << clients.summary() << "; faults: " << faults.summary() << std::endl;
     for (const std::string &violation : violations)
         std::cout << "  " << violation << std::endl;
     if (violations.empty())
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -422,16 +422,12 @@
         if (ended.number <= upTo && ended.cause == EndCause::Done)
             this->acknowledgedDone.insert({ended.run.job, ended.run.task});
         if (ended.number <= upTo && ended.number > machine.listedUpTo)
-            this->endsDiscardedUnlisted.push_back(
-                describe(ended.run)
-                    .append(" ended as number ")
-                    .append(std::to_string(ended.number))
-                    .append(" of process ")
-                    .append(std::to_string(machine.entry.incarnation))
-                    .append(" of ")
-                    .append(id)
-                    .append(", which discarded it unlisted at the acknowledgement of ")
-                    .append(std::to_string(upTo)));
+            this->violations.push_back(describe(ended.run)
+                                           .append(" ended as number ")
+                                           .append(std::to_string(ended.number))
+                                           .append(" on ")
+                                           .append(id)
+                                           .append(", which discarded it before it was listed"));
     }
     std::erase_if(machine.ended,
                   [upTo](const Tasks::EndedTask &ended) { return ended.number <= upTo; });
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -115,8 +115,6 @@
     bool runsJob(const std::string &id, const std::string &job) const;
     std::size_t startsOf(const std::string &job) const;
     Violations violations;
-    /// Descriptions of ends that an acknowledgement discarded before any answer listed them.
-    std::vector<std::string> endsDiscardedUnlisted;
     /// When the cancellation of a job was acknowledged, by job.
     std::map<std::string, TimePoint> cancelledAt;
 
