Count a job as pending until a worker has begun one of its tasks

Cause: a job counted as begun from its first assignment on, also if the start order was rejected, withdrawn or never answered. The run number, by which JobProgress::hasStartedTask told, rises with the assignment. Change: a job's progress notes that a worker has begun a task of it, on a confirmed start, a listed run or a listed end, and the count asks for that. The mark is in the progress record, so that a run that began and was lost counts at the next leader too; records without it are read as before.

--- a/Coordination/QueueReport.cpp
+++ b/Coordination/QueueReport.cpp
@@ -19,7 +19,7 @@
     std::map<std::string, std::int64_t> waiting;
     for (const auto &[id, job] : this->jobs.all()) {
         const bool counts
-            = !job.isFinished() && job.job.repetition.count == 0 && !job.progress.hasStartedTask();
+            = !job.isFinished() && job.job.repetition.count == 0 && !job.progress.anyTaskBegun;
         if (counts)
             waiting[job.job.queue]++;
     }
--- a/Coordination/QueueReport.h
+++ b/Coordination/QueueReport.h
@@ -18,8 +18,8 @@
     QueueReport(const TrackedJobTable &jobs, const WorkerFleet &fleet,
                 const Tasks::RunTimeEstimator &runTimes, const Tasks::WaitForecast &forecast);
 
-    /// JSON object that maps each queue to its number of jobs that have not started. Repeated jobs
-    /// are not counted.
+    /// JSON object that maps each queue to its number of jobs of which no worker has begun a task.
+    /// Repeated jobs are not counted.
     std::string describeWaitingJobs() const;
     /// JSON object of the queues with a long wait, as "name": [wait, typical chain], both in ms.
     std::string describeWaits(TimePoint now) const;
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -418,6 +418,7 @@
     TrackedJob *job = this->jobs.find(run.job);
     if (!job || !job->progress.contains(run.task))
         return;
+    job->noteBegun(run);
     TaskProgress &task = job->progress.task(run.task);
     if (task.run == run.run && task.state == TaskState::Assigned) {
         task.state = TaskState::Running;
@@ -512,9 +513,11 @@
         return;
     TrackedJob *job = this->jobs.find(end.run.job);
     JobUpdate update;
-    if (job)
+    if (job) {
+        job->noteBegun(end.run);
         update = TrackedJobTable::endRun(*job, end.run, end.cause, end.checkpoint,
                                          this->wallClock.nowMs());
+    }
     this->logger.logEvent(LogKind::Task, "run ended",
                           {{"request", end.run.job},
                            {"task", Tasks::textOf(end.run.task)},
--- a/Coordination/TrackedJobTable.cpp
+++ b/Coordination/TrackedJobTable.cpp
@@ -42,6 +42,12 @@
     return sum;
 }
 
+void TrackedJob::noteBegun(const RunRef &run)
+{
+    if (this->progress.contains(run.task))
+        this->progress.anyTaskBegun = true;
+}
+
 TrackedJob &TrackedJobTable::add(Job job, std::optional<JobProgress> progress, UnixMs now)
 {
     const std::string id = job.id;
--- a/Coordination/TrackedJobTable.h
+++ b/Coordination/TrackedJobTable.h
@@ -34,6 +34,8 @@
     /// Accelerator-seconds of the waiting tasks, from the caller's run time estimates. Perpetual
     /// tasks count as zero, since they never complete.
     double waitingWork() const;
+    /// Notes that a worker has begun the run, if the job has its task.
+    void noteBegun(const Tasks::RunRef &run);
     /// All members of the task's gang, which start and end together; only the task itself if its
     /// step is no gang.
     std::vector<Tasks::TaskRef> gangMembers(const Tasks::TaskRef &ref) const;
--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -113,6 +113,17 @@
     return task;
 }
 
+/// Whether a task was ever assigned. Stands in for the mark in records that were written without
+/// it.
+bool hasAssignedTask(const JobProgress &progress)
+{
+    for (std::size_t i = 0; i < progress.taskCount(); i++) {
+        if (progress.at(i).run > 0)
+            return true;
+    }
+    return false;
+}
+
 json parseRecord(std::string_view text)
 {
     json record = parseJson(text);
@@ -220,6 +231,7 @@
     const json record = {{"record", recordVersion},
                          {"state", static_cast<int>(progress.state)},
                          {"endedAt", progress.endedAt},
+                         {"begun", progress.anyTaskBegun},
                          {"tasks", std::move(tasks)}};
     return record.dump();
 }
@@ -233,6 +245,7 @@
         const json &tasks = record.at("tasks");
         for (std::size_t i = 0; i < progress.taskCount(); i++)
             progress.at(i) = decodeTask(tasks.at(i));
+        progress.anyTaskBegun = record.value("begun", hasAssignedTask(progress));
         return progress;
     });
 }
--- a/Tasks/TaskProgress.cpp
+++ b/Tasks/TaskProgress.cpp
@@ -63,12 +63,6 @@
                        [](const TaskProgress &task) { return task.state == TaskState::Done; });
 }
 
-bool JobProgress::hasStartedTask() const
-{
-    return std::any_of(this->tasks.begin(), this->tasks.end(),
-                       [](const TaskProgress &task) { return task.run > 0; });
-}
-
 bool JobProgress::hasTaskOnWorker() const
 {
     return std::any_of(this->tasks.begin(), this->tasks.end(),
--- a/Tasks/TaskProgress.h
+++ b/Tasks/TaskProgress.h
@@ -48,6 +48,9 @@
 
     JobState state = JobState::Queued;
     UnixMs endedAt = 0; ///< 0 until the job ends.
+    /// A worker has begun a task of the job, which shows by a confirmed start or a listed end. An
+    /// assignment alone does not count.
+    bool anyTaskBegun = false;
 
     TaskProgress &task(const TaskRef &ref) { return this->tasks[this->offsetOf(ref)]; }
     const TaskProgress &task(const TaskRef &ref) const { return this->tasks[this->offsetOf(ref)]; }
@@ -62,7 +65,6 @@
     /// Whether all tasks of one step of one occurrence are done.
     bool isStepDone(std::int32_t occurrence, std::int32_t step) const;
     bool areAllTasksDone() const;
-    bool hasStartedTask() const;
     bool hasTaskOnWorker() const;
 
     bool operator==(const JobProgress &) const = default;
--- a/UnitTests/Tasks/JobRecordTest.cpp
+++ b/UnitTests/Tasks/JobRecordTest.cpp
@@ -53,6 +53,7 @@
     const Job job = sampleJob();
     JobProgress progress(job);
     progress.state = JobState::Running;
+    progress.anyTaskBegun = true;
     TaskProgress &task = progress.task({1, 1, 2});
     task.state = TaskState::Assigned;
     task.run = 3;
@@ -76,6 +77,28 @@
     EXPECT_FALSE(decodeProgressState("null"));
 }
 
+TEST(JobRecord, AssignedTaskDoesNotCountAsBegun)
+{
+    JobProgress progress(sampleJob());
+    progress.task({0, 0, 0}).state = TaskState::Assigned;
+    progress.task({0, 0, 0}).run = 1;
+    EXPECT_FALSE(decodeProgress(encodeProgress(progress), sampleJob())->anyTaskBegun);
+}
+
+TEST(JobRecord, ProgressWithoutTheMarkOfBegunTasksCountsAssignedTasksAsBegun)
+{
+    JobProgress progress(sampleJob());
+    const auto withoutMark = [&progress] {
+        std::string text = encodeProgress(progress);
+        const std::string mark = R"("begun":false,)";
+        text.erase(text.find(mark), mark.size());
+        return text;
+    };
+    EXPECT_FALSE(decodeProgress(withoutMark(), sampleJob())->anyTaskBegun);
+    progress.task({0, 0, 0}).run = 1;
+    EXPECT_TRUE(decodeProgress(withoutMark(), sampleJob())->anyTaskBegun);
+}
+
 TEST(JobProgress, ContainsOnlyTasksOfTheJob)
 {
     const JobProgress progress(sampleJob());
