Give the speeds of the leader's workers a class of their own

Change: SpeedTracker does so, beside PublishedKeys and with settings of its own; it gets the table of workers, so that its test needs no cluster. Events, keys and the order of store calls stay.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -89,12 +89,13 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
-    , speeds(settings.speeds)
+    , speeds(store, this->published, logger, this->jobs, this->fleet.all(), settings.speeds)
     , risks(settings.risks)
     , departures(settings.departures)
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , inputs(jobs, fleet, runTimes, speeds, risks, permits, std::move(guarantees), settings.inputs)
+    , inputs(jobs, fleet, runTimes, speeds.workerSpeeds(), risks, permits, std::move(guarantees),
+             settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -137,9 +138,6 @@
     this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
-    this->speeds.clear();
-    this->nextSpeedsWriteAt = {};
-    this->speedsUpdatedAt = {};
     this->risks.clear();
     this->shortagesReportedAt.clear();
     this->published.begin(term.token);
@@ -151,7 +149,7 @@
     this->evacuations.start(now);
     this->listProgress({});
     this->readSilence();
-    this->readSpeeds();
+    this->speeds.begin();
 }
 
 void TaskDispatcher::deposed()
@@ -160,6 +158,7 @@
     this->phase = Phase::Idle;
     this->writer.stop();
     this->published.stop();
+    this->speeds.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
     this->evacuations.stop();
@@ -235,30 +234,6 @@
     this->beginWhenLoaded(now);
 }
 
-/// The takeover does not wait for the speeds: without them, work is placed less well for a while.
-void TaskDispatcher::readSpeeds()
-{
-    const auto answerHandler
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
-              if (generation == this->generation)
-                  this->handleSpeeds(answer, now);
-          };
-    this->store.read(StoreKeys::speeds, this->settings.listTimeout, answerHandler);
-}
-
-void TaskDispatcher::handleSpeeds(const StoreAnswer &answer, TimePoint now)
-{
-    const StoredItem *item = answer.find(StoreKeys::speeds);
-    if (!item)
-        return;
-    this->published.setRevision(StoreKeys::speeds, item->revision);
-    if (!this->speeds.restore(item->value))
-        this->logger.logEvent(LogKind::Fault, "speeds of workers can't be read",
-                              {{"revision", item->revision}, {"effect", "they are learned anew"}},
-                              now);
-    this->updateSpreads(now);
-}
-
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
     const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
@@ -429,83 +404,10 @@
 
 void TaskDispatcher::runProgressed(const RunProgress &progress, TimePoint now)
 {
-    this->learnSpeed(progress.run, progress.worker, progress.startedAt, progress.percent, now);
-}
-
-void TaskDispatcher::learnSpeed(const RunRef &run, const Tasks::WorkerEntry &worker,
-                                std::optional<TimePoint> startedAt, std::int32_t percent,
-                                TimePoint now)
-{
-    const TrackedJob *job = this->jobs.find(run.job);
-    if (!job || !job->progress.contains(run.task))
-        return;
-    const Tasks::Step &step = job->stepOf(run.task);
-    const bool isFarFromData
-        = !step.dataRack.empty() && !Tasks::hasLabel(worker.labels, step.dataRack);
-    if (isFarFromData || step.count < 2)
-        return;
-    const std::string name = Tasks::WorkerSpeeds::identityOf(worker);
-    this->speeds.recordProgress({{run.job, run.task.occurrence, run.task.step},
-                                 run.task.index,
-                                 run.run,
-                                 name,
-                                 step.gang,
-                                 startedAt,
-                                 percent},
+    this->speeds.recordProgress(progress.run, progress.worker, progress.startedAt, progress.percent,
                                 now);
 }
 
-void TaskDispatcher::updateSpeeds(TimePoint now)
-{
-    const auto workers = static_cast<Duration::rep>(this->fleet.all().size());
-    if (now < this->speedsUpdatedAt + this->settings.speedsUpdatePerWorker * workers
-        || !this->speeds.hasNews())
-        return;
-    this->speedsUpdatedAt = now;
-    this->speeds.update();
-    this->updateSpreads(now);
-    this->writeSpeeds(now);
-}
-
-void TaskDispatcher::updateSpreads(TimePoint now)
-{
-    std::map<std::string_view, std::vector<std::string>> names;
-    for (const auto &[id, worker] : this->fleet.all()) {
-        if (worker.listed)
-            names[worker.entry.service].push_back(Tasks::WorkerSpeeds::identityOf(worker.entry));
-    }
-    for (const auto &[service, workers] : names) {
-        const auto known = this->speeds.spreads().find(service);
-        const bool differed = known != this->speeds.spreads().end() && known->second.differs;
-        this->speeds.updateSpread(service, workers);
-        const Tasks::WorkerSpeeds::Spread &spread = this->speeds.spreads().find(service)->second;
-        if (spread.differs != differed)
-            this->logger.logEvent(LogKind::Dependency,
-                                  spread.differs ? "workers differ in speed"
-                                                 : "workers are about equally fast",
-                                  {{"service", service},
-                                   {"known", spread.known},
-                                   {"fastest", spread.fastest},
-                                   {"slowest", spread.slowest}},
-                                  now);
-    }
-}
-
-void TaskDispatcher::writeSpeeds(TimePoint now)
-{
-    if (now < this->nextSpeedsWriteAt)
-        return;
-    const std::string text = this->speeds.encode();
-    if (text.empty())
-        return;
-    constexpr std::size_t bytesPerKiB = 1024;
-    this->nextSpeedsWriteAt = now
-        + std::max(this->settings.speedsInterval,
-                   this->settings.speedsIntervalPerKiB
-                       * static_cast<Duration::rep>(text.size() / bytesPerKiB));
-    this->published.publish(StoreKeys::speeds, text);
-}
-
 void TaskDispatcher::runEnded(const RunEnd &end, TimePoint now)
 {
     if (this->phase != Phase::Leading)
@@ -539,8 +441,8 @@
     const bool showsSpeed = end.cause == EndCause::Done && end.runTime > Duration{}
         && worker != this->fleet.all().end();
     if (showsSpeed)
-        this->learnSpeed(end.run, worker->second.entry, now - end.runTime, Tasks::completePercent,
-                         now);
+        this->speeds.recordProgress(end.run, worker->second.entry, now - end.runTime,
+                                    Tasks::completePercent, now);
     const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
     // An end that changes nothing may depend on an earlier change that is not stored yet: the first
     // end of a gang settles the ends of its other members.
@@ -693,7 +595,7 @@
     this->fleet.refreshClocks(now);
     this->risks.forgetOld(now);
     this->writeLoad(now);
-    this->updateSpeeds(now);
+    this->speeds.update(now);
     this->writeSilence();
     this->stopDoomedRuns(now);
     this->plan(now);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -7,6 +7,7 @@
 #include <Coordination/PrefixWatch.h>
 #include <Coordination/PublishedKeys.h>
 #include <Coordination/RecordWriter.h>
+#include <Coordination/SpeedTracker.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/DepartureDecision.h>
@@ -14,7 +15,6 @@
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
 #include <Tasks/WorkerRisks.h>
-#include <Tasks/WorkerSpeeds.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -41,17 +41,11 @@
         Duration tickInterval = milliseconds(250);
         /// Minimum time between two writes of the queues' load.
         Duration loadInterval = milliseconds(500);
-        /// Minimum time between two updates of the workers' speeds, for each worker in
-        /// microseconds.
-        Duration speedsUpdatePerWorker{100};
-        /// Minimum time between two writes of the workers' speeds, which grows with their size.
-        Duration speedsInterval = seconds(5);
-        Duration speedsIntervalPerKiB = milliseconds(500);
         Duration listTimeout = milliseconds(1500);
         Duration storeRetryDelay = milliseconds(150);
         Tasks::StartPlanner::Settings planner;
         Tasks::WaitForecast::Settings forecast;
-        Tasks::WorkerSpeeds::Settings speeds;
+        SpeedTracker::Settings speeds;
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
@@ -80,7 +74,7 @@
 
     const TrackedJobTable &jobTable() const { return this->jobs; }
     const WorkerFleet &workerFleet() const { return this->fleet; }
-    const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds; }
+    const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds.workerSpeeds(); }
     bool isReady() const { return this->phase == Phase::Leading; }
 
 private:
@@ -133,8 +127,6 @@
     void handleProgressPage(const Tasks::StoreAnswer &answer);
     void readSilence();
     void handleSilence(const Tasks::StoreAnswer &answer, TimePoint now);
-    void readSpeeds();
-    void handleSpeeds(const Tasks::StoreAnswer &answer, TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -178,13 +170,6 @@
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
-    /// Learns from the run's progress, unless the place of its data decides its run time.
-    void learnSpeed(const Tasks::RunRef &run, const Tasks::WorkerEntry &worker,
-                    std::optional<TimePoint> startedAt, std::int32_t percent, TimePoint now);
-    /// Takes what the workers reported since the last call into their speeds.
-    void updateSpeeds(TimePoint now);
-    void updateSpreads(TimePoint now);
-    void writeSpeeds(TimePoint now);
     void writeSilence();
 
     Tasks::MetadataStore &store;
@@ -202,7 +187,7 @@
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
     Tasks::RunTimeEstimator runTimes;
-    Tasks::WorkerSpeeds speeds;
+    SpeedTracker speeds;
     Tasks::WorkerRisks risks;
     Tasks::DepartureDecision departures;
     PermitCache permits;
@@ -224,8 +209,6 @@
     std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
-    TimePoint speedsUpdatedAt{};
-    TimePoint nextSpeedsWriteAt{};
     std::map<std::string, TimePoint> shortagesReportedAt; ///< By service.
 };
 
