Give the record of silent workers a class of its own

Cause: the dispatcher read the last leader's record of silent workers, kept the set that was sent, and wrote it, in four functions and three members beside its other work. Change: SilenceRecorder does so, beside PublishedKeys; the dispatcher tells it when. Events, keys and the order of store calls stay.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -68,8 +68,10 @@
     , published(store, settings.writer.commitTimeout.longest,
                 [this](const std::string &key, TimePoint now) {
                     if (key == StoreKeys::silence && this->isLeading(now))
-                        this->writeSilence();
+                        this->silence.update(this->election.termName());
                 })
+    , silence(store, this->published, logger, this->fleet, settings.listTimeout,
+              [this](TimePoint now) { this->beginWhenLoaded(now); })
     , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
                {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
                 [this](TimePoint now) {
@@ -130,9 +132,6 @@
     this->jobsListed = false;
     this->workersListed = false;
     this->progressComplete = false;
-    this->silenceRead = false;
-    this->lastLeader = term.lastLeader;
-    this->sentSilence.clear();
     this->planPending = false;
     this->inputs.clear();
     this->permits.clear();
@@ -148,7 +147,7 @@
     this->workerWatch.start(now);
     this->evacuations.start(now);
     this->listProgress({});
-    this->readSilence();
+    this->silence.begin(term.lastLeader);
     this->speeds.begin();
 }
 
@@ -158,6 +157,7 @@
     this->phase = Phase::Idle;
     this->writer.stop();
     this->published.stop();
+    this->silence.stop();
     this->speeds.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
@@ -205,39 +205,10 @@
         this->progressComplete = true;
 }
 
-void TaskDispatcher::readSilence()
-{
-    const auto answerHandler
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
-              if (generation == this->generation)
-                  this->handleSilence(answer, now);
-          };
-    this->store.read(StoreKeys::silence, this->settings.listTimeout, answerHandler);
-}
-
-/// Takes the last leader's record of silent workers. Without an answer, the leases on these workers
-/// are counted for longer.
-void TaskDispatcher::handleSilence(const StoreAnswer &answer, TimePoint now)
-{
-    this->silenceRead = true;
-    if (const StoredItem *item = answer.find(StoreKeys::silence)) {
-        this->published.setRevision(StoreKeys::silence, item->revision);
-        std::optional<SilenceRecord> record = decodeSilence(item->value);
-        if (!record)
-            this->logger.logEvent(LogKind::Fault, "silence record can't be read",
-                                  {{"revision", item->revision},
-                                   {"effect", "former leaders may renew leases on all workers"}},
-                                  now);
-        else if (!this->lastLeader.empty() && record->leader == this->lastLeader)
-            this->fleet.setSilentBefore(std::move(record->workers));
-    }
-    this->beginWhenLoaded(now);
-}
-
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
     const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
-        && this->silenceRead && this->evacuations.isListed();
+        && this->silence.isRead() && this->evacuations.isListed();
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
@@ -506,7 +477,7 @@
 void TaskDispatcher::silenceEnded(TimePoint now)
 {
     if (this->isLeading(now))
-        this->writeSilence();
+        this->silence.update(this->election.termName());
 }
 
 void TaskDispatcher::applyUpdate(TrackedJob &job, const JobUpdate &update,
@@ -596,30 +567,11 @@
     this->risks.forgetOld(now);
     this->writeLoad(now);
     this->speeds.update(now);
-    this->writeSilence();
+    this->silence.update(this->election.termName());
     this->stopDoomedRuns(now);
     this->plan(now);
 }
 
-/// Keeps the stored record of silent workers up to date. Leases are withheld on all workers that
-/// may stand in the stored record: those of the last one that was stored, and of all sent since.
-void TaskDispatcher::writeSilence()
-{
-    if (this->published.isInFlight(StoreKeys::silence))
-        return;
-    const bool isKnown = this->published.isStored(StoreKeys::silence);
-    if (isKnown)
-        this->fleet.withholdLeasesOnly(this->sentSilence);
-    std::set<std::string> silent = this->fleet.silentWorkers();
-    const bool isStored = isKnown || !this->fleet.withholdsLeases();
-    if (isStored && silent == this->sentSilence)
-        return;
-    this->fleet.withholdLeases(silent);
-    const std::string text = encodeSilence({this->election.termName(), silent});
-    this->sentSilence = std::move(silent);
-    this->published.publish(StoreKeys::silence, text);
-}
-
 void TaskDispatcher::writeLoad(TimePoint now)
 {
     if (now < this->loadWrittenAt + this->settings.loadInterval)
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -7,6 +7,7 @@
 #include <Coordination/PrefixWatch.h>
 #include <Coordination/PublishedKeys.h>
 #include <Coordination/RecordWriter.h>
+#include <Coordination/SilenceRecorder.h>
 #include <Coordination/SpeedTracker.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
@@ -125,8 +126,6 @@
     void evacuationsChanged(TimePoint now);
     void listProgress(const std::string &after);
     void handleProgressPage(const Tasks::StoreAnswer &answer);
-    void readSilence();
-    void handleSilence(const Tasks::StoreAnswer &answer, TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -170,7 +169,6 @@
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
-    void writeSilence();
 
     Tasks::MetadataStore &store;
     TimerService &timers;
@@ -183,6 +181,7 @@
     WorkerFleet fleet;
     RecordWriter writer;
     PublishedKeys published;
+    SilenceRecorder silence;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
@@ -199,14 +198,11 @@
     bool jobsListed = false;
     bool workersListed = false;
     bool progressComplete = false;
-    bool silenceRead = false;
-    std::string lastLeader; ///< See LeaderElection::Term.
     std::map<std::string, LoadedRecord> records; ///< Used only while loading.
     std::set<std::string> cancelledIds; ///< Used only while loading.
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
-    std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
     std::map<std::string, TimePoint> shortagesReportedAt; ///< By service.
