Derive what a term states of former leaders in one function

Cause: haveFormersEnded and lastLeader checked the known term alike. Change: LeaderElection::nextTerm derives the term; no decision changes.

--- a/Coordination/LeaderElection.cpp
+++ b/Coordination/LeaderElection.cpp
@@ -138,21 +138,21 @@
     this->store.commit(commit, this->settings.callTimeout, answerHandler);
 }
 
-/// Whether all former leaders have certainly ceased to renew leases. A former term of this instance
-/// has ended: its process is gone, or it is this one, which drops all it knew at its election.
-bool LeaderElection::haveFormersEnded() const
-{
-    if (!this->knownTerm || !this->knownTerm->record)
-        return false;
-    const TermRecord &former = *this->knownTerm->record;
-    return former.settled && (former.ended || this->isOfThisInstance(former.leader));
-}
-
-std::string LeaderElection::lastLeader() const
+/// What this instance's term would state of the former leaders by the newest record. Its token is
+/// known only after the election.
+LeaderElection::Term LeaderElection::nextTerm() const
 {
+    Term next;
     const bool isSettled
         = this->knownTerm && this->knownTerm->record && this->knownTerm->record->settled;
-    return isSettled ? this->knownTerm->record->leader : std::string();
+    if (!isSettled)
+        return next;
+    const TermRecord &former = *this->knownTerm->record;
+    next.lastLeader = former.leader;
+    // A former term of this instance has ended: its process is gone, or it is this one, which drops
+    // all it knew at its election.
+    next.formersEnded = former.ended || this->isOfThisInstance(former.leader);
+    return next;
 }
 
 void LeaderElection::watchLeader(std::int64_t revision)
@@ -205,7 +205,7 @@
         = answer.leaseTerm.count() > 0 ? answer.leaseTerm : this->settings.leaseDuration;
     this->validUntil = sentAt + term;
     this->candidateId = this->settings.instance + candidateSeparator + std::to_string(answer.lease);
-    this->term = {0, this->haveFormersEnded(), this->lastLeader()};
+    this->term = this->nextTerm();
     Tasks::StoreCommit commit;
     commit.checks.push_back({StoreKeys::leader, 0});
     if (this->knownTerm)
--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -95,8 +95,7 @@
     bool isOfThisInstance(const std::string &leader) const;
     void readTerm(std::function<void(TimePoint)> next);
     void endFormerTerm(const Tasks::StoredItem &leader);
-    bool haveFormersEnded() const;
-    std::string lastLeader() const;
+    Term nextTerm() const;
     void settleTerm(TimePoint now);
     void watchLeader(std::int64_t revision);
     void scheduleCampaign();
