--- a/Coordination/SilenceRecorder.cpp
+++ b/Coordination/SilenceRecorder.cpp
@@ -1,6 +1,6 @@
+#include <Coordination/SilenceRecord.h>
 #include <Coordination/SilenceRecorder.h>
 #include <Coordination/StoreKeys.h>
-#include <Coordination/TermRecord.h>
 
 #include <optional>
 #include <utility>
--- a/Coordination/TermRecord.h
+++ b/Coordination/TermRecord.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <Coordination/SilenceRecord.h>
 #include <Core/Time.h>
 
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -26,16 +26,4 @@
 /// Returns nothing if the text is not a record.
 std::optional<TermRecord> decodeTerm(std::string_view text);
 
-/// Workers that a leader can't reach. It extends no lease on them from before the record is stored
-/// until a record without them is, so that its successor knows a bound for these leases.
-struct SilenceRecord
-{
-    std::string leader; ///< Value of the leader's key in its term.
-    std::set<std::string> workers;
-};
-
-std::string encodeSilence(const SilenceRecord &record);
-/// Returns nothing if the text is not a record.
-std::optional<SilenceRecord> decodeSilence(std::string_view text);
-
 } // namespace Hibiscus::Coordination
