Read progress records at takeover in a class of their own

Change: ProgressReader lists them and repeats what fails, with its own settings; the timeout for the silence record is named for what it is. Timeouts, pauses and the order of store calls stay.

--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -16,7 +16,6 @@
 using Tasks::RunRef;
 using Tasks::StoreAnswer;
 using Tasks::StoredItem;
-using Tasks::StoreOutcome;
 using Tasks::TaskProgress;
 using Tasks::TaskRef;
 using Tasks::TaskState;
@@ -70,7 +69,7 @@
                     if (key == StoreKeys::silence && this->isLeading(now))
                         this->silence.update(this->election.termName());
                 })
-    , silence(store, this->published, logger, this->fleet, settings.listTimeout,
+    , silence(store, this->published, logger, this->fleet, settings.silenceReadTimeout,
               [this](TimePoint now) { this->beginWhenLoaded(now); })
     , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
                {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
@@ -91,6 +90,8 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , progress(store, timers, settings.progress,
+               [this](TimePoint now) { this->beginWhenLoaded(now); })
     , speeds(store, this->published, logger, this->jobs, this->fleet.all(), settings.speeds)
     , risks(settings.risks)
     , departures(settings.departures)
@@ -127,11 +128,9 @@
     this->generation++;
     this->phase = Phase::Loading;
     this->jobs.clear();
-    this->records.clear();
     this->cancelledIds.clear();
     this->jobsListed = false;
     this->workersListed = false;
-    this->progressComplete = false;
     this->planPending = false;
     this->inputs.clear();
     this->permits.clear();
@@ -146,7 +145,7 @@
     this->jobWatch.start(now);
     this->workerWatch.start(now);
     this->evacuations.start(now);
-    this->listProgress({});
+    this->progress.start();
     this->silence.begin(term.lastLeader);
     this->speeds.begin();
 }
@@ -162,6 +161,7 @@
     this->jobWatch.stop();
     this->workerWatch.stop();
     this->evacuations.stop();
+    this->progress.stop();
 }
 
 void TaskDispatcher::termConfirmed(TimePoint now)
@@ -173,46 +173,14 @@
     this->plan(now);
 }
 
-void TaskDispatcher::listProgress(const std::string &after)
-{
-    const auto answerHandler = [this, after, generation = this->generation](
-                                   const StoreAnswer &answer, TimePoint now) {
-        if (generation != this->generation)
-            return;
-        if (answer.outcome == StoreOutcome::Done) {
-            this->handleProgressPage(answer);
-            this->beginWhenLoaded(now);
-            return;
-        }
-        this->timers.after(this->settings.storeRetryDelay, [this, after, generation](TimePoint) {
-            if (generation == this->generation)
-                this->listProgress(after);
-        });
-    };
-    this->store.list(StoreKeys::progress, after, this->settings.listTimeout, answerHandler);
-}
-
-void TaskDispatcher::handleProgressPage(const StoreAnswer &answer)
-{
-    const std::string_view prefix = StoreKeys::progress;
-    for (const StoredItem &item : answer.items) {
-        if (item.key.starts_with(prefix))
-            this->records[item.key.substr(prefix.size())] = {item.value, item.revision};
-    }
-    if (answer.truncated && !answer.items.empty())
-        this->listProgress(answer.items.back().key);
-    else
-        this->progressComplete = true;
-}
-
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
-    const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
+    const bool loaded = this->jobsListed && this->workersListed && this->progress.isComplete()
         && this->silence.isRead() && this->evacuations.isListed();
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
-    for (const auto &[id, record] : this->records)
+    for (const auto &[id, record] : this->progress.records())
         this->writer.setRevision(id, record.revision);
     std::vector<std::string> ids;
     for (const auto &[id, job] : this->jobs.all())
@@ -223,7 +191,7 @@
     }
     for (const std::string &id : std::set<std::string>(this->cancelledIds))
         this->cancelJob(id, now);
-    this->records.clear();
+    this->progress.discardRecords();
     this->fleet.openSessions(now);
     this->logger.logEvent(LogKind::Leadership, "took over",
                           {{"jobs", ids.size()}, {"workers", this->fleet.all().size()}}, now);
@@ -233,8 +201,8 @@
 
 void TaskDispatcher::restoreJob(const Job &job, TimePoint now)
 {
-    const auto record = this->records.find(job.id);
-    if (record == this->records.end())
+    const auto record = this->progress.records().find(job.id);
+    if (record == this->progress.records().end())
         return;
     tl::expected<JobProgress, std::string> progress
         = Tasks::decodeProgress(record->second.value, job);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -5,6 +5,7 @@
 #include <Coordination/PermitCache.h>
 #include <Coordination/PlanInputs.h>
 #include <Coordination/PrefixWatch.h>
+#include <Coordination/ProgressReader.h>
 #include <Coordination/PublishedKeys.h>
 #include <Coordination/RecordWriter.h>
 #include <Coordination/SilenceRecorder.h>
@@ -42,8 +43,7 @@
         Duration tickInterval = milliseconds(250);
         /// Minimum time between two writes of the queues' load.
         Duration loadInterval = milliseconds(500);
-        Duration listTimeout = milliseconds(1500);
-        Duration storeRetryDelay = milliseconds(150);
+        Duration silenceReadTimeout = milliseconds(1500);
         Tasks::StartPlanner::Settings planner;
         Tasks::WaitForecast::Settings forecast;
         SpeedTracker::Settings speeds;
@@ -54,6 +54,7 @@
         Tasks::DepartureDecision::Settings departures;
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
+        ProgressReader::Settings progress;
     };
 
     /// Decodes a worker's registry entry, or returns a description of the error.
@@ -87,13 +88,6 @@
         Leading,
     };
 
-    /// Progress record of a job that was read at takeover.
-    struct LoadedRecord
-    {
-        std::string value;
-        std::int64_t revision = 0;
-    };
-
     /// A refusal marker that is stored under a job's key.
     struct Refusal
     {
@@ -124,8 +118,6 @@
     /// Whether start orders may be sent: leads, and knows which data centres are evacuated.
     bool mayStart(TimePoint now);
     void evacuationsChanged(TimePoint now);
-    void listProgress(const std::string &after);
-    void handleProgressPage(const Tasks::StoreAnswer &answer);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -185,6 +177,7 @@
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
+    ProgressReader progress; ///< Its records are kept only while loading.
     Tasks::RunTimeEstimator runTimes;
     SpeedTracker speeds;
     Tasks::WorkerRisks risks;
@@ -197,8 +190,6 @@
     std::uint64_t generation = 0; ///< Answers and timers of earlier generations are ignored.
     bool jobsListed = false;
     bool workersListed = false;
-    bool progressComplete = false;
-    std::map<std::string, LoadedRecord> records; ///< Used only while loading.
     std::set<std::string> cancelledIds; ///< Used only while loading.
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
