--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -16,7 +16,6 @@
 using Tasks::RunRef;
 using Tasks::StoreAnswer;
 using Tasks::StoredItem;
-using Tasks::StoreOutcome;
 using Tasks::TaskProgress;
 using Tasks::TaskRef;
 using Tasks::TaskState;
@@ -68,8 +67,10 @@
     , published(store, settings.writer.commitTimeout.longest,
                 [this](const std::string &key, TimePoint now) {
                     if (key == StoreKeys::silence && this->isLeading(now))
-                        this->writeSilence();
+                        this->silence.update(this->election.termName());
                 })
+    , silence(store, this->published, logger, this->fleet, settings.silenceReadTimeout,
+              [this](TimePoint now) { this->beginWhenLoaded(now); })
     , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
                {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
                 [this](TimePoint now) {
@@ -89,12 +90,15 @@
           store, timers, logger, settings.evacuations,
           [this](TimePoint now) { this->evacuationsChanged(now); },
           [this](TimePoint now) { this->beginWhenLoaded(now); })
-    , speeds(settings.speeds)
+    , progress(store, timers, settings.progress,
+               [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , speeds(store, this->published, logger, this->jobs, this->fleet.all(), settings.speeds)
     , risks(settings.risks)
     , departures(settings.departures)
     , permits(placement, timers, logger, settings.permits,
               [this](TimePoint) { this->schedulePlan(); })
-    , inputs(jobs, fleet, runTimes, speeds, risks, permits, std::move(guarantees), settings.inputs)
+    , inputs(jobs, fleet, runTimes, speeds.workerSpeeds(), risks, permits, std::move(guarantees),
+             settings.inputs)
     , planner(settings.planner)
     , forecast(settings.forecast)
 {}
@@ -124,22 +128,14 @@
     this->generation++;
     this->phase = Phase::Loading;
     this->jobs.clear();
-    this->records.clear();
     this->cancelledIds.clear();
     this->jobsListed = false;
     this->workersListed = false;
-    this->progressComplete = false;
-    this->silenceRead = false;
-    this->lastLeader = term.lastLeader;
-    this->sentSilence.clear();
     this->planPending = false;
     this->inputs.clear();
     this->permits.clear();
     this->refusals.clear();
     this->runTimes.clear();
-    this->speeds.clear();
-    this->nextSpeedsWriteAt = {};
-    this->speedsUpdatedAt = {};
     this->risks.clear();
     this->shortagesReportedAt.clear();
     this->published.begin(term.token);
@@ -149,9 +145,9 @@
     this->jobWatch.start(now);
     this->workerWatch.start(now);
     this->evacuations.start(now);
-    this->listProgress({});
-    this->readSilence();
-    this->readSpeeds();
+    this->progress.start();
+    this->silence.begin(term.lastLeader);
+    this->speeds.begin();
 }
 
 void TaskDispatcher::deposed()
@@ -160,9 +156,12 @@
     this->phase = Phase::Idle;
     this->writer.stop();
     this->published.stop();
+    this->silence.stop();
+    this->speeds.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
     this->evacuations.stop();
+    this->progress.stop();
 }
 
 void TaskDispatcher::termConfirmed(TimePoint now)
@@ -174,99 +173,14 @@
     this->plan(now);
 }
 
-void TaskDispatcher::listProgress(const std::string &after)
-{
-    const auto answerHandler = [this, after, generation = this->generation](
-                                   const StoreAnswer &answer, TimePoint now) {
-        if (generation != this->generation)
-            return;
-        if (answer.outcome == StoreOutcome::Done) {
-            this->handleProgressPage(answer);
-            this->beginWhenLoaded(now);
-            return;
-        }
-        this->timers.after(this->settings.storeRetryDelay, [this, after, generation](TimePoint) {
-            if (generation == this->generation)
-                this->listProgress(after);
-        });
-    };
-    this->store.list(StoreKeys::progress, after, this->settings.listTimeout, answerHandler);
-}
-
-void TaskDispatcher::handleProgressPage(const StoreAnswer &answer)
-{
-    const std::string_view prefix = StoreKeys::progress;
-    for (const StoredItem &item : answer.items) {
-        if (item.key.starts_with(prefix))
-            this->records[item.key.substr(prefix.size())] = {item.value, item.revision};
-    }
-    if (answer.truncated && !answer.items.empty())
-        this->listProgress(answer.items.back().key);
-    else
-        this->progressComplete = true;
-}
-
-void TaskDispatcher::readSilence()
-{
-    const auto answerHandler
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
-              if (generation == this->generation)
-                  this->handleSilence(answer, now);
-          };
-    this->store.read(StoreKeys::silence, this->settings.listTimeout, answerHandler);
-}
-
-/// Takes the last leader's record of silent workers. Without an answer, the leases on these workers
-/// are counted for longer.
-void TaskDispatcher::handleSilence(const StoreAnswer &answer, TimePoint now)
-{
-    this->silenceRead = true;
-    if (const StoredItem *item = answer.find(StoreKeys::silence)) {
-        this->published.setRevision(StoreKeys::silence, item->revision);
-        std::optional<SilenceRecord> record = decodeSilence(item->value);
-        if (!record)
-            this->logger.logEvent(LogKind::Fault, "silence record can't be read",
-                                  {{"revision", item->revision},
-                                   {"effect", "former leaders may renew leases on all workers"}},
-                                  now);
-        else if (!this->lastLeader.empty() && record->leader == this->lastLeader)
-            this->fleet.setSilentBefore(std::move(record->workers));
-    }
-    this->beginWhenLoaded(now);
-}
-
-/// The takeover does not wait for the speeds: without them, work is placed less well for a while.
-void TaskDispatcher::readSpeeds()
-{
-    const auto answerHandler
-        = [this, generation = this->generation](const StoreAnswer &answer, TimePoint now) {
-              if (generation == this->generation)
-                  this->handleSpeeds(answer, now);
-          };
-    this->store.read(StoreKeys::speeds, this->settings.listTimeout, answerHandler);
-}
-
-void TaskDispatcher::handleSpeeds(const StoreAnswer &answer, TimePoint now)
-{
-    const StoredItem *item = answer.find(StoreKeys::speeds);
-    if (!item)
-        return;
-    this->published.setRevision(StoreKeys::speeds, item->revision);
-    if (!this->speeds.restore(item->value))
-        this->logger.logEvent(LogKind::Fault, "speeds of workers can't be read",
-                              {{"revision", item->revision}, {"effect", "they are learned anew"}},
-                              now);
-    this->updateSpreads(now);
-}
-
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
-    const bool loaded = this->jobsListed && this->workersListed && this->progressComplete
-        && this->silenceRead && this->evacuations.isListed();
+    const bool loaded = this->jobsListed && this->workersListed && this->progress.isComplete()
+        && this->silence.isRead() && this->evacuations.isListed();
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
-    for (const auto &[id, record] : this->records)
+    for (const auto &[id, record] : this->progress.records())
         this->writer.setRevision(id, record.revision);
     std::vector<std::string> ids;
     for (const auto &[id, job] : this->jobs.all())
@@ -277,7 +191,7 @@
     }
     for (const std::string &id : std::set<std::string>(this->cancelledIds))
         this->cancelJob(id, now);
-    this->records.clear();
+    this->progress.discardRecords();
     this->fleet.openSessions(now);
     this->logger.logEvent(LogKind::Leadership, "took over",
                           {{"jobs", ids.size()}, {"workers", this->fleet.all().size()}}, now);
@@ -287,8 +201,8 @@
 
 void TaskDispatcher::restoreJob(const Job &job, TimePoint now)
 {
-    const auto record = this->records.find(job.id);
-    if (record == this->records.end())
+    const auto record = this->progress.records().find(job.id);
+    if (record == this->progress.records().end())
         return;
     tl::expected<JobProgress, std::string> progress
         = Tasks::decodeProgress(record->second.value, job);
@@ -430,83 +344,10 @@
 
 void TaskDispatcher::runProgressed(const RunProgress &progress, TimePoint now)
 {
-    this->learnSpeed(progress.run, progress.worker, progress.startedAt, progress.percent, now);
-}
-
-void TaskDispatcher::learnSpeed(const RunRef &run, const Tasks::WorkerEntry &worker,
-                                std::optional<TimePoint> startedAt, std::int32_t percent,
-                                TimePoint now)
-{
-    const TrackedJob *job = this->jobs.find(run.job);
-    if (!job || !job->progress.contains(run.task))
-        return;
-    const Tasks::Step &step = job->stepOf(run.task);
-    const bool isFarFromData
-        = !step.dataRack.empty() && !Tasks::hasLabel(worker.labels, step.dataRack);
-    if (isFarFromData || step.count < 2)
-        return;
-    const std::string name = Tasks::WorkerSpeeds::identityOf(worker);
-    this->speeds.recordProgress({{run.job, run.task.occurrence, run.task.step},
-                                 run.task.index,
-                                 run.run,
-                                 name,
-                                 step.gang,
-                                 startedAt,
-                                 percent},
+    this->speeds.recordProgress(progress.run, progress.worker, progress.startedAt, progress.percent,
                                 now);
 }
 
-void TaskDispatcher::updateSpeeds(TimePoint now)
-{
-    const auto workers = static_cast<Duration::rep>(this->fleet.all().size());
-    if (now < this->speedsUpdatedAt + this->settings.speedsUpdatePerWorker * workers
-        || !this->speeds.hasNews())
-        return;
-    this->speedsUpdatedAt = now;
-    this->speeds.update();
-    this->updateSpreads(now);
-    this->writeSpeeds(now);
-}
-
-void TaskDispatcher::updateSpreads(TimePoint now)
-{
-    std::map<std::string_view, std::vector<std::string>> names;
-    for (const auto &[id, worker] : this->fleet.all()) {
-        if (worker.listed)
-            names[worker.entry.service].push_back(Tasks::WorkerSpeeds::identityOf(worker.entry));
-    }
-    for (const auto &[service, workers] : names) {
-        const auto known = this->speeds.spreads().find(service);
-        const bool differed = known != this->speeds.spreads().end() && known->second.differs;
-        this->speeds.updateSpread(service, workers);
-        const Tasks::WorkerSpeeds::Spread &spread = this->speeds.spreads().find(service)->second;
-        if (spread.differs != differed)
-            this->logger.logEvent(LogKind::Dependency,
-                                  spread.differs ? "workers differ in speed"
-                                                 : "workers are about equally fast",
-                                  {{"service", service},
-                                   {"known", spread.known},
-                                   {"fastest", spread.fastest},
-                                   {"slowest", spread.slowest}},
-                                  now);
-    }
-}
-
-void TaskDispatcher::writeSpeeds(TimePoint now)
-{
-    if (now < this->nextSpeedsWriteAt)
-        return;
-    const std::string text = this->speeds.encode();
-    if (text.empty())
-        return;
-    constexpr std::size_t bytesPerKiB = 1024;
-    this->nextSpeedsWriteAt = now
-        + std::max(this->settings.speedsInterval,
-                   this->settings.speedsIntervalPerKiB
-                       * static_cast<Duration::rep>(text.size() / bytesPerKiB));
-    this->published.publish(StoreKeys::speeds, text);
-}
-
 void TaskDispatcher::runEnded(const RunEnd &end, TimePoint now)
 {
     if (this->phase != Phase::Leading)
@@ -542,8 +383,8 @@
     const bool showsSpeed = end.cause == EndCause::Done && end.runTime > Duration{}
         && worker != this->fleet.all().end();
     if (showsSpeed)
-        this->learnSpeed(end.run, worker->second.entry, now - end.runTime, Tasks::completePercent,
-                         now);
+        this->speeds.recordProgress(end.run, worker->second.entry, now - end.runTime,
+                                    Tasks::completePercent, now);
     const auto recorded = [this, end](TimePoint at) { this->fleet.endRecorded(end, at); };
     // An end that changes nothing may depend on an earlier change that is not stored yet: the first
     // end of a gang settles the ends of its other members.
@@ -613,7 +454,7 @@
 void TaskDispatcher::silenceEnded(TimePoint now)
 {
     if (this->isLeading(now))
-        this->writeSilence();
+        this->silence.update(this->election.termName());
 }
 
 void TaskDispatcher::applyUpdate(TrackedJob &job, const JobUpdate &update,
@@ -702,31 +543,12 @@
     this->fleet.refreshClocks(now);
     this->risks.forgetOld(now);
     this->writeLoad(now);
-    this->updateSpeeds(now);
-    this->writeSilence();
+    this->speeds.update(now);
+    this->silence.update(this->election.termName());
     this->stopDoomedRuns(now);
     this->plan(now);
 }
 
-/// Keeps the stored record of silent workers up to date. Leases are withheld on all workers that
-/// may stand in the stored record: those of the last one that was stored, and of all sent since.
-void TaskDispatcher::writeSilence()
-{
-    if (this->published.isInFlight(StoreKeys::silence))
-        return;
-    const bool isKnown = this->published.isStored(StoreKeys::silence);
-    if (isKnown)
-        this->fleet.withholdLeasesOnly(this->sentSilence);
-    std::set<std::string> silent = this->fleet.silentWorkers();
-    const bool isStored = isKnown || !this->fleet.withholdsLeases();
-    if (isStored && silent == this->sentSilence)
-        return;
-    this->fleet.withholdLeases(silent);
-    const std::string text = encodeSilence({this->election.termName(), silent});
-    this->sentSilence = std::move(silent);
-    this->published.publish(StoreKeys::silence, text);
-}
-
 void TaskDispatcher::writeLoad(TimePoint now)
 {
     if (now < this->loadWrittenAt + this->settings.loadInterval)
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -5,8 +5,11 @@
 #include <Coordination/PermitCache.h>
 #include <Coordination/PlanInputs.h>
 #include <Coordination/PrefixWatch.h>
+#include <Coordination/ProgressReader.h>
 #include <Coordination/PublishedKeys.h>
 #include <Coordination/RecordWriter.h>
+#include <Coordination/SilenceRecorder.h>
+#include <Coordination/SpeedTracker.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/DepartureDecision.h>
@@ -14,7 +17,6 @@
 #include <Tasks/StartPlanner.h>
 #include <Tasks/WaitForecast.h>
 #include <Tasks/WorkerRisks.h>
-#include <Tasks/WorkerSpeeds.h>
 
 #include <optional>
 #include <tl/expected.hpp>
@@ -41,17 +43,10 @@
         Duration tickInterval = milliseconds(250);
         /// Minimum time between two writes of the queues' load.
         Duration loadInterval = milliseconds(500);
-        /// Minimum time between two updates of the workers' speeds, for each worker in
-        /// microseconds.
-        Duration speedsUpdatePerWorker{100};
-        /// Minimum time between two writes of the workers' speeds, which grows with their size.
-        Duration speedsInterval = seconds(5);
-        Duration speedsIntervalPerKiB = milliseconds(500);
-        Duration listTimeout = milliseconds(1500);
-        Duration storeRetryDelay = milliseconds(150);
+        Duration silenceReadTimeout = milliseconds(1500);
         Tasks::StartPlanner::Settings planner;
         Tasks::WaitForecast::Settings forecast;
-        Tasks::WorkerSpeeds::Settings speeds;
+        SpeedTracker::Settings speeds;
         WorkerFleet::Settings fleet;
         PermitCache::Settings permits;
         PlanInputs::Settings inputs;
@@ -59,6 +54,7 @@
         Tasks::DepartureDecision::Settings departures;
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
+        ProgressReader::Settings progress;
     };
 
     /// Decodes a worker's registry entry, or returns a description of the error.
@@ -80,7 +76,7 @@
 
     const TrackedJobTable &jobTable() const { return this->jobs; }
     const WorkerFleet &workerFleet() const { return this->fleet; }
-    const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds; }
+    const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds.workerSpeeds(); }
     bool isReady() const { return this->phase == Phase::Leading; }
 
 private:
@@ -92,13 +88,6 @@
         Leading,
     };
 
-    /// Progress record of a job that was read at takeover.
-    struct LoadedRecord
-    {
-        std::string value;
-        std::int64_t revision = 0;
-    };
-
     /// A refusal marker that is stored under a job's key.
     struct Refusal
     {
@@ -130,12 +119,6 @@
     /// Whether start orders may be sent: leads, and knows which data centres are evacuated.
     bool mayStart(TimePoint now);
     void evacuationsChanged(TimePoint now);
-    void listProgress(const std::string &after);
-    void handleProgressPage(const Tasks::StoreAnswer &answer);
-    void readSilence();
-    void handleSilence(const Tasks::StoreAnswer &answer, TimePoint now);
-    void readSpeeds();
-    void handleSpeeds(const Tasks::StoreAnswer &answer, TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -179,14 +162,6 @@
     void scheduleTick();
     void tick(TimePoint now);
     void writeLoad(TimePoint now);
-    /// Learns from the run's progress, unless the place of its data decides its run time.
-    void learnSpeed(const Tasks::RunRef &run, const Tasks::WorkerEntry &worker,
-                    std::optional<TimePoint> startedAt, std::int32_t percent, TimePoint now);
-    /// Takes what the workers reported since the last call into their speeds.
-    void updateSpeeds(TimePoint now);
-    void updateSpreads(TimePoint now);
-    void writeSpeeds(TimePoint now);
-    void writeSilence();
 
     Tasks::MetadataStore &store;
     TimerService &timers;
@@ -199,11 +174,13 @@
     WorkerFleet fleet;
     RecordWriter writer;
     PublishedKeys published;
+    SilenceRecorder silence;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
+    ProgressReader progress; ///< Its records are kept only while loading.
     Tasks::RunTimeEstimator runTimes;
-    Tasks::WorkerSpeeds speeds;
+    SpeedTracker speeds;
     Tasks::WorkerRisks risks;
     Tasks::DepartureDecision departures;
     PermitCache permits;
@@ -214,19 +191,12 @@
     std::uint64_t generation = 0; ///< Answers and timers of earlier generations are ignored.
     bool jobsListed = false;
     bool workersListed = false;
-    bool progressComplete = false;
-    bool silenceRead = false;
-    std::string lastLeader; ///< See LeaderElection::Term.
-    std::map<std::string, LoadedRecord> records; ///< Used only while loading.
     std::set<std::string> cancelledIds; ///< Used only while loading.
     /// Refusals by job id, which are stored in place of the jobs.
     std::map<std::string, Refusal> refusals;
     bool planPending = false;
-    std::set<std::string> sentSilence; ///< Workers of the newest silence record that was sent.
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
-    TimePoint speedsUpdatedAt{};
-    TimePoint nextSpeedsWriteAt{};
     std::map<std::string, TimePoint> shortagesReportedAt; ///< By service.
 };
 
