--- a/Coordination/TermRecord.h
+++ b/Coordination/TermRecord.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <Coordination/SilenceRecord.h>
 #include <Core/Time.h>
 
 #include <optional>
