Soak: let the client know of each attempt to submit a job

Traced in its logs: entry-2 stored the job and was killed before it answered; 0.47 s later its next process, which had read no configuration yet, answered 503 to the same call. The HTTP client had sent the call again over a new connection, so the soak took the 503 for the answer to its only attempt. After an attempt without an answer, a refusal says nothing of that attempt, and the check already allows for that; it did not know of the attempt. Submissions are now sent once.

--- a/Soak/SoakClients.cpp
+++ b/Soak/SoakClients.cpp
@@ -116,8 +116,11 @@
     call.headers.push_back({"Host", configurationHost});
     call.headers.push_back({"Authorization", "Bearer " + job.key});
     call.headers.push_back({"Deadline-Ms", std::to_string(toMs(this->settings.timeout))});
-    if (verb == http::verb::post)
+    if (verb == http::verb::post) {
         call.body = job.body;
+        // The client has to know of each attempt without an answer.
+        call.repeatable = false;
+    }
     return call;
 }
 
