--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -520,14 +520,16 @@
     const auto found = worker.runs.find(key);
     if (found == worker.runs.end())
         return;
-    this->logger.logEvent(LogKind::Task, "run in neither list",
-                          {{"request", key.first},
-                           {"run", Tasks::textOf(found->second.ref)},
-                           {"worker", worker.entry.id},
-                           {"incarnation", worker.entry.incarnation},
-                           {"lastEnd", worker.lastEnd},
-                           {"acknowledgedEnd", worker.acknowledgedEnd}},
-                          now);
+    // A run that was stopped may have been stopped before it began.
+    if (found->second.startConfirmedAt && !found->second.stopWanted)
+        this->logger.logEvent(LogKind::Task, "run in neither list",
+                              {{"request", key.first},
+                               {"run", Tasks::textOf(found->second.ref)},
+                               {"worker", worker.entry.id},
+                               {"incarnation", worker.entry.incarnation},
+                               {"lastEnd", worker.lastEnd},
+                               {"acknowledgedEnd", worker.acknowledgedEnd}},
+                              now);
     this->reportLostRun(worker, key, "the worker does not list the run", now);
 }
 
