Judge each answer to an order by the worker's clock

Callers would see ends that are never taken note of: a full page of 500 ends was not acknowledged while a started run had ended beyond the page, since that run is in no list. The page never advanced. And a task could run twice at the same time: the answer to a stop order came from a process that nobody knew, and its clock replaced that of the former one, so that the answer to the next start raised no suspicion and the bound for late renewals was not applied.

Cause: answers to orders name no process, and only the answer to a start was checked by its clock, to raise suspicion; that it shows the known process was not used.

Change: each answer to a start or stop order is checked, before its clock is taken over. It is of the known process if the clock is not behind, and shows more than the time since it was last read, which a process that started since can't. Such a run does not hold up acknowledgements any more; nor does an adopted run, or a revocation.

The test of an overtaken start did not send the answer that its name spoke of; two tests stand in its place.

--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -434,6 +434,7 @@
     return worker.clock + passedMs + toMs(longest - lag);
 }
 
+/// Lowest value in ms that the clock of the worker's known process may show; 0 if unknown.
 std::int64_t WorkerFleet::earliestClock(const Worker &worker, TimePoint now)
 {
     if (worker.clock == 0)
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -163,15 +163,17 @@
         std::optional<TimePoint> startConfirmedAt; ///< When the worker first confirmed the start.
         /// The worker's known process has listed the run. Answers to orders do not name a process.
         bool listedByProcess = false;
+        /// By its clock, the worker's known process has answered an order of the run.
+        bool answeredByProcess = false;
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
         std::optional<TimePoint> orderConfirmedAt;
 
-        /// Whether a process that the leader does not know yet may have executed the start order.
+        /// Whether the start order was sent, and nothing shows yet that the worker's known process
+        /// got it.
         bool mayBeOfUnknownProcess() const
         {
-            const bool isOrdered = this->adopted || this->isRevocation || this->startAttempts > 0;
-            return isOrdered && !this->listedByProcess;
+            return this->startAttempts > 0 && !this->listedByProcess && !this->answeredByProcess;
         }
 
         /// Time since the worker first confirmed the start; zero before that.
@@ -341,6 +343,16 @@
         TimePoint sentAt{};
     };
 
+    /// An order on its way, as far as its answer is judged by it.
+    struct SentOrder
+    {
+        FencingToken token;
+        TimePoint sentAt{};
+        /// Lowest value in ms that the clock of the known process showed then; 0 if unknown.
+        std::int64_t earliestClock = 0;
+        TimePoint clockReadAt{};
+    };
+
     bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
     bool mayBeRenewedByOthers(const std::string &worker) const;
 
@@ -359,7 +371,6 @@
     TimePoint latestExecution(const Worker &worker, TimePoint now) const;
     Duration boundOfLease(Duration lease) const;
     std::int64_t extendLease(Worker &worker, Duration lease, TimePoint now);
-    /// Lowest value in ms that the clock of the worker's known process may show; 0 if unknown.
     static std::int64_t earliestClock(const Worker &worker, TimePoint now);
     void noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now);
     void noteAnswer(const Worker &worker, TimePoint now);
@@ -404,13 +415,13 @@
     void checkLease(Worker &worker, TimePoint now);
 
     void sendStart(Worker &worker, Run &run, TimePoint now);
-    Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer,
-                              FencingToken token, TimePoint now);
+    static SentOrder describeOrder(const Worker &worker, TimePoint now);
+    void noteOrderAnswer(Worker &worker, const Tasks::RunRef &ref,
+                         const Tasks::WorkerAnswer &answer, const SentOrder &sent, TimePoint now);
+    Worker *acceptOrderAnswer(const std::string &id, const Tasks::RunRef &ref,
+                              Tasks::WorkerAnswer &answer, const SentOrder &sent, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
-                           Tasks::WorkerAnswer answer, FencingToken token, TimePoint sentAt,
-                           TimePoint now);
-    void checkClock(const std::string &id, const Tasks::WorkerAnswer &answer,
-                    std::int64_t clockAtSending, TimePoint now);
+                           Tasks::WorkerAnswer answer, const SentOrder &sent, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     void handleOvertakenStart(Worker &worker, Run &run, TimePoint now);
     bool mayRetryStart(const Worker &worker, TimePoint now) const;
@@ -420,7 +431,7 @@
     void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
     void settleExpiredRun(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
-                          Tasks::WorkerAnswer answer, FencingToken token, TimePoint now);
+                          Tasks::WorkerAnswer answer, const SentOrder &sent, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
     void pause(Worker &worker, Duration span, TimePoint now);
     void adjustPaces(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -57,41 +57,52 @@
     order.payload = run.payload;
     order.checkpoint = run.checkpoint;
     order.permit = run.permit;
+    const SentOrder sent = describeOrder(worker, now);
     order.leaseUntil = this->extendLease(worker, this->settings.startLease, now);
     order.fencingToken = worker.token.value();
     this->link.start(worker.entry, order, this->settings.orderTimeout,
-                     [this, id = worker.entry.id, ref = run.ref, token = worker.token, sentAt = now,
-                      clockAtSending = earliestClock(worker, now),
+                     [this, id = worker.entry.id, ref = run.ref, sent,
                       generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
-                         if (generation != this->generation)
-                             return;
-                         this->checkClock(id, answer, clockAtSending, at);
-                         this->handleStartAnswer(id, ref, answer, token, sentAt, at);
+                         if (generation == this->generation)
+                             this->handleStartAnswer(id, ref, answer, sent, at);
                      });
 }
 
-/// An answer to an order names no process. A clock that is behind its value at the sending of the
-/// order belongs to a process that has started since.
-void WorkerFleet::checkClock(const std::string &id, const WorkerAnswer &answer,
-                             std::int64_t clockAtSending, TimePoint now)
+WorkerFleet::SentOrder WorkerFleet::describeOrder(const Worker &worker, TimePoint now)
 {
-    Worker *worker = this->workerOf(id);
-    const bool isBehind = answer.clock != 0 && answer.clock < clockAtSending;
-    if (worker && worker->hasSession && isBehind)
-        this->suspectRestart(*worker, now);
+    return {worker.token, now, earliestClock(worker, now), worker.clockReadAt};
+}
+
+/// An answer to an order names no process, but tells its clock. The clock of a process that has
+/// started since the last reading is behind its value at the sending of the order, or shows less
+/// than the time since that reading.
+void WorkerFleet::noteOrderAnswer(Worker &worker, const RunRef &ref, const WorkerAnswer &answer,
+                                  const SentOrder &sent, TimePoint now)
+{
+    if (answer.clock == 0 || sent.earliestClock == 0 || !worker.hasSession)
+        return;
+    const bool mayBeNew
+        = answer.clock < sent.earliestClock || answer.clock <= toMs(now - sent.clockReadAt);
+    if (mayBeNew)
+        this->suspectRestart(worker, now);
+    else if (Run *run = this->runOf(worker, ref))
+        run->answeredByProcess = true;
 }
 
 /// Handles the common part of all answers to orders. Returns null if the worker is unknown or has
 /// fenced this leader off.
-WorkerFleet::Worker *WorkerFleet::acceptOrderAnswer(const std::string &id, WorkerAnswer &answer,
-                                                    FencingToken token, TimePoint now)
+WorkerFleet::Worker *WorkerFleet::acceptOrderAnswer(const std::string &id, const RunRef &ref,
+                                                    WorkerAnswer &answer, const SentOrder &sent,
+                                                    TimePoint now)
 {
     Worker *worker = this->workerOf(id);
-    if (worker && answer.outcome == WorkerOutcome::Fenced && token == worker->token) {
+    if (worker && answer.outcome == WorkerOutcome::Fenced && sent.token == worker->token) {
         this->listener.fenced(now);
         return nullptr;
     }
     const bool hasAnswer = worker && answer.outcome != WorkerOutcome::Unknown;
+    if (hasAnswer)
+        this->noteOrderAnswer(*worker, ref, answer, sent, now);
     if (hasAnswer && !this->acceptAnswer(*worker, answer, now))
         answer.outcome = WorkerOutcome::Unknown;
     if (hasAnswer && !worker->hasSession)
@@ -100,9 +111,9 @@
 }
 
 void WorkerFleet::handleStartAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
-                                    FencingToken token, TimePoint sentAt, TimePoint now)
+                                    const SentOrder &sent, TimePoint now)
 {
-    Worker *worker = this->acceptOrderAnswer(id, answer, token, now);
+    Worker *worker = this->acceptOrderAnswer(id, ref, answer, sent, now);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
@@ -129,8 +140,8 @@
                                {"try", run->startAttempts}},
                               now);
         // A data centre is probed before the start is given up for it.
-        this->handleUnansweredStart(*worker, *run, sentAt, now);
-        this->noteSilence(*worker, sentAt, now);
+        this->handleUnansweredStart(*worker, *run, sent.sentAt, now);
+        this->noteSilence(*worker, sent.sentAt, now);
         return;
     case WorkerOutcome::Fenced:
         this->handleOvertakenStart(*worker, *run, now);
@@ -306,10 +317,10 @@
     }
     run.stopOutstanding = true;
     this->link.stop(worker.entry, {run.ref, worker.token.value()}, this->settings.orderTimeout,
-                    [this, id = worker.entry.id, ref = run.ref, token = worker.token,
+                    [this, id = worker.entry.id, ref = run.ref, sent = describeOrder(worker, now),
                      generation = this->generation](const WorkerAnswer &answer, TimePoint at) {
                         if (generation == this->generation)
-                            this->handleStopAnswer(id, ref, answer, token, at);
+                            this->handleStopAnswer(id, ref, answer, sent, at);
                     });
 }
 
@@ -330,9 +341,9 @@
 }
 
 void WorkerFleet::handleStopAnswer(const std::string &id, const RunRef &ref, WorkerAnswer answer,
-                                   FencingToken token, TimePoint now)
+                                   const SentOrder &sent, TimePoint now)
 {
-    Worker *worker = this->acceptOrderAnswer(id, answer, token, now);
+    Worker *worker = this->acceptOrderAnswer(id, ref, answer, sent, now);
     Run *run = worker ? this->runOf(*worker, ref) : nullptr;
     if (!run)
         return;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -37,6 +37,7 @@
         return true;
     if (!worker.hasEndsToAcknowledge() || !worker.isAnswering() || this->mayAcknowledge(worker))
         return false;
+    // A list is due of the runs whose orders were answered after the last poll.
     return std::none_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &entry) {
         const Run &run = entry.second;
         return run.mayBeOfUnknownProcess() && run.orderConfirmedAt > worker.pollSentAt;
@@ -95,9 +96,9 @@
 }
 
 /// A call does not name the process that it is meant for, so an acknowledgement discards ends of
-/// whichever process executes it. A next process must have none that nobody has seen: the known one
-/// has just answered, and has listed all runs that were ordered on the worker. Starts that follow
-/// fence the acknowledgement off.
+/// whichever process executes it. It is sent to a process that has just answered, when nothing that
+/// was ordered before may run in another one, and starts that follow fence it off. So a next
+/// process has no end to discard, except of an earlier attempt of a start that it executes late.
 bool WorkerFleet::mayAcknowledge(const Worker &worker) const
 {
     if (!worker.hasSession || !worker.isAnswering() || !worker.hasEndsToAcknowledge())
@@ -342,6 +343,7 @@
         if (!this->mayBelongToNextProcess(worker, run, now))
             lost.push_back(key);
         run.listedByProcess = false;
+        run.answeredByProcess = false;
     }
     for (const RunKey &key : lost)
         this->reportLostRun(worker, key, "the worker restarted", now);
--- a/UnitTests/Coordination/RestartedWorkerTest.cpp
+++ b/UnitTests/Coordination/RestartedWorkerTest.cpp
@@ -10,19 +10,25 @@
 {
 protected:
     RestartedWorker()
-        : ClusterTest(2, 4)
+        : ClusterTest(2, 8)
     {
-        for (int i = 1; i < 4; i++)
+        for (int i = 1; i < 8; i++)
             this->cluster.removeWorkerEntry("worker-" + std::to_string(i));
     }
 
-    /// Lets the worker end eight runs, which are acknowledged, and leaves it with a long one.
-    void useFormerProcess()
+    /// Lets the worker end eight runs, which are acknowledged.
+    void endEightRuns()
     {
         this->accept(1, jobBody("300", 8, 1));
         this->cluster.run(seconds(1));
         ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
         ASSERT_EQ(this->cluster.workers.listedEndsOf(this->worker), 0U);
+    }
+
+    /// The same, and leaves the worker with a long run.
+    void useFormerProcess()
+    {
+        this->endEightRuns();
         this->accept(2, jobBody("30000", 1, 1));
         this->cluster.run(milliseconds(500));
         ASSERT_EQ(this->cluster.workers.runningOn(this->worker), 1U);
@@ -62,6 +68,13 @@
                 = isCut ? std::set{this->worker} : std::set<std::string>{};
     }
 
+    void runUntilStarted(std::uint32_t job)
+    {
+        for (int i = 0; i < 5000 && this->cluster.workers.startsOf(jobId(job)) == 0; i++)
+            this->cluster.run(milliseconds(1));
+        ASSERT_EQ(this->cluster.workers.startsOf(jobId(job)), 1U);
+    }
+
     const std::string worker = "worker-0";
 };
 
@@ -155,6 +168,56 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 2U);
 }
 
+// Guards against a restart that the answer to a stop order hides: it shows the clock of a process
+// that nobody knows, by which the answer to the next start order is judged.
+TEST_F(RestartedWorker, StopAnsweredByANewProcessHidesNoRestart)
+{
+    this->useFormerProcess();
+    this->cluster.workers.orderDelay = milliseconds(2500);
+    this->cluster.workers.delayedPolls = {this->worker};
+    this->cluster.run(milliseconds(1600));
+    this->cluster.workers.delayedPolls.clear();
+    this->cluster.workers.restart(this->worker);
+    this->cluster.cancel(this->follower(), jobId(2));
+    this->cluster.run(milliseconds(50));
+    this->accept(3, jobBody("30000", 1, 1));
+    this->cluster.run(milliseconds(100));
+    this->cutOff(true);
+    this->cluster.putWorker(this->cluster.workers.entryOf("worker-4"));
+    this->cluster.run(seconds(60));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
+}
+
+// Guards against an end that is discarded by a late acknowledgement, after a late start order has
+// begun an earlier attempt of its run in the next process.
+TEST_F(RestartedWorker, LateAcknowledgementDiscardsNoEndOfALateFirstAttempt)
+{
+    this->endEightRuns();
+    this->cluster.workers.orderDelay = seconds(3);
+    this->cluster.workers.delayedWorkers = {this->worker};
+    this->accept(2, jobBody("2000", 1, 1));
+    this->cluster.run(milliseconds(200));
+    this->cluster.workers.delayedWorkers.clear();
+    this->cluster.run(milliseconds(500));
+    ASSERT_EQ(this->cluster.workers.startsOf(jobId(2)), 1U);
+    this->accept(4, jobBody("300", 1, 1));
+    this->cluster.run(milliseconds(250));
+    this->cluster.workers.orderDelay = seconds(4) + milliseconds(800);
+    this->cluster.workers.delayedPolls = {this->worker};
+    this->cluster.run(milliseconds(250));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(4)));
+    this->cluster.workers.delayedPolls.clear();
+    ASSERT_EQ(this->cluster.workers.runningOn(this->worker), 1U);
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(this->worker);
+    this->cutOff(true);
+    this->cluster.run(milliseconds(5000));
+    this->cutOff(false);
+    this->cluster.putWorker(entry);
+    this->cluster.run(seconds(20));
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(2)));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(2)), 2U);
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -120,6 +120,19 @@
         this->fleet.endRecorded(this->listener.ends.back(), start);
     }
 
+    /// The worker lists a full page of ends, which are recorded then.
+    void recordFullPage()
+    {
+        Tasks::WorkerAnswer page = answerOf(Tasks::WorkerOutcome::Done, 1000);
+        page.hasAllEnds = false;
+        for (std::int64_t i = 1; i <= 500; i++)
+            page.ended.push_back({i, {"b" + std::to_string(i), {}, 1}, Tasks::EndCause::Done, ""});
+        this->link.renewals.back().handler(page, start + milliseconds(10));
+        const std::vector<RunEnd> ends = this->listener.ends;
+        for (const RunEnd &end : ends)
+            this->fleet.endRecorded(end, start + milliseconds(20));
+    }
+
     const Tasks::RenewOrder &newestPoll() const { return this->link.renewals.back().order; }
 
     void assignAndStart(const Tasks::RunRef &ref, TimePoint now = start)
@@ -433,14 +446,91 @@
     EXPECT_EQ(this->listener.fencedCount, 1U);
 }
 
-TEST_F(WorkerFleetTest, StartThatAnAnswerOfItsOwnLeaderHasFencedOffIsRepeated)
+TEST_F(WorkerFleetTest, StartThatAnotherLeaderHasFencedOffDeposesThisOne)
 {
-    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
-    this->assignAndStart({"a", {}, 1});
     this->recordFirstEnd("b");
+    this->assignAndStart({"a", {}, 1});
     this->assignAndStart({"c", {}, 1});
-    this->link.starts.at(1)(answerOf(Tasks::WorkerOutcome::Done, 0), start + milliseconds(2));
+    this->link.renewals.back().handler({}, start + milliseconds(5));
+    ASSERT_EQ(this->link.starts.size(), 2U);
+    this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Fenced, 0), start + milliseconds(6));
+    // No token was raised after the start, so another leader has one.
+    EXPECT_EQ(this->listener.fencedCount, 1U);
+}
+
+TEST_F(WorkerFleetTest, StartBeforeARaisedTokenIsRepeatedUnderIt)
+{
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000), start);
+    this->assignAndStart({"a", {}, 1});
+    Tasks::WorkerAnswer answer = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    answer.ended.push_back({1, {"b", {}, 1}, Tasks::EndCause::Done, ""});
+    this->fleet.resumePolls(start);
+    this->link.renewals.back().handler(answer, start);
+    this->fleet.endRecorded(this->listener.ends.at(0), start);
+    this->list(1001);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1001), start);
+    const std::size_t starts = this->link.starts.size();
+    this->link.starts.at(0)(answerOf(Tasks::WorkerOutcome::Fenced, 0), start + milliseconds(5));
     EXPECT_EQ(this->listener.fencedCount, 0U);
+    ASSERT_EQ(this->link.starts.size(), starts + 1);
+    EXPECT_GT(this->link.startTokens.back(), this->link.startTokens.front());
+    EXPECT_TRUE(this->listener.lost.empty());
+}
+
+// Guards against ends that are never acknowledged: a run that has ended beyond the first page of
+// ends is in no list.
+TEST_F(WorkerFleetTest, FullPageOfEndsIsAcknowledgedBesideAStartedRun)
+{
+    Tasks::WorkerAnswer first = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    first.clock = 50'000;
+    this->link.renewals.back().handler(first, start);
+    this->assignAndStart({"a", {}, 1});
+    Tasks::WorkerAnswer started = answerOf(Tasks::WorkerOutcome::Done, 0);
+    started.clock = 50'002;
+    this->link.starts.at(0)(started, start + milliseconds(2));
+    this->recordFullPage();
+    EXPECT_EQ(this->newestPoll().endsRecorded, 500);
+}
+
+TEST_F(WorkerFleetTest, FullPageOfEndsIsAcknowledgedBesideAnAdoptedRun)
+{
+    WorkerFleet::Run run;
+    run.ref = {"a", {}, 1};
+    this->fleet.adopt("worker-0", 1000, run, start);
+    this->recordFullPage();
+    EXPECT_EQ(this->newestPoll().endsRecorded, 500);
+}
+
+// Guards against an acknowledgement that counts although another process than the one that listed
+// the ends has answered it.
+TEST_F(WorkerFleetTest, AcknowledgementAnsweredByAnotherProcessCountsForNone)
+{
+    this->recordFirstEnd("b");
+    ASSERT_EQ(this->newestPoll().endsRecorded, 1);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 2000), start);
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 2000), start);
+    EXPECT_EQ(this->fleet.all().at("worker-0").acknowledgedEnd, 0);
+}
+
+TEST_F(WorkerFleetTest, EndThatIsListedAgainIsAcknowledgedAgain)
+{
+    this->recordFirstEnd("b");
+    this->answerWithFirstEnd(1000, "b");
+    EXPECT_EQ(this->listener.ends.size(), 1U);
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+}
+
+// Guards against a second run beside one whose lease a new process has extended by a renewal that
+// the leader had given up.
+TEST_F(WorkerFleetTest, RenewalThatWasGivenUpMayExtendTheLeaseOfTheNewProcess)
+{
+    this->startRun({"a", {}, 1});
+    this->link.renewals.back().handler({}, start + seconds(3));
+    this->list(2000);
+    this->link.renewals.back().handler({}, start + seconds(20));
+    EXPECT_TRUE(this->listener.lost.empty());
+    this->link.renewals.back().handler({}, start + seconds(23));
+    EXPECT_EQ(this->listener.lost.size(), 1U);
 }
 
 TEST_F(WorkerFleetTest, TokenOfAForgottenWorkerIsNotUsedAgain)
