Count an unanswered start as the longest lease

Callers would see a task that runs twice at the same time. The process grants the longest lease (6 s), since the end that the order names is a time on the former clock; the leader counted the 3 s that the order asked for and started the task elsewhere.

Why this works: without an answer nothing shows which process executed the order, so the longest lease counts. The price is 3 s more for a task whose start gets no answer from an idle worker that stays out of reach. A renewal that is late as well, beside all this, stays open: counting 13 s for it would hold up each task whose worker is lost.

TaskWhoseStartIsNotAnswered...AfterAShortLease rested on the assumption that no worker starts again unnoticed; it asks for the start within one longest lease, the attempts and one poll now, 9 s in place of 6 s.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -423,6 +423,7 @@
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
                            Tasks::WorkerAnswer answer, const SentOrder &sent, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
+    void countUnansweredLease(Worker &worker, TimePoint now) const;
     void handleOvertakenStart(Worker &worker, Run &run, TimePoint now);
     bool mayRetryStart(const Worker &worker, TimePoint now) const;
     void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -129,10 +129,7 @@
             return now > entry.second + this->settings.maxStartDelay;
         });
         worker->unansweredStarts[ref] = now;
-        // The order may have been sent to a process that has restarted since.
-        if (!worker->hasSession)
-            worker->leaseExpiresAt = std::max(
-                worker->leaseExpiresAt, this->latestExecution(*worker, now) + this->longestLease());
+        this->countUnansweredLease(*worker, now);
         this->logger.logEvent(LogKind::Task, "start not answered",
                               {{"request", ref.job},
                                {"run", Tasks::textOf(ref)},
@@ -167,6 +164,15 @@
     this->pollIfNeeded(*worker, now);
 }
 
+/// A process that has started since may have executed a start order without an answer. It grants
+/// the longest lease, since the end that the order names is a time on the former clock. While the
+/// leader has no session with the worker, other calls may be executed late by that process as well.
+void WorkerFleet::countUnansweredLease(Worker &worker, TimePoint now) const
+{
+    const TimePoint granted = worker.hasSession ? now : this->latestExecution(worker, now);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, granted + this->longestLease());
+}
+
 /// A later call of this leader has overtaken the start order, which was not executed.
 void WorkerFleet::handleOvertakenStart(Worker &worker, Run &run, TimePoint now)
 {
--- a/UnitTests/Coordination/RestartedWorkerTest.cpp
+++ b/UnitTests/Coordination/RestartedWorkerTest.cpp
@@ -168,6 +168,33 @@
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 2U);
 }
 
+// Guards against a second run beside one that an unnoticed process has begun: its start has no
+// answer, and the process grants the longest lease for a time on the former clock.
+TEST_F(RestartedWorker, UnansweredStartCountsAsTheLongestLease)
+{
+    // Another worker of the data centre answers all the time, so the data centre is not probed.
+    this->accept(2, jobBody("3000", 1, 8));
+    this->cluster.run(milliseconds(200));
+    this->cluster.putWorker(this->cluster.workers.entryOf("worker-1"));
+    this->cluster.run(milliseconds(200));
+    for (std::uint32_t i = 0; i < 8; i++)
+        this->accept(10 + i, jobBody(std::to_string(3200 + 250 * i), 1, 1));
+    this->cluster.run(milliseconds(3000));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(2)));
+    ASSERT_EQ(this->cluster.workers.runningOn("worker-1"), 8U);
+    this->cluster.workers.restart(this->worker);
+    this->cluster.workers.orderDelay = milliseconds(2);
+    this->cluster.workers.delayedWorkers = {this->worker};
+    this->accept(3, jobBody("30000", 1, 8));
+    this->runUntilStarted(3);
+    ASSERT_TRUE(this->cluster.workers.runsJob(this->worker, jobId(3)));
+    this->cutOff(true);
+    this->cluster.workers.delayedWorkers.clear();
+    this->cluster.putWorker(this->cluster.workers.entryOf("worker-4"));
+    this->cluster.run(seconds(40));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 2U);
+}
+
 // Guards against a restart that the answer to a stop order hides: it shows the clock of a process
 // that nobody knows, by which the answer to the next start order is judged.
 TEST_F(RestartedWorker, StopAnsweredByANewProcessHidesNoRestart)
--- a/UnitTests/Coordination/WorkerFaultTest.cpp
+++ b/UnitTests/Coordination/WorkerFaultTest.cpp
@@ -156,18 +156,19 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
-TEST_F(WorkerFault, TaskWhoseStartIsNotAnsweredStartsElsewhereAfterAShortLease)
+TEST_F(WorkerFault, TaskWhoseStartIsNotAnsweredStartsElsewhereAfterOneLease)
 {
-    // The worker has no other runs, so that only the start order could have given it a lease. The
-    // task waits for less than the longest lease, which is 6 s.
+    // The worker has no other runs, so that only the start order could have given it a lease. A
+    // process that has started unnoticed would have granted the longest one, which is 6 s. The task
+    // waits for it from the third attempt on, 1.2 s after the first, and for the last poll.
     const std::string worker = "worker-0";
     for (const auto &[name, instance] : this->cluster.instances)
         this->cluster.workers.unreachableWorkers[name] = {worker};
     this->accept(1, jobBody("2000", 1, 8));
-    this->cluster.run(seconds(6));
+    this->cluster.run(seconds(9));
     EXPECT_EQ(this->cluster.workers.startsOf(jobId(1)), 1U);
     this->cluster.workers.unreachableWorkers.clear();
-    this->cluster.run(seconds(5));
+    this->cluster.run(seconds(3));
     EXPECT_TRUE(this->cluster.isCompleted(jobId(1)));
 }
 
