--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -88,6 +88,8 @@
         /// A worker with unacknowledged ends answers a poll immediately. It is therefore polled
         /// again only when the ends are stored, or after this time to renew its leases.
         Duration maxPollPause = milliseconds(1500);
+        /// A worker whose last answer is older is polled before its ends are acknowledged.
+        Duration maxAnswerAge = milliseconds(50);
         Duration orderTimeout = milliseconds(400);
         Duration retryDelay = milliseconds(150);
         Duration maxRetryDelay = seconds(1);
@@ -385,7 +387,7 @@
     void handlePollFailure(Worker &worker, Tasks::WorkerOutcome outcome, const SentPoll &sent,
                            TimePoint now);
     bool beginSession(Worker &worker, TimePoint now) const;
-    bool mayAcknowledge(const Worker &worker) const;
+    bool mayAcknowledge(const Worker &worker, TimePoint now) const;
     void settleAcknowledgement(Worker &worker, const SentPoll &sent,
                                const Tasks::WorkerAnswer &answer, TimePoint now);
     void logAcknowledgement(Worker &worker, const SentPoll &sent, const Tasks::WorkerAnswer &answer,
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -35,7 +35,10 @@
         return false;
     if (!worker.unrecordedEnds.empty())
         return true;
-    if (!worker.hasEndsToAcknowledge() || !worker.isAnswering() || this->mayAcknowledge(worker))
+    if (!worker.hasEndsToAcknowledge() || !worker.isAnswering())
+        return false;
+    if (this->mayAcknowledge(worker, now)
+        || now > worker.lastAnswerAt + this->settings.maxAnswerAge)
         return false;
     // A list is due of the runs whose orders were answered after the last poll.
     return std::none_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &entry) {
@@ -99,10 +102,12 @@
 /// whichever process executes it. It is sent to a process that has just answered, when nothing that
 /// was ordered before may run in another one, and starts that follow fence it off. So a next
 /// process has no end to discard, except of an earlier attempt of a start that it executes late.
-bool WorkerFleet::mayAcknowledge(const Worker &worker) const
+bool WorkerFleet::mayAcknowledge(const Worker &worker, TimePoint now) const
 {
     if (!worker.hasSession || !worker.isAnswering() || !worker.hasEndsToAcknowledge())
         return false;
+    if (now > worker.lastAnswerAt + this->settings.maxAnswerAge)
+        return false;
     return std::none_of(worker.runs.begin(), worker.runs.end(),
                         [](const auto &entry) { return entry.second.mayBeOfUnknownProcess(); });
 }
@@ -116,7 +121,7 @@
         return;
     Tasks::RenewOrder order;
     order.fencingToken = worker->token.value();
-    const bool acknowledges = this->mayAcknowledge(*worker);
+    const bool acknowledges = this->mayAcknowledge(*worker, now);
     if (acknowledges) {
         order.endsRecorded = worker->recordedUpTo();
         worker->acknowledgementToken = worker->token;
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -328,6 +328,7 @@
     machine.running.erase(running);
     machine.endedRuns[name] = std::max(machine.endedRuns[name], run.run);
     machine.ended.push_back({++machine.lastEnd, run, cause, ""});
+    this->discardEnds(id, machine.keptAcknowledgement);
     const auto waiting = std::exchange(machine.waiting, {});
     for (const auto &answer : waiting)
         answer();
@@ -411,6 +412,8 @@
         return answer;
     if (order.leaseUntil != 0)
         this->extendLease(id, order.leaseUntil);
+    if (this->keepsAcknowledgements)
+        machine.keptAcknowledgement = std::max(machine.keptAcknowledgement, order.endsRecorded);
     this->discardEnds(id, order.endsRecorded);
     return this->report(machine);
 }
--- a/UnitTests/Coordination/FakeWorkers.h
+++ b/UnitTests/Coordination/FakeWorkers.h
@@ -63,6 +63,8 @@
     std::map<std::string, Duration> pollDelays;
     /// A poll that waits acknowledges ends until it is answered, not only when it arrives.
     bool waitingPollsAcknowledge = false;
+    /// Workers keep the highest acknowledged number, and discard later ends up to it at once.
+    bool keepsAcknowledgements = false;
     /// Workers that execute pace orders after `orderDelay` and don't answer them.
     std::set<std::string> delayedPaceOrders;
     /// Workers that refuse connections for orders.
@@ -145,6 +147,7 @@
         std::map<std::pair<std::string, Tasks::TaskRef>, std::int32_t> endedRuns;
         std::vector<Tasks::EndedTask> ended;
         std::int64_t lastEnd = 0;
+        std::int64_t keptAcknowledgement = 0; ///< See keepsAcknowledgements.
         std::int64_t listedUpTo = 0; ///< Number of the last end that an answer listed.
         /// Pending polls, which are answered when a run ends.
         std::vector<std::function<void()>> waiting;
--- a/UnitTests/Coordination/RestartedWorkerTest.cpp
+++ b/UnitTests/Coordination/RestartedWorkerTest.cpp
@@ -75,6 +75,14 @@
         ASSERT_EQ(this->cluster.workers.startsOf(jobId(job)), 1U);
     }
 
+    std::size_t countOf(std::string_view event) const
+    {
+        std::size_t sum = 0;
+        for (const auto &[name, instance] : this->cluster.instances)
+            sum += instance->logger.count(event);
+        return sum;
+    }
+
     const std::string worker = "worker-0";
 };
 
@@ -215,6 +223,30 @@
     EXPECT_TRUE(this->cluster.isCompleted(jobId(3)));
 }
 
+// Guards against ends that a worker discards at once, since it keeps the number of an
+// acknowledgement that was sent long after the last answer of the former process.
+TEST_F(RestartedWorker, AcknowledgementFollowsAnAnswerOfTheSameProcess)
+{
+    this->cluster.workers.keepsAcknowledgements = true;
+    this->accept(1, jobBody("300", 1, 1));
+    this->cluster.run(milliseconds(250));
+    const std::string leader = this->cluster.leader();
+    this->cluster.store.behaviors[leader] = StoreBehavior::DropsCommits;
+    this->cluster.run(milliseconds(800));
+    ASSERT_EQ(this->cluster.workers.listedEndsOf(this->worker), 1U);
+    const Tasks::WorkerEntry entry = this->cluster.workers.restart(this->worker);
+    this->cluster.run(milliseconds(600));
+    this->cluster.store.behaviors.clear();
+    this->cluster.run(milliseconds(1500));
+    this->cluster.putWorker(entry);
+    this->cluster.run(milliseconds(500));
+    ASSERT_TRUE(this->cluster.isCompleted(jobId(1)));
+    EXPECT_EQ(this->countOf("acknowledgement answered by another process"), 0U);
+    this->accept(3, jobBody("300", 1, 1));
+    this->cluster.run(seconds(10));
+    EXPECT_EQ(this->cluster.workers.startsOf(jobId(3)), 1U);
+}
+
 // Guards against an end that is discarded by a late acknowledgement, after a late start order has
 // begun an earlier attempt of its run in the next process.
 TEST_F(RestartedWorker, LateAcknowledgementDiscardsNoEndOfALateFirstAttempt)
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -501,6 +501,17 @@
     EXPECT_EQ(this->newestPoll().endsRecorded, 500);
 }
 
+TEST_F(WorkerFleetTest, AcknowledgementFollowsAPollIfTheLastAnswerIsOld)
+{
+    this->answerWithFirstEnd(1000, "b");
+    this->fleet.endRecorded(this->listener.ends.at(0), start + milliseconds(300));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    EXPECT_EQ(this->newestPoll().wait, Duration{});
+    this->link.renewals.back().handler(answerOf(Tasks::WorkerOutcome::Done, 1000),
+                                       start + milliseconds(302));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+}
+
 // Guards against an acknowledgement that counts although another process than the one that listed
 // the ends has answered it.
 TEST_F(WorkerFleetTest, AcknowledgementAnsweredByAnotherProcessCountsForNone)
