Send no start without a token that fences off an acknowledgement

Found by the review: a term that had used up its fencing tokens for a worker still sent a start under the token of the acknowledgement that the start had to fence off, until the term ended a moment later. The start is not sent now; the next leader finds it assigned. A term has 16,384 tokens for each worker in place of 4,096, since a worker with dozens of starts a second used up several in a second; revisions up to 2^39 stay in the range of whole numbers of JSON.

--- a/Coordination/FencingToken.h
+++ b/Coordination/FencingToken.h
@@ -9,13 +9,13 @@
 /// than the highest that it has seen.
 ///
 /// The token rises with each term, and within a term when calls that were sent before must not be
-/// executed any more. Its value stays below 2^53, the range of whole numbers in JSON, for 2^41
+/// executed any more. Its value stays below 2^53, the range of whole numbers in JSON, for 2^39
 /// revisions of the store.
 class FencingToken
 {
 public:
     /// Number of tokens in a term.
-    static constexpr std::int64_t stepsOfTerm = 4096;
+    static constexpr std::int64_t stepsOfTerm = 16384;
 
     FencingToken() = default;
     /// The lowest token of a term. `term` is the revision of the leader's key.
--- a/Coordination/WorkerFleet.cpp
+++ b/Coordination/WorkerFleet.cpp
@@ -129,7 +129,7 @@
 
 /// The next call to the worker fences off all that were sent before, in whichever of its processes
 /// executes it. A term without tokens left ends, and the next one has higher ones.
-void WorkerFleet::raiseToken(Worker &worker, const char *reason, TimePoint now)
+bool WorkerFleet::raiseToken(Worker &worker, const char *reason, TimePoint now)
 {
     if (worker.token.isHighestOfTerm()) {
         this->logger.logEvent(LogKind::Leadership, "fencing tokens used up",
@@ -138,13 +138,14 @@
             if (generation == this->generation)
                 this->listener.tokensUsedUp(at);
         });
-        return;
+        return false;
     }
     worker.token = worker.token.next();
     worker.tokenIsNew = true;
     this->logger.logEvent(
         LogKind::Dependency, "fencing token raised",
         {{"worker", worker.entry.id}, {"token", worker.token.value()}, {"reason", reason}}, now);
+    return true;
 }
 
 const WorkerFleet::Run *WorkerFleet::find(std::string_view worker, const RunRef &ref) const
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -361,8 +361,10 @@
     static RunKey keyOf(const Tasks::RunRef &ref);
     /// Returns the worker, and whether it was unknown before.
     std::pair<Worker &, bool> addWorker(const std::string &id);
-    void raiseToken(Worker &worker, const char *reason, TimePoint now);
-    void fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now);
+    /// Returns false if the term has no token left, and ends it.
+    bool raiseToken(Worker &worker, const char *reason, TimePoint now);
+    /// Returns false if a call that is sent now would not fence off an acknowledgement.
+    bool fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
     void removeRun(Worker &worker, const RunKey &key, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -49,9 +49,11 @@
 
 void WorkerFleet::sendStart(Worker &worker, Run &run, TimePoint now)
 {
+    // A term without tokens left is about to end.
+    if (!this->fenceOffAcknowledgement(worker, "a start follows an acknowledgement", now))
+        return;
     run.startOutstanding = true;
     run.startAttempts++;
-    this->fenceOffAcknowledgement(worker, "a start follows an acknowledgement", now);
     Tasks::StartOrder order;
     order.run = run.ref;
     order.payload = run.payload;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -170,10 +170,9 @@
         worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, sent.acknowledgedEnd);
 }
 
-void WorkerFleet::fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now)
+bool WorkerFleet::fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now)
 {
-    if (worker.acknowledgementToken == worker.token)
-        this->raiseToken(worker, reason, now);
+    return worker.acknowledgementToken != worker.token || this->raiseToken(worker, reason, now);
 }
 
 /// Logs a poll that acknowledged ends for the first time, one without an answer, which may be
--- a/UnitTests/Coordination/FencingTokenTest.cpp
+++ b/UnitTests/Coordination/FencingTokenTest.cpp
@@ -20,7 +20,7 @@
 
 TEST(FencingTokenTest, ValueStaysInTheRangeOfWholeNumbersInJson)
 {
-    constexpr std::int64_t maxRevision = (std::int64_t{1} << 41) - 1;
+    constexpr std::int64_t maxRevision = (std::int64_t{1} << 39) - 1;
     constexpr std::int64_t maxWholeNumber = std::int64_t{1} << 53;
     EXPECT_LT(FencingToken(maxRevision).value() + FencingToken::stepsOfTerm, maxWholeNumber + 1);
 }
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -501,6 +501,23 @@
     EXPECT_EQ(this->newestPoll().endsRecorded, 500);
 }
 
+// Guards against a start that is sent under the token of the acknowledgement that it has to fence
+// off.
+TEST_F(WorkerFleetTest, StartWithoutATokenLeftIsNotSentBesideAnAcknowledgement)
+{
+    for (std::int64_t i = 1; i < FencingToken::stepsOfTerm; i++)
+        this->list(1000 + i);
+    Tasks::WorkerAnswer answer
+        = answerOf(Tasks::WorkerOutcome::Done, 999 + FencingToken::stepsOfTerm);
+    answer.ended.push_back({1, {"b", {}, 1}, Tasks::EndCause::Done, ""});
+    this->link.renewals.back().handler(answer, start);
+    this->fleet.endRecorded(this->listener.ends.back(), start);
+    ASSERT_EQ(this->newestPoll().endsRecorded, 1);
+    this->assignAndStart({"a", {}, 1});
+    EXPECT_TRUE(this->link.starts.empty());
+    EXPECT_EQ(this->timers.due.size(), 1U);
+}
+
 TEST_F(WorkerFleetTest, AcknowledgementFollowsAPollIfTheLastAnswerIsOld)
 {
     this->answerWithFirstEnd(1000, "b");
