Release a report only of the worker's process that numbered it

Callers would see a finished job run again: each process of a worker numbers its reports from 1, and the stored outcome of a former process' report released the next process' report with the same number. That report was acknowledged before its outcome was stored, and the worker dropped its result.

--- a/Entry/DispatchJob.h
+++ b/Entry/DispatchJob.h
@@ -36,6 +36,7 @@
     MemberState state = MemberState::Idle;
     std::string result;
     std::uint64_t sequence = 0; ///< Sequence number of the report that ended the task.
+    std::string incarnation; ///< The worker's process that numbered this report.
     bool checkpointed = false;
     /// A Start went unanswered, so a later refusal does not prove that the task never ran.
     bool startUnanswered = false;
--- a/Entry/DispatcherJobs.cpp
+++ b/Entry/DispatcherJobs.cpp
@@ -273,7 +273,7 @@
     for (const Member &member : job.members) {
         WorkerSession *session = this->findSession(member.place.worker);
         if (session && member.sequence != 0)
-            session->releaseReport(member.sequence);
+            session->releaseReport(member.sequence, member.incarnation);
     }
 }
 
--- a/Entry/DispatcherWorkers.cpp
+++ b/Entry/DispatcherWorkers.cpp
@@ -209,6 +209,7 @@
     // report that was applied before is held again.
     if (final && !released) {
         member.sequence = report.sequence;
+        member.incarnation = session.workerIncarnation();
         session.holdReport(report.sequence);
     }
     if (member.hasEnded() && member.state != MemberState::Lost)
--- a/Entry/WorkerSession.h
+++ b/Entry/WorkerSession.h
@@ -57,7 +57,12 @@
     /// Withholds the acknowledgement of a final report, and of all later ones, until its result is
     /// delivered.
     void holdReport(std::uint64_t sequence) { this->heldReports.insert(sequence); }
-    void releaseReport(std::uint64_t sequence) { this->heldReports.erase(sequence); }
+    /// `incarnation` is the worker's process that numbered the report. Each process begins at 1.
+    void releaseReport(std::uint64_t sequence, const std::string &incarnation)
+    {
+        if (incarnation == this->incarnation)
+            this->heldReports.erase(sequence);
+    }
 
     State state() const { return this->ownership; }
     const std::string &workerIncarnation() const { return this->incarnation; }
--- a/UnitTests/Entry/DispatcherWorkersTest.cpp
+++ b/UnitTests/Entry/DispatcherWorkersTest.cpp
@@ -45,6 +45,59 @@
     EXPECT_EQ(harness.highestAcknowledged(), 2U);
 }
 
+/// Answers the next call of the verb as this process of the worker.
+void answerAs(DispatcherHarness &harness, const std::string &incarnation, WorkerVerb verb,
+              std::vector<TaskReport> reports)
+{
+    const std::optional<WorkerCall> call = harness.take(verb);
+    ASSERT_TRUE(call);
+    WorkerReply reply;
+    reply.status = WorkerStatus::Ok;
+    reply.incarnation = incarnation;
+    reply.epoch = call->request.epoch;
+    reply.reports = std::move(reports);
+    harness.dispatcher.handleWorkerReply(call->call, reply, harness.now, harness.out);
+}
+
+// The outcome of a job of the worker's former process is stored while the next process holds a
+// report with the same number, whose outcome is not stored yet.
+TEST(DispatcherWorkersTest, StoredOutcomeOfAFormerProcessAcknowledgesNoReportOfTheNextOne)
+{
+    DispatcherHarness harness;
+    harness.acquireListedWorker();
+    const WorkerCall first = harness.submit(true);
+    harness.answer(first, WorkerStatus::Ok, {harness.report(first, 1, TaskState::Running)});
+    harness.tickAfter(milliseconds(10));
+    answerAs(harness, "process", WorkerVerb::Collect, {harness.report(first, 2, TaskState::Done)});
+    ASSERT_TRUE(harness.finalAnswer());
+    harness.loseLease();
+    harness.tickAfter(milliseconds(10));
+    answerAs(harness, "next", WorkerVerb::Acquire, {});
+    harness.out.workerCalls.clear();
+
+    SubmitJob message;
+    message.role = JobRole::Dispatcher;
+    message.dataCenter = "namur";
+    message.spec.requestId = "job2";
+    message.spec.customer = "customer";
+    message.spec.durable = true;
+    message.spec.idempotent = true;
+    harness.dispatcher.submit("keeper", message, harness.now, harness.out);
+    harness.tickAfter(milliseconds(10));
+    const std::optional<WorkerCall> second = harness.take(WorkerVerb::Start);
+    ASSERT_TRUE(second);
+    harness.answer(*second, WorkerStatus::Ok, {harness.report(*second, 1, TaskState::Running)});
+    harness.tickAfter(milliseconds(10));
+    answerAs(harness, "next", WorkerVerb::Collect, {harness.report(*second, 2, TaskState::Done)});
+    harness.tickAfter(milliseconds(100));
+    ASSERT_LT(harness.highestAcknowledged(), 2U);
+
+    harness.dispatcher.handleRecorded(harness.key, harness.now, harness.out);
+    for (int i = 0; i < 5; ++i)
+        harness.tickAfter(milliseconds(100));
+    EXPECT_LT(harness.highestAcknowledged(), 2U);
+}
+
 // A worker that is full has not carried out the repeated Start; the first one may still reach it.
 TEST(DispatcherWorkersTest, RefusalAfterAnUnansweredStartDoesNotProveThatTheTaskNeverRuns)
 {
