Say when an acknowledgement was rejected, and what a session is

An acknowledgement that a later call had overtaken was logged as not answered. It has an event of its own. The comments tell how a session, an answering worker and a new token differ, and a repeated start no longer counts as answered by the answer to the one before.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -165,7 +165,7 @@
         std::optional<TimePoint> startConfirmedAt; ///< When the worker first confirmed the start.
         /// The worker's known process has listed the run. Answers to orders do not name a process.
         bool listedByProcess = false;
-        /// By its clock, the worker's known process has answered an order of the run.
+        /// By its clock, the worker's known process has answered the newest order of the run.
         bool answeredByProcess = false;
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
@@ -197,7 +197,8 @@
         /// none.
         std::int64_t replacedProcess = 0;
         TimePoint listedAt{}; ///< When `entry` was read.
-        bool hasSession = false; ///< Has answered under the current fencing token.
+        /// Has answered a poll under the fencing token that its present process was given first.
+        bool hasSession = false;
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
         TimePoint clockReadAt{};
@@ -213,7 +214,8 @@
         /// Highest sequence number of the ends that the worker was told to discard.
         std::int64_t acknowledgedEnd = 0;
         FencingToken token; ///< Of the next call to the worker.
-        bool tokenIsNew = true; ///< No poll with this token has been answered yet.
+        /// No poll with this token has been answered yet. The token may rise during a session.
+        bool tokenIsNew = true;
         /// Of a call that acknowledged ends and has no answer yet; empty if there is none.
         std::optional<FencingToken> acknowledgementToken;
         bool pollInFlight = false;
@@ -250,7 +252,7 @@
         }
         /// Whether the worker lists ends that it needs to keep no longer.
         bool hasEndsToAcknowledge() const { return this->recordedUpTo() > this->acknowledgedEnd; }
-        /// Whether the last poll had an answer.
+        /// Whether the last poll had an answer. A session outlasts polls without one.
         bool isAnswering() const { return this->pollRetryDelay == Duration{}; }
     };
 
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -54,6 +54,7 @@
         return;
     run.startOutstanding = true;
     run.startAttempts++;
+    run.answeredByProcess = false;
     Tasks::StartOrder order;
     order.run = run.ref;
     order.payload = run.payload;
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -190,8 +190,10 @@
     const char *event = "ends acknowledged";
     if (isOfOtherProcess)
         event = "acknowledgement answered by another process";
-    else if (answer.outcome != WorkerOutcome::Done)
+    else if (isUnanswered)
         event = "acknowledgement not answered";
+    else if (answer.outcome != WorkerOutcome::Done)
+        event = "acknowledgement rejected";
     this->logger.logEvent(LogKind::Record, event,
                           {{"worker", worker.entry.id},
                            {"incarnation", sent.incarnation},
