--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -88,6 +88,8 @@
         /// A worker with unacknowledged ends answers a poll immediately. It is therefore polled
         /// again only when the ends are stored, or after this time to renew its leases.
         Duration maxPollPause = milliseconds(1500);
+        /// A worker whose last answer is older is polled before its ends are acknowledged.
+        Duration maxAnswerAge = milliseconds(50);
         Duration orderTimeout = milliseconds(400);
         Duration retryDelay = milliseconds(150);
         Duration maxRetryDelay = seconds(1);
@@ -163,15 +165,17 @@
         std::optional<TimePoint> startConfirmedAt; ///< When the worker first confirmed the start.
         /// The worker's known process has listed the run. Answers to orders do not name a process.
         bool listedByProcess = false;
+        /// By its clock, the worker's known process has answered the newest order of the run.
+        bool answeredByProcess = false;
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
         std::optional<TimePoint> orderConfirmedAt;
 
-        /// Whether a process that the leader does not know yet may have executed the start order.
+        /// Whether the start order was sent, and nothing shows yet that the worker's known process
+        /// got it.
         bool mayBeOfUnknownProcess() const
         {
-            const bool isOrdered = this->adopted || this->isRevocation || this->startAttempts > 0;
-            return isOrdered && !this->listedByProcess;
+            return this->startAttempts > 0 && !this->listedByProcess && !this->answeredByProcess;
         }
 
         /// Time since the worker first confirmed the start; zero before that.
@@ -193,7 +197,8 @@
         /// none.
         std::int64_t replacedProcess = 0;
         TimePoint listedAt{}; ///< When `entry` was read.
-        bool hasSession = false; ///< Has answered under the current fencing token.
+        /// Has answered a poll under the fencing token that its present process was given first.
+        bool hasSession = false;
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
         TimePoint clockReadAt{};
@@ -209,7 +214,8 @@
         /// Highest sequence number of the ends that the worker was told to discard.
         std::int64_t acknowledgedEnd = 0;
         FencingToken token; ///< Of the next call to the worker.
-        bool tokenIsNew = true; ///< No poll with this token has been answered yet.
+        /// No poll with this token has been answered yet. The token may rise during a session.
+        bool tokenIsNew = true;
         /// Of a call that acknowledged ends and has no answer yet; empty if there is none.
         std::optional<FencingToken> acknowledgementToken;
         bool pollInFlight = false;
@@ -246,7 +252,7 @@
         }
         /// Whether the worker lists ends that it needs to keep no longer.
         bool hasEndsToAcknowledge() const { return this->recordedUpTo() > this->acknowledgedEnd; }
-        /// Whether the last poll had an answer.
+        /// Whether the last poll had an answer. A session outlasts polls without one.
         bool isAnswering() const { return this->pollRetryDelay == Duration{}; }
     };
 
@@ -341,14 +347,26 @@
         TimePoint sentAt{};
     };
 
+    /// An order on its way, as far as its answer is judged by it.
+    struct SentOrder
+    {
+        FencingToken token;
+        TimePoint sentAt{};
+        /// Lowest value in ms that the clock of the known process showed then; 0 if unknown.
+        std::int64_t earliestClock = 0;
+        TimePoint clockReadAt{};
+    };
+
     bool isWithheld(const std::string &worker) const { return this->withheld.contains(worker); }
     bool mayBeRenewedByOthers(const std::string &worker) const;
 
     static RunKey keyOf(const Tasks::RunRef &ref);
     /// Returns the worker, and whether it was unknown before.
     std::pair<Worker &, bool> addWorker(const std::string &id);
-    void raiseToken(Worker &worker, const char *reason, TimePoint now);
-    void fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now);
+    /// Returns false if the term has no token left, and ends it.
+    bool raiseToken(Worker &worker, const char *reason, TimePoint now);
+    /// Returns false if a call that is sent now would not fence off an acknowledgement.
+    bool fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now);
     Worker *workerOf(std::string_view id);
     Run *runOf(Worker &worker, const Tasks::RunRef &ref);
     void removeRun(Worker &worker, const RunKey &key, TimePoint now);
@@ -359,7 +377,6 @@
     TimePoint latestExecution(const Worker &worker, TimePoint now) const;
     Duration boundOfLease(Duration lease) const;
     std::int64_t extendLease(Worker &worker, Duration lease, TimePoint now);
-    /// Lowest value in ms that the clock of the worker's known process may show; 0 if unknown.
     static std::int64_t earliestClock(const Worker &worker, TimePoint now);
     void noteSilence(const Worker &worker, TimePoint sentAt, TimePoint now);
     void noteAnswer(const Worker &worker, TimePoint now);
@@ -374,7 +391,7 @@
     void handlePollFailure(Worker &worker, Tasks::WorkerOutcome outcome, const SentPoll &sent,
                            TimePoint now);
     bool beginSession(Worker &worker, TimePoint now) const;
-    bool mayAcknowledge(const Worker &worker) const;
+    bool mayAcknowledge(const Worker &worker, TimePoint now) const;
     void settleAcknowledgement(Worker &worker, const SentPoll &sent,
                                const Tasks::WorkerAnswer &answer, TimePoint now);
     void logAcknowledgement(Worker &worker, const SentPoll &sent, const Tasks::WorkerAnswer &answer,
@@ -404,14 +421,15 @@
     void checkLease(Worker &worker, TimePoint now);
 
     void sendStart(Worker &worker, Run &run, TimePoint now);
-    Worker *acceptOrderAnswer(const std::string &id, Tasks::WorkerAnswer &answer,
-                              FencingToken token, TimePoint now);
+    static SentOrder describeOrder(const Worker &worker, TimePoint now);
+    void noteOrderAnswer(Worker &worker, const Tasks::RunRef &ref,
+                         const Tasks::WorkerAnswer &answer, const SentOrder &sent, TimePoint now);
+    Worker *acceptOrderAnswer(const std::string &id, const Tasks::RunRef &ref,
+                              Tasks::WorkerAnswer &answer, const SentOrder &sent, TimePoint now);
     void handleStartAnswer(const std::string &id, const Tasks::RunRef &ref,
-                           Tasks::WorkerAnswer answer, FencingToken token, TimePoint sentAt,
-                           TimePoint now);
-    void checkClock(const std::string &id, const Tasks::WorkerAnswer &answer,
-                    std::int64_t clockAtSending, TimePoint now);
+                           Tasks::WorkerAnswer answer, const SentOrder &sent, TimePoint now);
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
+    void countUnansweredLease(Worker &worker, TimePoint now) const;
     void handleOvertakenStart(Worker &worker, Run &run, TimePoint now);
     bool mayRetryStart(const Worker &worker, TimePoint now) const;
     void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
@@ -420,7 +438,7 @@
     void sendStopLater(const std::string &id, const Tasks::RunRef &ref);
     void settleExpiredRun(Worker &worker, Run &run, TimePoint now);
     void handleStopAnswer(const std::string &id, const Tasks::RunRef &ref,
-                          Tasks::WorkerAnswer answer, FencingToken token, TimePoint now);
+                          Tasks::WorkerAnswer answer, const SentOrder &sent, TimePoint now);
     void backOff(Worker &worker, TimePoint now);
     void pause(Worker &worker, Duration span, TimePoint now);
     void adjustPaces(Worker &worker, TimePoint now);
--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -35,8 +35,12 @@
         return false;
     if (!worker.unrecordedEnds.empty())
         return true;
-    if (!worker.hasEndsToAcknowledge() || !worker.isAnswering() || this->mayAcknowledge(worker))
+    if (!worker.hasEndsToAcknowledge() || !worker.isAnswering())
         return false;
+    if (this->mayAcknowledge(worker, now)
+        || now > worker.lastAnswerAt + this->settings.maxAnswerAge)
+        return false;
+    // A list is due of the runs whose orders were answered after the last poll.
     return std::none_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &entry) {
         const Run &run = entry.second;
         return run.mayBeOfUnknownProcess() && run.orderConfirmedAt > worker.pollSentAt;
@@ -95,13 +99,15 @@
 }
 
 /// A call does not name the process that it is meant for, so an acknowledgement discards ends of
-/// whichever process executes it. A next process must have none that nobody has seen: the known one
-/// has just answered, and has listed all runs that were ordered on the worker. Starts that follow
-/// fence the acknowledgement off.
-bool WorkerFleet::mayAcknowledge(const Worker &worker) const
+/// whichever process executes it. It is sent to a process that has just answered, when nothing that
+/// was ordered before may run in another one, and starts that follow fence it off. So a next
+/// process has no end to discard, except of an earlier attempt of a start that it executes late.
+bool WorkerFleet::mayAcknowledge(const Worker &worker, TimePoint now) const
 {
     if (!worker.hasSession || !worker.isAnswering() || !worker.hasEndsToAcknowledge())
         return false;
+    if (now > worker.lastAnswerAt + this->settings.maxAnswerAge)
+        return false;
     return std::none_of(worker.runs.begin(), worker.runs.end(),
                         [](const auto &entry) { return entry.second.mayBeOfUnknownProcess(); });
 }
@@ -115,7 +121,7 @@
         return;
     Tasks::RenewOrder order;
     order.fencingToken = worker->token.value();
-    const bool acknowledges = this->mayAcknowledge(*worker);
+    const bool acknowledges = this->mayAcknowledge(*worker, now);
     if (acknowledges) {
         order.endsRecorded = worker->recordedUpTo();
         worker->acknowledgementToken = worker->token;
@@ -164,10 +170,9 @@
         worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, sent.acknowledgedEnd);
 }
 
-void WorkerFleet::fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now)
+bool WorkerFleet::fenceOffAcknowledgement(Worker &worker, const char *reason, TimePoint now)
 {
-    if (worker.acknowledgementToken == worker.token)
-        this->raiseToken(worker, reason, now);
+    return worker.acknowledgementToken != worker.token || this->raiseToken(worker, reason, now);
 }
 
 /// Logs a poll that acknowledged ends for the first time, one without an answer, which may be
@@ -185,8 +190,10 @@
     const char *event = "ends acknowledged";
     if (isOfOtherProcess)
         event = "acknowledgement answered by another process";
-    else if (answer.outcome != WorkerOutcome::Done)
+    else if (isUnanswered)
         event = "acknowledgement not answered";
+    else if (answer.outcome != WorkerOutcome::Done)
+        event = "acknowledgement rejected";
     this->logger.logEvent(LogKind::Record, event,
                           {{"worker", worker.entry.id},
                            {"incarnation", sent.incarnation},
@@ -342,6 +349,7 @@
         if (!this->mayBelongToNextProcess(worker, run, now))
             lost.push_back(key);
         run.listedByProcess = false;
+        run.answeredByProcess = false;
     }
     for (const RunKey &key : lost)
         this->reportLostRun(worker, key, "the worker restarted", now);
@@ -520,14 +528,16 @@
     const auto found = worker.runs.find(key);
     if (found == worker.runs.end())
         return;
-    this->logger.logEvent(LogKind::Task, "run in neither list",
-                          {{"request", key.first},
-                           {"run", Tasks::textOf(found->second.ref)},
-                           {"worker", worker.entry.id},
-                           {"incarnation", worker.entry.incarnation},
-                           {"lastEnd", worker.lastEnd},
-                           {"acknowledgedEnd", worker.acknowledgedEnd}},
-                          now);
+    // A run that was stopped may have been stopped before it began.
+    if (found->second.startConfirmedAt && !found->second.stopWanted)
+        this->logger.logEvent(LogKind::Task, "run in neither list",
+                              {{"request", key.first},
+                               {"run", Tasks::textOf(found->second.ref)},
+                               {"worker", worker.entry.id},
+                               {"incarnation", worker.entry.incarnation},
+                               {"lastEnd", worker.lastEnd},
+                               {"acknowledgedEnd", worker.acknowledgedEnd}},
+                              now);
     this->reportLostRun(worker, key, "the worker does not list the run", now);
 }
 
--- a/Soak/SoakClients.cpp
+++ b/Soak/SoakClients.cpp
@@ -27,12 +27,31 @@
     bool checkpoints = false;
 };
 
-JobShape drawShape(pcg32 &random)
+struct RunTimeRange
+{
+    std::uint32_t minMs;
+    std::uint32_t maxMs;
+};
+constexpr RunTimeRange shortRuns{30, 230};
+constexpr RunTimeRange usualRuns{200, 1400};
+constexpr RunTimeRange longRuns{3000, 6000};
+
+/// See SoakClients::Settings::variedRunTimes.
+std::int32_t drawVariedRunMs(pcg32 &random)
+{
+    static constexpr RunTimeRange ranges[]
+        = {shortRuns, shortRuns, usualRuns, usualRuns, usualRuns, longRuns};
+    const RunTimeRange &range = ranges[random(std::size(ranges))];
+    return static_cast<std::int32_t>(range.minMs + random(range.maxMs - range.minMs));
+}
+
+JobShape drawShape(pcg32 &random, bool variedRunTimes)
 {
     JobShape shape;
     shape.tasks = 1 + static_cast<std::int32_t>(random(5));
     shape.accelerators = 1 << random(4);
-    shape.runMs = 200 + static_cast<std::int32_t>(random(1800));
+    shape.runMs
+        = variedRunTimes ? drawVariedRunMs(random) : 200 + static_cast<std::int32_t>(random(1800));
     shape.gang = random(3) == 0;
     shape.fails = random(20) == 0;
     shape.checkpoints = random(2) == 0;
@@ -97,8 +116,11 @@
     call.headers.push_back({"Host", configurationHost});
     call.headers.push_back({"Authorization", "Bearer " + job.key});
     call.headers.push_back({"Deadline-Ms", std::to_string(toMs(this->settings.timeout))});
-    if (verb == http::verb::post)
+    if (verb == http::verb::post) {
         call.body = job.body;
+        // The client has to know of each attempt without an answer.
+        call.repeatable = false;
+    }
     return call;
 }
 
@@ -110,7 +132,7 @@
     for (const auto &[id, job] : this->jobs)
         unfinished += job->outcome == Outcome::Accepted && !isFinal(job->state) ? 1 : 0;
     if (unfinished < this->settings.maxUnfinishedJobs) {
-        const JobShape shape = drawShape(this->random);
+        const JobShape shape = drawShape(this->random, this->settings.variedRunTimes);
         auto job = std::make_unique<ClientJob>();
         char id[17];
         std::snprintf(id, sizeof(id), "%016zx", ++this->number);
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -1,3 +1,4 @@
+#include <Coordination/StoreKeys.h>
 #include <Runtime/Clock.h>
 #include <Soak/SoakSite.h>
 #include <Soak/StandInWire.h>
@@ -238,6 +239,12 @@
 }
 
 void SoakSite::restartWorker(std::size_t worker)
+{
+    this->restartWorkerSilently(worker);
+    this->publishWorker(worker);
+}
+
+void SoakSite::restartWorkerSilently(std::size_t worker)
 {
     Machine &machine = this->machines[worker];
     const std::string address = machine.entry.address;
@@ -246,7 +253,6 @@
     machine.entry.dataCenter = "north";
     this->logAction("worker restarted",
                     {{"worker", machine.entry.id}, {"incarnation", machine.entry.incarnation}});
-    this->publish(machine);
 }
 
 void SoakSite::setDraining(std::size_t worker, bool draining)
@@ -265,6 +271,43 @@
         this->workers.delayedWorkers.erase(this->machines[worker].entry.id);
 }
 
+void SoakSite::setOrdersDropped(std::size_t worker, bool dropped)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("orders dropped", {{"worker", id}, {"dropped", dropped}});
+    if (dropped)
+        this->workers.closedWorkers.insert(id);
+    else
+        this->workers.closedWorkers.erase(id);
+}
+
+void SoakSite::setPollDelay(std::size_t worker, Duration delay)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("poll delay", {{"worker", id}, {"ms", toMs(delay)}});
+    this->workers.pollDelays[id] = delay;
+}
+
+void SoakSite::setPollsUnanswered(std::size_t worker, bool unanswered)
+{
+    const std::string &id = this->machines[worker].entry.id;
+    this->logAction("polls unanswered", {{"worker", id}, {"unanswered", unanswered}});
+    if (unanswered)
+        this->workers.delayedPolls.insert(id);
+    else
+        this->workers.delayedPolls.erase(id);
+}
+
+std::optional<std::size_t> SoakSite::leader() const
+{
+    const Tasks::StoredItem *key = this->store.find(Coordination::StoreKeys::leader);
+    for (std::size_t i = 0; key && i < this->instances.size(); i++) {
+        if (key->value.starts_with(this->instances[i].name + "#"))
+            return i;
+    }
+    return std::nullopt;
+}
+
 void SoakSite::configure(const std::vector<std::string> &keys)
 {
     this->version++;
@@ -276,6 +319,9 @@
     this->store.defaultBehavior = StoreBehavior::Normal;
     this->store.behaviors.clear();
     this->workers.delayedWorkers.clear();
+    this->workers.closedWorkers.clear();
+    this->workers.pollDelays.clear();
+    this->workers.delayedPolls.clear();
     for (std::size_t i = 0; i < this->instances.size(); i++) {
         this->signalInstance(i, SIGCONT);
         this->instances[i].store->setFault(ConnectionFault::None);
--- a/UnitTests/Coordination/FakeWorkers.cpp
+++ b/UnitTests/Coordination/FakeWorkers.cpp
@@ -328,6 +328,7 @@
     machine.running.erase(running);
     machine.endedRuns[name] = std::max(machine.endedRuns[name], run.run);
     machine.ended.push_back({++machine.lastEnd, run, cause, ""});
+    this->discardEnds(id, machine.keptAcknowledgement);
     const auto waiting = std::exchange(machine.waiting, {});
     for (const auto &answer : waiting)
         answer();
@@ -411,6 +412,8 @@
         return answer;
     if (order.leaseUntil != 0)
         this->extendLease(id, order.leaseUntil);
+    if (this->keepsAcknowledgements)
+        machine.keptAcknowledgement = std::max(machine.keptAcknowledgement, order.endsRecorded);
     this->discardEnds(id, order.endsRecorded);
     return this->report(machine);
 }
@@ -421,13 +424,21 @@
     for (const Tasks::EndedTask &ended : machine.ended) {
         if (ended.number <= upTo && ended.cause == EndCause::Done)
             this->acknowledgedDone.insert({ended.run.job, ended.run.task});
+        if (ended.number <= upTo && ended.number > machine.listedUpTo)
+            this->violations.push_back(describe(ended.run)
+                                           .append(" ended as number ")
+                                           .append(std::to_string(ended.number))
+                                           .append(" on ")
+                                           .append(id)
+                                           .append(", which discarded it before it was listed"));
     }
     std::erase_if(machine.ended,
                   [upTo](const Tasks::EndedTask &ended) { return ended.number <= upTo; });
 }
 
-WorkerAnswer FakeWorkers::report(const Machine &machine) const
+WorkerAnswer FakeWorkers::report(Machine &machine) const
 {
+    machine.listedUpTo = machine.lastEnd;
     WorkerAnswer answer;
     answer.outcome = WorkerOutcome::Done;
     answer.clock = this->clockOf(machine);
