Acknowledge recorded ends beside one that is not recorded

While one end of a worker was not recorded, each poll came after a pause, found the last answer too old for an acknowledgement, and its own answer met the pause again: nothing was acknowledged until all was recorded. An answer is followed by an acknowledgement at once if there is something to acknowledge.

--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -239,7 +239,11 @@
     this->adjustPaces(*worker, now);
     if (first)
         this->listener.fleetChanged(now);
-    this->pollIfNeeded(*worker, now);
+    // Ends that are stored need not wait for those that are not.
+    if (this->mayAcknowledge(*worker, now))
+        this->poll(id, now);
+    else
+        this->pollIfNeeded(*worker, now);
 }
 
 void WorkerFleet::handlePollFailure(Worker &worker, WorkerOutcome outcome, const SentPoll &sent,
