Keep an unanswered acknowledgement marked if no token is left

Found by a reader of the whole change: covered an acknowledgement that is on its way. After one without an answer, or a restart, the mark was dropped though no higher token was left, so a start could follow under the same token until the term ended a moment later.

--- a/Coordination/WorkerFleetPolls.cpp
+++ b/Coordination/WorkerFleetPolls.cpp
@@ -163,9 +163,11 @@
 {
     if (sent.acknowledgedEnd == 0)
         return;
-    if (answer.outcome == WorkerOutcome::Unknown)
-        this->fenceOffAcknowledgement(worker, "an acknowledgement has no answer", now);
-    worker.acknowledgementToken.reset();
+    // Without a token left, the call stays marked, so that no start follows it.
+    const bool isSettled = answer.outcome != WorkerOutcome::Unknown
+        || this->fenceOffAcknowledgement(worker, "an acknowledgement has no answer", now);
+    if (isSettled)
+        worker.acknowledgementToken.reset();
     if (answer.outcome == WorkerOutcome::Done && answer.incarnation == sent.incarnation)
         worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, sent.acknowledgedEnd);
 }
@@ -330,8 +332,8 @@
                           {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
     worker.entry.incarnation = incarnation;
     // Calls that were meant for the former process end with the first one to the new process.
-    this->raiseToken(worker, "the worker started anew", now);
-    worker.acknowledgementToken.reset();
+    if (this->raiseToken(worker, "the worker started anew", now))
+        worker.acknowledgementToken.reset();
     worker.lastEnd = 0;
     worker.acknowledgedEnd = 0;
     worker.unrecordedEnds.clear();
@@ -375,8 +377,8 @@
 {
     this->logger.logEvent(LogKind::Dependency, "worker may have started anew",
                           {{"worker", worker.entry.id}, {"runs", worker.runs.size()}}, now);
-    this->raiseToken(worker, "the worker may have started anew", now);
-    worker.acknowledgementToken.reset();
+    if (this->raiseToken(worker, "the worker may have started anew", now))
+        worker.acknowledgementToken.reset();
     worker.hasSession = false;
     this->abandonPoll(worker, now);
     worker.leaseExpiresAt = std::max(worker.leaseExpiresAt,
