Don't take a late answer of the former process for one of the new one

Found by a reader of the whole change: a start order goes to one process, the next one is learned of and gets its session, then the answer of the former one arrives. Its clock was stored as that of the new process, by which leases are counted, and the run counted as answered by the known process, so that acknowledgements were sent beside it. An order remembers for which process it was sent; the clock of an answer counts for that one alone. LateAnswerOfTheFormerProcessTellsNothingOfTheNewOne failed before.

--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -350,6 +350,7 @@
     /// An order on its way, as far as its answer is judged by it.
     struct SentOrder
     {
+        std::int64_t incarnation = 0; ///< The known process when the order was sent.
         FencingToken token;
         TimePoint sentAt{};
         /// Lowest value in ms that the clock of the known process showed then; 0 if unknown.
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -73,7 +73,8 @@
 
 WorkerFleet::SentOrder WorkerFleet::describeOrder(const Worker &worker, TimePoint now)
 {
-    return {worker.token, now, earliestClock(worker, now), worker.clockReadAt};
+    return {worker.entry.incarnation, worker.token, now, earliestClock(worker, now),
+            worker.clockReadAt};
 }
 
 /// An answer to an order names no process, but tells its clock. The clock of a process that has
@@ -104,6 +105,9 @@
         return nullptr;
     }
     const bool hasAnswer = worker && answer.outcome != WorkerOutcome::Unknown;
+    // After a restart, either process may have answered, so the clock tells nothing of the new one.
+    if (hasAnswer && sent.incarnation != worker->entry.incarnation)
+        answer.clock = 0;
     if (hasAnswer)
         this->noteOrderAnswer(*worker, ref, answer, sent, now);
     if (hasAnswer && !this->acceptAnswer(*worker, answer, now))
--- a/UnitTests/Coordination/WorkerFleetTest.cpp
+++ b/UnitTests/Coordination/WorkerFleetTest.cpp
@@ -586,6 +586,61 @@
     EXPECT_LT(this->newestPoll().fencingToken, FencingToken(8).value());
 }
 
+// Guards against ends that are kept for as long as the record of an earlier one is not stored.
+TEST_F(WorkerFleetTest, RecordedEndIsAcknowledgedBesideOneThatIsNotRecorded)
+{
+    Tasks::WorkerAnswer answer = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    answer.ended.push_back({1, {"a", {}, 1}, Tasks::EndCause::Done, ""});
+    answer.ended.push_back({2, {"b", {}, 1}, Tasks::EndCause::Done, ""});
+    this->link.renewals.back().handler(answer, start);
+    this->fleet.endRecorded(this->listener.ends.at(0), start + milliseconds(10));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 0);
+    this->fleet.resumePolls(start + seconds(2));
+    this->link.renewals.back().handler(answer, start + milliseconds(2002));
+    EXPECT_EQ(this->newestPoll().endsRecorded, 1);
+    const std::size_t polls = this->link.renewals.size();
+    answer.ended.erase(answer.ended.begin());
+    this->link.renewals.back().handler(answer, start + milliseconds(2004));
+    EXPECT_EQ(this->link.renewals.size(), polls);
+}
+
+// Guards against a clock of the former process that counts as that of the new one.
+TEST_F(WorkerFleetTest, LateAnswerOfTheFormerProcessTellsNothingOfTheNewOne)
+{
+    Tasks::WorkerAnswer first = answerOf(Tasks::WorkerOutcome::Done, 1000);
+    first.clock = 50'000;
+    this->link.renewals.back().handler(first, start);
+    this->assignAndStart({"a", {}, 1});
+    this->list(2000);
+    Tasks::WorkerAnswer next = answerOf(Tasks::WorkerOutcome::Done, 2000);
+    next.clock = 100;
+    this->link.renewals.back().handler(next, start + milliseconds(50));
+    this->link.renewals.back().handler(next, start + milliseconds(60));
+    Tasks::WorkerAnswer started = answerOf(Tasks::WorkerOutcome::Done, 0);
+    started.clock = 50'002;
+    this->link.starts.at(0)(started, start + milliseconds(100));
+    const WorkerFleet::Worker &worker = this->fleet.all().at("worker-0");
+    EXPECT_TRUE(worker.hasSession);
+    EXPECT_LT(worker.clock, 50'000);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    EXPECT_FALSE(worker.runs.begin()->second.answeredByProcess);
+}
+
+TEST_F(WorkerFleetTest, StartWithoutATokenLeftIsNotSentAfterAnUnansweredAcknowledgement)
+{
+    for (std::int64_t i = 1; i < FencingToken::stepsOfTerm; i++)
+        this->list(1000 + i);
+    Tasks::WorkerAnswer answer
+        = answerOf(Tasks::WorkerOutcome::Done, 999 + FencingToken::stepsOfTerm);
+    answer.ended.push_back({1, {"b", {}, 1}, Tasks::EndCause::Done, ""});
+    this->link.renewals.back().handler(answer, start);
+    this->fleet.endRecorded(this->listener.ends.back(), start);
+    ASSERT_EQ(this->newestPoll().endsRecorded, 1);
+    this->link.renewals.back().handler({}, start + milliseconds(500));
+    this->assignAndStart({"a", {}, 1}, start + milliseconds(500));
+    EXPECT_TRUE(this->link.starts.empty());
+}
+
 } // namespace
 
 } // namespace Hibiscus::Coordination::Test
