Read through: one question for a further attempt, and what comments promised

Both places that send a start again ask mayRetryStart whether an attempt is left. A rejected start that held up acknowledgements is followed by a poll.

--- a/Coordination/LeaderElection.h
+++ b/Coordination/LeaderElection.h
@@ -71,7 +71,7 @@
     /// Ends the lease, so that another instance can be elected without delay. This instance does
     /// not campaign again.
     void resign(TimePoint now);
-    /// Ends the term, and its lease in the store, so that a new one begins without delay.
+    /// Ends the term and asks the store to end its lease, so that a new term can begin soon.
     void endTermEarly(const char *reason, TimePoint now);
     /// Called when the store or a worker reports a newer leader.
     void handleOtherLeader(TimePoint now);
--- a/Coordination/WorkerFleet.h
+++ b/Coordination/WorkerFleet.h
@@ -165,7 +165,8 @@
         std::optional<TimePoint> startConfirmedAt; ///< When the worker first confirmed the start.
         /// The worker's known process has listed the run. Answers to orders do not name a process.
         bool listedByProcess = false;
-        /// By its clock, the worker's known process has answered the newest order of the run.
+        /// By its clock, the worker's known process has answered the newest start order of the run,
+        /// or a stop order that was sent after it.
         bool answeredByProcess = false;
         /// When the worker answered the last order; a list that was requested later shows for
         /// certain whether the run exists.
@@ -197,7 +198,8 @@
         /// none.
         std::int64_t replacedProcess = 0;
         TimePoint listedAt{}; ///< When `entry` was read.
-        /// Has answered a poll under the fencing token that its present process was given first.
+        /// Has answered a poll under the then current token since its process was last found, or
+        /// suspected, to be new, or since its leases ran out.
         bool hasSession = false;
         Tasks::Resources used;
         std::int64_t clock = 0; ///< The worker's clock in ms at `clockReadAt`.
@@ -432,7 +434,7 @@
     void handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     void countUnansweredLease(Worker &worker, TimePoint now) const;
     void handleOvertakenStart(Worker &worker, Run &run, TimePoint now);
-    bool mayRetryStart(const Worker &worker, TimePoint now) const;
+    bool mayRetryStart(const Worker &worker, const Run &run, TimePoint now) const;
     void retryStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now);
     void handleRejectedStart(Worker &worker, Run &run, Tasks::WorkerOutcome outcome, TimePoint now);
     void sendStop(Worker &worker, Run &run, TimePoint now);
--- a/Coordination/WorkerFleetOrders.cpp
+++ b/Coordination/WorkerFleetOrders.cpp
@@ -78,8 +78,8 @@
 }
 
 /// An answer to an order names no process, but tells its clock. The clock of a process that has
-/// started since the last reading is behind its value at the sending of the order, or shows less
-/// than the time since that reading.
+/// started since the last reading arrived shows less than the time since then, and is behind its
+/// value at the sending of the order unless the known process was younger than that time.
 void WorkerFleet::noteOrderAnswer(Worker &worker, const RunRef &ref, const WorkerAnswer &answer,
                                   const SentOrder &sent, TimePoint now)
 {
@@ -153,6 +153,7 @@
     case WorkerOutcome::NotPermitted:
         this->listener.permitRejected(ref, id);
         this->handleRejectedStart(*worker, *run, answer.outcome, now);
+        this->pollIfNeeded(*worker, now);
         return;
     default:
         this->logger.logEvent(LogKind::Task, "start rejected",
@@ -164,6 +165,7 @@
                               now);
         this->backOff(*worker, now);
         this->handleRejectedStart(*worker, *run, answer.outcome, now);
+        this->pollIfNeeded(*worker, now);
         return;
     }
     if (run->stopWanted && !run->stopOutstanding)
@@ -173,7 +175,7 @@
 
 /// A process that has started since may have executed a start order without an answer. It grants
 /// the longest lease, since the end that the order names is a time on the former clock. While the
-/// leader has no session with the worker, other calls may be executed late by that process as well.
+/// leader has no session with the worker, that process may execute this and other calls late.
 void WorkerFleet::countUnansweredLease(Worker &worker, TimePoint now) const
 {
     const TimePoint granted = worker.hasSession ? now : this->latestExecution(worker, now);
@@ -183,9 +185,7 @@
 /// A later call of this leader has overtaken the start order, which was not executed.
 void WorkerFleet::handleOvertakenStart(Worker &worker, Run &run, TimePoint now)
 {
-    const bool retries = run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted
-        && this->mayRetryStart(worker, now);
-    if (retries)
+    if (this->mayRetryStart(worker, run, now))
         this->sendStart(worker, run, now);
     else
         this->handleRejectedStart(worker, run, WorkerOutcome::Fenced, now);
@@ -213,9 +213,7 @@
 
 void WorkerFleet::handleUnansweredStart(Worker &worker, Run &run, TimePoint sentAt, TimePoint now)
 {
-    const bool retries = run.startAttempts < this->settings.maxStartAttempts && !run.stopWanted
-        && this->mayRetryStart(worker, now);
-    if (retries) {
+    if (this->mayRetryStart(worker, run, now)) {
         this->retryStart(worker, run, sentAt, now);
         return;
     }
@@ -224,10 +222,12 @@
     this->sendStop(worker, run, now);
 }
 
-bool WorkerFleet::mayRetryStart(const Worker &worker, TimePoint now) const
+bool WorkerFleet::mayRetryStart(const Worker &worker, const Run &run, TimePoint now) const
 {
-    return worker.hasSession && this->hasAuthority(now) && !this->isWithheld(worker.entry.id)
-        && !this->reach.isOutOfReach(worker.entry.dataCenter) && !this->isEvacuated(worker);
+    const bool hasAttemptLeft = run.startAttempts < this->settings.maxStartAttempts;
+    return hasAttemptLeft && !run.stopWanted && worker.hasSession && this->hasAuthority(now)
+        && !this->isWithheld(worker.entry.id) && !this->reach.isOutOfReach(worker.entry.dataCenter)
+        && !this->isEvacuated(worker);
 }
 
 /// A connection that is refused or reset fails at once. All attempts would be used up within a few
@@ -248,7 +248,7 @@
             if (!waiting)
                 return;
             waiting->startOutstanding = false;
-            if (!waiting->stopWanted && this->mayRetryStart(*again, at)) {
+            if (this->mayRetryStart(*again, *waiting, at)) {
                 this->sendStart(*again, *waiting, at);
                 return;
             }
