--- a/review/standins-2/site_model.py
+++ b/review/standins-2/site_model.py
@@ -113,11 +113,14 @@
             self.tasks.discard(task)
             writer.close()
 
+    def drop_connections(self):
+        for task in list(self.tasks):
+            task.cancel()
+
     def close(self):
         if self.server:
             self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
+        self.drop_connections()
 
 
 async def read_message(reader):
@@ -379,6 +382,7 @@
         self.ends += 1
         self.ended.append([self.ends, task, run["run"], how, ""])
         self.note("run ended", task, run["run"], how=how)
+        run["span"][3] = self.record.now()
         if how == "done":
             self.site.done.add(task)
         self.event.set()
@@ -435,8 +439,10 @@
         if reason:
             return 409, {"clockMs": now, "reason": reason}
         ms = json.loads(call["spec"])["ms"] or math.inf
+        span = [task, number, self.record.now(), None]
+        self.site.spans.append(span)
         self.running[task] = {"run": number, "need": self.site.need_of(task), "begin": now,
-                              "end": now + ms}
+                              "end": now + ms, "span": span}
         self.note("run started", task, number)
         self.site.starts.append((self.record.now(), self.id, task, number))
         return 200, {"clockMs": now}
@@ -595,6 +601,7 @@
         self.counted_jobs = set()  # ids of jobs whose runs are only counted in the record
         self.starts = []  # (time, worker, task, run)
         self.done = set()  # tasks with a run that has ended "done"
+        self.spans = []  # [task, run, begin, end] of all runs; end is None while they are at work
         with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
             self.command = re.search(r'^run = "([^"]*)"', file.read(), re.M).group(1).split()
         self.instances = [Instance(self, number) for number in range(1, instances + 1)]
@@ -635,6 +642,8 @@
         loop = asyncio.get_running_loop()
         self.supervisors = [loop.create_task(instance.supervise()) for instance in self.instances]
         await asyncio.sleep(3)
+        if any(instance.deaths for instance in self.instances):
+            raise RuntimeError("an instance does not start; are its ports free?")
 
     def close(self):
         for task in self.supervisors:
@@ -692,6 +701,17 @@
         return [task for worker in self.workers for task in worker.running
                 if task.startswith(job_id + ".")]
 
+    def longest_overlap(self, job_id):
+        """Longest time in seconds for which two runs of one task of the job were at work."""
+        longest = 0
+        spans = [(task, run, begin, end if end is not None else self.record.now())
+                 for task, run, begin, end in self.spans if task.startswith(job_id + ".")]
+        for number, (task, _, begin, end) in enumerate(spans):
+            for other, _, other_begin, other_end in spans[number + 1:]:
+                if task == other:
+                    longest = max(longest, min(end, other_end) - max(begin, other_begin))
+        return longest
+
     def share_in_use(self):
         """The largest share of one kind of resource that runs take of all workers."""
         shares = []
