--- a/review/standins-3/Worker.h
+++ b/review/standins-3/Worker.h
@@ -30,12 +30,14 @@
     void crash();
     /// Starts a new process under the same id and address.
     void startAgain();
-    /// Ends the process and removes the entry from the registry after the heartbeats have ceased.
+    /// Ends the process without a word, and removes the entry after some heartbeats.
     void leaveForGood();
 
     /// Cuts the worker off from the instances and the store, which removes its entry after some
     /// heartbeats.
     void cutOff();
+    /// Cuts the worker off from the store alone, for less time than its entry stays there.
+    void cutOffFromStore();
     /// Ends a cut, and writes the entry.
     void reconnect();
 
@@ -94,6 +96,7 @@
     bool up = true;
     bool gone = false;
     bool isCut = false;
+    bool reachesStore = true;
     int life = 1;
     std::int64_t born = 0;
     std::int64_t bornAt = 0; ///< By the scene's clock.
