Keep a cancelled job from being accepted by a submission that is still on its way

Its caller gave the job up and cancelled it at another instance: 410, no such job. When the cut healed, the job was accepted and ran to its end.

Cause: an acceptance requires the job's key to be absent. The cancelling read the key, found nothing, answered 410 and left nothing there, so a write that the partition had held up was executed later. The logs tell this apart from a cancellation that the leader misses and from a submission that is repeated after it, so none were added for it: "job submitted" undecided with three unanswered attempts at edge-1, "call turned away" cancel, no such job at edge-2, "job taken on" with ageMs=5501 5.2 s later at edge-3, and neither "cancellation stored" nor a second "job submitted" in between.

Same cause, same change: a job that was refused for load and is handed in again replaces the refusal with a conditional write; cancelling the refused job answered 410 and left the refusal as it was, so that write could come too. And a cancelling whose write had no answer was answered 503, "had no effect".

Change: cancelling a job that is not there stores a tombstone under the job's key, on the condition of the revision that was read, before 410 is said. If the condition fails, what is there instead decides: a job is cancelled as any other. What an instance stores is bounded for each customer and in all (TombstoneBudget), beyond it the caller gets 503 with Retry-After. The leader removes tombstones, also those of refusals, in batches after status_s (TombstoneSweeper, out of TaskDispatcher). An unanswered write of a cancelling is answered 504.

Why it works: the store executes the delayed acceptance only while the key has the revision that it names, and the tombstone has changed it. It is in the store, so neither leaders nor instances matter, and it expires by the leader's steady clock, not by a time of day.

Ruled out: remembering cancellations in the leader (the job would be stored and shown, and each next leader would have to learn of it); an acceptance that names a short-lived epoch key (each cancelling would wait for the next epoch).

FakeWorkers now holds a 410 for an acknowledged cancelling too, in all cluster tests.

--- a/Coordination/JobApi.cpp
+++ b/Coordination/JobApi.cpp
@@ -2,6 +2,7 @@
 #include <Coordination/StoreKeys.h>
 #include <Core/JsonText.h>
 #include <Tasks/JobRecord.h>
+#include <Tasks/JobTombstone.h>
 #include <Tasks/WaitForecast.h>
 
 #include <algorithm>
@@ -39,9 +40,10 @@
     ReplyHandler reply;
     Job job;
     Tasks::AdmissionDecision verdict;
-    /// Revision of the refusal under the job's key that this submission replaces; 0 if there is
-    /// none.
-    std::int64_t refusalRevision = 0;
+    /// The tombstone under the job's key that this submission replaces, and its revision; 0 if
+    /// there is none.
+    Tasks::JobTombstone replaced;
+    std::int64_t replacedRevision = 0;
     TimePoint receivedAt{};
     int unansweredAttempts = 0;
     int refusedAttempts = 0;
@@ -49,7 +51,17 @@
     bool isFirstAnswer() const
     {
         return this->unansweredAttempts == 0 && this->refusedAttempts == 0
-            && this->refusalRevision == 0;
+            && this->replacedRevision == 0;
+    }
+
+    Tasks::JobClaim claim() const { return {this->job.queue, this->job.customer}; }
+
+    /// The tombstone that is stored if the job is refused. Other callers' cancellations stay.
+    Tasks::JobTombstone refusal() const
+    {
+        Tasks::JobTombstone tombstone = this->replaced;
+        tombstone.isRefused = true;
+        return tombstone;
     }
 };
 
@@ -76,6 +88,7 @@
     , settings(settings)
     , decoders(std::move(decoders))
     , submitTimeout(settings.submitTimeout)
+    , tombstoneBudget(settings.tombstones)
     , watch(
           store, timers, {.prefix = settings.configurationKey},
           {[this](const StoredItem &item, TimePoint now) { this->updateConfiguration(item, now); },
@@ -356,14 +369,14 @@
     }
     const std::string key = StoreKeys::job(submission->job.id);
     Tasks::StoreCommit commit;
-    commit.checks.push_back({key, submission->refusalRevision});
+    commit.checks.push_back({key, submission->replacedRevision});
     // Rejects the write if the configuration has changed, so that no job is stored with a revoked
     // API key or for a removed queue.
     commit.checks.push_back(
         {this->settings.configurationKey, this->currentDirectory->configuration().revision});
     const bool admitted = submission->verdict.admitted;
-    const std::string record
-        = admitted ? Tasks::encodeJob(submission->job) : Tasks::encodeRefusal();
+    const std::string record = admitted ? Tasks::encodeJob(submission->job)
+                                        : Tasks::encodeTombstone(submission->refusal());
     commit.writes.push_back({key, record, 0});
     this->store.commit(commit, timeout,
                        [this, submission, sentAt = now](const StoreAnswer &answer, TimePoint at) {
@@ -410,28 +423,19 @@
     this->retrySubmit(submission, now);
 }
 
-/// Replaces a stored refusal only if the first attempt of the call meets it: the client then
-/// submits a job again that was refused earlier. A refusal that a later attempt meets may have been
-/// stored by another instance in the meantime, for the same client, which may have been told that
-/// the job never runs. The key's revision keeps the earlier attempts of this call from being
-/// carried out.
 void JobApi::handleSubmitConflict(const std::shared_ptr<Submission> &submission,
                                   const StoreAnswer &answer, TimePoint now)
 {
     const StoredItem *stored = answer.find(StoreKeys::job(submission->job.id));
-    if (stored && Tasks::isRefusal(stored->value)) {
-        if (submission->isFirstAnswer()) {
-            submission->refusalRevision = stored->revision;
-            this->submit(submission, now);
-            return;
-        }
-        if (stored->revision != submission->refusalRevision) {
-            this->finishSubmit(submission, this->refusedReply(*submission), now);
-            return;
-        }
-        // The refusal is the known one, so the configuration has changed.
-        stored = nullptr;
+    const std::optional<Tasks::JobTombstone> tombstone
+        = stored ? Tasks::decodeTombstone(stored->value) : std::nullopt;
+    if (tombstone && stored->revision != submission->replacedRevision) {
+        this->submitOverTombstone(submission, *tombstone, stored->revision, now);
+        return;
     }
+    // A tombstone that is to be replaced is the known one, so the configuration has changed.
+    if (tombstone)
+        stored = nullptr;
     if (stored) {
         const tl::expected<Job, std::string> known = Tasks::decodeJob(stored->value);
         const bool sameCustomer = known && known->customer == submission->job.customer;
@@ -446,6 +450,31 @@
     this->route(submission->call, submission->reply, now);
 }
 
+/// Replaces a refusal only if the first attempt of the call meets it: the client then submits a job
+/// again that was refused earlier. A refusal that a later attempt meets may have been stored by
+/// another instance in the meantime, for the same client, which may have been told that the job
+/// never runs. The key's revision keeps the earlier attempts of this call from being carried out.
+///
+/// A job whose caller has cancelled it is not accepted: its submission may be a delayed copy of the
+/// one that was cancelled. Cancellations by other callers do not concern it.
+void JobApi::submitOverTombstone(const std::shared_ptr<Submission> &submission,
+                                 const Tasks::JobTombstone &tombstone, std::int64_t revision,
+                                 TimePoint now)
+{
+    if (tombstone.isCancelledFor(submission->claim())) {
+        this->finishSubmit(submission,
+                           {.kind = ReplyKind::NotRun, .error = "the job was cancelled"}, now);
+        return;
+    }
+    if (tombstone.isRefused && !submission->isFirstAnswer()) {
+        this->finishSubmit(submission, this->refusedReply(*submission), now);
+        return;
+    }
+    submission->replaced = tombstone;
+    submission->replacedRevision = revision;
+    this->submit(submission, now);
+}
+
 void JobApi::retrySubmit(const std::shared_ptr<Submission> &submission, TimePoint now)
 {
     const bool timeIsUp
--- a/Coordination/JobApi.h
+++ b/Coordination/JobApi.h
@@ -3,6 +3,8 @@
 #include <Coordination/AnswerTimeout.h>
 #include <Coordination/EventLogger.h>
 #include <Coordination/PrefixWatch.h>
+#include <Coordination/TombstoneBudget.h>
+#include <Tasks/JobTombstone.h>
 #include <Tasks/SystemConfiguration.h>
 #include <Tasks/TaskJob.h>
 #include <Tasks/WaitForecast.h>
@@ -39,13 +41,13 @@
     Cancelled,
     Pending,
     NoSuchQueue,
-    NoSuchJob,
+    NoSuchJob, ///< As the answer to a cancellation: and the job will not run later.
     UnknownKey,
     ForeignJob, ///< The job belongs to another customer than the API key.
     Malformed,
     NotRun, ///< The job was refused: it is not running and never will.
     Unavailable, ///< The request could not be served and had no effect.
-    Undecided, ///< The outcome is unknown; the client should retry with the same job id.
+    Undecided, ///< The request may take effect later; the client should retry it.
 };
 
 struct ClientReply
@@ -90,6 +92,7 @@
         Duration retryAfter = seconds(1);
         /// Used for clients that send no deadline.
         Duration defaultClientTimeout = seconds(3);
+        TombstoneBudget::Settings tombstones;
     };
 
     struct Decoders
@@ -132,7 +135,14 @@
         std::string customer;
         TimePoint receivedAt{};
         int failures = 0;
+        /// Of a cancellation: the revision of the job's key, 0 if it is absent.
+        std::int64_t keyRevision = 0;
+        /// Of a cancellation: the tombstone under the job's key, or the one to be written there.
+        Tasks::JobTombstone tombstone;
+        bool hasTombstoneBudget = false;
+        bool hasUnansweredWrite = false; ///< The store may execute a write of this request later.
     };
+    using LookupStep = void (JobApi::*)(const std::shared_ptr<Lookup> &, TimePoint);
 
     void updateForecast(const Tasks::StoredItem &item, TimePoint now);
     void checkAdmission(Submission &submission, TimePoint now);
@@ -153,6 +163,9 @@
                             const Tasks::StoreAnswer &answer, TimePoint now);
     void handleSubmitConflict(const std::shared_ptr<Submission> &submission,
                               const Tasks::StoreAnswer &answer, TimePoint now);
+    void submitOverTombstone(const std::shared_ptr<Submission> &submission,
+                             const Tasks::JobTombstone &tombstone, std::int64_t revision,
+                             TimePoint now);
     void retrySubmit(const std::shared_ptr<Submission> &submission, TimePoint now);
     void finishSubmit(const std::shared_ptr<Submission> &submission, const ClientReply &reply,
                       TimePoint now);
@@ -160,11 +173,16 @@
     void readState(const std::shared_ptr<Lookup> &lookup, TimePoint now);
     void readJob(const std::shared_ptr<Lookup> &lookup, TimePoint now);
     void cancel(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void cancelStored(const std::shared_ptr<Lookup> &lookup, const Tasks::StoredItem *stored,
+                      TimePoint now);
+    void cancelUnknownJob(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    bool takeTombstoneBudget(Lookup &lookup, TimePoint now);
+    void writeTombstone(const std::shared_ptr<Lookup> &lookup, TimePoint now);
     void writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint now);
+    void commitCancellation(const std::shared_ptr<Lookup> &lookup, const Tasks::StoreCommit &commit,
+                            LookupStep step, ReplyKind stored, TimePoint now);
     void countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now);
-    void retryLookup(const std::shared_ptr<Lookup> &lookup,
-                     void (JobApi::*step)(const std::shared_ptr<Lookup> &, TimePoint),
-                     TimePoint now);
+    void retryLookup(const std::shared_ptr<Lookup> &lookup, LookupStep step, TimePoint now);
     Duration timeLeft(TimePoint deadline, TimePoint now) const;
     /// Timeout of the next store call on behalf of a request.
     Duration storeTime(TimePoint deadline, TimePoint now) const;
@@ -177,6 +195,7 @@
     Settings settings;
     Decoders decoders;
     AnswerTimeout submitTimeout;
+    TombstoneBudget tombstoneBudget;
     PrefixWatch watch;
     PrefixWatch forecastWatch;
     /// By queue; a queue without an entry has a short wait.
--- a/Coordination/JobApiLookups.cpp
+++ b/Coordination/JobApiLookups.cpp
@@ -2,14 +2,14 @@
 #include <Coordination/StoreKeys.h>
 #include <Core/JsonText.h>
 #include <Tasks/JobRecord.h>
+#include <Tasks/JobTombstone.h>
 
 #include <algorithm>
 
-// The requests of JobApi that read the store: job status, cancellation and pending counts.
+// The requests of JobApi that only read the store: job status and pending counts.
 namespace Hibiscus::Coordination {
 
 using Runtime::LogKind;
-using Tasks::Job;
 using Tasks::StoreAnswer;
 using Tasks::StoreOutcome;
 
@@ -18,11 +18,15 @@
 /// Failed store calls of one lookup after which the client is told that the store is unavailable.
 constexpr int maxUnansweredAttempts = 2;
 
+ClientReply undecidedCancellation()
+{
+    return {.kind = ReplyKind::Undecided,
+            .error = "the store did not answer; the job may be cancelled later; retry"};
+}
+
 } // namespace
 
-void JobApi::retryLookup(const std::shared_ptr<Lookup> &lookup,
-                         void (JobApi::*step)(const std::shared_ptr<Lookup> &, TimePoint),
-                         TimePoint now)
+void JobApi::retryLookup(const std::shared_ptr<Lookup> &lookup, LookupStep step, TimePoint now)
 {
     lookup->failures++;
     const bool timeIsUp = this->timeLeft(lookup->call.deadline, now) <= this->settings.retryDelay;
@@ -32,7 +36,8 @@
                                {"failures", lookup->failures},
                                {"tookMs", toMs(now - lookup->receivedAt)}},
                               now);
-        lookup->reply(this->unavailable("the store does not answer"));
+        lookup->reply(lookup->hasUnansweredWrite ? undecidedCancellation()
+                                                 : this->unavailable("the store does not answer"));
         return;
     }
     this->timers.after(this->settings.retryDelay,
@@ -68,9 +73,9 @@
 {
     const Duration timeout = this->storeTime(lookup->call.deadline, now);
     const auto answerHandler = [this, lookup](const StoreAnswer &answer, TimePoint at) {
-        const bool refused = answer.outcome == StoreOutcome::Done && !answer.items.empty()
-            && Tasks::isRefusal(answer.items.front().value);
-        if (answer.outcome == StoreOutcome::Absent || refused)
+        const bool isTombstone = answer.outcome == StoreOutcome::Done && !answer.items.empty()
+            && Tasks::decodeTombstone(answer.items.front().value);
+        if (answer.outcome == StoreOutcome::Absent || isTombstone)
             lookup->reply({.kind = ReplyKind::NoSuchJob});
         else if (answer.outcome == StoreOutcome::Done)
             lookup->reply({.kind = ReplyKind::State});
@@ -80,50 +85,6 @@
     this->store.read(StoreKeys::job(lookup->job), timeout, answerHandler);
 }
 
-void JobApi::cancel(const std::shared_ptr<Lookup> &lookup, TimePoint now)
-{
-    const Duration timeout = this->storeTime(lookup->call.deadline, now);
-    const auto answerHandler = [this, lookup](const StoreAnswer &answer, TimePoint at) {
-        if (answer.outcome == StoreOutcome::Absent) {
-            lookup->reply({.kind = ReplyKind::NoSuchJob});
-            return;
-        }
-        if (answer.outcome != StoreOutcome::Done || answer.items.empty()) {
-            this->retryLookup(lookup, &JobApi::cancel, at);
-            return;
-        }
-        if (Tasks::isRefusal(answer.items.front().value)) {
-            lookup->reply({.kind = ReplyKind::NoSuchJob});
-            return;
-        }
-        const tl::expected<Job, std::string> job = Tasks::decodeJob(answer.items.front().value);
-        if (job && !lookup->customer.empty() && job->customer != lookup->customer) {
-            lookup->reply({.kind = ReplyKind::ForeignJob});
-            return;
-        }
-        this->writeCancellation(lookup, at);
-    };
-    this->store.read(StoreKeys::job(lookup->job), timeout, answerHandler);
-}
-
-void JobApi::writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint now)
-{
-    const Duration timeout = this->storeTime(lookup->call.deadline, now);
-    Tasks::StoreCommit commit;
-    commit.writes.push_back({StoreKeys::cancellation(lookup->job), lookup->customer, 0});
-    const auto answerHandler = [this, lookup](const StoreAnswer &answer, TimePoint at) {
-        if (answer.outcome != StoreOutcome::Done) {
-            this->retryLookup(lookup, &JobApi::writeCancellation, at);
-            return;
-        }
-        this->logger.logEvent(LogKind::Request, "cancellation stored",
-                              {{"request", lookup->job}, {"tookMs", toMs(at - lookup->receivedAt)}},
-                              at);
-        lookup->reply({.kind = ReplyKind::Cancelled});
-    };
-    this->store.commit(commit, timeout, answerHandler);
-}
-
 void JobApi::countPending(const std::shared_ptr<Lookup> &lookup, TimePoint now)
 {
     const Duration timeout = this->storeTime(lookup->call.deadline, now);
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -2,6 +2,7 @@
 #include <Coordination/StoreKeys.h>
 #include <Coordination/TaskDispatcher.h>
 #include <Tasks/JobRecord.h>
+#include <Tasks/JobTombstone.h>
 
 #include <algorithm>
 #include <chrono>
@@ -14,7 +15,6 @@
 using Tasks::Job;
 using Tasks::JobProgress;
 using Tasks::RunRef;
-using Tasks::StoreAnswer;
 using Tasks::StoredItem;
 using Tasks::TaskProgress;
 using Tasks::TaskRef;
@@ -64,6 +64,7 @@
                       LogKind::Dependency,
                       reachable ? "store takes records again" : "store takes no records", {}, now);
               }})
+    , tombstones(store, logger, {settings.statusRetention, settings.writer.commitTimeout.longest})
     , published(store, settings.writer.commitTimeout.longest,
                 [this](const std::string &key, TimePoint now) {
                     if (key == StoreKeys::silence && this->isLeading(now))
@@ -134,7 +135,6 @@
     this->planPending = false;
     this->inputs.clear();
     this->permits.clear();
-    this->refusals.clear();
     this->runTimes.clear();
     this->risks.clear();
     this->shortagesReportedAt.clear();
@@ -142,6 +142,7 @@
     this->keptOrders.clear();
     this->fleet.begin(term.token, term.formersEnded);
     this->writer.begin(term.token);
+    this->tombstones.begin(term.token);
     this->jobWatch.start(now);
     this->workerWatch.start(now);
     this->evacuations.start(now);
@@ -155,6 +156,7 @@
     this->generation++;
     this->phase = Phase::Idle;
     this->writer.stop();
+    this->tombstones.stop();
     this->published.stop();
     this->silence.stop();
     this->speeds.stop();
@@ -246,9 +248,8 @@
     const StoreKeys::JobKey key = StoreKeys::parseJobKey(item.key);
     if (item.removed) {
         if (!key.cancellation) {
-            this->jobs.remove(key.id);
-            this->permits.removeJob(key.id);
-            this->refusals.erase(key.id);
+            this->removeJob(key.id);
+            this->tombstones.noteGone(key.id);
         }
         return;
     }
@@ -262,15 +263,24 @@
         this->cancelledIds.insert(key.id);
 }
 
+void TaskDispatcher::removeJob(const std::string &id)
+{
+    this->jobs.remove(id);
+    this->permits.removeJob(id);
+}
+
 void TaskDispatcher::addJob(const StoredItem &item, const std::string &id, TimePoint now)
 {
-    if (this->jobs.find(id))
-        return;
-    if (Tasks::isRefusal(item.value)) {
-        this->refusals[id] = {item.revision, now};
+    if (Tasks::decodeTombstone(item.value)) {
+        // A job that is known had been removed from the store before, which the watch may not
+        // report after a gap.
+        this->removeJob(id);
+        this->tombstones.noteStored(id, item.revision, now);
         return;
     }
-    this->refusals.erase(id);
+    if (this->jobs.find(id))
+        return;
+    this->tombstones.noteGone(id);
     tl::expected<Job, std::string> job = Tasks::decodeJob(item.value);
     if (!job) {
         this->logger.logEvent(LogKind::Fault, "job record can't be read",
@@ -505,23 +515,6 @@
     }
 }
 
-/// Removes old refusal markers from the store. A marker blocks delayed attempts to store its job;
-/// none is in flight any more after the status retention.
-void TaskDispatcher::removeOldRefusals(TimePoint now)
-{
-    for (auto &[id, refusal] : this->refusals) {
-        if (now < refusal.seenAt + this->settings.statusRetention)
-            continue;
-        Tasks::StoreCommit commit;
-        commit.checks.push_back({StoreKeys::leader, this->election.token()});
-        commit.checks.push_back({StoreKeys::job(id), refusal.revision});
-        commit.removals.push_back(StoreKeys::job(id));
-        refusal.seenAt = now;
-        this->store.commit(commit, this->settings.writer.commitTimeout.longest,
-                           [](const StoreAnswer &, TimePoint) {});
-    }
-}
-
 void TaskDispatcher::scheduleTick()
 {
     this->timers.after(this->settings.tickInterval,
@@ -538,7 +531,7 @@
     if (!this->isLeading(now))
         return;
     this->removeExpired();
-    this->removeOldRefusals(now);
+    this->tombstones.sweep(now);
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
     this->risks.forgetOld(now);
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -10,6 +10,7 @@
 #include <Coordination/RecordWriter.h>
 #include <Coordination/SilenceRecorder.h>
 #include <Coordination/SpeedTracker.h>
+#include <Coordination/TombstoneSweeper.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
 #include <Tasks/DepartureDecision.h>
@@ -75,6 +76,8 @@
     void termConfirmed(TimePoint now);
 
     const TrackedJobTable &jobTable() const { return this->jobs; }
+    /// Number of tombstones in the store that this leader knows.
+    std::size_t tombstoneCount() const { return this->tombstones.count(); }
     const WorkerFleet &workerFleet() const { return this->fleet; }
     const Tasks::WorkerSpeeds &workerSpeeds() const { return this->speeds.workerSpeeds(); }
     bool isReady() const { return this->phase == Phase::Leading; }
@@ -88,13 +91,6 @@
         Leading,
     };
 
-    /// A refusal marker that is stored under a job's key.
-    struct Refusal
-    {
-        std::int64_t revision = 0;
-        TimePoint seenAt{};
-    };
-
     /// An order that waits until the leader's lease is known to hold or, if it is a start, until
     /// the evacuated data centres are known.
     struct KeptOrder
@@ -125,6 +121,7 @@
     void adoptRuns(TrackedJob &job, std::int64_t revision, TimePoint now);
 
     void jobKeyChanged(const Tasks::StoredItem &item, TimePoint now);
+    void removeJob(const std::string &id);
     void addJob(const Tasks::StoredItem &item, const std::string &id, TimePoint now);
     void cancelJob(const std::string &id, TimePoint now);
     void workerKeyChanged(const Tasks::StoredItem &item, TimePoint now);
@@ -138,7 +135,6 @@
     void carryOutKeptOrders(TimePoint now);
     std::string encodeRecord(const std::string &job);
     void removeExpired();
-    void removeOldRefusals(TimePoint now);
 
     static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
@@ -173,6 +169,7 @@
     TrackedJobTable jobs;
     WorkerFleet fleet;
     RecordWriter writer;
+    TombstoneSweeper tombstones;
     PublishedKeys published;
     SilenceRecorder silence;
     PrefixWatch jobWatch;
@@ -192,8 +189,6 @@
     bool jobsListed = false;
     bool workersListed = false;
     std::set<std::string> cancelledIds; ///< Used only while loading.
-    /// Refusals by job id, which are stored in place of the jobs.
-    std::map<std::string, Refusal> refusals;
     bool planPending = false;
     std::vector<KeptOrder> keptOrders;
     TimePoint loadWrittenAt{};
--- a/Node/NodeMetrics.cpp
+++ b/Node/NodeMetrics.cpp
@@ -89,6 +89,7 @@
     text << "hibiscus_placement_calls_total " << readings.placementCalls << "\n";
     text << "hibiscus_leading " << (readings.isLeading ? 1 : 0) << "\n";
     text << "hibiscus_jobs " << readings.jobs << "\n";
+    text << "hibiscus_tombstones " << readings.tombstones << "\n";
     text << "hibiscus_workers " << readings.workers << "\n";
     text << "hibiscus_configuration_version " << readings.configurationVersion << "\n";
     writeAge(text, "hibiscus_configuration_age_seconds", readings.configurationAge);
--- a/Node/NodeMetrics.h
+++ b/Node/NodeMetrics.h
@@ -30,6 +30,7 @@
     {
         bool isLeading = false;
         std::size_t jobs = 0;
+        std::size_t tombstones = 0; ///< Of jobs that do not exist; see Tasks::JobTombstone.
         std::size_t workers = 0;
         std::size_t callerConnections = 0;
         std::uint64_t callerHeldBytes = 0; ///< Of requests and responses that are not finished.
--- a/Node/NodeProcess.cpp
+++ b/Node/NodeProcess.cpp
@@ -361,6 +361,7 @@
     NodeMetrics::Readings readings;
     readings.isLeading = this->dispatcher.isReady() && this->election.isLeading(now);
     readings.jobs = this->dispatcher.jobTable().all().size();
+    readings.tombstones = this->dispatcher.tombstoneCount();
     readings.workers = this->dispatcher.workerFleet().all().size();
     readings.callerConnections = this->callers->connectionCount();
     readings.callerHeldBytes = this->callers->heldBytes();
--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -11,7 +11,6 @@
 using nlohmann::json;
 
 constexpr std::int64_t recordVersion = 1;
-constexpr std::string_view refusalText = R"({"record":1,"refused":true})";
 
 /// Columns of a task's row. A task that was never started is stored as the number 0 instead.
 enum TaskColumn : std::uint8_t {
@@ -213,16 +212,6 @@
     });
 }
 
-std::string encodeRefusal()
-{
-    return std::string(refusalText);
-}
-
-bool isRefusal(std::string_view text)
-{
-    return text == refusalText;
-}
-
 std::string encodeProgress(const JobProgress &progress)
 {
     json tasks = json::array();
--- a/Tasks/JobRecord.h
+++ b/Tasks/JobRecord.h
@@ -12,11 +12,6 @@
 std::string encodeJob(const Job &job);
 tl::expected<Job, std::string> decodeJob(std::string_view text);
 
-/// Tombstone that is stored under the key of a refused job. It keeps an earlier submission of the
-/// same job that is still in flight from being accepted. A later submission may replace it.
-std::string encodeRefusal();
-bool isRefusal(std::string_view text);
-
 std::string encodeProgress(const JobProgress &progress);
 /// Decodes a progress record, which must have been encoded for `job`.
 tl::expected<JobProgress, std::string> decodeProgress(std::string_view text, const Job &job);
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -37,8 +37,14 @@
             queue.permits = {milliseconds(100), milliseconds(5), seconds(5)};
         configuration.queues.push_back(queue);
     }
+    Tasks::Queue open = configuration.queues.back();
+    open.name = "queue-open";
+    open.prefix = "/open/";
+    open.allowsAnonymous = true;
+    configuration.queues.push_back(open);
     configuration.customers.push_back(
         {"parks", value.at("keys").get<std::vector<std::string>>(), 16});
+    configuration.customers.push_back({"schools", {schoolsKey}, 0});
     return configuration;
 }
 
@@ -307,7 +313,9 @@
 {
     std::optional<ClientReply> reply
         = this->call(instance, {.verb = CallVerb::Cancel, .path = "/p1/" + id, .key = "key-1"});
-    if (reply && reply->kind == ReplyKind::Cancelled)
+    const bool isAcknowledged
+        = reply && (reply->kind == ReplyKind::Cancelled || reply->kind == ReplyKind::NoSuchJob);
+    if (isAcknowledged)
         this->workers.cancelledAt.emplace(id, this->clock.now());
     return reply;
 }
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -125,6 +125,9 @@
     bool permitsRequired = false;
 };
 
+/// Key of the customer "schools". The calls of Cluster use the keys of the customer "parks".
+inline constexpr const char *schoolsKey = "schools-key";
+
 /// A job id: the number, padded with zeros to 16 digits.
 std::string jobId(std::uint32_t number);
 /// The body of a submission with one step of `tasks` tasks. `payload` is a TaskScript;
