Don't carry out a cancellation after its job was removed from the store

Seen in a test: a cancelling reads the job, the leader removes the job because its retention is over, and the cancellation is written after that. It stays in the store for good, since a leader removes it only with the job's record, and the next leader applies it to a new job with the same id at its takeover.

Cause: the cancellation was written without a condition. The job that it was meant for may be gone when the store executes the write.

Change: the write requires the revision of the job's key that was read; a job's record is written once, so it changes only when it is removed. On a conflict the cancelling decides anew by what is there.

Evidence: CancelledJob.LateCancellationIsNotCarriedOutAfterItsJobWasRemoved fails without the condition (one key is left, none expected) and passes with it.

--- a/Coordination/JobApiCancellations.cpp
+++ b/Coordination/JobApiCancellations.cpp
@@ -92,9 +92,13 @@
     this->commitCancellation(lookup, commit, &JobApi::writeTombstone, ReplyKind::NoSuchJob, now);
 }
 
+/// The write requires the job's record, so that it can't be executed after the record was removed:
+/// nobody would remove the cancellation then, and a later leader would apply it to a new job with
+/// the same id.
 void JobApi::writeCancellation(const std::shared_ptr<Lookup> &lookup, TimePoint now)
 {
     Tasks::StoreCommit commit;
+    commit.checks.push_back({StoreKeys::job(lookup->job), lookup->keyRevision});
     commit.writes.push_back({StoreKeys::cancellation(lookup->job), lookup->customer, 0});
     this->commitCancellation(lookup, commit, &JobApi::writeCancellation, ReplyKind::Cancelled, now);
 }
--- a/UnitTests/Coordination/CancelledJobTest.cpp
+++ b/UnitTests/Coordination/CancelledJobTest.cpp
@@ -259,6 +259,21 @@
     this->expectNothingRuns();
 }
 
+// Guards against a cancellation that is carried out after its job was removed from the store: it
+// stayed there for good, where the next leader would apply it to a new job with the same id.
+TEST_F(CancelledJob, LateCancellationIsNotCarriedOutAfterItsJobWasRemoved)
+{
+    this->accept(job, jobBody("500", 1, 1));
+    // The job is removed from the store 120 s after its end.
+    this->cluster.run(seconds(119));
+    EXPECT_EQ(this->storedJobKeys(), 1U);
+    this->cluster.store.behaviors[this->cut] = StoreBehavior::ExecutesCommitsLate;
+    EXPECT_EQ(this->cancelAt(this->cut), ReplyKind::Undecided);
+    this->cluster.store.behaviors.clear();
+    this->cluster.run(settlingTime);
+    EXPECT_EQ(this->storedJobKeys(), 0U);
+}
+
 TEST_F(CancelledJob, CustomerThatCancelsManyUnknownJobsIsTurnedAwayAndOthersAreServed)
 {
     std::size_t turnedAway = 0;
