Don't let a second removal of an old job take a new one with its id

Found while looking for what may remove a cancelled job's tombstone too soon. Seen in a test: an accepted job vanished from the store and was answered 410 (LOST), after an earlier job with the same id had been removed a moment ago.

Cause: the leader schedules the removal of an expired job at each tick until the watch reports it. While the first removal is unanswered, a second one is queued. It is sent after the first one is done, on the condition that there is no progress record, which holds, and removes whatever stands under the job's key by then: a job that another instance has accepted, or a tombstone.

Change: a removal without a known progress record is not written. An expired job always has a record, and a removal that names its revision is executed once at most.

It needs an id that is used again within half a second of the removal, so callers will hardly have met it.

--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -144,7 +144,13 @@
         }
         if (!this->fitsBatch(batch, *job))
             break;
-        this->append(batch, *job);
+        std::string value = this->handlers.encode(*job);
+        // A removal that is queued again while the first one is unanswered finds no record. It must
+        // not remove what another instance may have stored under the job's key since.
+        if (value.empty() && this->revisions[*job] == 0)
+            this->runStoredHandlers(*job);
+        else
+            this->append(batch, *job, std::move(value));
         job = this->queue.erase(job);
     }
     return batch;
@@ -159,10 +165,9 @@
         && !this->refusedJobs.contains(batch.writes.front().job);
 }
 
-void RecordWriter::append(Batch &batch, const std::string &job)
+void RecordWriter::append(Batch &batch, const std::string &job, std::string value)
 {
     const std::string key = StoreKeys::progressOf(job);
-    std::string value = this->handlers.encode(job);
     batch.commit.checks.push_back({key, this->revisions[job]});
     if (value.empty()) {
         batch.commit.removals.push_back(key);
@@ -175,6 +180,22 @@
     batch.writes.push_back({job, std::move(value), std::move(waiting.mapped())});
 }
 
+/// Runs the handlers of a job of which nothing is stored and nothing is to be written. They may
+/// schedule writes, so not while a batch is taken from the queue.
+void RecordWriter::runStoredHandlers(const std::string &job)
+{
+    this->revisions.erase(job);
+    auto waiting = this->storedHandlers.extract(job);
+    this->timers.after(Duration{},
+                       [this, handlers = std::move(waiting.mapped()),
+                        generation = this->generation](TimePoint at) {
+                           for (const StoredHandler &handler : handlers) {
+                               if (generation == this->generation)
+                                   handler(at);
+                           }
+                       });
+}
+
 void RecordWriter::send(BatchId id, TimePoint now)
 {
     Batch &batch = this->batches.at(id);
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -105,7 +105,8 @@
     bool isInFlight(const std::string &job) const;
     Batch takeBatch(TimePoint now);
     bool fitsBatch(const Batch &batch, const std::string &job) const;
-    void append(Batch &batch, const std::string &job);
+    void append(Batch &batch, const std::string &job, std::string value);
+    void runStoredHandlers(const std::string &job);
     void send(BatchId id, TimePoint now);
     void handleAnswer(BatchId id, const Tasks::StoreAnswer &answer, TimePoint now);
     void handleCommit(BatchId id, std::int64_t revision, TimePoint now);
--- a/UnitTests/Coordination/CancelledJobTest.cpp
+++ b/UnitTests/Coordination/CancelledJobTest.cpp
@@ -274,6 +274,24 @@
     EXPECT_EQ(this->storedJobKeys(), 0U);
 }
 
+// Guards against a removal that is sent twice, since its first answer is late, and takes what was
+// stored under the id in the meantime.
+TEST_F(CancelledJob, NewJobIsKeptWhileTheRemovalOfAnEarlierOneWithItsIdIsUnanswered)
+{
+    this->accept(job, jobBody("500", 1, 1000)); // Fits on no worker.
+    const Reply cancelled = this->send(this->healthy, CallVerb::Cancel);
+    this->cluster.run(seconds(119));
+    EXPECT_EQ(kindOf(*cancelled), ReplyKind::Cancelled);
+    // Answers to the leader take longer than its ticks.
+    this->cluster.store.instanceLatencies[this->leading] = milliseconds(200);
+    for (int step = 0; step < 300 && this->storedJobKeys() > 0; step++)
+        this->cluster.run(milliseconds(10));
+    ASSERT_EQ(this->storedJobKeys(), 0U);
+    EXPECT_EQ(this->submitAt(this->healthy), ReplyKind::Accepted);
+    this->cluster.run(settlingTime);
+    EXPECT_TRUE(this->cluster.isCompleted(jobId(job)));
+}
+
 TEST_F(CancelledJob, CustomerThatCancelsManyUnknownJobsIsTurnedAwayAndOthersAreServed)
 {
     std::size_t turnedAway = 0;
