Let the soak's clients cancel the jobs that they have no answer for

Change: a client gives up a third of the submissions without an answer, and all after its last attempt, and cancels the job until that is answered. A job that was answered with 410 then must never start.

--- a/Soak/FaultSchedule.cpp
+++ b/Soak/FaultSchedule.cpp
@@ -31,6 +31,7 @@
     {"unanswered polls", &FaultSchedule::leavePollsUnanswered, false},
     {"late orders to a restarted worker", &FaultSchedule::restartWorkerWithLateOrders, false},
     {"kill leader", &FaultSchedule::killLeader, false},
+    {"late commits", &FaultSchedule::delayCommits, false},
 };
 
 FaultSchedule::FaultSchedule(boost::asio::io_context &loop, SoakSite &site, SoakClients &clients,
@@ -145,6 +146,15 @@
     this->site.signalInstance(instance, SIGHUP);
 }
 
+void FaultSchedule::delayCommits()
+{
+    const std::size_t instance = this->drawInstance();
+    this->site.setStoreBehavior(instance, StoreBehavior::ExecutesCommitsLate);
+    this->schedule(this->drawFaultDuration(), [this, instance] {
+        this->site.setStoreBehavior(instance, StoreBehavior::Normal);
+    });
+}
+
 void FaultSchedule::failStore()
 {
     static constexpr StoreBehavior behaviors[]
--- a/Soak/FaultSchedule.h
+++ b/Soak/FaultSchedule.h
@@ -56,6 +56,8 @@
     void stopAllInTurn();
     void pauseInstance();
     void reloadSettings();
+    /// The store executes the commits of one instance late and without an answer.
+    void delayCommits();
     void failStore();
     void failStoreForAll();
     void compactStoreHistory();
--- a/Soak/SoakClients.cpp
+++ b/Soak/SoakClients.cpp
@@ -175,18 +175,30 @@
         return;
     }
     const bool notRun = result.status == 503 || result.status == 429 || result.status == 401;
+    if (notRun && !job.hasUnansweredAttempt) {
+        job.outcome = Outcome::Refused;
+        return;
+    }
     if (notRun) {
-        job.outcome = job.hasUnansweredAttempt ? Outcome::Unknown : Outcome::Refused;
+        this->giveUp(job);
         return;
     }
     if (result.status != 0 && result.status != 502 && result.status != 504)
         this->violations.push_back(job.id + " was answered with status "
                                    + std::to_string(result.status));
     job.hasUnansweredAttempt = true;
-    if (job.attempts < this->settings.maxAttempts)
-        this->submit(job);
+    const bool givesUp = job.attempts >= this->settings.maxAttempts
+        || this->random(static_cast<std::uint32_t>(this->settings.giveUpOneOf)) == 0;
+    if (givesUp)
+        this->giveUp(job);
     else
-        job.outcome = Outcome::Unknown;
+        this->submit(job);
+}
+
+void SoakClients::giveUp(ClientJob &job)
+{
+    job.outcome = Outcome::Unknown;
+    this->cancel(job);
 }
 
 void SoakClients::pollState(ClientJob &job)
@@ -228,13 +240,23 @@
     job.cancelSent = true;
     ClientJob request = job;
     request.key = this->key;
-    this->drawInstance().call(this->makeCall(request, http::verb::delete_), this->settings.timeout,
-                              [this, &job](const HttpResult &result) {
-                                  if (result.status != 200)
-                                      return;
-                                  job.cancelled = true;
-                                  this->site.workers.cancelledAt.emplace(job.id, this->site.now());
-                              });
+    this->drawInstance().call(
+        this->makeCall(request, http::verb::delete_), this->settings.timeout,
+        [this, &job](const HttpResult &result) { this->handleCancelReply(job, result); });
+}
+
+void SoakClients::handleCancelReply(ClientJob &job, const HttpResult &result)
+{
+    if (result.status == 200) {
+        job.cancelled = true;
+        this->site.workers.cancelledAt.emplace(job.id, this->site.now());
+    }
+    if (job.outcome != Outcome::Unknown || job.cancelled)
+        return;
+    if (result.status == 410)
+        job.outcome = Outcome::NeverAccepted;
+    else
+        this->schedule(this->settings.statePoll, [this, &job] { this->cancel(job); });
 }
 
 bool SoakClients::isFinal(const std::string &state)
@@ -258,6 +280,8 @@
         const std::size_t starts = this->site.workers.startsOf(id);
         if (job->outcome == Outcome::Refused && starts > 0)
             this->violations.push_back(id + " was refused as not run but started");
+        if (job->outcome == Outcome::NeverAccepted && starts > 0)
+            this->violations.push_back(id + " was cancelled as an unknown job but started");
         if (job->outcome == Outcome::Pending)
             this->violations.push_back(id + " got no answer");
         if (job->outcome == Outcome::Accepted && !isFinal(job->state))
@@ -273,7 +297,8 @@
 {
     std::map<std::string, std::size_t> counts;
     for (const auto &[id, job] : this->jobs) {
-        static constexpr const char *outcomes[] = {"pending", "accepted", "refused", "unknown"};
+        static constexpr const char *outcomes[]
+            = {"pending", "accepted", "refused", "unknown", "cancelled unknown"};
         counts[outcomes[static_cast<std::size_t>(job->outcome)]]++;
         if (job->outcome == Outcome::Accepted)
             counts[job->state]++;
--- a/Soak/SoakClients.h
+++ b/Soak/SoakClients.h
@@ -24,6 +24,8 @@
         /// Attempts to submit a job while the outcome is unknown.
         std::size_t maxAttempts = 6;
         std::size_t cancelOneOf = 12;
+        /// One of so many submissions without an answer is given up instead of sent again.
+        std::size_t giveUpOneOf = 3;
         /// Maximum number of unfinished jobs; no new jobs are submitted beyond.
         std::size_t maxUnfinishedJobs = 40;
         /// A third of the jobs are very short, a sixth are long.
@@ -53,7 +55,8 @@
         Pending, ///< No conclusive answer yet.
         Accepted,
         Refused, ///< Refused as "not run".
-        Unknown, ///< Abandoned without a conclusive answer.
+        Unknown, ///< Abandoned without a conclusive answer, and cancelled.
+        NeverAccepted, ///< As `Unknown`, and the cancellation was answered "no such job".
     };
     struct ClientJob
     {
@@ -76,7 +79,10 @@
     void handleSubmitReply(ClientJob &job, const Runtime::HttpResult &result, TimePoint sentAt);
     void pollState(ClientJob &job);
     void handleStateReply(ClientJob &job, const Runtime::HttpResult &result);
+    /// Cancels a job whose submission got no conclusive answer, until that is answered.
+    void giveUp(ClientJob &job);
     void cancel(ClientJob &job);
+    void handleCancelReply(ClientJob &job, const Runtime::HttpResult &result);
     Runtime::HttpClient &drawInstance();
     Runtime::HttpCall makeCall(const ClientJob &job, boost::beast::http::verb verb) const;
     void schedule(Duration delay, std::function<void()> step);
