--- a/Coordination/JobApi.h
+++ b/Coordination/JobApi.h
@@ -158,6 +158,10 @@
     void confirmConfiguration(ClientCall call, ReplyHandler reply, TimePoint now);
     void route(const ClientCall &call, const ReplyHandler &caller, TimePoint now);
 
+    /// `customer` is that of the call's API key; null if it has none.
+    void startSubmission(const ClientCall &call, const ReplyHandler &reply,
+                         const Tasks::ConfigurationIndex::Match &match,
+                         const Tasks::Customer *customer, TimePoint now);
     void submit(const std::shared_ptr<Submission> &submission, TimePoint now);
     void handleSubmitAnswer(const std::shared_ptr<Submission> &submission,
                             const Tasks::StoreAnswer &answer, TimePoint now);
--- a/Coordination/JobApiLookups.cpp
+++ b/Coordination/JobApiLookups.cpp
@@ -33,6 +33,7 @@
     if (timeIsUp || lookup->failures > maxUnansweredAttempts) {
         this->logger.logEvent(LogKind::Request, "state not read",
                               {{"request", lookup->job},
+                               {"call", nameOf(lookup->call.verb)},
                                {"failures", lookup->failures},
                                {"tookMs", toMs(now - lookup->receivedAt)}},
                               now);
--- a/UnitTests/Coordination/FakeStore.cpp
+++ b/UnitTests/Coordination/FakeStore.cpp
@@ -12,6 +12,13 @@
 constexpr std::size_t pageSize = 500; ///< Maximum number of items in one list answer.
 constexpr Duration executionDelay = seconds(2);
 
+bool answersWatches(StoreBehavior behavior)
+{
+    return behavior == StoreBehavior::Normal || behavior == StoreBehavior::DropsCommits
+        || behavior == StoreBehavior::LosesCommitAnswers
+        || behavior == StoreBehavior::ExecutesCommitsLate;
+}
+
 } // namespace
 
 StoreBehavior FakeStore::behaviorOf(const std::string &instance) const
@@ -236,11 +243,7 @@
             if (!*alive)
                 return;
             const StoreBehavior behavior = target.behaviorOf(name);
-            const bool answers = behavior == StoreBehavior::Normal
-                || behavior == StoreBehavior::DropsCommits
-                || behavior == StoreBehavior::LosesCommitAnswers
-                || behavior == StoreBehavior::ExecutesCommitsLate;
-            if (!answers) {
+            if (!answersWatches(behavior)) {
                 const bool refused = behavior == StoreBehavior::Rejecting;
                 this->answer(handler,
                              {.outcome = refused ? StoreOutcome::Refused : StoreOutcome::Unknown},
@@ -258,12 +261,7 @@
             entry->answer = [this, handler, alive, &target, name](StoreAnswer answer) {
                 // The answer is lost if the store's behaviour for the instance has changed in the
                 // meantime.
-                const StoreBehavior current = target.behaviorOf(name);
-                const bool isAnswered = current == StoreBehavior::Normal
-                    || current == StoreBehavior::DropsCommits
-                    || current == StoreBehavior::LosesCommitAnswers
-                    || current == StoreBehavior::ExecutesCommitsLate;
-                if (!isAnswered)
+                if (!answersWatches(target.behaviorOf(name)))
                     answer = {};
                 if (*alive)
                     this->answer(handler, std::move(answer), target.latencyOf(name));
