Count the retention of finished jobs on the leaders' steady clocks

Cause: a process that starts while its machine's time of day is off takes that time. As the leader it stamped the end of a job with it, and any later leader compared the stamp with its own time of day. The logs had no line for a removal.

Ruled out: a conflict or another writer ("records differ in the store", none), a cancellation, the visible_ms of the read (the state had been read before).

Fix: the leaders count for how long they have led, each on its steady clock, and hand the count on through the store (TermClock, hibiscus/term-time, one write in 5 s). The final state's record holds the count of its beginning, and the job is forgotten when the count has gone on by status_s. The count never runs faster than real time, whatever leader, so no time of day can shorten the retention. It stands still while nobody leads or the lease is in doubt, so the retention can only grow: by less than 5 s and the change itself for each change of leaders.

The same cause beside it: a final state that the store took only after an outage counted from its end, so that after an outage of status_s it was removed without ever having been readable. It now counts from when it is stored.

Records of earlier versions have no such count; each leader that takes one over keeps it for status_s from then on.

A removal is logged with the time that it was kept by both clocks.

--- a/Coordination/RecordWriter.cpp
+++ b/Coordination/RecordWriter.cpp
@@ -144,7 +144,7 @@
         }
         if (!this->fitsBatch(batch, *job))
             break;
-        std::string value = this->handlers.encode(*job);
+        std::string value = this->handlers.encode(*job, now);
         // A removal that is queued again while the first one is unanswered finds no record. It must
         // not remove what another instance may have stored under the job's key since.
         if (value.empty() && this->revisions[*job] == 0)
--- a/Coordination/RecordWriter.h
+++ b/Coordination/RecordWriter.h
@@ -46,7 +46,7 @@
     {
         /// Returns the current record of a job; empty to remove everything that is stored about the
         /// job.
-        std::function<std::string(const std::string &job)> encode;
+        std::function<std::string(const std::string &job, TimePoint)> encode;
         /// Another instance holds the leader's key.
         std::function<void(TimePoint)> fenced;
         std::function<void(bool reachable, TimePoint)> reachability;
--- a/Coordination/StoreKeys.h
+++ b/Coordination/StoreKeys.h
@@ -20,6 +20,9 @@
 /// Key of the learned speeds of workers, which the next leader reads.
 inline constexpr const char *speeds = "hibiscus/speeds";
 
+/// Key of the leaders' TermTimeRecord.
+inline constexpr const char *termTime = "hibiscus/term-time";
+
 /// Key of the leader's SilenceRecord.
 inline constexpr const char *silence = "hibiscus/silence";
 
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -56,14 +56,15 @@
     , decoder(std::move(decoder))
     , fleet(link, timers, logger, settings.fleet, *this,
             [this] { return this->election.leaseEnd(); })
-    , writer(store, timers, logger, settings.writer,
-             {[this](const std::string &job) { return this->encodeRecord(job); },
-              [this](TimePoint now) { this->election.handleOtherLeader(now); },
-              [this](bool reachable, TimePoint now) {
-                  this->logger.logEvent(
-                      LogKind::Dependency,
-                      reachable ? "store takes records again" : "store takes no records", {}, now);
-              }})
+    , writer(
+          store, timers, logger, settings.writer,
+          {[this](const std::string &job, TimePoint now) { return this->encodeRecord(job, now); },
+           [this](TimePoint now) { this->election.handleOtherLeader(now); },
+           [this](bool reachable, TimePoint now) {
+               this->logger.logEvent(
+                   LogKind::Dependency,
+                   reachable ? "store takes records again" : "store takes no records", {}, now);
+           }})
     , tombstones(store, logger, {settings.statusRetention, settings.writer.commitTimeout.longest})
     , published(store, settings.writer.commitTimeout.longest,
                 [this](const std::string &key, TimePoint now) {
@@ -72,6 +73,8 @@
                 })
     , silence(store, this->published, logger, this->fleet, settings.silenceReadTimeout,
               [this](TimePoint now) { this->beginWhenLoaded(now); })
+    , termClock(store, this->published, logger, settings.termClock,
+                [this](TimePoint now) { this->beginWhenLoaded(now); })
     , jobWatch(store, timers, {.prefix = StoreKeys::jobs},
                {[this](const StoredItem &item, TimePoint now) { this->jobKeyChanged(item, now); },
                 [this](TimePoint now) {
@@ -148,6 +151,7 @@
     this->evacuations.start(now);
     this->progress.start();
     this->silence.begin(term.lastLeader);
+    this->termClock.begin();
     this->speeds.begin();
 }
 
@@ -159,6 +163,7 @@
     this->tombstones.stop();
     this->published.stop();
     this->silence.stop();
+    this->termClock.stop();
     this->speeds.stop();
     this->jobWatch.stop();
     this->workerWatch.stop();
@@ -178,7 +183,7 @@
 void TaskDispatcher::beginWhenLoaded(TimePoint now)
 {
     const bool loaded = this->jobsListed && this->workersListed && this->progress.isComplete()
-        && this->silence.isRead() && this->evacuations.isListed();
+        && this->silence.isRead() && this->termClock.isRead() && this->evacuations.isListed();
     if (this->phase != Phase::Loading || !loaded)
         return;
     this->phase = Phase::Leading;
@@ -191,6 +196,7 @@
         const Job job = this->jobs.find(id)->job;
         this->restoreJob(job, now);
     }
+    this->restoreRetention(now);
     for (const std::string &id : std::set<std::string>(this->cancelledIds))
         this->cancelJob(id, now);
     this->progress.discardRecords();
@@ -218,10 +224,25 @@
         blockTasks(*this->jobs.find(job.id));
         return;
     }
-    TrackedJob &live = this->jobs.add(job, std::move(*progress), this->wallClock.nowMs());
+    TrackedJob &live = this->jobs.add(job, std::move(*progress));
+    live.finalStateStored = live.isFinished();
     this->adoptRuns(live, record->second.revision, now);
 }
 
+/// Records of earlier versions have no term time. Their jobs count as finished now, by each leader
+/// that takes them over, and no such records are added.
+void TaskDispatcher::restoreRetention(TimePoint now)
+{
+    Tasks::TermTimeMs latest = 0;
+    for (const auto &[id, job] : this->jobs.all())
+        latest = std::max(latest, job.progress.finalSince.value_or(0));
+    this->termClock.start(latest, this->wallClock.nowMs(), now);
+    for (auto &[id, job] : this->jobs.all()) {
+        if (job.isFinished() && !job.progress.finalSince)
+            job.progress.finalSince = this->termClock.reading(now);
+    }
+}
+
 void TaskDispatcher::adoptRuns(TrackedJob &job, std::int64_t revision, TimePoint now)
 {
     for (std::size_t i = 0; i < job.progress.taskCount(); i++) {
@@ -288,7 +309,7 @@
         return;
     }
     const Tasks::UnixMs wall = this->wallClock.nowMs();
-    this->jobs.add(std::move(*job), std::nullopt, wall);
+    this->jobs.add(std::move(*job), std::nullopt);
     if (this->phase != Phase::Leading)
         return;
     this->logger.logEvent(LogKind::Request, "job taken on",
@@ -470,8 +491,13 @@
 void TaskDispatcher::applyUpdate(TrackedJob &job, const JobUpdate &update,
                                  RecordWriter::StoredHandler afterStored, TimePoint now)
 {
-    if (update.jobFinished)
+    if (update.jobFinished) {
         this->reportFinishedJob(job, now);
+        this->writer.scheduleWrite(job.job.id, [this, id = job.job.id](TimePoint) {
+            if (TrackedJob *stored = this->jobs.find(id))
+                stored->finalStateStored = true;
+        });
+    }
     this->writer.scheduleWrite(job.job.id, std::move(afterStored));
     this->stopRuns(update.runsToStop, now);
     this->schedulePlan();
@@ -493,28 +519,44 @@
                           milliseconds(std::max<std::int64_t>(0, ageMs)));
 }
 
-std::string TaskDispatcher::encodeRecord(const std::string &id)
+/// Until a final state is stored, each attempt to store it counts as its beginning, since callers
+/// can't read it before.
+std::string TaskDispatcher::encodeRecord(const std::string &id, TimePoint now)
 {
-    const TrackedJob *job = this->jobs.find(id);
-    const bool expired = !job
-        || (job->isFinished() && !job->progress.hasTaskOnWorker()
-            && this->wallClock.nowMs() - job->progress.endedAt
-                > toMs(this->settings.statusRetention));
-    return expired ? std::string() : Tasks::encodeProgress(job->progress);
+    TrackedJob *job = this->jobs.find(id);
+    const Tasks::TermTimeMs termTime = this->termClock.reading(now);
+    if (!job || job->isRetentionOver(termTime, this->settings.statusRetention))
+        return {};
+    if (job->isFinished() && !job->finalStateStored)
+        job->progress.finalSince = termTime;
+    return Tasks::encodeProgress(job->progress);
 }
 
 /// Removes jobs from the store whose status retention is over. The watch then removes them from the
 /// job table.
-void TaskDispatcher::removeExpired()
+void TaskDispatcher::removeExpired(TimePoint now)
 {
-    const Tasks::UnixMs wall = this->wallClock.nowMs();
-    for (const auto &[id, job] : this->jobs.all()) {
-        const bool finished = job.isFinished() && !job.progress.hasTaskOnWorker();
-        if (finished && wall - job.progress.endedAt > toMs(this->settings.statusRetention))
-            this->writer.scheduleWrite(id, nullptr);
+    const Tasks::TermTimeMs termTime = this->termClock.reading(now);
+    for (auto &[id, job] : this->jobs.all()) {
+        if (!job.isRetentionOver(termTime, this->settings.statusRetention))
+            continue;
+        if (!std::exchange(job.removalLogged, true))
+            this->logRemoval(job, termTime, now);
+        this->writer.scheduleWrite(id, nullptr);
     }
 }
 
+void TaskDispatcher::logRemoval(const TrackedJob &job, Tasks::TermTimeMs termTime, TimePoint now)
+{
+    this->logger.logEvent(LogKind::Request, "finished job forgotten",
+                          {{"request", job.job.id},
+                           {"state", Tasks::nameOf(job.progress.state)},
+                           {"keptMs", termTime - *job.progress.finalSince},
+                           {"retentionMs", toMs(this->settings.statusRetention)},
+                           {"timeOfDayElapsedMs", this->wallClock.nowMs() - job.progress.endedAt}},
+                          now);
+}
+
 void TaskDispatcher::scheduleTick()
 {
     this->timers.after(this->settings.tickInterval,
@@ -530,7 +572,8 @@
 {
     if (!this->isLeading(now))
         return;
-    this->removeExpired();
+    this->termClock.advance(now);
+    this->removeExpired(now);
     this->tombstones.sweep(now);
     this->fleet.forgetUnlisted(now);
     this->fleet.refreshClocks(now);
@@ -538,6 +581,7 @@
     this->writeLoad(now);
     this->speeds.update(now);
     this->silence.update(this->election.termName());
+    this->termClock.update(this->wallClock.nowMs(), now);
     this->stopDoomedRuns(now);
     this->plan(now);
 }
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -10,6 +10,7 @@
 #include <Coordination/RecordWriter.h>
 #include <Coordination/SilenceRecorder.h>
 #include <Coordination/SpeedTracker.h>
+#include <Coordination/TermClock.h>
 #include <Coordination/TombstoneSweeper.h>
 #include <Coordination/TrackedJobTable.h>
 #include <Coordination/WorkerFleet.h>
@@ -56,6 +57,7 @@
         EvacuationWatch::Settings evacuations;
         RecordWriter::Settings writer;
         ProgressReader::Settings progress;
+        TermClock::Settings termClock;
     };
 
     /// Decodes a worker's registry entry, or returns a description of the error.
@@ -117,6 +119,8 @@
     void evacuationsChanged(TimePoint now);
     void beginWhenLoaded(TimePoint now);
     void restoreJob(const Tasks::Job &job, TimePoint now);
+    /// Starts the term clock, and completes the records of finished jobs that lack a term time.
+    void restoreRetention(TimePoint now);
     /// `revision` is that of the job's record, for the log.
     void adoptRuns(TrackedJob &job, std::int64_t revision, TimePoint now);
 
@@ -133,8 +137,9 @@
     void stopRuns(std::span<const Tasks::RunRef> runs, TimePoint now);
     void stopRun(const Tasks::RunRef &run, TimePoint now);
     void carryOutKeptOrders(TimePoint now);
-    std::string encodeRecord(const std::string &job);
-    void removeExpired();
+    std::string encodeRecord(const std::string &job, TimePoint now);
+    void removeExpired(TimePoint now);
+    void logRemoval(const TrackedJob &job, Tasks::TermTimeMs termTime, TimePoint now);
 
     static WorkerFleet::Run describeRun(const TrackedJob &job, const Tasks::TaskRef &ref);
     void schedulePlan();
@@ -172,6 +177,7 @@
     TombstoneSweeper tombstones;
     PublishedKeys published;
     SilenceRecorder silence;
+    TermClock termClock;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
--- a/Coordination/TrackedJobTable.cpp
+++ b/Coordination/TrackedJobTable.cpp
@@ -27,6 +27,14 @@
     return members;
 }
 
+bool TrackedJob::isRetentionOver(Tasks::TermTimeMs now, Duration retention) const
+{
+    const bool mayBeForgotten
+        = this->isFinished() && this->finalStateStored && !this->progress.hasTaskOnWorker();
+    return mayBeForgotten && this->progress.finalSince
+        && now - *this->progress.finalSince > toMs(retention);
+}
+
 double TrackedJob::waitingWork() const
 {
     double sum = 0.0;
@@ -48,13 +56,12 @@
         this->progress.anyTaskBegun = true;
 }
 
-TrackedJob &TrackedJobTable::add(Job job, std::optional<JobProgress> progress, UnixMs now)
+TrackedJob &TrackedJobTable::add(Job job, std::optional<JobProgress> progress)
 {
     const std::string id = job.id;
     TrackedJob live;
     live.progress = progress ? std::move(*progress) : JobProgress(job);
     live.job = std::move(job);
-    live.seenAt = now;
     return this->jobs.insert_or_assign(id, std::move(live)).first->second;
 }
 
--- a/Coordination/TrackedJobTable.h
+++ b/Coordination/TrackedJobTable.h
@@ -24,13 +24,17 @@
 {
     Tasks::Job job;
     Tasks::JobProgress progress;
-    Tasks::UnixMs seenAt = 0; ///< When this leader first read the job.
+    bool finalStateStored = false; ///< The job's final state can be read by callers.
+    bool removalLogged = false;
 
     bool isFinished() const { return Tasks::isFinal(this->progress.state); }
     const Tasks::Step &stepOf(const Tasks::TaskRef &ref) const
     {
         return this->job.steps[static_cast<std::size_t>(ref.step)];
     }
+    /// Whether callers could read the job's final state for `retention`, so that the job may be
+    /// forgotten.
+    bool isRetentionOver(Tasks::TermTimeMs now, Duration retention) const;
     /// Accelerator-seconds of the waiting tasks, from the caller's run time estimates. Perpetual
     /// tasks count as zero, since they never complete.
     double waitingWork() const;
@@ -50,7 +54,7 @@
 {
 public:
     void clear() { this->jobs.clear(); }
-    TrackedJob &add(Tasks::Job job, std::optional<Tasks::JobProgress> progress, Tasks::UnixMs now);
+    TrackedJob &add(Tasks::Job job, std::optional<Tasks::JobProgress> progress);
     void remove(std::string_view id);
     TrackedJob *find(std::string_view id);
     const TrackedJob *find(std::string_view id) const;
--- a/Tasks/JobRecord.cpp
+++ b/Tasks/JobRecord.cpp
@@ -217,11 +217,13 @@
     json tasks = json::array();
     for (std::size_t i = 0; i < progress.taskCount(); i++)
         tasks.push_back(encodeTask(progress.at(i)));
-    const json record = {{"record", recordVersion},
-                         {"state", static_cast<int>(progress.state)},
-                         {"endedAt", progress.endedAt},
-                         {"begun", progress.anyTaskBegun},
-                         {"tasks", std::move(tasks)}};
+    json record = {{"record", recordVersion},
+                   {"state", static_cast<int>(progress.state)},
+                   {"endedAt", progress.endedAt},
+                   {"begun", progress.anyTaskBegun},
+                   {"tasks", std::move(tasks)}};
+    if (progress.finalSince)
+        record["finalSince"] = *progress.finalSince;
     return record.dump();
 }
 
@@ -231,6 +233,8 @@
         JobProgress progress(job);
         progress.state = stateOf(record.at("state"), JobState::Cancelled);
         progress.endedAt = record.at("endedAt").get<UnixMs>();
+        if (record.contains("finalSince"))
+            progress.finalSince = record.at("finalSince").get<TermTimeMs>();
         const json &tasks = record.at("tasks");
         for (std::size_t i = 0; i < progress.taskCount(); i++)
             progress.at(i) = decodeTask(tasks.at(i));
--- a/Tasks/TaskProgress.h
+++ b/Tasks/TaskProgress.h
@@ -2,11 +2,15 @@
 
 #include <Tasks/WorkerLink.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace Hibiscus::Tasks {
 
+/// Term time, for how long instances have led, in milliseconds; see Coordination/TermClock.h.
+using TermTimeMs = std::int64_t;
+
 enum class TaskState : std::uint8_t {
     Waiting, ///< Not assigned to a worker.
     Assigned, ///< Assignment to a worker is recorded; the start order may be in flight.
@@ -47,7 +51,11 @@
     explicit JobProgress(const Job &job);
 
     JobState state = JobState::Queued;
-    UnixMs endedAt = 0; ///< 0 until the job ends.
+    /// 0 until the job ends. By the time of day of the leader that noted the end, which may be off:
+    /// only for the log.
+    UnixMs endedAt = 0;
+    /// When the final state was written; absent until then, and in records of earlier versions.
+    std::optional<TermTimeMs> finalSince;
     /// A worker has begun a task of the job, which shows by a confirmed start or a listed end. An
     /// assignment alone does not count.
     bool anyTaskBegun = false;
--- a/UnitTests/Coordination/Cluster.cpp
+++ b/UnitTests/Coordination/Cluster.cpp
@@ -178,10 +178,11 @@
         && this->clock.now() < known->second;
 }
 
-Instance::Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers,
-                   FakePlacement &placement, const std::string &name)
+Instance::Instance(SimClock &clock, const ClockErrors &clockErrors, FakeStore &store,
+                   FakeWorkers &workers, FakePlacement &placement, const std::string &name)
     : alive(std::make_shared<bool>(true))
     , suspendedUntil(std::make_shared<std::optional<TimePoint>>())
+    , wallClock(clock, clockErrors, name)
     , timers(std::make_unique<Timers>(clock, this->alive, this->suspendedUntil))
     , store(std::make_unique<FakeStore::View>(store, name, this->alive))
     , link(std::make_unique<FakeWorkers::View>(workers, name, this->alive))
@@ -191,7 +192,7 @@
     JobApi::Settings jobApiSettings;
     jobApiSettings.configurationKey = configurationKey;
     this->jobApi = std::make_unique<JobApi>(
-        *this->store, *this->timers, clock, this->logger, jobApiSettings,
+        *this->store, *this->timers, this->wallClock, this->logger, jobApiSettings,
         JobApi::Decoders{decodeConfiguration, decodeSubmission,
                          [](std::string_view id) { return id.size() == 16; }});
     LeaderElection::Settings electionSettings;
@@ -208,8 +209,8 @@
     dispatcherSettings.workerRegistry = registryPrefix;
     dispatcherSettings.evacuations.prefix = evacuationPrefix;
     this->dispatcher = std::make_unique<TaskDispatcher>(
-        *this->store, *this->link, *this->timers, clock, this->logger, *this->election, placement,
-        dispatcherSettings, decodeEntry, [this](std::string_view customer) {
+        *this->store, *this->link, *this->timers, this->wallClock, this->logger, *this->election,
+        placement, dispatcherSettings, decodeEntry, [this](std::string_view customer) {
             const Tasks::ConfigurationIndex *directory = this->jobApi->directory();
             const Tasks::Customer *found
                 = directory ? directory->findCustomerByName(customer) : nullptr;
@@ -239,8 +240,8 @@
 
 void Cluster::startInstance(const std::string &name)
 {
-    this->instances[name] = std::make_unique<Instance>(this->clock, this->store, this->workers,
-                                                       this->placement, name);
+    this->instances[name] = std::make_unique<Instance>(this->clock, this->clockErrors, this->store,
+                                                       this->workers, this->placement, name);
 }
 
 void Cluster::killInstance(const std::string &name)
--- a/UnitTests/Coordination/Cluster.h
+++ b/UnitTests/Coordination/Cluster.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Hibiscus::Coordination::Test {
@@ -59,12 +60,37 @@
     std::map<std::string, TimePoint> validUntil; ///< Expiry time by permit.
 };
 
+/// By instance: how far its machine's time of day is ahead. Others are right.
+using ClockErrors = std::map<std::string, Duration>;
+
+/// The time of day of an instance's machine, which may be off.
+class SkewedClock final : public WallClock
+{
+public:
+    SkewedClock(const SimClock &clock, const ClockErrors &errors, std::string instance)
+        : clock(clock)
+        , errors(errors)
+        , instance(std::move(instance))
+    {}
+
+    std::int64_t nowMs() const override
+    {
+        const auto error = this->errors.find(this->instance);
+        return this->clock.nowMs() + (error == this->errors.end() ? 0 : toMs(error->second));
+    }
+
+private:
+    const SimClock &clock;
+    const ClockErrors &errors;
+    std::string instance;
+};
+
 /// An instance that runs on simulated time.
 class Instance
 {
 public:
-    Instance(SimClock &clock, FakeStore &store, FakeWorkers &workers, FakePlacement &placement,
-             const std::string &name);
+    Instance(SimClock &clock, const ClockErrors &clockErrors, FakeStore &store,
+             FakeWorkers &workers, FakePlacement &placement, const std::string &name);
     ~Instance() { *this->alive = false; }
 
     std::shared_ptr<bool> alive;
@@ -74,6 +100,7 @@
 private:
     class Timers;
 
+    SkewedClock wallClock;
     std::unique_ptr<TimerService> timers;
     std::unique_ptr<FakeStore::View> store;
     std::unique_ptr<FakeWorkers::View> link;
@@ -116,6 +143,7 @@
     std::string leader() const;
 
     SimClock clock;
+    ClockErrors clockErrors; ///< Changes take effect at once.
     FakeStore store;
     FakeWorkers workers;
     FakePlacement placement;
--- a/UnitTests/Coordination/SpeedTrackerTest.cpp
+++ b/UnitTests/Coordination/SpeedTrackerTest.cpp
@@ -47,7 +47,7 @@
         Tasks::Job job;
         job.id = "job-" + std::to_string(this->jobs.all().size());
         job.steps.push_back(step);
-        return this->jobs.add(job, std::nullopt, 0).job.id;
+        return this->jobs.add(job, std::nullopt).job.id;
     }
 
     /// Reports one ended run of the step on each worker.
--- /dev/null
+++ b/UnitTests/Coordination/TermClockTest.cpp
@@ -0,0 +1,117 @@
+#include "FakeStore.h"
+
+#include <Coordination/StoreKeys.h>
+#include <Coordination/TermClock.h>
+
+#include <gtest/gtest.h>
+
+namespace Hibiscus::Coordination::Test {
+
+namespace {
+
+class SilentLogger final : public EventLogger
+{
+public:
+    void logEvent(Runtime::LogKind, std::string_view, const Runtime::LogFields &,
+                  TimePoint) override
+    {}
+};
+
+class TermClockTest : public testing::Test
+{
+protected:
+    TermClockTest()
+        : alive(std::make_shared<bool>(true))
+        , store(this->clock)
+        , view(this->store, "entry-0", this->alive)
+        , published(this->view, seconds(1), [](const std::string &, TimePoint) {})
+        , termClock(this->view, this->published, this->logger, {}, [](TimePoint) {})
+    {}
+
+    void begin(Tasks::TermTimeMs latestKnown)
+    {
+        this->store.put(StoreKeys::leader, "entry-0");
+        this->published.begin(this->store.find(StoreKeys::leader)->revision);
+        this->termClock.begin();
+        this->clock.run(seconds(1));
+        ASSERT_TRUE(this->termClock.isRead());
+        this->termClock.start(latestKnown, this->clock.nowMs(), this->clock.now());
+    }
+
+    /// Leads for `span`, with regular ticks.
+    void lead(Duration span)
+    {
+        for (Duration led{}; led < span; led += milliseconds(250)) {
+            this->clock.run(milliseconds(250));
+            this->termClock.advance(this->clock.now());
+            this->termClock.update(this->clock.nowMs(), this->clock.now());
+        }
+    }
+
+    Tasks::TermTimeMs reading() const { return this->termClock.reading(this->clock.now()); }
+
+    SimClock clock;
+    std::shared_ptr<bool> alive;
+    FakeStore store;
+    FakeStore::View view;
+    SilentLogger logger;
+    PublishedKeys published;
+    TermClock termClock;
+};
+
+TEST_F(TermClockTest, CountsTheTimeOfTheTerm)
+{
+    this->begin(0);
+    this->lead(seconds(30));
+    EXPECT_EQ(this->reading(), 30'000);
+}
+
+TEST_F(TermClockTest, NextLeaderGoesOnWithWhatWasHandedOn)
+{
+    this->begin(0);
+    this->lead(seconds(33));
+    this->clock.run(seconds(100));
+    this->begin(0);
+    EXPECT_EQ(this->reading(), 30'000);
+}
+
+TEST_F(TermClockTest, NextLeaderGoesOnWithTheLatestTimeInJobs)
+{
+    this->begin(0);
+    this->lead(seconds(33));
+    this->begin(32'500);
+    EXPECT_EQ(this->reading(), 32'500);
+    this->begin(1'000);
+    EXPECT_EQ(this->reading(), 30'000);
+}
+
+TEST_F(TermClockTest, StandsStillDuringAPause)
+{
+    this->begin(0);
+    this->lead(seconds(10));
+    this->clock.run(std::chrono::hours(1));
+    EXPECT_EQ(this->reading(), 11'000);
+    this->lead(seconds(5));
+    EXPECT_EQ(this->reading(), 16'000 - 250);
+}
+
+TEST_F(TermClockTest, RecordIsReadAsItWasWritten)
+{
+    const std::optional<TermTimeRecord> record = decodeTermTime(encodeTermTime({1'234, 5'678}));
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->termTime, 1'234);
+    EXPECT_EQ(record->timeOfDay, 5'678);
+}
+
+TEST_F(TermClockTest, DamagedRecordIsRejected)
+{
+    EXPECT_FALSE(decodeTermTime(""));
+    EXPECT_FALSE(decodeTermTime("[]"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":-1,"timeOfDayMs":1})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":"1","timeOfDayMs":1})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":1})"));
+}
+
+} // namespace
+
+} // namespace Hibiscus::Coordination::Test
--- a/UnitTests/Coordination/TrackedJobTableTest.cpp
+++ b/UnitTests/Coordination/TrackedJobTableTest.cpp
@@ -24,7 +24,7 @@
         job.steps.resize(1);
         job.steps[0].count = 2;
         job.steps[0].gang = true;
-        this->job = &this->table.add(job, std::nullopt, now);
+        this->job = &this->table.add(job, std::nullopt);
     }
 
     void assignBoth(const std::string &worker)
--- a/UnitTests/Tasks/JobRecordTest.cpp
+++ b/UnitTests/Tasks/JobRecordTest.cpp
@@ -48,6 +48,28 @@
     EXPECT_EQ(read->occurrences(), 2);
 }
 
+TEST(JobRecord, BeginOfTheFinalStateIsReadAsItWasWritten)
+{
+    const Job job = sampleJob();
+    JobProgress progress(job);
+    progress.state = JobState::Completed;
+    progress.finalSince = 123'456;
+    const tl::expected<JobProgress, std::string> read
+        = decodeProgress(encodeProgress(progress), job);
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_EQ(*read, progress);
+}
+
+TEST(JobRecord, RecordWithoutTheBeginOfTheFinalStateIsRead)
+{
+    const Job job = sampleJob();
+    const JobProgress progress(job);
+    const tl::expected<JobProgress, std::string> read
+        = decodeProgress(encodeProgress(progress), job);
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_FALSE(read->finalSince);
+}
+
 TEST(JobRecord, ProgressRoundTripsThroughItsRecord)
 {
     const Job job = sampleJob();
