Take the ages of jobs from the leader's steady clock

What callers may see: jobs that wait behind later ones, or count as too old to be of use and wait behind everything, although they were accepted a second ago.

A job's acceptance is by the time of day of the instance that accepted it, and the leader compared it with its own: for the order of starts, the objective, the time after which a job is of no use, the bound of a guarantee and the age in "job over" and the histograms.

Fix: within a term, the leader counts ages on its steady clock (JobAgeClock); only the due times of occurrences go by the time of day. The stated age of a job that the watch reports counts if it is possible: not below zero, and not longer than since the watch was last up to date and a second for the submission. Otherwise one of the two clocks is off, and the job counts as accepted when it was seen. At a takeover the bounds come from what former leaders had seen: with the term time the leader stores up to which revision it has seen the jobs (32 pairs at most, 1 KiB), so a job's revision tells when it was accepted, to about the interval of the record and 15 s for time without a leader.

Open: an error of a few seconds can't be told after a change of leaders.

--- a/Coordination/PlanInputs.cpp
+++ b/Coordination/PlanInputs.cpp
@@ -28,6 +28,15 @@
     return {std::string(request.job), request.occurrence, request.stepNumber};
 }
 
+/// Since when the occurrence could have started, by the JobAgeClock.
+UnixMs readySince(const Tasks::Job &job, std::int32_t occurrence, const PlanInputs::Time &time)
+{
+    if (job.repetition.count == 0)
+        return job.acceptedAt;
+    const UnixMs overdueMs = std::max<UnixMs>(0, time.timeOfDay - job.dueAt(occurrence));
+    return std::max(job.acceptedAt, time.ageTime - overdueMs);
+}
+
 /// Whether the task is at work: its worker reports the run at 100 percent and no stop is requested.
 bool isFullyRunning(const WorkerFleet &fleet, const TrackedJob &job, const TaskRef &ref)
 {
@@ -79,12 +88,12 @@
     this->claims.clear();
 }
 
-bool PlanInputs::collect(UnixMs wall, TimePoint now)
+bool PlanInputs::collect(const Time &time)
 {
-    this->collectRequests(wall, now);
+    this->collectRequests(time);
     if (this->requests.empty())
         return false;
-    this->collectWorkers(wall, now);
+    this->collectWorkers(time);
     this->nameOwners();
     this->markFixedOccupants();
     this->markGuaranteed();
@@ -92,11 +101,11 @@
         this->findSiblings(request);
         this->restoreClaims(request);
     }
-    this->restrictToPermits(wall, now);
+    this->restrictToPermits(time);
     return true;
 }
 
-void PlanInputs::collectRequests(UnixMs wall, TimePoint now)
+void PlanInputs::collectRequests(const Time &time)
 {
     this->requests.clear();
     for (const auto &[id, job] : this->jobs.all()) {
@@ -104,16 +113,15 @@
             continue;
         const bool repeated = job.job.repetition.count > 0;
         for (std::int32_t i = 0; i < job.job.occurrences(); i++) {
-            if (repeated && wall < job.job.dueAt(i))
+            if (repeated && time.timeOfDay < job.job.dueAt(i))
                 break;
-            this->addRequests(job, i, wall, now);
+            this->addRequests(job, i, time);
         }
     }
 }
 
 /// Fills in what earlier runs of a gang ended as failed.
-void PlanInputs::addFailures(StartRequest &request, const TrackedJob &job, UnixMs wall,
-                             TimePoint now) const
+void PlanInputs::addFailures(StartRequest &request, const TrackedJob &job, const Time &time) const
 {
     if (!request.step->gang)
         return;
@@ -122,11 +130,10 @@
     const std::optional<TimePoint> failedAt
         = this->risks.lastFailureOf({job.job.id, request.occurrence, request.stepNumber});
     if (failedAt)
-        request.failedAt = wall - toMs(now - *failedAt);
+        request.failedAt = time.ageTime - toMs(time.now - *failedAt);
 }
 
-void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, UnixMs wall,
-                             TimePoint now)
+void PlanInputs::addRequests(const TrackedJob &job, std::int32_t occurrence, const Time &time)
 {
     const UnixMs span = toMs(job.job.objective(this->runTimes.expectedCriticalPath(job.job)));
     for (std::size_t i = 0; i < job.job.steps.size(); i++) {
@@ -148,17 +155,17 @@
         request.customer = job.job.customer;
         request.priority = job.job.priority;
         request.runTime = this->runTimes.expectedRunTime(job.job.queue, step.estimate);
-        request.readySince = std::max(job.job.dueAt(occurrence), job.job.acceptedAt);
-        request.objectiveAt = step.perpetual ? wall : request.readySince + span;
+        request.readySince = readySince(job.job, occurrence, time);
+        request.objectiveAt = step.perpetual ? time.ageTime : request.readySince + span;
         request.usefulUntil
             = step.perpetual ? never : request.readySince + worthlessAfterObjectives * span;
         request.indexes = std::move(indexes);
-        this->addFailures(request, job, wall, now);
+        this->addFailures(request, job, time);
         this->requests.push_back(std::move(request));
     }
 }
 
-void PlanInputs::collectWorkers(UnixMs wall, TimePoint now)
+void PlanInputs::collectWorkers(const Time &time)
 {
     this->workers.clear();
     this->workers.reserve(this->fleet.all().size());
@@ -170,29 +177,29 @@
         view.labels = worker.entry.labels;
         view.free = worker.entry.capacity;
         view.free -= worker.used;
-        view.usable = this->fleet.isUsable(worker, now);
+        view.usable = this->fleet.isUsable(worker, time.now);
         view.evacuated = this->fleet.isEvacuated(worker);
-        view.failureRisk = this->risks.riskOf(id, view.service, now);
+        view.failureRisk = this->risks.riskOf(id, view.service, time.now);
         const Tasks::WorkerSpeeds::Speed speed = this->speeds.speedOf(worker.entry);
         view.slowness = speed.slowness;
         view.speedKnown = speed.known;
         view.slownessDeviation = speed.deviation;
         view.occupants.reserve(worker.runs.size());
         for (const auto &[key, run] : worker.runs)
-            view.occupants.push_back(this->viewOf(run, wall, now));
+            view.occupants.push_back(this->viewOf(run, time));
         this->workers.push_back(std::move(view));
     }
 }
 
-OccupantView PlanInputs::viewOf(const WorkerFleet::Run &run, UnixMs wall, TimePoint now) const
+OccupantView PlanInputs::viewOf(const WorkerFleet::Run &run, const Time &time) const
 {
-    const Duration elapsed = run.elapsed(now);
+    const Duration elapsed = run.elapsed(time.now);
     OccupantView view;
     view.need = run.need;
     view.stopping = run.stopWanted;
     view.priority = run.priority;
-    view.expectedEnd
-        = run.perpetual ? never : wall + std::max<std::int64_t>(0, toMs(run.estimate - elapsed));
+    const std::int64_t leftMs = std::max<std::int64_t>(0, toMs(run.estimate - elapsed));
+    view.expectedEnd = run.perpetual ? never : time.ageTime + leftMs;
     const double done = toSeconds(elapsed);
     // A perpetual task accumulates no work that a stop could lose.
     const double lost = run.perpetual ? 0.0
@@ -323,14 +330,15 @@
             this->workers[claim.worker].id);
 }
 
-void PlanInputs::restrictToPermits(UnixMs wall, TimePoint now)
+void PlanInputs::restrictToPermits(const Time &time)
 {
     for (StartRequest &request : this->requests) {
         const Tasks::PermitTerms &terms = this->jobs.find(request.job)->job.permits;
         if (terms.required())
-            this->permits.restrictToPermitted(request, terms, this->workers, wall, now);
+            this->permits.restrictToPermitted(request, terms, this->workers, time.ageTime,
+                                              time.now);
     }
-    this->permits.sendQuery(now);
+    this->permits.sendQuery(time.now);
 }
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/PlanInputs.h
+++ b/Coordination/PlanInputs.h
@@ -24,6 +24,14 @@
 class PlanInputs
 {
 public:
+    /// The present time by the clocks that a plan goes by.
+    struct Time
+    {
+        Tasks::UnixMs timeOfDay = 0; ///< For the due times of occurrences.
+        Tasks::UnixMs ageTime = 0; ///< Of the JobAgeClock. All times of requests are by it.
+        TimePoint now{};
+    };
+
     struct Settings
     {
         /// Seconds of work that a task with checkpoints loses when it is stopped.
@@ -37,7 +45,7 @@
 
     void clear();
     /// Rebuilds the snapshot; returns false if no step is waiting to start.
-    bool collect(Tasks::UnixMs wall, TimePoint now);
+    bool collect(const Time &time);
     /// Keeps the room that is being freed for a request reserved for it in the next plan.
     void keepClaims(const Tasks::StartPlan &plan);
 
@@ -45,20 +53,17 @@
     std::span<const Tasks::WorkerView> workerViews() const { return this->workers; }
 
 private:
-    void collectRequests(Tasks::UnixMs wall, TimePoint now);
-    void addRequests(const TrackedJob &job, std::int32_t occurrence, Tasks::UnixMs wall,
-                     TimePoint now);
-    void addFailures(Tasks::StartRequest &request, const TrackedJob &job, Tasks::UnixMs wall,
-                     TimePoint now) const;
-    void collectWorkers(Tasks::UnixMs wall, TimePoint now);
-    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, Tasks::UnixMs wall,
-                               TimePoint now) const;
+    void collectRequests(const Time &time);
+    void addRequests(const TrackedJob &job, std::int32_t occurrence, const Time &time);
+    void addFailures(Tasks::StartRequest &request, const TrackedJob &job, const Time &time) const;
+    void collectWorkers(const Time &time);
+    Tasks::OccupantView viewOf(const WorkerFleet::Run &run, const Time &time) const;
     void nameOwners();
     void markFixedOccupants();
     void markGuaranteed();
     void findSiblings(Tasks::StartRequest &request) const;
     void restoreClaims(Tasks::StartRequest &request) const;
-    void restrictToPermits(Tasks::UnixMs wall, TimePoint now);
+    void restrictToPermits(const Time &time);
     std::optional<std::size_t> indexOfWorker(std::string_view worker) const;
 
     const TrackedJobTable &jobs;
--- a/Coordination/PrefixWatch.h
+++ b/Coordination/PrefixWatch.h
@@ -46,6 +46,8 @@
 
     /// All changes that the store acknowledged before this time have been reported.
     std::optional<TimePoint> freshAt() const { return this->fresh; }
+    /// All changes up to this revision of the store have been reported.
+    std::int64_t reportedRevision() const { return this->revision; }
 
 private:
     void listPage(const std::string &after, TimePoint now);
--- a/Coordination/TaskDispatcher.cpp
+++ b/Coordination/TaskDispatcher.cpp
@@ -25,6 +25,9 @@
 /// How far the wall clock of a worker may be ahead of the leader's.
 constexpr std::int64_t maxClockLeadMs = toMs(std::chrono::hours(24));
 
+/// From a job's acceptance until it is stored, if the store answers.
+constexpr Duration longestUsualSubmission = seconds(1);
+
 /// Keeps all tasks of a job whose progress is unknown from starting, since each of them may be
 /// running or done. The job's stored record stays as it is until the job is cancelled.
 void blockTasks(TrackedJob &job)
@@ -152,6 +155,7 @@
     this->progress.start();
     this->silence.begin(term.lastLeader);
     this->termClock.begin();
+    this->ageClock.begin(this->wallClock.nowMs(), now);
     this->speeds.begin();
 }
 
@@ -189,44 +193,49 @@
     this->phase = Phase::Leading;
     for (const auto &[id, record] : this->progress.records())
         this->writer.setRevision(id, record.revision);
-    std::vector<std::string> ids;
-    for (const auto &[id, job] : this->jobs.all())
-        ids.push_back(id);
-    for (const std::string &id : ids) {
-        const Job job = this->jobs.find(id)->job;
+    for (auto &[id, job] : this->jobs.all())
         this->restoreJob(job, now);
-    }
     this->restoreRetention(now);
+    this->restoreAges(now);
     for (const std::string &id : std::set<std::string>(this->cancelledIds))
         this->cancelJob(id, now);
     this->progress.discardRecords();
     this->fleet.openSessions(now);
-    this->logger.logEvent(LogKind::Leadership, "took over",
-                          {{"jobs", ids.size()}, {"workers", this->fleet.all().size()}}, now);
+    this->logger.logEvent(
+        LogKind::Leadership, "took over",
+        {{"jobs", this->jobs.all().size()}, {"workers", this->fleet.all().size()}}, now);
     this->scheduleTick();
     this->schedulePlan();
 }
 
-void TaskDispatcher::restoreJob(const Job &job, TimePoint now)
+void TaskDispatcher::restoreJob(TrackedJob &job, TimePoint now)
 {
-    const auto record = this->progress.records().find(job.id);
+    const auto record = this->progress.records().find(job.job.id);
     if (record == this->progress.records().end())
         return;
     tl::expected<JobProgress, std::string> progress
-        = Tasks::decodeProgress(record->second.value, job);
+        = Tasks::decodeProgress(record->second.value, job.job);
     if (!progress) {
         this->logger.logEvent(LogKind::Fault, "progress record can't be read",
-                              {{"request", job.id},
+                              {{"request", job.job.id},
                                {"revision", record->second.revision},
                                {"error", progress.error()},
                                {"effect", "no task of the job starts; it can be cancelled"}},
                               now);
-        blockTasks(*this->jobs.find(job.id));
+        blockTasks(job);
         return;
     }
-    TrackedJob &live = this->jobs.add(job, std::move(*progress));
-    live.finalStateStored = live.isFinished();
-    this->adoptRuns(live, record->second.revision, now);
+    job.progress = std::move(*progress);
+    job.finalStateStored = job.isFinished();
+    this->adoptRuns(job, record->second.revision, now);
+}
+
+void TaskDispatcher::restoreAges(TimePoint now)
+{
+    for (auto &[id, job] : this->jobs.all()) {
+        const AgeBounds bounds = this->termClock.ageOf(job.revision, now);
+        this->setAge(job, JobAgeClock::ageOf(this->statedAge(job), bounds), now);
+    }
 }
 
 /// Records of earlier versions have no term time. Their jobs count as finished now, by each leader
@@ -308,18 +317,39 @@
                               {{"request", id}, {"error", job.error()}}, now);
         return;
     }
-    const Tasks::UnixMs wall = this->wallClock.nowMs();
-    this->jobs.add(std::move(*job), std::nullopt);
-    if (this->phase != Phase::Leading)
-        return;
+    TrackedJob &added = this->jobs.add(std::move(*job), std::nullopt);
+    added.revision = item.revision;
+    if (this->phase == Phase::Leading)
+        this->takeOn(added, now);
+}
+
+/// The job was stored after the watch had last been known to be up to date.
+void TaskDispatcher::takeOn(TrackedJob &job, TimePoint now)
+{
+    const Duration stated = this->statedAge(job);
+    const TimePoint freshAt = this->jobWatch.freshAt().value_or(now);
+    const AgeBounds bounds{.most = now - freshAt + longestUsualSubmission};
+    const Duration age = JobAgeClock::ageOf(stated, bounds);
+    this->setAge(job, age, now);
     this->logger.logEvent(LogKind::Request, "job taken on",
-                          {{"request", id},
-                           {"revision", item.revision},
-                           {"ageMs", wall - this->jobs.find(id)->job.acceptedAt}},
+                          {{"request", job.job.id},
+                           {"revision", job.revision},
+                           {"ageMs", toMs(stated)},
+                           {"countedAgeMs", toMs(age)}},
                           now);
     this->schedulePlan();
 }
 
+Duration TaskDispatcher::statedAge(const TrackedJob &job) const
+{
+    return milliseconds(this->wallClock.nowMs() - job.job.acceptedAt);
+}
+
+void TaskDispatcher::setAge(TrackedJob &job, Duration age, TimePoint now)
+{
+    job.job.acceptedAt = this->ageClock.at(now) - toMs(age);
+}
+
 void TaskDispatcher::cancelJob(const std::string &id, TimePoint now)
 {
     TrackedJob *job = this->jobs.find(id);
@@ -505,7 +535,7 @@
 
 void TaskDispatcher::reportFinishedJob(const TrackedJob &job, TimePoint now)
 {
-    const std::int64_t ageMs = this->wallClock.nowMs() - job.job.acceptedAt;
+    const std::int64_t ageMs = this->ageClock.at(now) - job.job.acceptedAt;
     this->logger.logEvent(LogKind::Request, "job over",
                           {{"request", job.job.id},
                            {"queue", job.job.queue},
@@ -581,7 +611,7 @@
     this->writeLoad(now);
     this->speeds.update(now);
     this->silence.update(this->election.termName());
-    this->termClock.update(this->wallClock.nowMs(), now);
+    this->termClock.update(this->jobWatch.reportedRevision(), this->wallClock.nowMs(), now);
     this->stopDoomedRuns(now);
     this->plan(now);
 }
--- a/Coordination/TaskDispatcher.h
+++ b/Coordination/TaskDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Coordination/EvacuationWatch.h>
+#include <Coordination/JobAgeClock.h>
 #include <Coordination/LeaderElection.h>
 #include <Coordination/PermitCache.h>
 #include <Coordination/PlanInputs.h>
@@ -118,7 +119,9 @@
     bool mayStart(TimePoint now);
     void evacuationsChanged(TimePoint now);
     void beginWhenLoaded(TimePoint now);
-    void restoreJob(const Tasks::Job &job, TimePoint now);
+    void restoreJob(TrackedJob &job, TimePoint now);
+    /// Corrects the jobs' times of acceptance, which are by the times of day of other instances.
+    void restoreAges(TimePoint now);
     /// Starts the term clock, and completes the records of finished jobs that lack a term time.
     void restoreRetention(TimePoint now);
     /// `revision` is that of the job's record, for the log.
@@ -127,6 +130,10 @@
     void jobKeyChanged(const Tasks::StoredItem &item, TimePoint now);
     void removeJob(const std::string &id);
     void addJob(const Tasks::StoredItem &item, const std::string &id, TimePoint now);
+    void takeOn(TrackedJob &job, TimePoint now);
+    /// Time since the job's acceptance by the times of day of the accepting instance and this one.
+    Duration statedAge(const TrackedJob &job) const;
+    void setAge(TrackedJob &job, Duration age, TimePoint now);
     void cancelJob(const std::string &id, TimePoint now);
     void workerKeyChanged(const Tasks::StoredItem &item, TimePoint now);
 
@@ -178,6 +185,7 @@
     PublishedKeys published;
     SilenceRecorder silence;
     TermClock termClock;
+    JobAgeClock ageClock;
     PrefixWatch jobWatch;
     PrefixWatch workerWatch;
     EvacuationWatch evacuations;
--- a/Coordination/TaskDispatcherPlan.cpp
+++ b/Coordination/TaskDispatcherPlan.cpp
@@ -97,11 +97,11 @@
     if (!this->evacuations.isCurrent(now))
         return;
     this->observeWorkers(now);
-    const Tasks::UnixMs wall = this->wallClock.nowMs();
-    if (!this->inputs.collect(wall, now))
+    const Tasks::UnixMs ageTime = this->ageClock.at(now);
+    if (!this->inputs.collect({this->wallClock.nowMs(), ageTime, now}))
         return;
     const Tasks::StartPlan plan
-        = this->planner.plan(this->inputs.startRequests(), this->inputs.workerViews(), wall);
+        = this->planner.plan(this->inputs.startRequests(), this->inputs.workerViews(), ageTime);
     this->inputs.keepClaims(plan);
     this->reportShortages(plan, now);
     this->executePlan(plan, now);
@@ -174,9 +174,9 @@
                            {"task", Tasks::textOf(ref)},
                            {"run", runRef.run},
                            {"worker", worker},
-                           {"waitedMs", this->wallClock.nowMs() - request.readySince},
+                           {"waitedMs", this->ageClock.at(now) - request.readySince},
                            {"slowness", slowness},
-                           {"rank", StartPlanner::rankOf(request, this->wallClock.nowMs())}},
+                           {"rank", StartPlanner::rankOf(request, this->ageClock.at(now))}},
                           now);
     this->fleet.assign(worker, std::move(run), now);
     this->writer.scheduleWrite(job.job.id, [this, runRef, worker](TimePoint at) {
--- a/Coordination/TermClock.cpp
+++ b/Coordination/TermClock.cpp
@@ -17,7 +17,13 @@
 
 std::string encodeTermTime(const TermTimeRecord &record)
 {
-    return json{{"termTimeMs", record.termTime}, {"timeOfDayMs", record.timeOfDay}}.dump();
+    json seen = json::array();
+    for (const JobSighting &sighting : record.sightings)
+        seen.push_back({sighting.revision, sighting.termTime});
+    return json{{"termTimeMs", record.termTime},
+                {"timeOfDayMs", record.timeOfDay},
+                {"seen", std::move(seen)}}
+        .dump();
 }
 
 std::optional<TermTimeRecord> decodeTermTime(std::string_view text)
@@ -25,9 +31,18 @@
     const json value = json::parse(text, nullptr, false);
     const json *termTime = findField(value, "termTimeMs", json::value_t::number_unsigned);
     const json *timeOfDay = findField(value, "timeOfDayMs", json::value_t::number_unsigned);
-    if (!termTime || !timeOfDay)
+    const json *seen = findField(value, "seen", json::value_t::array);
+    if (!termTime || !timeOfDay || !seen)
         return std::nullopt;
-    return TermTimeRecord{termTime->get<TermTimeMs>(), timeOfDay->get<UnixMs>()};
+    TermTimeRecord record{termTime->get<TermTimeMs>(), timeOfDay->get<UnixMs>(), {}};
+    for (const json &row : *seen) {
+        const bool isSighting = row.is_array() && row.size() == 2 && row[0].is_number_unsigned()
+            && row[1].is_number_unsigned();
+        if (!isSighting)
+            return std::nullopt;
+        record.sightings.push_back({row[0].get<std::int64_t>(), row[1].get<TermTimeMs>()});
+    }
+    return record;
 }
 
 TermClock::TermClock(Tasks::MetadataStore &store, PublishedKeys &published, EventLogger &logger,
@@ -73,9 +88,12 @@
 {
     Runtime::LogFields fields;
     TermTimeMs latest = latestKnown;
+    this->sightings.clear();
     if (this->formerRecord) {
         latest = std::max(latest, this->formerRecord->termTime);
         fields["timeOfDayElapsedMs"] = timeOfDay - this->formerRecord->timeOfDay;
+        for (const JobSighting &sighting : this->formerRecord->sightings)
+            this->sightings.add(sighting);
     }
     fields["termTimeMs"] = latest;
     fields["latestInJobsMs"] = latestKnown;
@@ -101,13 +119,22 @@
     return toMs(this->counted + this->stepUntil(now));
 }
 
-void TermClock::update(UnixMs timeOfDay, TimePoint now)
+void TermClock::update(std::int64_t seenRevision, UnixMs timeOfDay, TimePoint now)
 {
     if (now < this->writtenAt + this->settings.writeInterval)
         return;
     this->writtenAt = now;
-    this->published.publish(StoreKeys::termTime,
-                            encodeTermTime({this->reading(now), std::max<UnixMs>(0, timeOfDay)}));
+    this->sightings.add({seenRevision, this->reading(now)});
+    const std::span<const JobSighting> seen = this->sightings.all();
+    this->published.publish(
+        StoreKeys::termTime,
+        encodeTermTime(
+            {this->reading(now), std::max<UnixMs>(0, timeOfDay), {seen.begin(), seen.end()}}));
+}
+
+AgeBounds TermClock::ageOf(std::int64_t revision, TimePoint now) const
+{
+    return this->sightings.ageOf(revision, this->reading(now));
 }
 
 } // namespace Hibiscus::Coordination
--- a/Coordination/TermClock.h
+++ b/Coordination/TermClock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Coordination/EventLogger.h>
+#include <Coordination/JobSightings.h>
 #include <Coordination/PublishedKeys.h>
 #include <Tasks/MetadataStore.h>
 #include <Tasks/TaskProgress.h>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Hibiscus::Coordination {
 
@@ -18,6 +20,7 @@
 {
     Tasks::TermTimeMs termTime = 0;
     Tasks::UnixMs timeOfDay = 0; ///< Of the leader that wrote the record; only for the log.
+    std::vector<JobSighting> sightings;
 };
 
 std::string encodeTermTime(const TermTimeRecord &record);
@@ -63,9 +66,12 @@
     void start(Tasks::TermTimeMs latestKnown, Tasks::UnixMs timeOfDay, TimePoint now);
     /// Counts the time since the last call. Called regularly while the lease holds.
     void advance(TimePoint now);
-    /// Hands the term time on to the next leader once in a while.
-    void update(Tasks::UnixMs timeOfDay, TimePoint now);
+    /// Hands the term time on to the next leader once in a while. All jobs that were stored up to
+    /// `seenRevision` have been seen.
+    void update(std::int64_t seenRevision, Tasks::UnixMs timeOfDay, TimePoint now);
     Tasks::TermTimeMs reading(TimePoint now) const;
+    /// Bounds of the age of a job that was stored at `revision`.
+    AgeBounds ageOf(std::int64_t revision, TimePoint now) const;
 
 private:
     void handleRecord(const Tasks::StoreAnswer &answer, TimePoint now);
@@ -79,6 +85,7 @@
     std::uint64_t generation = 0; ///< Answers to calls of earlier generations are ignored.
     bool read = false;
     std::optional<TermTimeRecord> formerRecord;
+    JobSightings sightings;
     Duration counted{}; ///< Term time at `countedAt`.
     TimePoint countedAt{};
     TimePoint writtenAt{};
--- a/Coordination/TrackedJobTable.h
+++ b/Coordination/TrackedJobTable.h
@@ -22,8 +22,9 @@
 /// A job that the leader schedules, with its progress.
 struct TrackedJob
 {
-    Tasks::Job job;
+    Tasks::Job job; ///< Its time of acceptance is that of the leader's JobAgeClock.
     Tasks::JobProgress progress;
+    std::int64_t revision = 0; ///< Of the store, at which the job was stored.
     bool finalStateStored = false; ///< The job's final state can be read by callers.
     bool removalLogged = false;
 
--- a/UnitTests/Coordination/TermClockTest.cpp
+++ b/UnitTests/Coordination/TermClockTest.cpp
@@ -44,7 +44,7 @@
         for (Duration led{}; led < span; led += milliseconds(250)) {
             this->clock.run(milliseconds(250));
             this->termClock.advance(this->clock.now());
-            this->termClock.update(this->clock.nowMs(), this->clock.now());
+            this->termClock.update(this->seenRevision, this->clock.nowMs(), this->clock.now());
         }
     }
 
@@ -57,6 +57,7 @@
     SilentLogger logger;
     PublishedKeys published;
     TermClock termClock;
+    std::int64_t seenRevision = 0;
 };
 
 TEST_F(TermClockTest, CountsTheTimeOfTheTerm)
@@ -95,21 +96,41 @@
     EXPECT_EQ(this->reading(), 16'000 - 250);
 }
 
+TEST_F(TermClockTest, NextLeaderKnowsHowOldJobsAre)
+{
+    this->begin(0);
+    this->seenRevision = 10;
+    this->lead(seconds(5));
+    this->seenRevision = 20;
+    this->lead(seconds(31));
+    this->begin(0);
+    const AgeBounds bounds = this->termClock.ageOf(15, this->clock.now());
+    EXPECT_EQ(bounds.least, seconds(25));
+    EXPECT_GE(bounds.most, seconds(30));
+    EXPECT_LT(bounds.most, seconds(60));
+    EXPECT_EQ(this->termClock.ageOf(30, this->clock.now()).least, Duration{});
+    EXPECT_EQ(this->termClock.ageOf(5, this->clock.now()).most, maxDuration);
+}
+
 TEST_F(TermClockTest, RecordIsReadAsItWasWritten)
 {
-    const std::optional<TermTimeRecord> record = decodeTermTime(encodeTermTime({1'234, 5'678}));
+    const std::optional<TermTimeRecord> record
+        = decodeTermTime(encodeTermTime({1'234, 5'678, {{7, 100}, {9, 200}}}));
     ASSERT_TRUE(record);
     EXPECT_EQ(record->termTime, 1'234);
     EXPECT_EQ(record->timeOfDay, 5'678);
+    EXPECT_EQ(record->sightings, (std::vector<JobSighting>{{7, 100}, {9, 200}}));
 }
 
 TEST_F(TermClockTest, DamagedRecordIsRejected)
 {
     EXPECT_FALSE(decodeTermTime(""));
     EXPECT_FALSE(decodeTermTime("[]"));
-    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":-1,"timeOfDayMs":1})"));
-    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":"1","timeOfDayMs":1})"));
-    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":1})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":-1,"timeOfDayMs":1,"seen":[]})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":"1","timeOfDayMs":1,"seen":[]})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":1,"seen":[]})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":1,"timeOfDayMs":1,"seen":[7]})"));
+    EXPECT_FALSE(decodeTermTime(R"({"termTimeMs":1,"timeOfDayMs":1,"seen":[[7,-1]]})"));
 }
 
 } // namespace
