--- a/Soak/ChildProcess.cpp
+++ b/Soak/ChildProcess.cpp
@@ -13,21 +13,35 @@
 
 namespace Hibiscus::Soak {
 
-ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
+namespace {
+
+/// Appends the texts and the null that ends the list.
+void appendTexts(std::vector<char *> &list, const std::vector<std::string> &texts)
+{
+    for (const std::string &text : texts)
+        list.push_back(const_cast<char *>(text.c_str()));
+    list.push_back(nullptr);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile,
+                           const std::vector<std::string> &environment)
 {
     std::vector<char *> arguments;
-    arguments.reserve(command.size() + 1);
-    for (const std::string &argument : command)
-        arguments.push_back(const_cast<char *>(argument.c_str()));
-    arguments.push_back(nullptr);
+    appendTexts(arguments, command);
+    std::vector<char *> variables;
+    for (char **variable = environ; *variable; ++variable)
+        variables.push_back(*variable);
+    appendTexts(variables, environment);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     constexpr mode_t readable = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, readable);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int error
-        = posix_spawn(&this->id, arguments[0], &actions, nullptr, arguments.data(), environ);
+    const int error = posix_spawn(&this->id, arguments[0], &actions, nullptr, arguments.data(),
+                                  variables.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
         throw std::system_error(error, std::generic_category(), command.front());
--- a/Soak/ChildProcess.h
+++ b/Soak/ChildProcess.h
@@ -12,9 +12,10 @@
 class ChildProcess
 {
 public:
-    /// Starts the command with standard output and errors appended to `logFile`. Throws
-    /// std::system_error on failure.
-    ChildProcess(const std::vector<std::string> &command, const std::string &logFile);
+    /// Starts the command with standard output and errors appended to `logFile`. `environment` has
+    /// further variables as NAME=VALUE. Throws std::system_error on failure.
+    ChildProcess(const std::vector<std::string> &command, const std::string &logFile,
+                 const std::vector<std::string> &environment = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
--- a/Soak/FaultSchedule.cpp
+++ b/Soak/FaultSchedule.cpp
@@ -32,6 +32,8 @@
     {"late orders to a restarted worker", &FaultSchedule::restartWorkerWithLateOrders, false},
     {"kill leader", &FaultSchedule::killLeader, false},
     {"late commits", &FaultSchedule::delayCommits, false},
+    {"clock", &FaultSchedule::setClock, false},
+    {"all clocks", &FaultSchedule::setAllClocks, false},
 };
 
 FaultSchedule::FaultSchedule(boost::asio::io_context &loop, SoakSite &site, SoakClients &clients,
@@ -332,4 +334,28 @@
     return text;
 }
 
+/// Up to an hour in each direction, half of them up to five seconds.
+Duration FaultSchedule::drawClockError()
+{
+    const bool isLarge = this->random(2) == 0;
+    const Duration error
+        = this->drawDuration(milliseconds(500), isLarge ? seconds(3600) : seconds(5));
+    return this->random(2) == 0 ? error : -error;
+}
+
+/// The clock stays wrong until it is set again.
+void FaultSchedule::setClock()
+{
+    const std::size_t instance = this->drawInstance();
+    const bool returns = this->random(2) == 0;
+    this->site.setClockError(instance, returns ? Duration{} : this->drawClockError());
+}
+
+void FaultSchedule::setAllClocks()
+{
+    const Duration error = this->drawClockError();
+    for (std::size_t i = 0; i < this->site.instanceCount(); i++)
+        this->site.setClockError(i, error);
+}
+
 } // namespace Hibiscus::Soak
--- a/Soak/FaultSchedule.h
+++ b/Soak/FaultSchedule.h
@@ -77,6 +77,9 @@
     void restartWorkerWithLateOrders();
     void changeKeys();
     void changeConfiguration();
+    void setClock();
+    void setAllClocks();
+    Duration drawClockError();
 
     ConnectionFault drawConnectionFault();
 
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -144,6 +144,8 @@
     instance.name = "entry-" + std::to_string(number);
     instance.settingsFile = this->settings.folder + "/" + instance.name + ".toml";
     instance.logFile = this->settings.folder + "/" + instance.name + ".log";
+    instance.clockErrorFile = this->settings.folder + "/" + instance.name + ".clock";
+    this->setClockError(number, {});
     instance.view = std::make_unique<FakeStore::View>(this->store, instance.name, this->alive);
     instance.storeServer = std::make_unique<Runtime::HttpServer>(
         this->loop, anyPort,
@@ -186,7 +188,28 @@
     instance.logSizeAtStart = noLogYet ? 0 : logSize;
     instance.process = std::make_unique<ChildProcess>(
         std::vector<std::string>{this->settings.program, "--settings", instance.settingsFile},
-        instance.logFile);
+        instance.logFile, this->environmentOf(instance));
+}
+
+std::vector<std::string> SoakSite::environmentOf(const Instance &instance) const
+{
+    if (this->settings.clockShift.empty())
+        return {};
+    return {"LD_PRELOAD=" + this->settings.clockShift,
+            "HIBISCUS_SOAK_CLOCK_ERROR=" + instance.clockErrorFile};
+}
+
+/// The instance maps the file, so its content is overwritten in place.
+void SoakSite::setClockError(std::size_t instance, Duration error)
+{
+    const std::string &file = this->instances[instance].clockErrorFile;
+    const std::int64_t errorMs = toMs(error);
+    if (!std::filesystem::exists(file))
+        std::ofstream(file).close();
+    std::fstream(file, std::ios::in | std::ios::out | std::ios::binary)
+        .write(reinterpret_cast<const char *>(&errorMs), sizeof(errorMs));
+    this->logAction("clock set",
+                    {{"instance", this->instances[instance].name}, {"errorMs", errorMs}});
 }
 
 void SoakSite::signalInstance(std::size_t number, int signal)
@@ -324,6 +347,7 @@
     this->workers.delayedPolls.clear();
     for (std::size_t i = 0; i < this->instances.size(); i++) {
         this->signalInstance(i, SIGCONT);
+        this->setClockError(i, {});
         this->instances[i].store->setFault(ConnectionFault::None);
         this->instances[i].callers->setFault(ConnectionFault::None);
     }
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -37,6 +37,8 @@
         std::size_t instances = 3;
         std::size_t workers = 8;
         std::string moreSettings; ///< Appended to each instance's settings file.
+        /// Path of the library ClockShift; empty: the instances' clocks can't be set.
+        std::string clockShift;
     };
 
     SoakSite(boost::asio::io_context &loop, const Settings &settings);
@@ -58,6 +60,9 @@
     /// Changes the settings file by appending a comment line.
     void changeSettings(std::size_t number);
 
+    /// Sets how far the time of day of the instance's machine is ahead. It needs the library.
+    void setClockError(std::size_t instance, Duration error);
+
     void setStoreBehavior(std::size_t instance, StoreBehavior behavior);
     void setStoreBehaviorForAll(StoreBehavior behavior) { this->store.defaultBehavior = behavior; }
     FaultProxy &callersProxy(std::size_t instance) { return *this->instances[instance].callers; }
@@ -103,6 +108,7 @@
         std::string name;
         std::string settingsFile;
         std::string logFile;
+        std::string clockErrorFile;
         std::unique_ptr<FakeStore::View> view;
         std::unique_ptr<Runtime::HttpServer> storeServer;
         std::unique_ptr<FaultProxy> store;
@@ -122,6 +128,7 @@
 
     void advanceClock();
     void addInstance(std::size_t number);
+    std::vector<std::string> environmentOf(const Instance &instance) const;
     void addWorker(std::size_t number);
     void publish(Machine &machine);
     void logOrder(const Machine &machine, const Runtime::HttpRequest &request);
--- a/Soak/main.cpp
+++ b/Soak/main.cpp
@@ -1,4 +1,5 @@
 #include <Soak/FaultSchedule.h>
+#include <Soak/RetentionCheck.h>
 
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -27,6 +28,8 @@
     std::vector<std::string> only;
     Duration maxPause{};
     bool waitingPollsAcknowledge = false;
+    std::string clockShift;
+    std::chrono::seconds retention{};
 };
 
 cxxopts::Options describeOptions()
@@ -52,6 +55,10 @@
         cxxopts::value<int>()->default_value("900"));
     add("waiting-polls-acknowledge",
         "Workers also discard the ends of a poll's acknowledgement when they answer it");
+    add("clock-shift", "Path of the library that lets the faults on clocks set them",
+        cxxopts::value<std::string>()->default_value(""));
+    add("retention", "Seconds for which the state of a finished job stays readable",
+        cxxopts::value<int>()->default_value("120"));
     add("folder", "Folder for the logs of failed seeds",
         cxxopts::value<std::string>()->default_value("soak-logs"));
     add("help", "Print this help");
@@ -76,14 +83,25 @@
     fs::create_directories(folder);
     boost::asio::io_context loop(1);
     Soak::SoakSite site(
-        loop, {seed, options.program, folder.string(), options.instances, options.workers});
+        loop,
+        {.seed = seed,
+         .program = options.program,
+         .folder = folder.string(),
+         .instances = options.instances,
+         .workers = options.workers,
+         .moreSettings = "status_s = " + std::to_string(options.retention.count()) + "\n",
+         .clockShift = options.clockShift});
+    Soak::RetentionCheck retention(site.store, options.retention);
     Soak::SoakClients clients(loop, site, seed, {.variedRunTimes = !options.only.empty()});
     site.workers.waitingPollsAcknowledge = options.waitingPollsAcknowledge;
     Soak::FaultSchedule faults(loop, site, clients, seed,
                                {.maxPause = options.maxPause, .only = options.only});
     site.configure({"key-1"});
     clients.switchKey("key-1", site.now());
-    const auto never = [] { return false; };
+    const auto never = [&] {
+        retention.observe(site.now());
+        return false;
+    };
     runUntil(loop, site, warmUp, never);
     clients.start();
     faults.start();
@@ -93,15 +111,17 @@
     // Faults in progress end by themselves.
     runUntil(loop, site, seconds(5), never);
     site.clearFaults();
-    runUntil(loop, site, maxRecoveryTime, [&clients] { return clients.allFinished(); });
+    runUntil(loop, site, maxRecoveryTime, [&] { return never() || clients.allFinished(); });
     clients.checkFinalStates();
     site.stopAll();
     std::vector<std::string> violations = site.violations;
     violations.insert(violations.end(), clients.violations.begin(), clients.violations.end());
     violations.insert(violations.end(), site.workers.violations.begin(),
                       site.workers.violations.end());
+    violations.insert(violations.end(), retention.violations.begin(), retention.violations.end());
     std::cout << "seed " << seed << ": " << (violations.empty() ? "kept" : "BROKEN") << "; "
-              << clients.summary() << "; faults: " << faults.summary() << std::endl;
+              << clients.summary() << ", " << retention.forgottenCount()
+              << " forgotten; faults: " << faults.summary() << std::endl;
     for (const std::string &violation : violations)
         std::cout << "  " << violation << std::endl;
     if (violations.empty())
@@ -143,6 +163,8 @@
     if (arguments.count("only") > 0)
         options.only = arguments["only"].as<std::vector<std::string>>();
     options.maxPause = milliseconds(arguments["max-pause"].as<int>());
+    options.clockShift = arguments["clock-shift"].as<std::string>();
+    options.retention = std::chrono::seconds(arguments["retention"].as<int>());
     options.waitingPollsAcknowledge = arguments.count("waiting-polls-acknowledge") > 0;
     bool passed = true;
     for (const std::uint64_t seed : seedsOf(arguments))
