Set the soak's clocks in a build of the program of its own

The soak now runs hibiscus-node-with-set-clock: the same sources with Soak/ShiftedWallClock.cpp in place of Runtime/WallClock.cpp, which reads the error of the time of day from a file. Nothing is preloaded or shared.

--- a/Runtime/Clock.cpp
+++ b/Runtime/Clock.cpp
@@ -13,10 +13,4 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
 }
 
-std::int64_t wallClockMs()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 } // namespace Hibiscus::Runtime
--- a/Soak/SoakSite.cpp
+++ b/Soak/SoakSite.cpp
@@ -188,26 +188,18 @@
     instance.logSizeAtStart = noLogYet ? 0 : logSize;
     instance.process = std::make_unique<ChildProcess>(
         std::vector<std::string>{this->settings.program, "--settings", instance.settingsFile},
-        instance.logFile, this->environmentOf(instance));
+        instance.logFile,
+        std::vector<std::string>{"HIBISCUS_SOAK_CLOCK_ERROR=" + instance.clockErrorFile});
 }
 
-std::vector<std::string> SoakSite::environmentOf(const Instance &instance) const
-{
-    if (this->settings.clockShift.empty())
-        return {};
-    return {"LD_PRELOAD=" + this->settings.clockShift,
-            "HIBISCUS_SOAK_CLOCK_ERROR=" + instance.clockErrorFile};
-}
-
-/// The instance maps the file, so its content is overwritten in place.
 void SoakSite::setClockError(std::size_t instance, Duration error)
 {
     const std::string &file = this->instances[instance].clockErrorFile;
     const std::int64_t errorMs = toMs(error);
-    if (!std::filesystem::exists(file))
-        std::ofstream(file).close();
-    std::fstream(file, std::ios::in | std::ios::out | std::ios::binary)
-        .write(reinterpret_cast<const char *>(&errorMs), sizeof(errorMs));
+    // The instance reads the file at any time, so it is replaced whole.
+    const std::string newFile = file + ".new";
+    std::ofstream(newFile) << errorMs;
+    std::filesystem::rename(newFile, file);
     this->logAction("clock set",
                     {{"instance", this->instances[instance].name}, {"errorMs", errorMs}});
 }
--- a/Soak/SoakSite.h
+++ b/Soak/SoakSite.h
@@ -37,8 +37,6 @@
         std::size_t instances = 3;
         std::size_t workers = 8;
         std::string moreSettings; ///< Appended to each instance's settings file.
-        /// Path of the library ClockShift; empty: the instances' clocks can't be set.
-        std::string clockShift;
     };
 
     SoakSite(boost::asio::io_context &loop, const Settings &settings);
@@ -60,7 +58,8 @@
     /// Changes the settings file by appending a comment line.
     void changeSettings(std::size_t number);
 
-    /// Sets how far the time of day of the instance's machine is ahead. It needs the library.
+    /// Sets how far the time of day of the instance's machine is ahead. Only an instance that was
+    /// built with ShiftedWallClock.cpp takes notice.
     void setClockError(std::size_t instance, Duration error);
 
     void setStoreBehavior(std::size_t instance, StoreBehavior behavior);
@@ -128,7 +127,6 @@
 
     void advanceClock();
     void addInstance(std::size_t number);
-    std::vector<std::string> environmentOf(const Instance &instance) const;
     void addWorker(std::size_t number);
     void publish(Machine &machine);
     void logOrder(const Machine &machine, const Runtime::HttpRequest &request);
--- a/Soak/main.cpp
+++ b/Soak/main.cpp
@@ -28,7 +28,6 @@
     std::vector<std::string> only;
     Duration maxPause{};
     bool waitingPollsAcknowledge = false;
-    std::string clockShift;
     std::chrono::seconds retention{};
 };
 
@@ -55,8 +54,6 @@
         cxxopts::value<int>()->default_value("900"));
     add("waiting-polls-acknowledge",
         "Workers also discard the ends of a poll's acknowledgement when they answer it");
-    add("clock-shift", "Path of the library that lets the faults on clocks set them",
-        cxxopts::value<std::string>()->default_value(""));
     add("retention", "Seconds for which the state of a finished job stays readable",
         cxxopts::value<int>()->default_value("120"));
     add("folder", "Folder for the logs of failed seeds",
@@ -89,8 +86,7 @@
          .folder = folder.string(),
          .instances = options.instances,
          .workers = options.workers,
-         .moreSettings = "status_s = " + std::to_string(options.retention.count()) + "\n",
-         .clockShift = options.clockShift});
+         .moreSettings = "status_s = " + std::to_string(options.retention.count()) + "\n"});
     Soak::RetentionCheck retention(site.store, options.retention);
     Soak::SoakClients clients(loop, site, seed, {.variedRunTimes = !options.only.empty()});
     site.workers.waitingPollsAcknowledge = options.waitingPollsAcknowledge;
@@ -163,7 +159,6 @@
     if (arguments.count("only") > 0)
         options.only = arguments["only"].as<std::vector<std::string>>();
     options.maxPause = milliseconds(arguments["max-pause"].as<int>());
-    options.clockShift = arguments["clock-shift"].as<std::string>();
     options.retention = std::chrono::seconds(arguments["retention"].as<int>());
     options.waitingPollsAcknowledge = arguments.count("waiting-polls-acknowledge") > 0;
     bool passed = true;
