--- a/UnitTests/Coordination/DataCenterReachTest.cpp
+++ b/UnitTests/Coordination/DataCenterReachTest.cpp
@@ -100,8 +100,9 @@
     }
     ASSERT_EQ(cluster.workers.closedWorkers.size(), 1U);
     for (std::uint32_t number = 2; number <= 41; number++) {
-        if (number == 20)
+        if (number == 20) {
             ASSERT_TRUE(cluster.submit("entry-0", jobId(99), jobBody("20000", 1, 8)));
+        }
         ASSERT_TRUE(cluster.submit("entry-0", jobId(number),
                                    withFields(jobBody("1", 1, 1), {{"priority", 0}})));
         cluster.run(milliseconds(50));
