--- a/UnitTests/Coordination/JobRetentionTest.cpp
+++ b/UnitTests/Coordination/JobRetentionTest.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint32_t job = 51;
-constexpr Duration retention = TaskDispatcher::Settings{}.statusRetention;
+constexpr Duration retention = seconds(120); ///< TaskDispatcher's default.
 /// Ends before the job has been readable for the retention.
 constexpr Duration withinRetention = retention - milliseconds(500);
 /// Longer than a change of leaders takes, with the term time that is not handed on.
